--- /dev/null
+++ b/internal/request/key/key.go
@@ -0,0 +1,124 @@
+// Package key defines sessions and request keys.
+//
+// A session is handed to a caller by any host. It names, for good, the two
+// host incarnations that answer for the caller's requests: the owner, which
+// alone may dispatch them, and the witness, which can tell after the owner's
+// death what became of them. A request key is a session plus a part that the
+// caller chooses; equal keys mean the same request.
+package key
+
+import (
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"mustarddoor/internal/process/identity"
+)
+
+// MaxPartBytes bounds the part of a key that the caller chooses.
+const MaxPartBytes = 128
+
+const (
+	fieldSeparator = "."
+	partSeparator  = "/"
+	sessionFields  = 4
+)
+
+// ErrSyntax is returned when a text is not a session or key.
+var ErrSyntax = eris.New("not a request key")
+
+// Session binds a caller's requests to an owner and a witness.
+type Session struct {
+	// Owner is the only incarnation that may dispatch the session's requests.
+	Owner identity.Incarnation `cbor:"1,keyasint"`
+	// Witness records intents before dispatch. It is zero if the owner had no
+	// peer when the session was made.
+	Witness identity.Incarnation `cbor:"2,keyasint"`
+	// Nonce tells sessions of the same owner apart.
+	Nonce uint64 `cbor:"3,keyasint"`
+	// IssuedMillis is when the session was made, in Unix milliseconds by the
+	// owner's clock.
+	IssuedMillis int64 `cbor:"4,keyasint"`
+}
+
+// Key names one request of one caller.
+type Key struct {
+	Session Session `cbor:"1,keyasint"`
+	// Part is the caller's own part, 1 to MaxPartBytes printable ASCII
+	// characters without '/' and space.
+	Part string `cbor:"2,keyasint"`
+}
+
+// String gives the session as owner.witness.nonce.issued.
+func (s Session) String() string {
+	fields := []string{
+		s.Owner.String(),
+		s.Witness.String(),
+		strconv.FormatUint(s.Nonce, 36),
+		strconv.FormatInt(s.IssuedMillis, 36),
+	}
+	return strings.Join(fields, fieldSeparator)
+}
+
+// Issued is when the session was made, by the owner's clock.
+func (s Session) Issued() time.Time { return time.UnixMilli(s.IssuedMillis) }
+
+// String gives the key as session/part.
+func (k Key) String() string { return k.Session.String() + partSeparator + k.Part }
+
+// ParseSession is the inverse of Session.String. It fails with ErrSyntax.
+func ParseSession(text string) (Session, error) {
+	fields := strings.Split(text, fieldSeparator)
+	if len(fields) != sessionFields {
+		return Session{}, eris.Wrapf(ErrSyntax, "session %q", text)
+	}
+	owner, err := identity.ParseIncarnation(fields[0])
+	if err != nil || owner.IsZero() {
+		return Session{}, eris.Wrapf(ErrSyntax, "owner in session %q", text)
+	}
+	witness, err := identity.ParseIncarnation(fields[1])
+	if err != nil {
+		return Session{}, eris.Wrapf(ErrSyntax, "witness in session %q", text)
+	}
+	nonce, err := strconv.ParseUint(fields[2], 36, 64)
+	if err != nil {
+		return Session{}, eris.Wrapf(ErrSyntax, "nonce in session %q", text)
+	}
+	issued, err := strconv.ParseInt(fields[3], 36, 64)
+	if err != nil {
+		return Session{}, eris.Wrapf(ErrSyntax, "issue time in session %q", text)
+	}
+	session := Session{Owner: owner, Witness: witness, Nonce: nonce, IssuedMillis: issued}
+	if session.String() != text {
+		return Session{}, eris.Wrapf(ErrSyntax, "session %q is not in its normal form", text)
+	}
+	return session, nil
+}
+
+// Parse is the inverse of Key.String. It fails with ErrSyntax.
+func Parse(text string) (Key, error) {
+	head, part, found := strings.Cut(text, partSeparator)
+	if !found || !IsValidPart(part) {
+		return Key{}, eris.Wrapf(ErrSyntax, "%q", text)
+	}
+	session, err := ParseSession(head)
+	if err != nil {
+		return Key{}, err
+	}
+	return Key{Session: session, Part: part}, nil
+}
+
+// IsValidPart reports whether text may be the caller's part of a key.
+func IsValidPart(text string) bool {
+	if text == "" || len(text) > MaxPartBytes {
+		return false
+	}
+	for _, r := range text {
+		if r <= ' ' || r > '~' || r == '/' {
+			return false
+		}
+	}
+	return true
+}
