Placement over slots, limits, queue and scheduler

A host without homes is the home of every endpoint.

Ruled out: a go-metrics Timer for the waits; each starts a meter goroutine that never ends and keeps synctest from going idle (the first run of the tests hung on it). A histogram does.

--- /dev/null
+++ b/internal/process/placement/message.go
@@ -0,0 +1,76 @@
+package placement
+
+import (
+	"mustarddoor/internal/connection/mesh"
+	"mustarddoor/internal/process/identity"
+	"mustarddoor/internal/process/slot"
+)
+
+// KindExchange is the message between the hosts that hold slots and the homes
+// that grant them. Request and response are both a Message.
+const KindExchange mesh.Kind = "placement.exchange"
+
+// Message carries reports to a home and grants from it.
+type Message struct {
+	Reports []slot.Report `cbor:"1,keyasint,omitempty"`
+	Grants  []slot.Grant  `cbor:"2,keyasint,omitempty"`
+}
+
+// peer is where a message goes.
+type peer struct {
+	host    identity.Incarnation
+	address string
+}
+
+// outbox collects the messages that one step of the core sends.
+type outbox struct {
+	order    []peer
+	messages map[identity.Incarnation]*Message
+}
+
+// to returns the message under way to a peer.
+func (o *outbox) to(p peer) *Message {
+	if o.messages == nil {
+		o.messages = map[identity.Incarnation]*Message{}
+	}
+	message := o.messages[p.host]
+	if message == nil {
+		message = &Message{}
+		o.messages[p.host] = message
+		o.order = append(o.order, p)
+	}
+	return message
+}
+
+// take removes and returns the message for a host; it is empty if there is
+// none.
+func (o *outbox) take(host identity.Incarnation) Message {
+	message := o.messages[host]
+	if message == nil {
+		return Message{}
+	}
+	taken := *message
+	*message = Message{}
+	return taken
+}
+
+// isEmpty reports whether the message says nothing.
+func (m *Message) isEmpty() bool { return len(m.Reports) == 0 && len(m.Grants) == 0 }
+
+// envelope is a message with its receiver.
+type envelope struct {
+	to      peer
+	message Message
+}
+
+// takeAll removes and returns all messages.
+func (o *outbox) takeAll() []envelope {
+	var all []envelope
+	for _, to := range o.order {
+		if message := o.messages[to.host]; !message.isEmpty() {
+			all = append(all, envelope{to, *message})
+		}
+	}
+	*o = outbox{}
+	return all
+}
--- /dev/null
+++ b/internal/process/placement/site.go
@@ -0,0 +1,206 @@
+package placement
+
+import (
+	"sync/atomic"
+	"time"
+
+	"mustarddoor/internal/connection/engine"
+	"mustarddoor/internal/process/identity"
+	"mustarddoor/internal/process/limit"
+	"mustarddoor/internal/process/scheduler"
+	"mustarddoor/internal/process/slot"
+	"mustarddoor/internal/request/tier"
+	"mustarddoor/internal/version/bundle"
+)
+
+const (
+	// heartbeat is how often a holder reports at least.
+	heartbeat = 500 * time.Millisecond
+	// silence is how long a home may be silent and still count as reachable.
+	silence = 3 * heartbeat
+	// maxPeers bounds the mesh addresses that a home remembers.
+	maxPeers = slot.MaxHolders
+)
+
+// site is what the process keeps of one endpoint, whatever the configuration.
+type site struct {
+	id     uint16
+	spec   bundle.Endpoint
+	holder *slot.Holder
+	live   *scheduler.Live
+	// dirty tells that the home should hear news of this holder.
+	dirty      atomic.Bool
+	reportedAt time.Time
+	// waiting is the demand in the last report.
+	waiting tier.Counts
+	samples samples
+	// inService tells that the site takes new work.
+	inService bool
+	// home is the endpoint's home, known if hasHome.
+	home    Home
+	hasHome bool
+	// office is the home's part, if this host is the home.
+	office *office
+	// asked are the requests that wait for a slot of just this site.
+	asked tier.Counts
+	// engine is the endpoint's incarnation by its last load report, cacheNext
+	// the next cache event.
+	engine    string
+	cacheNext uint64
+	// detached are slots of requests that this host no longer follows, the
+	// oldest first.
+	detached []detached
+}
+
+// detached is a slot in use by a request that this host no longer follows.
+type detached struct {
+	tier  tier.Tier
+	since time.Time
+}
+
+// detachedLife is how long such a slot stays in use at most.
+const detachedLife = 10 * time.Minute
+
+// office is what a home keeps of one endpoint.
+type office struct {
+	ledger *slot.Ledger
+	limit  *limit.Limit
+	peers  map[identity.Incarnation]string
+}
+
+func limitsOf(spec *bundle.Endpoint) limit.Config {
+	return limit.Config{Cold: spec.ColdSlots, Max: spec.MaxSlots}
+}
+
+func newSite(id uint16, spec bundle.Endpoint, self identity.Incarnation, now time.Time) *site {
+	return &site{
+		id:     id,
+		spec:   spec,
+		holder: slot.NewHolder(spec.Name, self, now),
+		live:   scheduler.NewLive(spec.PrefillTokensPerSecond, spec.DecodeTokensPerSecond, now),
+	}
+}
+
+// follow takes the endpoint's present home. self is this host.
+func (s *site) follow(now time.Time, homes Homes, self identity.Incarnation) {
+	home, found := homes.Home(s.spec.Name)
+	expired := found && home.Host == self && !home.LeaseUntil.IsZero() && !now.Before(home.LeaseUntil)
+	s.hasHome = found && !expired
+	if !s.hasHome || home.Host != self {
+		s.office = nil
+	}
+	if !s.hasHome {
+		return
+	}
+	if home.Fence != s.home.Fence || home.Host != s.home.Host {
+		s.holder.Follow(home.Fence)
+		s.dirty.Store(true)
+	}
+	s.home = home
+	if home.Host == self && s.office == nil {
+		_, alone := homes.(localHomes)
+		s.office = newOffice(s, now, alone)
+	}
+}
+
+// newOffice opens a ledger. Unless no other host can have been the home, it
+// waits out what an earlier home may have granted.
+func newOffice(s *site, now time.Time, alone bool) *office {
+	closedUntil, unknown := now, 0
+	if !alone {
+		closedUntil = now.Add(slot.GrantTTL + slot.LapseMargin)
+		unknown = s.spec.MaxSlots
+	}
+	o := &office{
+		ledger: slot.NewLedger(s.spec.Name, s.home.Fence, closedUntil, unknown),
+		limit:  limit.New(limitsOf(&s.spec), now),
+		peers:  map[identity.Incarnation]string{},
+	}
+	o.refresh(now)
+	return o
+}
+
+// refresh hands the limit to the ledger.
+func (o *office) refresh(now time.Time) { o.ledger.SetLimit(o.limit.Value(now), o.limit.Cold()) }
+
+// take lets the home learn from a report and returns its grants.
+func (o *office) take(now time.Time, report slot.Report) []slot.Grant {
+	previous, taken := o.ledger.Take(now, report)
+	if !taken {
+		return nil
+	}
+	if previous.Sequence > 0 && report.Failures > previous.Failures {
+		o.limit.Fail(now)
+	}
+	o.seeEngine(now, report.Engine)
+	inFlight := o.ledger.Used()
+	for _, stretch := range report.Stretches {
+		o.limit.Sample(now, stretch, inFlight)
+	}
+	o.refresh(now)
+	return o.ledger.Grants(now, report.Holder)
+}
+
+func (o *office) seeEngine(now time.Time, incarnation string) {
+	if o.limit.SeeEngine(now, incarnation) {
+		o.ledger.Restarted()
+	}
+}
+
+// observe takes a load report.
+func (o *office) observe(now, sampled time.Time, load engine.Load) []slot.Grant {
+	o.seeEngine(now, load.Incarnation)
+	o.limit.SeeCache(now, load.CachedTokens)
+	o.limit.Verify(sampled, load.Incarnation)
+	o.ledger.ObserveLoad(now, sampled, load.Running+load.Waiting)
+	o.refresh(now)
+	return o.ledger.Grants(now)
+}
+
+// apply takes a grant for this host and keeps the scheduler's view of the other
+// hosts.
+func (s *site) apply(now time.Time, grant slot.Grant) bool {
+	if !s.holder.Apply(now, grant) {
+		return false
+	}
+	s.live.SetOthers(now, scheduler.Others{
+		Used:          grant.OtherUsed,
+		PendingTokens: grant.OtherPrefillTokens,
+		Headroom:      grant.Limit - grant.OtherUsed - grant.Slots,
+		Limit:         grant.Limit,
+	})
+	return true
+}
+
+// isReachable reports whether the home has answered lately.
+func (s *site) isReachable(now time.Time) bool {
+	return s.hasHome && now.Sub(s.holder.HeardAt()) < silence
+}
+
+// releaseDetached frees slots of requests that cannot run any more: at the time
+// of the sample the endpoint had only inFlight requests in all.
+func (s *site) releaseDetached(sampled time.Time, inFlight int) {
+	older := 0
+	for older < len(s.detached) && s.detached[older].since.Before(sampled) {
+		older++
+	}
+	s.dropDetached(older - inFlight)
+}
+
+// expireDetached frees slots that have been in use for too long.
+func (s *site) expireDetached(now time.Time) {
+	expired := 0
+	for expired < len(s.detached) && now.Sub(s.detached[expired].since) > detachedLife {
+		expired++
+	}
+	s.dropDetached(expired)
+}
+
+// dropDetached frees the n oldest slots.
+func (s *site) dropDetached(n int) {
+	for range n {
+		s.holder.Release(s.detached[0].tier)
+		s.detached = s.detached[1:]
+		s.dirty.Store(true)
+	}
+}
--- /dev/null
+++ b/internal/process/slot/allocate.go
@@ -0,0 +1,104 @@
+package slot
+
+import "mustarddoor/internal/request/tier"
+
+// claim is one holder's standing in an allocation.
+type claim struct {
+	// bound is the most slots that the holder may have in hand.
+	bound int
+	// used is how many it reported in use.
+	used int
+	// waiting and oldest are its demand.
+	waiting tier.Counts
+	oldest  [tier.Max]uint32
+	// target is the outcome: how many slots it should have.
+	target int
+}
+
+func (c *claim) unused() int { return max(c.bound-c.used, 0) }
+
+// allocate sets each claim's target. The sum of targets exceeds the sum of
+// bounds by no more than free, and that of unused slots stays within spare
+// beyond the present one.
+//
+// Slots go to the highest waiting tier, within it to the request that waits
+// longest. If none is free, holders that have unused slots and nothing waiting
+// of that tier give theirs back. If nobody waits, unused slots are spread over
+// the holders from turn on.
+func allocate(claims []claim, free, spare, turn int) {
+	for i := range claims {
+		claims[i].target = claims[i].bound
+	}
+	budget := min(free, spare)
+	for t := range tier.Tier(tier.Max) {
+		budget = allocateTier(claims, t, budget)
+	}
+	if budget > 0 {
+		spread(claims, budget, turn)
+	}
+}
+
+// allocateTier serves one tier and returns what is left of the budget.
+func allocateTier(claims []claim, t tier.Tier, budget int) int {
+	for {
+		next := neediest(claims, t)
+		if next < 0 {
+			return budget
+		}
+		if budget <= 0 {
+			recall(claims, t)
+			return budget
+		}
+		claims[next].target++
+		budget--
+	}
+}
+
+// neediest returns the claim whose request of tier t has waited longest and is
+// not yet covered, or -1.
+func neediest(claims []claim, t tier.Tier) int {
+	best := -1
+	for i := range claims {
+		c := &claims[i]
+		covered := max(c.target-c.used, 0)
+		demand := 0
+		for u := range t + 1 {
+			demand += int(c.waiting[u])
+		}
+		if c.waiting[t] == 0 || covered >= demand {
+			continue
+		}
+		if best < 0 || c.oldest[t] > claims[best].oldest[t] {
+			best = i
+		}
+	}
+	return best
+}
+
+// recall takes back unused slots from holders without demand of tier t or
+// higher.
+func recall(claims []claim, t tier.Tier) {
+	for i := range claims {
+		c := &claims[i]
+		demand := 0
+		for u := range t + 1 {
+			demand += int(c.waiting[u])
+		}
+		c.target = min(c.target, max(c.used+demand, c.used))
+	}
+}
+
+// spread hands out unused slots one by one to holders that have none.
+func spread(claims []claim, budget, turn int) {
+	for k := range claims {
+		c := &claims[(turn+k)%len(claims)]
+		if budget == 0 {
+			return
+		}
+		if c.target > c.used {
+			continue
+		}
+		c.target++
+		budget--
+	}
+}
--- /dev/null
+++ b/internal/process/slot/message.go
@@ -0,0 +1,83 @@
+package slot
+
+import (
+	"time"
+
+	"mustarddoor/internal/process/identity"
+	"mustarddoor/internal/request/tier"
+)
+
+// Times of the grant protocol.
+const (
+	// GrantTTL is how long a grant is valid. The holder counts it from the
+	// sending of the report that the grant acknowledges, the home from the
+	// sending of the grant.
+	GrantTTL = 2 * time.Second
+	// LapseMargin covers the time between a dispatch within the grant and its
+	// arrival at the endpoint.
+	LapseMargin = 500 * time.Millisecond
+)
+
+// MaxSamples bounds the first-token samples in one report.
+const MaxSamples = 8
+
+// Report is what a holder tells an endpoint's home.
+type Report struct {
+	Endpoint string               `cbor:"1,keyasint"`
+	Holder   identity.Incarnation `cbor:"2,keyasint"`
+	// Fence is the fencing number of the home that the report is for.
+	Fence uint64 `cbor:"3,keyasint"`
+	// Sequence grows with every report of the holder for the endpoint.
+	Sequence uint64 `cbor:"4,keyasint"`
+	// Grant is the number of the last grant that the holder applied.
+	Grant uint64 `cbor:"5,keyasint"`
+	// Allowed is how many slots the holder still considers its own.
+	Allowed int `cbor:"6,keyasint"`
+	// Used are the slots in use, by tier.
+	Used tier.Counts `cbor:"7,keyasint"`
+	// Waiting are the requests that wait for a slot, by tier.
+	Waiting tier.Counts `cbor:"8,keyasint"`
+	// OldestMillis is how long the first of them has waited, by tier.
+	OldestMillis [tier.Max]uint32 `cbor:"9,keyasint"`
+	// PrefillTokens are the prompt tokens of requests without a first token.
+	PrefillTokens int `cbor:"10,keyasint"`
+	// Failures counts the dispatches that ended in a failure, ever.
+	Failures uint64 `cbor:"11,keyasint"`
+	// Stretches are the latest first-token times in percent of the expected
+	// ones, at most MaxSamples, none twice.
+	Stretches []uint16 `cbor:"12,keyasint,omitempty"`
+	// Engine is the endpoint's incarnation as the holder last saw it.
+	Engine string `cbor:"13,keyasint,omitempty"`
+}
+
+// Grant is what a home tells a holder.
+type Grant struct {
+	Endpoint string `cbor:"1,keyasint"`
+	// Holder is the host that the grant is for.
+	Holder identity.Incarnation `cbor:"12,keyasint"`
+	Fence  uint64               `cbor:"2,keyasint"`
+	// Number grows with every grant of the home to the holder.
+	Number uint64 `cbor:"3,keyasint"`
+	// Sequence is that of the last report that the home had seen.
+	Sequence uint64 `cbor:"4,keyasint"`
+	// Slots is how many slots the holder may use in all.
+	Slots int `cbor:"5,keyasint"`
+	// Idle is how many unused slots the holder may keep when a request ends;
+	// it gives back the rest at once.
+	Idle int `cbor:"6,keyasint"`
+	// Floor is the least urgent tier that the holder may start.
+	Floor tier.Tier `cbor:"7,keyasint"`
+	// Confirmed has bit t set if tier t may be shed: no holder serves a lower
+	// one.
+	Confirmed uint8 `cbor:"8,keyasint"`
+	// Limit is the endpoint's present limit.
+	Limit int `cbor:"9,keyasint"`
+	// OtherUsed are the slots that other holders use.
+	OtherUsed int `cbor:"10,keyasint"`
+	// OtherPrefillTokens are the prompt tokens that wait at the endpoint for
+	// other holders.
+	OtherPrefillTokens int `cbor:"11,keyasint"`
+}
+
+// Confirms reports whether the grant lets the holder shed requests of tier t.
+func (g *Grant) Confirms(t tier.Tier) bool { return g.Confirmed&(1<<t) != 0 }
