placement: free slots at hand are taken when asking brings none

Cause: a waiting request preferred an endpoint whose home seemed to have slots and held out for it, while unused slots in hands (at most the cold limit) kept every home from granting more: usta-llm stood with 44 slots in hands, 4 in use. Change: a request asks one home for 10 ms at most, then takes any slot at hand; the home tells how many slots it can really grant; unused slots go back with the next report.

--- a/internal/process/placement/core.go
+++ b/internal/process/placement/core.go
@@ -16,7 +16,7 @@
 const (
 	// patience is how long a request waits for a slot of one endpoint before
 	// any other will do.
-	patience = 20 * time.Millisecond
+	patience = 10 * time.Millisecond
 	// manyWaiting is the largest demand of one tier that is reported; homes
 	// need not know more.
 	manyWaiting = 4
@@ -46,6 +46,9 @@
 	lengths map[string]*scheduler.Lengths
 	out     outbox
 	leaving atomic.Bool
+	// recheck is when a request that asked for a slot wants to try elsewhere;
+	// zero if none does.
+	recheck time.Time
 	stats   *stats
 }
 
@@ -271,6 +274,7 @@
 
 // rate tells how much a waiting job deserves a slot now, and keeps its demand.
 func (c *core) rate(now time.Time, p *pool, j *job) float64 {
+	j.ask.HeldOnly = now.Sub(j.item.Since) >= patience
 	d := p.plan.Decide(now, &j.ask)
 	switch d.Action {
 	case scheduler.ActionDispatch:
@@ -280,7 +284,7 @@
 		saved := float64(d.Estimate.Cached) / scheduler.DefaultPrefill
 		return saved + ageWeight*now.Sub(j.item.Since).Seconds()
 	case scheduler.ActionAsk:
-		c.ask(now, p, j, p.sites[d.Endpoint])
+		c.ask(now, j, p.sites[d.Endpoint])
 	case scheduler.ActionLate:
 		c.markLate(now, j)
 	default:
@@ -289,14 +293,15 @@
 	return notNow
 }
 
-// ask registers a demand at one site, or at all if that has brought nothing.
-func (c *core) ask(now time.Time, p *pool, j *job, s *site) {
-	if j.counted && now.Sub(j.demandSince) > patience {
-		j.demand(now, nil)
+// ask registers a demand at one site; if that brings nothing soon, any site
+// will do.
+func (c *core) ask(now time.Time, j *job, s *site) {
+	if j.counted {
 		return
 	}
-	if !j.counted {
-		j.demand(now, s)
+	j.demand(now, s)
+	if c.recheck.IsZero() {
+		c.recheck = now.Add(patience)
 	}
 }
 
@@ -373,6 +378,10 @@
 // flush sends the reports that are due, and lets the homes of this host answer
 // at once.
 func (c *core) flush(now time.Time) {
+	if !c.recheck.IsZero() && !now.Before(c.recheck) {
+		c.recheck = time.Time{}
+		c.pumpAll(now)
+	}
 	for range settleRounds {
 		granted := false
 		for _, s := range c.sites {
@@ -394,6 +403,10 @@
 // report sends a site's report if it is due. It returns whether that brought a
 // grant at once.
 func (c *core) report(now time.Time, s *site) bool {
+	grant, _ := s.holder.Last()
+	if s.holder.Surrender(grant.Idle) {
+		s.dirty.Store(true)
+	}
 	demand := c.demandOf(now, s)
 	if !s.dirty.Swap(false) && demand.Waiting == s.waiting {
 		return false
--- a/internal/process/placement/fakepolicy_test.go
+++ b/internal/process/placement/fakepolicy_test.go
@@ -93,6 +93,9 @@
 	h.clock().after(flushDelay, func() {
 		h.flushAt = false
 		h.core.flush(h.clock().now)
+		if !h.core.recheck.IsZero() {
+			h.clock().after(patience, h.touched)
+		}
 		h.sendAll()
 	})
 }
--- a/internal/process/placement/placer.go
+++ b/internal/process/placement/placer.go
@@ -101,6 +101,9 @@
 	p.mu.Lock()
 	run(p.config.Now())
 	sent := p.core.out.takeAll()
+	if !p.core.recheck.IsZero() {
+		time.AfterFunc(patience, p.signal)
+	}
 	p.mu.Unlock()
 	for _, e := range sent {
 		p.send(ctx, e)
--- a/internal/process/placement/site.go
+++ b/internal/process/placement/site.go
@@ -166,7 +166,7 @@
 	s.live.SetOthers(now, scheduler.Others{
 		Used:          grant.OtherUsed,
 		PendingTokens: grant.OtherPrefillTokens,
-		Headroom:      grant.Limit - grant.OtherUsed - grant.Slots,
+		Headroom:      grant.Headroom,
 		Limit:         grant.Limit,
 	})
 	return true
--- a/internal/process/scheduler/scheduler.go
+++ b/internal/process/scheduler/scheduler.go
@@ -79,6 +79,8 @@
 	Deadline time.Time
 	// Avoid is the ID of an endpoint to pass over, or NoEndpoint.
 	Avoid int
+	// HeldOnly keeps the request from asking for a slot that is not at hand.
+	HeldOnly bool
 	// Random is a random number.
 	Random uint64
 }
--- a/internal/process/scheduler/score.go
+++ b/internal/process/scheduler/score.go
@@ -26,7 +26,7 @@
 	switch {
 	case e.Hand.HasFree(now, r.Tier):
 		c.action = ActionDispatch
-	case e.Live.headroom.Load() > 0:
+	case !r.HeldOnly && e.Live.headroom.Load() > 0:
 		c.action = ActionAsk
 		c.cost += RoundTrip.Seconds()
 	default:
--- a/internal/process/slot/hand.go
+++ b/internal/process/slot/hand.go
@@ -91,9 +91,10 @@
 	h.used[t].Add(-1)
 }
 
-// Surrender gives back all unused slots beyond keep.
-func (h *Hand) Surrender(keep int) {
-	h.update(func(s *handState) bool {
+// Surrender gives back all unused slots beyond keep. It returns false if there
+// are none.
+func (h *Hand) Surrender(keep int) bool {
+	return h.update(func(s *handState) bool {
 		kept := s.used + uint16(keep)
 		if s.allowed <= kept {
 			return false
--- a/internal/process/slot/ledger.go
+++ b/internal/process/slot/ledger.go
@@ -397,6 +397,7 @@
 		Floor:              floor,
 		Confirmed:          confirmed,
 		Limit:              l.limit,
+		Headroom:           l.headroom(now),
 		OtherUsed:          used,
 		OtherPrefillTokens: prefill,
 	}
@@ -415,6 +416,21 @@
 	a.grants = slices.Delete(a.grants, 0, 1)
 }
 
+// headroom is how many slots could be granted to whoever asks.
+func (l *Ledger) headroom(now time.Time) int {
+	if now.Before(l.closedUntil) {
+		return 0
+	}
+	unused := 0
+	for i := range l.accounts {
+		acc := &l.accounts[i]
+		if !acc.lapsed {
+			unused += max(acc.bound()-acc.report.Used.Sum(), 0)
+		}
+	}
+	return min(l.limit-l.InHands(), l.cold-unused)
+}
+
 // others sums up what the other holders have at the endpoint.
 func (l *Ledger) others(acc *account) (used, prefill int) {
 	for i := range l.accounts {
--- a/internal/process/slot/message.go
+++ b/internal/process/slot/message.go
@@ -72,6 +72,8 @@
 	Confirmed uint8 `cbor:"8,keyasint"`
 	// Limit is the endpoint's present limit.
 	Limit int `cbor:"9,keyasint"`
+	// Headroom is how many slots the home could grant at once to whoever asks.
+	Headroom int `cbor:"13,keyasint"`
 	// OtherUsed are the slots that other holders use.
 	OtherUsed int `cbor:"10,keyasint"`
 	// OtherPrefillTokens are the prompt tokens that wait at the endpoint for
