--- a/internal/process/placement/core.go
+++ b/internal/process/placement/core.go
@@ -14,9 +14,14 @@
 )
 
 const (
-	// patience is how long a request waits for a slot of one endpoint before
-	// any other will do.
-	patience = 10 * time.Millisecond
+	// minPatience and maxPatience bound how long a request waits for a slot of
+	// one endpoint before any other will do. patienceShare is the part of the
+	// time to its deadline that it may spend on that.
+	minPatience   = 10 * time.Millisecond
+	maxPatience   = 4 * time.Second
+	patienceShare = 2
+	// worthWaiting is the least number of cached tokens to wait for.
+	worthWaiting = 200
 	// manyWaiting is the largest demand of one tier that is reported; homes
 	// need not know more.
 	manyWaiting = 4
@@ -269,12 +274,12 @@
 	notNow = -1
 	// ageWeight is the rating that a second of waiting adds; a second of
 	// prefill saved adds one.
-	ageWeight = 0.5
+	ageWeight = 0.1
 )
 
 // rate tells how much a waiting job deserves a slot now, and keeps its demand.
 func (c *core) rate(now time.Time, p *pool, j *job) float64 {
-	j.ask.HeldOnly = now.Sub(j.item.Since) >= patience
+	j.ask.HeldOnly = !j.askUntil.IsZero() && !now.Before(j.askUntil)
 	d := p.plan.Decide(now, &j.ask)
 	switch d.Action {
 	case scheduler.ActionDispatch:
@@ -284,7 +289,7 @@
 		saved := float64(d.Estimate.Cached) / scheduler.DefaultPrefill
 		return saved + ageWeight*now.Sub(j.item.Since).Seconds()
 	case scheduler.ActionAsk:
-		c.ask(now, j, p.sites[d.Endpoint])
+		c.ask(now, j, p.sites[d.Endpoint], d.Estimate)
 	case scheduler.ActionLate:
 		c.markLate(now, j)
 	default:
@@ -295,16 +300,31 @@
 
 // ask registers a demand at one site; if that brings nothing soon, any site
 // will do.
-func (c *core) ask(now time.Time, j *job, s *site) {
+func (c *core) ask(now time.Time, j *job, s *site, e scheduler.Estimate) {
 	if j.counted {
 		return
 	}
 	j.demand(now, s)
-	if c.recheck.IsZero() {
-		c.recheck = now.Add(patience)
+	j.askUntil = now.Add(j.patience(now, e))
+	if c.recheck.IsZero() || j.askUntil.Before(c.recheck) {
+		c.recheck = j.askUntil
 	}
 }
 
+// patience is how long a job waits for one endpoint: longer if that saves the
+// prefill of what is cached there, and never a great part of what is left to
+// the deadline.
+func (j *job) patience(now time.Time, e scheduler.Estimate) time.Duration {
+	if e.Cached < worthWaiting {
+		return minPatience
+	}
+	if j.ask.Deadline.IsZero() {
+		return maxPatience
+	}
+	left := j.ask.Deadline.Sub(now)
+	return min(max(left/patienceShare, minPatience), maxPatience)
+}
+
 // markLate notes that a job's deadline cannot be met any more. Until it may be
 // shed, it may still be served, after all others of its tier.
 func (c *core) markLate(now time.Time, j *job) {
--- a/internal/process/placement/fakepolicy_test.go
+++ b/internal/process/placement/fakepolicy_test.go
@@ -94,7 +94,7 @@
 		h.flushAt = false
 		h.core.flush(h.clock().now)
 		if !h.core.recheck.IsZero() {
-			h.clock().after(patience, h.touched)
+			h.clock().after(max(h.core.recheck.Sub(h.clock().now), 0), h.touched)
 		}
 		h.sendAll()
 	})
--- a/internal/process/placement/line.go
+++ b/internal/process/placement/line.go
@@ -41,6 +41,8 @@
 	// counted tells that the job is part of the demand, since demandSince.
 	counted     bool
 	demandSince time.Time
+	// askUntil is when the job stops waiting for one endpoint.
+	askUntil time.Time
 	// late tells that the deadline cannot be met any more.
 	late bool
 	// settle gets the result, exactly one of which is not nil, of a job that
--- a/internal/process/placement/placement.go
+++ b/internal/process/placement/placement.go
@@ -80,6 +80,6 @@
 	again := *p.ticket.job
 	again.ask.Avoid = int(p.ticket.site.id)
 	again.ask.Deadline = again.deadline
-	again.late, again.counted, again.site = false, false, nil
+	again.late, again.counted, again.site, again.askUntil = false, false, nil, time.Time{}
 	return p.placer.place(ctx, &again)
 }
--- a/internal/process/placement/placer.go
+++ b/internal/process/placement/placer.go
@@ -102,7 +102,7 @@
 	run(p.config.Now())
 	sent := p.core.out.takeAll()
 	if !p.core.recheck.IsZero() {
-		time.AfterFunc(patience, p.signal)
+		time.AfterFunc(p.core.recheck.Sub(p.config.Now()), p.signal)
 	}
 	p.mu.Unlock()
 	for _, e := range sent {
--- /dev/null
+++ b/internal/process/scheduler/decide_bench_test.go
@@ -0,0 +1,57 @@
+package scheduler
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"mustarddoor/internal/process/identity"
+	"mustarddoor/internal/process/slot"
+	"mustarddoor/internal/request/tier"
+)
+
+// testPool is a pool in which every endpoint has a free slot.
+func testPool(now time.Time, size int) (*Pool, *Index) {
+	index := NewIndex(now)
+	var endpoints []Endpoint
+	for i := range size {
+		name := fmt.Sprintf("e%04d", i)
+		holder := slot.NewHolder(name, identity.Incarnation{Host: "h", Number: 1}, now)
+		holder.Follow(1)
+		holder.Report(now, slot.Demand{})
+		holder.Apply(now, slot.Grant{Fence: 1, Number: 1, Sequence: 1, Slots: 8, Floor: tier.Lowest})
+		endpoints = append(endpoints, Endpoint{
+			ID: uint16(i), Name: name, Version: "v1",
+			Hand: &holder.Hand, Live: NewLive(float64(3000+i%5*1000), 40, now),
+		})
+	}
+	return NewPool(endpoints, index), index
+}
+
+// BenchmarkDecision decides on one snapshot from several goroutines at once.
+func BenchmarkDecision(b *testing.B) {
+	for _, size := range []int{23, 1400} {
+		b.Run(fmt.Sprintf("endpoints=%d", size), func(b *testing.B) {
+			now := time.Now()
+			pool, index := testPool(now, size)
+			prefixes := []Prefix{{Hash: 1, Tokens: 200}, {Hash: 2, Tokens: 800}, {Hash: 3, Tokens: 2000}}
+			for i := range 6 {
+				index.Add(now, uint16(i*3), prefixes[i%3].Hash)
+			}
+			b.ReportAllocs()
+			b.RunParallel(func(pb *testing.PB) {
+				request := Request{
+					Version: "v1", PromptTokens: 2500, OutputTokens: 100, Prefixes: prefixes,
+					Deadline: now.Add(time.Minute), Avoid: NoEndpoint, Random: 1,
+				}
+				for pb.Next() {
+					request.Random = request.Random*6364136223846793005 + 1442695040888963407
+					if pool.Decide(now, &request).Action != ActionDispatch {
+						b.Error("no endpoint")
+						return
+					}
+				}
+			})
+		})
+	}
+}
--- a/internal/process/scheduler/live.go
+++ b/internal/process/scheduler/live.go
@@ -133,6 +133,15 @@
 // OthersAt is when the last news of the other hosts' use came.
 func (l *Live) OthersAt() time.Time { return l.base.Add(time.Duration(l.othersAt.Load())) }
 
+// slotWait is the expected wait for a slot that is not at hand: a round trip to
+// the home if it has one, else the time between two ends of requests.
+func (l *Live) slotWait(e Estimate) time.Duration {
+	if l.headroom.Load() > 0 {
+		return RoundTrip
+	}
+	return RoundTrip + e.LastToken/time.Duration(max(l.limit.Load(), 1))
+}
+
 // backlog estimates the prompt tokens ahead of a new request: the own ones, and
 // those of others less what the endpoint must have worked off since the news.
 func (l *Live) backlog(now time.Time, prefill float64) float64 {
--- a/internal/process/scheduler/scheduler.go
+++ b/internal/process/scheduler/scheduler.go
@@ -20,7 +20,7 @@
 	// decodeShare is the weight of the time from first to last token.
 	decodeShare = 0.2
 	// wasteShare is the weight of prefilling what another endpoint has cached.
-	wasteShare = 1.0
+	wasteShare = 4.0
 	// twinMargin is how much worse than the best, as a fraction, a candidate
 	// may be to share its requests.
 	twinMargin = 0.25
--- a/internal/process/scheduler/score.go
+++ b/internal/process/scheduler/score.go
@@ -26,9 +26,9 @@
 	switch {
 	case e.Hand.HasFree(now, r.Tier):
 		c.action = ActionDispatch
-	case !r.HeldOnly && e.Live.headroom.Load() > 0:
+	case !r.HeldOnly:
 		c.action = ActionAsk
-		c.cost += RoundTrip.Seconds()
+		c.cost += e.Live.slotWait(c.estimate).Seconds()
 	default:
 		c.action = ActionWait
 		c.cost += fullCost
--- a/internal/process/slot/allocate.go
+++ b/internal/process/slot/allocate.go
@@ -23,8 +23,8 @@
 //
 // Slots go to the highest waiting tier, within it to the request that waits
 // longest. If none is free, holders that have unused slots and nothing waiting
-// of that tier give theirs back. If nobody waits, unused slots are spread over
-// the holders from turn on.
+// of that tier give theirs back. If nobody waits, half of the
+// spare slots are spread over the holders from turn on.
 func allocate(claims []claim, free, spare, turn int) {
 	for i := range claims {
 		claims[i].target = claims[i].bound
@@ -33,11 +33,20 @@
 	for t := range tier.Tier(tier.Max) {
 		budget = allocateTier(claims, t, budget)
 	}
-	if budget > 0 {
-		spread(claims, budget, turn)
+	if keep := (spare + unused(claims)) / 2; budget > keep {
+		spread(claims, budget-keep, turn)
 	}
 }
 
+// unused sums up the slots in hands that are not in use.
+func unused(claims []claim) int {
+	sum := 0
+	for i := range claims {
+		sum += claims[i].unused()
+	}
+	return sum
+}
+
 // allocateTier serves one tier and returns what is left of the budget.
 func allocateTier(claims []claim, t tier.Tier, budget int) int {
 	for {
--- a/internal/process/slot/ledger.go
+++ b/internal/process/slot/ledger.go
@@ -416,19 +416,21 @@
 	a.grants = slices.Delete(a.grants, 0, 1)
 }
 
-// headroom is how many slots could be granted to whoever asks.
+// headroom is how many slots could be granted to whoever asks, if need be after
+// a recall of unused ones.
 func (l *Ledger) headroom(now time.Time) int {
 	if now.Before(l.closedUntil) {
 		return 0
 	}
-	unused := 0
+	free := l.limit - l.InHands()
 	for i := range l.accounts {
 		acc := &l.accounts[i]
 		if !acc.lapsed {
-			unused += max(acc.bound()-acc.report.Used.Sum(), 0)
+			free += max(acc.bound()-acc.report.Used.Sum(), 0)
 		}
 	}
-	return min(l.limit-l.InHands(), l.cold-unused)
+	waiting := l.Waiting()
+	return free - waiting.Sum()
 }
 
 // others sums up what the other holders have at the endpoint.
