--- a/internal/process/placement/fakefleet_test.go
+++ b/internal/process/placement/fakefleet_test.go
@@ -269,7 +269,6 @@
 	overruns      int
 	// prefilled and elsewhere are tokens: all, and those cached elsewhere.
 	prefilled, elsewhere float64
-	measuring            bool
 	groups               []prefixGroup
 }
 
@@ -324,13 +323,12 @@
 
 // fakeRoute is a kind of request of the brief.
 type fakeRoute struct {
-	route              string
-	tier               int
-	share              float64
-	budget             time.Duration
-	ownLow, ownHigh    float64
-	outLow, outHigh    float64
-	expected, maxTotal int
+	route           string
+	tier            int
+	share           float64
+	budget          time.Duration
+	ownLow, ownHigh float64
+	outLow, outHigh float64
 }
 
 var fakeRoutes = []fakeRoute{
--- a/internal/process/placement/site.go
+++ b/internal/process/placement/site.go
@@ -18,6 +18,10 @@
 	heartbeat = 500 * time.Millisecond
 	// silence is how long a home may be silent and still count as reachable.
 	silence = 3 * heartbeat
+	// engineOrphanLife and plainOrphanLife are how long requests may run at an
+	// endpoint after their host was lost.
+	engineOrphanLife = 5 * time.Minute
+	plainOrphanLife  = 2 * time.Second
 	// maxPeers bounds the mesh addresses that a home remembers.
 	maxPeers = slot.MaxHolders
 )
@@ -34,6 +38,8 @@
 	// waiting is the demand in the last report.
 	waiting tier.Counts
 	samples samples
+	// plain tells that the endpoint is a plain service, which reports no load.
+	plain bool
 	// inService tells that the site takes new work.
 	inService bool
 	// home is the endpoint's home, known if hasHome.
@@ -72,8 +78,9 @@
 	return limit.Config{Cold: spec.ColdSlots, Max: spec.MaxSlots}
 }
 
-func newSite(id uint16, spec bundle.Endpoint, self identity.Incarnation, now time.Time) *site {
+func newSite(id uint16, spec bundle.Endpoint, plain bool, self identity.Incarnation, now time.Time) *site {
 	return &site{
+		plain:  plain,
 		id:     id,
 		spec:   spec,
 		holder: slot.NewHolder(spec.Name, self, now),
@@ -106,13 +113,16 @@
 // newOffice opens a ledger. Unless no other host can have been the home, it
 // waits out what an earlier home may have granted.
 func newOffice(s *site, now time.Time, alone bool) *office {
-	closedUntil, unknown := now, 0
+	closedUntil, unknown, life := now, 0, engineOrphanLife
+	if s.plain {
+		life = plainOrphanLife
+	}
 	if !alone {
 		closedUntil = now.Add(slot.GrantTTL + slot.LapseMargin)
 		unknown = s.spec.MaxSlots
 	}
 	o := &office{
-		ledger: slot.NewLedger(s.spec.Name, s.home.Fence, closedUntil, unknown),
+		ledger: slot.NewLedger(s.spec.Name, s.home.Fence, closedUntil, unknown, life),
 		limit:  limit.New(limitsOf(&s.spec), now),
 		peers:  map[identity.Incarnation]string{},
 	}
--- a/internal/process/placement/state.go
+++ b/internal/process/placement/state.go
@@ -90,11 +90,13 @@
 
 func (c *core) buildPools(now time.Time, next *state) {
 	members := map[string][]scheduler.Endpoint{}
+	plain := map[string]bool{}
 	for _, service := range next.view.Bundle.Services {
 		members[service.Name] = nil
+		plain[service.Name] = service.Kind == bundle.KindPlain
 	}
 	for _, spec := range next.view.Bundle.Endpoints {
-		s := c.siteOf(now, spec)
+		s := c.siteOf(now, spec, plain[spec.Service])
 		c.setService(now, s, next.view.takes(&spec))
 		if s.inService {
 			members[spec.Service] = append(members[spec.Service], s.endpoint())
@@ -112,10 +114,10 @@
 }
 
 // siteOf returns the site of an endpoint, a new one if it is unknown.
-func (c *core) siteOf(now time.Time, spec bundle.Endpoint) *site {
+func (c *core) siteOf(now time.Time, spec bundle.Endpoint, plain bool) *site {
 	s := c.sites[spec.Name]
 	if s == nil {
-		s = newSite(c.newID(), spec, c.self, now)
+		s = newSite(c.newID(), spec, plain, c.self, now)
 		c.sites[spec.Name] = s
 		c.byID[s.id] = s
 		s.follow(now, c.homes, c.self)
--- a/internal/process/slot/allocate.go
+++ b/internal/process/slot/allocate.go
@@ -8,6 +8,8 @@
 	bound int
 	// used is how many it reported in use.
 	used int
+	// unused is the most slots that it may have unused.
+	unused int
 	// waiting and oldest are its demand.
 	waiting tier.Counts
 	oldest  [tier.Max]uint32
@@ -15,7 +17,11 @@
 	target int
 }
 
-func (c *claim) unused() int { return max(c.bound-c.used, 0) }
+// mayKeep is how many unused slots the target leaves the holder: what it may
+// have already, and what it gains.
+func (c *claim) mayKeep() int {
+	return max(min(c.target-c.used, c.unused+max(c.target-c.bound, 0)), 0)
+}
 
 // allocate sets each claim's target. The sum of targets exceeds the sum of
 // bounds by no more than free, and that of unused slots stays within spare
@@ -42,7 +48,7 @@
 func unused(claims []claim) int {
 	sum := 0
 	for i := range claims {
-		sum += claims[i].unused()
+		sum += claims[i].unused
 	}
 	return sum
 }
--- a/internal/process/slot/hand.go
+++ b/internal/process/slot/hand.go
@@ -1,6 +1,7 @@
 package slot
 
 import (
+	"math"
 	"sync/atomic"
 	"time"
 
@@ -16,6 +17,9 @@
 	lapse atomic.Int64
 	// used counts by tier. It is never below the true number.
 	used [tier.Max]atomic.Int32
+	// low and lowBefore are the least number of slots in use in this window
+	// and the one before.
+	low, lowBefore atomic.Int32
 }
 
 // handState is the unpacked form of Hand.state.
@@ -81,16 +85,38 @@
 // Release ends the use of a slot for a request of tier t. The slot goes back to
 // the home unless the grant lets the holder keep it.
 func (h *Hand) Release(t tier.Tier) {
+	used := uint16(0)
 	h.update(func(s *handState) bool {
 		s.used--
+		used = s.used
 		if s.allowed > s.used+s.idle {
 			s.allowed = max(s.allowed-1, s.used)
 		}
 		return true
 	})
 	h.used[t].Add(-1)
+	h.noteLow(int32(used))
 }
 
+// noteLow keeps the least number of slots in use.
+func (h *Hand) noteLow(used int32) {
+	for {
+		low := h.low.Load()
+		if used >= low || h.low.CompareAndSwap(low, used) {
+			return
+		}
+	}
+}
+
+// turnLow begins a new window.
+func (h *Hand) turnLow() {
+	h.lowBefore.Store(h.low.Swap(math.MaxInt32))
+	h.noteLow(int32(h.Used()))
+}
+
+// least is the least number of slots in use in the last two windows.
+func (h *Hand) least() int { return int(min(h.low.Load(), h.lowBefore.Load())) }
+
 // Surrender gives back all unused slots beyond keep. It returns false if there
 // are none.
 func (h *Hand) Surrender(keep int) bool {
--- a/internal/process/slot/holder.go
+++ b/internal/process/slot/holder.go
@@ -18,6 +18,7 @@
 	self     identity.Incarnation
 	fence    uint64
 	sequence uint64
+	lowSince time.Time
 	sent     [sentReports]time.Time
 	last     Grant
 	lastAt   time.Time
@@ -39,7 +40,7 @@
 
 // NewHolder returns a holder without slots.
 func NewHolder(endpoint string, self identity.Incarnation, now time.Time) *Holder {
-	h := &Holder{endpoint: endpoint, self: self}
+	h := &Holder{endpoint: endpoint, self: self, lowSince: now}
 	h.base = now
 	return h
 }
@@ -59,9 +60,14 @@
 func (h *Holder) Report(now time.Time, demand Demand) Report {
 	h.sequence++
 	h.sent[h.sequence%sentReports] = now
-	if !now.Before(h.Lapse()) {
+	lapsed := !now.Before(h.Lapse())
+	if lapsed {
 		h.Surrender(0)
 	}
+	if now.Sub(h.lowSince) >= LeastWindow {
+		h.lowSince = now
+		h.turnLow()
+	}
 	// The counters by tier are read after the state, so that they cover it.
 	state := unpack(h.state.Load())
 	report := Report{
@@ -70,8 +76,10 @@
 		Fence:         h.fence,
 		Sequence:      h.sequence,
 		Grant:         h.last.Number,
+		Lapsed:        lapsed,
 		Allowed:       int(max(state.allowed, state.used)),
 		Used:          h.usedByTier(),
+		Least:         h.least(),
 		Waiting:       demand.Waiting,
 		OldestMillis:  demand.OldestMillis,
 		PrefillTokens: demand.PrefillTokens,
@@ -91,16 +99,16 @@
 	if h.sequence-grant.Sequence >= sentReports {
 		return false
 	}
-	slots := grant.Slots
+	unused := grant.Unused
 	if grant.Sequence < h.trusted {
-		slots = min(slots, h.Used())
+		unused = 0
 	}
 	h.last = grant
 	h.lastAt = now
 	h.heardAt = h.sent[grant.Sequence%sentReports]
 	h.lapse.Store(int64(h.heardAt.Add(GrantTTL).Sub(h.base)))
 	h.update(func(s *handState) bool {
-		s.allowed = uint16(slots)
+		s.allowed = min(uint16(grant.Slots), s.used+uint16(unused))
 		s.idle = uint16(grant.Idle)
 		s.floor = grant.Floor
 		return true
--- a/internal/process/slot/ledger.go
+++ b/internal/process/slot/ledger.go
@@ -15,14 +15,16 @@
 	// maxOutstanding bounds the grants that are remembered for each holder
 	// until it acknowledges them.
 	maxOutstanding = 8
-	// lowWindow is how long the lowest use of a holder is remembered.
-	lowWindow = 2 * time.Second
+	// sampleLife is how long a load report is of use; holders' reports look
+	// back further.
+	sampleLife = LeastWindow - time.Second
 )
 
 // outstanding is a grant that its holder may not have seen.
 type outstanding struct {
 	number uint64
 	slots  int
+	unused int
 	idle   int
 	floor  tier.Tier
 }
@@ -37,10 +39,6 @@
 	// have started counts until the endpoint's load shows that it is gone.
 	lapsed bool
 	orphan int
-	// low and lowBefore are the least slots in use in this window and the one
-	// before.
-	low, lowBefore int
-	lowSince       time.Time
 }
 
 // Ledger is a home's record of the grants of one endpoint. It is not safe for
@@ -52,19 +50,27 @@
 	cold     int
 	// closedUntil is when grants of an earlier home have lapsed.
 	closedUntil time.Time
+	// orphanLife is how long a lost holder's requests may run at most.
+	orphanLife time.Duration
 	// unknown are slots that holders of an earlier home may still use.
 	unknown  int
 	accounts []account
 	// number is that of the last grant.
 	number uint64
 	turn   int
+	// pending is the load report that is not yet settled, or nil.
+	pending *sample
 }
 
 // NewLedger returns a ledger for an endpoint with the home's fencing number.
 // Until closedUntil it grants no new slots, because an earlier home may have;
-// after it, unknown slots count as used until ObserveLoad shows otherwise.
-func NewLedger(endpoint string, fence uint64, closedUntil time.Time, unknown int) *Ledger {
-	return &Ledger{endpoint: endpoint, fence: fence, closedUntil: closedUntil, unknown: unknown}
+// after it, unknown slots count as used until ObserveLoad shows otherwise, but
+// no longer than orphanLife, which also bounds the requests of lost holders.
+func NewLedger(endpoint string, fence uint64, closedUntil time.Time, unknown int, orphanLife time.Duration) *Ledger {
+	return &Ledger{
+		endpoint: endpoint, fence: fence, closedUntil: closedUntil,
+		unknown: unknown, orphanLife: orphanLife,
+	}
 }
 
 // SetLimit sets how many slots there are in all, and how many of them may be
@@ -92,7 +98,8 @@
 
 // Take records a report and returns the one before it, which is zero for a new
 // holder. It returns false, and changes nothing, if the report is old, for
-// another home, or from one holder too many.
+// another home, or from one holder too many, or if the holder's grants had
+// lapsed here but not yet there.
 func (l *Ledger) Take(now time.Time, report Report) (previous Report, taken bool) {
 	if report.Fence != l.fence {
 		return Report{}, false
@@ -104,14 +111,19 @@
 	if acc == nil || report.Sequence <= acc.report.Sequence {
 		return Report{}, false
 	}
+	if acc.lapsed && !report.Lapsed {
+		return Report{}, false
+	}
 	previous = acc.report
 	acc.report = report
 	acc.acknowledge(report.Grant)
-	acc.noteUse(now, report.Used.Sum())
 	if acc.lapsed {
 		acc.lapsed = false
 		acc.orphan = 0
+		acc.grants = nil
+		acc.lapse = now.Add(GrantTTL)
 	}
+	l.settle(now)
 	return previous, true
 }
 
@@ -131,7 +143,7 @@
 	if len(l.accounts) >= MaxHolders {
 		return nil
 	}
-	first := account{lowSince: now, low: report.Used.Sum(), lapse: now.Add(GrantTTL)}
+	first := account{lapse: now.Add(GrantTTL)}
 	first.report.Holder = report.Holder
 	l.accounts = append(l.accounts, first)
 	slices.SortFunc(l.accounts, func(a, b account) int {
@@ -145,14 +157,6 @@
 	a.grants = slices.DeleteFunc(a.grants, func(g outstanding) bool { return g.number < number })
 }
 
-// noteUse keeps the least use of the last windows.
-func (a *account) noteUse(now time.Time, used int) {
-	if now.Sub(a.lowSince) > lowWindow {
-		a.lowBefore, a.low, a.lowSince = a.low, used, now
-	}
-	a.low = min(a.low, used)
-}
-
 // expire marks the holder as unable to start anything.
 func (a *account) expire(now time.Time) {
 	if a.lapsed {
@@ -177,42 +181,88 @@
 	return bound
 }
 
+// idle is how many unused slots the holder may keep when requests end.
+func (a *account) idle() int {
+	idle := 0
+	for _, g := range a.grants {
+		idle = max(idle, g.idle)
+	}
+	return idle
+}
+
+// unused is the most slots that the holder may have unused, now or later.
+func (a *account) unused() int {
+	unused := max(a.report.Allowed-a.report.Used.Sum(), a.idle())
+	for _, g := range a.grants {
+		if g.number > a.report.Grant {
+			unused = max(unused, g.unused)
+		}
+	}
+	return unused
+}
+
 // mayStart tells whether the holder may start a request of a lower tier than t
 // without a further grant.
 func (a *account) mayStart(t tier.Tier) bool {
 	if a.lapsed {
 		return false
 	}
-	idle := 0
 	floor := tier.Tier(0)
 	for _, g := range a.grants {
-		idle = max(idle, g.idle)
 		floor = max(floor, g.floor)
 	}
-	return floor > t && (idle > 0 || a.bound() > a.report.Used.Sum())
+	return floor > t && (a.idle() > 0 || a.bound() > a.report.Used.Sum())
+}
+
+// sample is a load report of the endpoint that waits for the holders' reports.
+type sample struct {
+	at       time.Time
+	inFlight int
+	// number is that of the last grant before the sample came.
+	number uint64
 }
 
 // ObserveLoad takes the number of requests that the endpoint had running and
-// waiting at a time. It settles what lost holders may still use.
+// waiting at a time. Once all holders have reported what they used at that
+// time, it settles what lost holders may still use.
 func (l *Ledger) ObserveLoad(now, sampled time.Time, inFlight int) {
-	if now.Sub(sampled) > lowWindow {
+	if l.pending == nil || now.Sub(l.pending.at) > sampleLife {
+		l.pending = &sample{at: sampled, inFlight: inFlight, number: l.number}
+	}
+	l.settle(now)
+}
+
+// settle uses the pending sample if every holder has acknowledged a grant that
+// was made after it. Such a holder's report covers the time of the sample.
+func (l *Ledger) settle(now time.Time) {
+	if l.pending == nil || now.Sub(l.pending.at) > sampleLife {
 		return
 	}
 	known := 0
 	for i := range l.accounts {
 		acc := &l.accounts[i]
-		if !acc.lapsed {
-			known += min(acc.low, acc.lowBefore)
+		if acc.lapsed {
+			continue
+		}
+		if acc.report.Grant <= l.pending.number {
+			return
 		}
+		known += acc.report.Least
 	}
-	rest := max(inFlight-known, 0)
+	l.clear(l.pending.at, max(l.pending.inFlight-known, 0))
+	l.pending = nil
+}
+
+// clear lowers what lost holders may still use to rest, which the endpoint had
+// in flight for them at a time after which they can have started nothing.
+func (l *Ledger) clear(at time.Time, rest int) {
 	for i := range l.accounts {
 		acc := &l.accounts[i]
-		if acc.lapsed && sampled.After(acc.lapse.Add(LapseMargin)) {
+		if acc.lapsed && at.After(acc.lapse.Add(LapseMargin)) {
 			acc.orphan = min(acc.orphan, rest)
 		}
 	}
-	if sampled.After(l.closedUntil.Add(LapseMargin)) {
+	if at.After(l.closedUntil.Add(LapseMargin)) {
 		l.unknown = min(l.unknown, rest)
 	}
 	l.sweep()
@@ -270,7 +320,7 @@
 	l.lapse(now)
 	claims := l.claims(now)
 	floor := l.lowestAllowed()
-	confirmed := l.confirmed(floor)
+	confirmed := l.confirmed(now, floor)
 	var grants []Grant
 	for i := range l.accounts {
 		acc := &l.accounts[i]
@@ -292,6 +342,12 @@
 		if now.After(l.accounts[i].lapse) {
 			l.accounts[i].expire(now)
 		}
+		if l.accounts[i].lapsed && now.After(l.accounts[i].lapse.Add(l.orphanLife)) {
+			l.accounts[i].orphan = 0
+		}
+	}
+	if now.After(l.closedUntil.Add(l.orphanLife)) {
+		l.unknown = 0
 	}
 	l.sweep()
 }
@@ -307,9 +363,10 @@
 			claims[i].used = claims[i].bound
 			continue
 		}
+		claims[i].unused = acc.unused()
 		claims[i].waiting = acc.report.Waiting
 		claims[i].oldest = acc.report.OldestMillis
-		unused += claims[i].unused()
+		unused += claims[i].unused
 	}
 	free, spare := l.limit-l.InHands(), l.cold-unused
 	if now.Before(l.closedUntil) {
@@ -317,8 +374,8 @@
 	}
 	l.turn++
 	allocate(claims, free, spare, l.turn)
-	if free < 0 {
-		trim(claims, -free)
+	if excess := -min(free, spare); excess > 0 {
+		trim(claims, excess)
 	}
 	return claims
 }
@@ -340,9 +397,13 @@
 	return highest
 }
 
-// confirmed has a bit for each tier that may be shed.
-func (l *Ledger) confirmed(floor tier.Tier) uint8 {
+// confirmed has a bit for each tier that may be shed. It is empty while holders
+// of an earlier home may still start requests.
+func (l *Ledger) confirmed(now time.Time, floor tier.Tier) uint8 {
 	var bits uint8
+	if now.Before(l.closedUntil) || l.unknown > 0 {
+		return bits
+	}
 	for t := floor; t < tier.Max; t++ {
 		if l.confirms(t) {
 			bits |= 1 << t
@@ -354,10 +415,7 @@
 func (l *Ledger) confirms(t tier.Tier) bool {
 	for i := range l.accounts {
 		acc := &l.accounts[i]
-		if acc.lapsed {
-			continue
-		}
-		if acc.report.Used.Below(t) > 0 || acc.mayStart(t) {
+		if acc.lapsed || acc.report.Used.Below(t) > 0 || acc.mayStart(t) {
 			return false
 		}
 	}
@@ -378,13 +436,13 @@
 
 // grant makes and records one grant.
 func (l *Ledger) grant(now time.Time, acc *account, c *claim, floor tier.Tier, confirmed uint8) Grant {
-	idle := 0
+	unused, idle := c.mayKeep(), 0
 	if waiting := l.Waiting(); waiting.Sum() == 0 {
-		idle = max(c.target-c.used, 0)
+		idle = unused
 	}
 	l.number++
 	acc.lapse = now.Add(GrantTTL)
-	acc.remember(outstanding{number: l.number, slots: c.target, idle: idle, floor: floor})
+	acc.remember(outstanding{number: l.number, slots: c.target, unused: unused, idle: idle, floor: floor})
 	used, prefill := l.others(acc)
 	return Grant{
 		Endpoint:           l.endpoint,
@@ -393,6 +451,7 @@
 		Number:             l.number,
 		Sequence:           acc.report.Sequence,
 		Slots:              c.target,
+		Unused:             unused,
 		Idle:               idle,
 		Floor:              floor,
 		Confirmed:          confirmed,
@@ -411,6 +470,7 @@
 		return
 	}
 	a.grants[1].slots = max(a.grants[0].slots, a.grants[1].slots)
+	a.grants[1].unused = max(a.grants[0].unused, a.grants[1].unused)
 	a.grants[1].idle = max(a.grants[0].idle, a.grants[1].idle)
 	a.grants[1].floor = max(a.grants[0].floor, a.grants[1].floor)
 	a.grants = slices.Delete(a.grants, 0, 1)
--- a/internal/process/slot/message.go
+++ b/internal/process/slot/message.go
@@ -16,6 +16,8 @@
 	// LapseMargin covers the time between a dispatch within the grant and its
 	// arrival at the endpoint.
 	LapseMargin = 500 * time.Millisecond
+	// LeastWindow is how far Report.Least looks back.
+	LeastWindow = 4 * time.Second
 )
 
 // MaxSamples bounds the first-token samples in one report.
@@ -33,8 +35,13 @@
 	Grant uint64 `cbor:"5,keyasint"`
 	// Allowed is how many slots the holder still considers its own.
 	Allowed int `cbor:"6,keyasint"`
+	// Lapsed tells that the holder's last grant had lapsed by the report.
+	Lapsed bool `cbor:"15,keyasint,omitempty"`
 	// Used are the slots in use, by tier.
 	Used tier.Counts `cbor:"7,keyasint"`
+	// Least is the least number of slots in use at any time of the last
+	// LeastWindow.
+	Least int `cbor:"14,keyasint"`
 	// Waiting are the requests that wait for a slot, by tier.
 	Waiting tier.Counts `cbor:"8,keyasint"`
 	// OldestMillis is how long the first of them has waited, by tier.
@@ -62,6 +69,8 @@
 	Sequence uint64 `cbor:"4,keyasint"`
 	// Slots is how many slots the holder may use in all.
 	Slots int `cbor:"5,keyasint"`
+	// Unused is how many of them may be unused.
+	Unused int `cbor:"14,keyasint"`
 	// Idle is how many unused slots the holder may keep when a request ends;
 	// it gives back the rest at once.
 	Idle int `cbor:"6,keyasint"`
