--- /dev/null
+++ b/internal/connection/engine/client.go
@@ -0,0 +1,217 @@
+package engine
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// Errors of a request to an endpoint. After ErrNotStarted the endpoint surely
+// did not start the request; after ErrInterrupted it may have.
+var (
+	ErrNotStarted  = eris.New("endpoint did not start the request")
+	ErrInterrupted = eris.New("endpoint broke off")
+	ErrUnknownKey  = eris.New("endpoint does not know the request")
+	ErrOldFence    = eris.New("endpoint refused an old fencing number")
+	ErrStatus      = eris.New("endpoint answered with an error status")
+)
+
+// Bounds of the connections to endpoints.
+const (
+	dialTimeout          = 500 * time.Millisecond
+	idleTimeout          = 60 * time.Second
+	maxIdlePerEndpoint   = 256
+	maxControlReplyBytes = 1 << 20
+)
+
+// Call is one request to an endpoint.
+type Call struct {
+	// Address is the endpoint's IP:port.
+	Address string
+	Method  string
+	// Path starts with a slash and may hold a query.
+	Path string
+	// ContentType is that of Body; empty if there is none.
+	ContentType string
+	Body        []byte
+	// Key is the request key's text.
+	Key string
+}
+
+// Reply is an endpoint's answer. The caller closes Body.
+type Reply struct {
+	Status      int
+	ContentType string
+	Body        io.ReadCloser
+}
+
+// Client sends requests to endpoints. It never sends a request twice.
+type Client struct {
+	http *http.Client
+}
+
+// NewClient gives a client with its own pool of connections.
+func NewClient() *Client {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	transport := &http.Transport{
+		DialContext:         dialer.DialContext,
+		MaxIdleConnsPerHost: maxIdlePerEndpoint,
+		IdleConnTimeout:     idleTimeout,
+		DisableCompression:  true,
+	}
+	return &Client{http: &http.Client{Transport: transport, CheckRedirect: refuseRedirect}}
+}
+
+// refuseRedirect hands a redirect to the caller instead of sending the request
+// to another address.
+func refuseRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+
+// Send sends the call once and returns the reply with its status as it is. It
+// fails with ErrNotStarted or ErrInterrupted.
+func (c *Client) Send(ctx context.Context, call Call) (*Reply, error) {
+	req, err := newRequest(ctx, call)
+	if err != nil {
+		return nil, eris.Wrap(ErrNotStarted, err.Error())
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return nil, classify(err)
+	}
+	return &Reply{
+		Status:      resp.StatusCode,
+		ContentType: resp.Header.Get("Content-Type"),
+		Body:        resp.Body,
+	}, nil
+}
+
+// newRequest builds a request that the transport cannot replay: with GetBody
+// unset it does not resend a body, and the key travels in a header that the
+// transport does not take for a promise of idempotence.
+func newRequest(ctx context.Context, call Call) (*http.Request, error) {
+	var body io.Reader
+	if len(call.Body) > 0 {
+		body = bytes.NewReader(call.Body)
+	}
+	req, err := http.NewRequestWithContext(ctx, call.Method, "http://"+call.Address+call.Path, body)
+	if err != nil {
+		return nil, err
+	}
+	req.GetBody = nil
+	if call.ContentType != "" {
+		req.Header.Set("Content-Type", call.ContentType)
+	}
+	if call.Key != "" {
+		req.Header.Set(HeaderKey, call.Key)
+	}
+	return req, nil
+}
+
+// classify tells whether the endpoint can have seen a request that failed. It
+// cannot if no connection to it was made.
+func classify(err error) error {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return eris.Wrap(ErrNotStarted, err.Error())
+	}
+	return eris.Wrap(ErrInterrupted, err.Error())
+}
+
+// Resume reads a request's answer from offset, in bytes of the event stream.
+// It fails with ErrUnknownKey, ErrNotStarted or ErrInterrupted.
+func (c *Client) Resume(ctx context.Context, address, key string, offset int64) (*Reply, error) {
+	path := fmt.Sprintf(PathStream, url.PathEscape(key)) + "?offset=" + strconv.FormatInt(offset, 10)
+	reply, err := c.Send(ctx, Call{Address: address, Method: http.MethodGet, Path: path})
+	if err != nil {
+		return nil, err
+	}
+	if reply.Status == http.StatusNotFound {
+		reply.Body.Close()
+		return nil, eris.Wrap(ErrUnknownKey, key)
+	}
+	return reply, nil
+}
+
+// Cancel stops a request. It fails with ErrUnknownKey, ErrNotStarted,
+// ErrInterrupted or ErrStatus.
+func (c *Client) Cancel(ctx context.Context, address, key string) error {
+	path := fmt.Sprintf(PathCancel, url.PathEscape(key))
+	return c.control(ctx, Call{Address: address, Method: http.MethodPost, Path: path}, nil)
+}
+
+// Load reads an endpoint's load report.
+func (c *Client) Load(ctx context.Context, address string) (Load, error) {
+	var load Load
+	err := c.control(ctx, Call{Address: address, Method: http.MethodGet, Path: PathLoad}, &load)
+	return load, err
+}
+
+// State reads what an endpoint runs.
+func (c *Client) State(ctx context.Context, address string) (State, error) {
+	var state State
+	err := c.control(ctx, Call{Address: address, Method: http.MethodGet, Path: PathState}, &state)
+	return state, err
+}
+
+// CacheEvents reads an endpoint's cache events from a sequence number on.
+func (c *Client) CacheEvents(ctx context.Context, address string, from uint64) (CacheEvents, error) {
+	var events CacheEvents
+	path := PathCacheEvents + "?from=" + strconv.FormatUint(from, 10)
+	err := c.control(ctx, Call{Address: address, Method: http.MethodGet, Path: path}, &events)
+	return events, err
+}
+
+// Order gives an endpoint an order once. It fails with ErrOldFence,
+// ErrNotStarted, ErrInterrupted or ErrStatus.
+func (c *Client) Order(ctx context.Context, address string, order Order) (State, error) {
+	var state State
+	body, err := json.Marshal(order)
+	if err != nil {
+		return state, err
+	}
+	err = c.control(ctx, Call{
+		Address:     address,
+		Method:      http.MethodPost,
+		Path:        PathOrders,
+		ContentType: "application/json",
+		Body:        body,
+	}, &state)
+	return state, err
+}
+
+// control sends a small call and decodes its JSON reply into response unless
+// that is nil.
+func (c *Client) control(ctx context.Context, call Call, response any) error {
+	reply, err := c.Send(ctx, call)
+	if err != nil {
+		return err
+	}
+	defer reply.Body.Close()
+	switch {
+	case reply.Status == http.StatusNotFound:
+		return eris.Wrap(ErrUnknownKey, call.Path)
+	case reply.Status == http.StatusConflict:
+		return eris.Wrap(ErrOldFence, call.Path)
+	case reply.Status >= http.StatusMultipleChoices:
+		return eris.Wrapf(ErrStatus, "%s: %d", call.Path, reply.Status)
+	case response == nil:
+		return nil
+	}
+	body, err := io.ReadAll(io.LimitReader(reply.Body, maxControlReplyBytes))
+	if err != nil {
+		return eris.Wrap(ErrInterrupted, err.Error())
+	}
+	if err := json.Unmarshal(body, response); err != nil {
+		return eris.Wrap(ErrInterrupted, err.Error())
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/process/jsoncheck/jsoncheck.go
@@ -0,0 +1,117 @@
+// Package jsoncheck checks JSON documents against a JSON Schema and reports
+// what is wrong where, in words for the person who wrote the document.
+package jsoncheck
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"sort"
+	"strings"
+
+	"github.com/rotisserie/eris"
+	"github.com/santhosh-tekuri/jsonschema/v6"
+	"golang.org/x/text/language"
+	"golang.org/x/text/message"
+)
+
+// ErrInvalid is returned for a document that breaks a rule.
+var ErrInvalid = eris.New("invalid document")
+
+// Schema is a compiled JSON Schema.
+type Schema struct {
+	schema *jsonschema.Schema
+}
+
+// MustCompile compiles a schema that is part of the program. It panics if the
+// schema is broken, since the program is then broken.
+func MustCompile(name string, text []byte) *Schema {
+	document, err := jsonschema.UnmarshalJSON(bytes.NewReader(text))
+	if err != nil {
+		panic(fmt.Sprintf("schema %s: %v", name, err))
+	}
+	compiler := jsonschema.NewCompiler()
+	if err := compiler.AddResource(name, document); err != nil {
+		panic(fmt.Sprintf("schema %s: %v", name, err))
+	}
+	return &Schema{schema: compiler.MustCompile(name)}
+}
+
+// Decode checks data against the schema and decodes it into target, a pointer.
+// It fails with ErrInvalid; the text names the file, the path in it, the value
+// and what is allowed, a line for each fault.
+func (s *Schema) Decode(file string, data []byte, target any) error {
+	document, err := jsonschema.UnmarshalJSON(bytes.NewReader(data))
+	if err != nil {
+		return eris.Wrapf(ErrInvalid, "%s: not JSON: %v", file, err)
+	}
+	if err := s.schema.Validate(document); err != nil {
+		return eris.Wrap(ErrInvalid, strings.Join(describe(file, document, err), "\n"))
+	}
+	if err := json.Unmarshal(data, target); err != nil {
+		return eris.Wrapf(ErrInvalid, "%s: %v", file, err)
+	}
+	return nil
+}
+
+// describe turns a validation error into one line for each fault.
+func describe(file string, document any, err error) []string {
+	fault, ok := err.(*jsonschema.ValidationError)
+	if !ok {
+		return []string{fmt.Sprintf("%s: %v", file, err)}
+	}
+	printer := message.NewPrinter(language.English)
+	lines := []string{}
+	for _, leaf := range leaves(fault) {
+		text := leaf.ErrorKind.LocalizedString(printer)
+		lines = append(lines, Fault(file, leaf.InstanceLocation, valueAt(document, leaf.InstanceLocation), text))
+	}
+	sort.Strings(lines)
+	return lines
+}
+
+// leaves gives the innermost causes of a validation error.
+func leaves(fault *jsonschema.ValidationError) []*jsonschema.ValidationError {
+	if len(fault.Causes) == 0 {
+		return []*jsonschema.ValidationError{fault}
+	}
+	all := []*jsonschema.ValidationError{}
+	for _, cause := range fault.Causes {
+		all = append(all, leaves(cause)...)
+	}
+	return all
+}
+
+// maxValueBytes bounds how much of a value an error shows.
+const maxValueBytes = 80
+
+// Fault writes one fault as "file: path: value: what is allowed".
+func Fault(file string, path []string, value any, allowed string) string {
+	shown, err := json.Marshal(value)
+	if err != nil {
+		shown = []byte("?")
+	}
+	if len(shown) > maxValueBytes {
+		shown = append(shown[:maxValueBytes:maxValueBytes], "..."...)
+	}
+	return fmt.Sprintf("%s: /%s: %s: %s", file, strings.Join(path, "/"), shown, allowed)
+}
+
+// valueAt finds the value at a path of object keys and array indexes.
+func valueAt(document any, path []string) any {
+	for _, step := range path {
+		switch node := document.(type) {
+		case map[string]any:
+			document = node[step]
+		case []any:
+			var index int
+			if _, err := fmt.Sscanf(step, "%d", &index); err != nil || index >= len(node) {
+				return nil
+			}
+			document = node[index]
+		default:
+			return nil
+		}
+	}
+	return document
+}
