--- /dev/null
+++ b/internal/command/main.go
@@ -0,0 +1,125 @@
+// Package command is the command-line tool: one file for each verb.
+package command
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/jessevdk/go-flags"
+	"github.com/rotisserie/eris"
+)
+
+// Exit codes of the tool.
+const (
+	// ExitOK means that what was asked for is done.
+	ExitOK = 0
+	// ExitRefused means that it was refused and nothing happened.
+	ExitRefused = 1
+	// ExitUsage means that the command line or a file is wrong.
+	ExitUsage = 2
+	// ExitUnreachable means that no host answered.
+	ExitUnreachable = 3
+	// ExitUnknown means that it may or may not have happened.
+	ExitUnknown = 4
+	// ExitFailed means that it was started and failed.
+	ExitFailed = 5
+)
+
+// Errors that decide the exit code.
+var (
+	ErrRefused     = eris.New("refused")
+	ErrUsage       = eris.New("wrong use")
+	ErrUnreachable = eris.New("no host answered")
+	ErrUnknown     = eris.New("outcome unknown")
+	ErrFailed      = eris.New("failed")
+)
+
+const overview = `mustarddoor drives a fleet of mustarddoord hosts.
+
+Operators: check a bundle, publish it, have another operator approve it, roll
+it; mark failure domains out and in; watch status, timeline and metrics.
+Callers: ask for an entry and send a request.
+
+A first session, with two operators and any host's admin address:
+  mustarddoor keygen  --key-file alma.key --public-file alma.pub
+  mustarddoor check   bundle.json
+  mustarddoor publish --admin 127.0.0.1:7002 --as alma  --key-file alma.key bundle.json
+  mustarddoor approve --admin 127.0.0.1:7002 --as berta --key-file berta.key first
+  mustarddoor roll    --admin 127.0.0.1:7002 --as alma  --key-file alma.key first
+  mustarddoor status  --admin 127.0.0.1:7002
+
+Exit codes: 0 done, 1 refused (nothing happened), 2 wrong use or file,
+3 no host answered, 4 outcome unknown, 5 started and failed.`
+
+// verb is one command of the tool.
+type verb struct {
+	name  string
+	short string
+	long  string
+	data  flags.Commander
+}
+
+// Main runs the tool and returns its exit code.
+func Main(args []string) int {
+	return run(args, os.Stdout, os.Stderr)
+}
+
+func run(args []string, out, errOut io.Writer) int {
+	parser := flags.NewNamedParser("mustarddoor", flags.HelpFlag|flags.PassDoubleDash)
+	parser.LongDescription = overview
+	for _, v := range verbs(out) {
+		if _, err := parser.AddCommand(v.name, v.short, v.long, v.data); err != nil {
+			panic(err)
+		}
+	}
+	_, err := parser.ParseArgs(args)
+	return exitCode(err, out, errOut)
+}
+
+// verbs lists the tool's commands.
+func verbs(out io.Writer) []verb {
+	return []verb{
+		newCheck(out),
+		newKeygen(out),
+		newPublish(out),
+		newApprove(out),
+		newRoll(out),
+		newDomain(out),
+		newStatus(out),
+		newTimeline(out),
+		newMetrics(out),
+		newEntry(out),
+		newRequest(out),
+		newGate(out),
+	}
+}
+
+// exitCode prints what went wrong and chooses the exit code.
+func exitCode(err error, out, errOut io.Writer) int {
+	var usage *flags.Error
+	switch {
+	case err == nil:
+		return ExitOK
+	case errors.As(err, &usage) && usage.Type == flags.ErrHelp:
+		fmt.Fprintln(out, usage.Message)
+		return ExitOK
+	case errors.As(err, &usage):
+		fmt.Fprintln(errOut, usage.Message)
+		return ExitUsage
+	}
+	fmt.Fprintln(errOut, "mustarddoor:", err)
+	switch {
+	case errors.Is(err, ErrRefused):
+		return ExitRefused
+	case errors.Is(err, ErrUnreachable):
+		return ExitUnreachable
+	case errors.Is(err, ErrUnknown):
+		return ExitUnknown
+	case errors.Is(err, ErrFailed):
+		return ExitFailed
+	default:
+		return ExitUsage
+	}
+}
--- /dev/null
+++ b/internal/connection/caller/fault.go
@@ -0,0 +1,67 @@
+package caller
+
+import (
+	"encoding/json"
+	"errors"
+	"net/http"
+)
+
+// faultKind classifies what is wrong with the form of a request.
+type faultKind string
+
+const (
+	malformed    faultKind = "malformed"
+	tooLarge     faultKind = "too_large"
+	unknownRoute faultKind = "unknown_route"
+	unknownTeam  faultKind = "unknown_team"
+	notReady     faultKind = "not_ready"
+)
+
+// fault tells what is wrong with the form of a request. Such a request was not
+// run.
+type fault struct {
+	kind   faultKind
+	detail string
+}
+
+func faultOf(kind faultKind, detail string) *fault { return &fault{kind: kind, detail: detail} }
+
+// bodyFault tells an oversize body from a broken one.
+func bodyFault(err error) *fault {
+	var tooLong *http.MaxBytesError
+	if errors.As(err, &tooLong) {
+		return faultOf(tooLarge, "body is larger than allowed")
+	}
+	return faultOf(malformed, "body cannot be read")
+}
+
+func (f *fault) status() int {
+	switch f.kind {
+	case tooLarge:
+		return http.StatusRequestEntityTooLarge
+	case unknownRoute:
+		return http.StatusNotFound
+	case unknownTeam:
+		return http.StatusForbidden
+	case notReady:
+		return http.StatusServiceUnavailable
+	default:
+		return http.StatusBadRequest
+	}
+}
+
+// faultBody is the JSON of a fault; its first fields are those of a refusal.
+type faultBody struct {
+	Outcome          string    `json:"outcome"`
+	Reason           faultKind `json:"reason"`
+	RetryAfterMillis int64     `json:"retry_after_ms"`
+	Addresses        []string  `json:"addresses"`
+	Detail           string    `json:"detail"`
+}
+
+func (f *fault) write(w http.ResponseWriter) error {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(f.status())
+	body := faultBody{Outcome: "not_run", Reason: f.kind, Addresses: []string{}, Detail: f.detail}
+	return json.NewEncoder(w).Encode(body)
+}
--- /dev/null
+++ b/scenario/fleet_test.go
@@ -0,0 +1,105 @@
+package scenario
+
+import (
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+// The standard fleet; demo/run starts the same one.
+const (
+	demoDir   = "../demo"
+	hostCount = 3
+)
+
+var hostDomains = []string{"guadalupe-a", "ensenada-b", "tecate-c"}
+
+// cmdFleet runs "fleet [new|start]": it writes the settings and the bundle of
+// the standard fleet and, unless told "new", starts its processes: log, hosts,
+// voz-1, voz-2, cuadrilla-1, host-1, host-2 and host-3, and rolls the bundle.
+func cmdFleet(ts *testscript.TestScript, _ bool, args []string) {
+	writeFleetFiles(ts)
+	if len(args) == 1 && args[0] == "new" {
+		return
+	}
+	network := ts.Getenv("NET")
+	startAll(ts, [][]string{
+		{"log", "standin", "log", "--listen", network + ".11:8000"},
+		{"hosts", "standin", "hosts", "--listen", network + ".12:8000"},
+		{"voz-1", "standin", "engine", "--listen", network + ".21:8000", "--version", "v1"},
+		{"voz-2", "standin", "engine", "--listen", network + ".22:8000", "--version", "v1"},
+		{"cuadrilla-1", "standin", "plain", "--listen", network + ".31:8000", "--lookup"},
+	})
+	daemons := [][]string{}
+	for i := 1; i <= hostCount; i++ {
+		name := "host-" + strconv.Itoa(i)
+		daemons = append(daemons, []string{name, "mustarddoord", "--settings", name + ".json"})
+	}
+	startAll(ts, daemons)
+	admin := network + ".1:7002"
+	for _, line := range [][]string{
+		{"publish", "--as", "alma", "--key-file", "alma.key", "bundle.json"},
+		{"approve", "--as", "berta", "--key-file", "berta.key", "first"},
+		{"roll", "--as", "alma", "--key-file", "alma.key", "first"},
+	} {
+		ts.Check(ts.Exec("mustarddoor", append([]string{line[0], "--admin", admin}, line[1:]...)...))
+	}
+	for i := 1; i <= hostCount; i++ {
+		cmdEventually(ts, false, []string{`"ready": true`, "mustarddoor", "status", "--output", "json",
+			"--admin", network + "." + strconv.Itoa(i) + ":7002"})
+	}
+}
+
+// writeFleetFiles fills in the demo's templates: bundle.json, host-N.json and
+// the operators' keys.
+func writeFleetFiles(ts *testscript.TestScript) {
+	keys := []string{}
+	for _, operator := range []string{"alma", "berta"} {
+		ts.Check(ts.Exec("mustarddoor", "keygen", "--key-file", operator+".key", "--public-file", operator+".pub"))
+		keys = append(keys, strings.TrimSpace(ts.ReadFile(operator+".pub")))
+	}
+	network := ts.Getenv("NET")
+	fill(ts, "bundle.json", "bundle.json", strings.NewReplacer("NET", network))
+	for i := 1; i <= hostCount; i++ {
+		index := strconv.Itoa(i)
+		replacer := strings.NewReplacer("NET", network, "INDEX", index, "DOMAIN", hostDomains[i-1],
+			"ALMA", keys[0], "BERTA", keys[1])
+		fill(ts, "host.json", "host-"+index+".json", replacer)
+	}
+}
+
+// fill writes a copy of a template of the demo. A script's own file of the
+// same name takes the template's place.
+func fill(ts *testscript.TestScript, template, target string, replacer *strings.Replacer) {
+	content, err := os.ReadFile(ts.MkAbs(template))
+	if os.IsNotExist(err) {
+		content, err = os.ReadFile(filepath.Join(demoDir, template))
+	}
+	ts.Check(err)
+	ts.Check(os.WriteFile(ts.MkAbs(target), []byte(replacer.Replace(string(content))), 0o600))
+}
+
+// cmdFetch runs "fetch METHOD URL FILE [BODY]": it sends an HTTP request and
+// writes the answer's body to FILE. It fails on an error status.
+func cmdFetch(ts *testscript.TestScript, _ bool, args []string) {
+	if len(args) < 3 {
+		ts.Fatalf("usage: fetch METHOD URL FILE [BODY]")
+	}
+	req, err := http.NewRequest(args[0], args[1], strings.NewReader(strings.Join(args[3:], " ")))
+	ts.Check(err)
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := http.DefaultClient.Do(req)
+	ts.Check(err)
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	ts.Check(err)
+	if resp.StatusCode >= http.StatusBadRequest {
+		ts.Fatalf("%s %s: %d: %s", args[0], args[1], resp.StatusCode, body)
+	}
+	ts.Check(os.WriteFile(ts.MkAbs(args[2]), body, 0o600))
+}
--- /dev/null
+++ b/scenario/process_test.go
@@ -0,0 +1,204 @@
+package scenario
+
+import (
+	"bytes"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"syscall"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+// processesKey finds the process table among a script's values.
+type processesKey struct{}
+
+// Bounds on waiting. They only end a script that hangs; no verdict depends on
+// how long something takes.
+const (
+	waitLimit    = 60 * time.Second
+	pollInterval = 20 * time.Millisecond
+)
+
+// listening is what each daemon and stand-in prints once it serves.
+var listening = []byte("listening on")
+
+// process is one process that a script started.
+type process struct {
+	command *exec.Cmd
+	logFile string
+	ended   chan struct{}
+}
+
+// processTable holds a script's processes by name.
+type processTable struct {
+	dir       string
+	processes map[string]*process
+}
+
+func newProcessTable(dir string) *processTable {
+	return &processTable{dir: dir, processes: map[string]*process{}}
+}
+
+func (p *processTable) killAll() {
+	for _, proc := range p.processes {
+		proc.command.Process.Kill()
+		<-proc.ended
+	}
+}
+
+func tableOf(ts *testscript.TestScript) *processTable {
+	return ts.Value(processesKey{}).(*processTable)
+}
+
+func (p *processTable) get(ts *testscript.TestScript, name string) *process {
+	proc, found := p.processes[name]
+	if !found {
+		ts.Fatalf("no process %s", name)
+	}
+	return proc
+}
+
+// cmdStart runs "start NAME PROGRAM ARG...": it starts a process and waits
+// until it says that it listens. Its output goes to NAME.log; a later process
+// of the same name adds to it.
+func cmdStart(ts *testscript.TestScript, _ bool, args []string) {
+	if len(args) < 2 {
+		ts.Fatalf("usage: start NAME PROGRAM ARG...")
+	}
+	startAll(ts, [][]string{args})
+}
+
+// startAll starts several processes and then waits for all of them.
+func startAll(ts *testscript.TestScript, lines [][]string) {
+	names := []string{}
+	for _, line := range lines {
+		launch(ts, line[0], line[1], line[2:])
+		names = append(names, line[0])
+	}
+	for _, name := range names {
+		awaitListening(ts, name)
+	}
+}
+
+func launch(ts *testscript.TestScript, name, program string, args []string) {
+	table := tableOf(ts)
+	logFile := filepath.Join(table.dir, name+".log")
+	if old, found := table.processes[name]; found {
+		<-old.ended
+		ts.Check(os.Rename(logFile, logFile+".old"))
+	}
+	out, err := os.Create(logFile)
+	ts.Check(err)
+	command := commandOf(ts, program, args)
+	command.Stdout = out
+	command.Stderr = out
+	ts.Check(command.Start())
+	out.Close()
+	proc := &process{command: command, logFile: logFile, ended: make(chan struct{})}
+	table.processes[name] = proc
+	go func() {
+		command.Wait()
+		close(proc.ended)
+	}()
+}
+
+func commandOf(ts *testscript.TestScript, program string, args []string) *exec.Cmd {
+	for _, dir := range filepath.SplitList(ts.Getenv("PATH")) {
+		path := filepath.Join(dir, program)
+		if _, err := os.Stat(path); err == nil {
+			command := exec.Command(path, args...)
+			command.Dir = ts.MkAbs(".")
+			command.Env = append(os.Environ(), "PATH="+ts.Getenv("PATH"), "HOME="+ts.Getenv("HOME"), "NET="+ts.Getenv("NET"))
+			return command
+		}
+	}
+	ts.Fatalf("no program %s", program)
+	return nil
+}
+
+func awaitListening(ts *testscript.TestScript, name string) {
+	proc := tableOf(ts).processes[name]
+	await(ts, name+" to listen", func() bool {
+		content, _ := os.ReadFile(proc.logFile)
+		select {
+		case <-proc.ended:
+			ts.Fatalf("%s ended: %s", name, content)
+		default:
+		}
+		return bytes.Contains(content, listening)
+	})
+}
+
+// await polls until the condition holds.
+func await(ts *testscript.TestScript, what string, condition func() bool) {
+	for deadline := time.Now().Add(waitLimit); time.Now().Before(deadline); time.Sleep(pollInterval) {
+		if condition() {
+			return
+		}
+	}
+	ts.Fatalf("gave up waiting for %s", what)
+}
+
+var signals = map[string]syscall.Signal{
+	"KILL": syscall.SIGKILL,
+	"TERM": syscall.SIGTERM,
+	"STOP": syscall.SIGSTOP,
+	"CONT": syscall.SIGCONT,
+}
+
+// cmdSignal runs "signal KILL|TERM|STOP|CONT NAME...". After KILL it waits for
+// the end of the processes.
+func cmdSignal(ts *testscript.TestScript, _ bool, args []string) {
+	if len(args) < 2 {
+		ts.Fatalf("usage: signal KILL|TERM|STOP|CONT NAME...")
+	}
+	signal, found := signals[args[0]]
+	if !found {
+		ts.Fatalf("unknown signal %s", args[0])
+	}
+	for _, name := range args[1:] {
+		proc := tableOf(ts).get(ts, name)
+		ts.Check(proc.command.Process.Signal(signal))
+		if signal == syscall.SIGKILL {
+			<-proc.ended
+		}
+	}
+}
+
+// cmdStopped runs "stopped NAME...": it waits until the processes have ended
+// and fails if one of them did not exit with status 0.
+func cmdStopped(ts *testscript.TestScript, _ bool, args []string) {
+	for _, name := range args {
+		proc := tableOf(ts).get(ts, name)
+		select {
+		case <-proc.ended:
+		case <-time.After(waitLimit):
+			ts.Fatalf("%s did not stop", name)
+		}
+		if code := proc.command.ProcessState.ExitCode(); code != 0 {
+			content, _ := os.ReadFile(proc.logFile)
+			ts.Fatalf("%s exited with %d: %s", name, code, content)
+		}
+	}
+}
+
+// cmdEventually runs "[!] eventually REGEXP PROGRAM ARG...": it runs the
+// program again and again until its output matches (with "!", until it does
+// not).
+func cmdEventually(ts *testscript.TestScript, neg bool, args []string) {
+	if len(args) < 2 {
+		ts.Fatalf("usage: eventually REGEXP PROGRAM ARG...")
+	}
+	pattern, err := regexp.Compile(args[0])
+	ts.Check(err)
+	var last []byte
+	defer func() { ts.Logf("%s", last) }()
+	await(ts, fmt.Sprintf("%q", args), func() bool {
+		last, _ = commandOf(ts, args[1], args[2:]).CombinedOutput()
+		return pattern.Match(last) != neg
+	})
+}
--- /dev/null
+++ b/scenario/scenario_test.go
@@ -0,0 +1,57 @@
+// Package scenario runs the scripted scenarios in testdata: whole fleets of
+// separate processes on loopback, with faults.
+package scenario
+
+import (
+	"fmt"
+	"os"
+	"sync/atomic"
+	"testing"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"mustarddoor/internal/command"
+	"mustarddoor/internal/process/daemon"
+	"mustarddoor/internal/standin"
+)
+
+func TestMain(m *testing.M) {
+	testscript.Main(m, map[string]func(){
+		"mustarddoord": func() { os.Exit(daemon.Main(os.Args[1:])) },
+		"mustarddoor":  func() { os.Exit(command.Main(os.Args[1:])) },
+		"standin":      func() { os.Exit(standin.Main(os.Args[1:])) },
+	})
+}
+
+// networks numbers the loopback networks that scripts run on.
+var networks atomic.Int64
+
+// Networks of the scripts are 127.A.B, with A from the process and B from the
+// script, so that scripts that run at once do not meet.
+const (
+	firstNetwork = 20
+	networkCount = 200
+)
+
+func TestScenarios(t *testing.T) {
+	testscript.Run(t, testscript.Params{
+		Dir: "testdata",
+		Setup: func(env *testscript.Env) error {
+			network := fmt.Sprintf("127.%d.%d", firstNetwork+os.Getpid()%networkCount, networks.Add(1))
+			env.Setenv("NET", network)
+			processes := newProcessTable(env.WorkDir)
+			env.Values[processesKey{}] = processes
+			env.Defer(processes.killAll)
+			return nil
+		},
+		Cmds: map[string]func(*testscript.TestScript, bool, []string){
+			"fleet":      cmdFleet,
+			"start":      cmdStart,
+			"signal":     cmdSignal,
+			"stopped":    cmdStopped,
+			"eventually": cmdEventually,
+			"fetch":      cmdFetch,
+		},
+		RequireExplicitExec: true,
+	})
+}
