Stand-ins for the platform and the endpoints

One process each for the log service, the host list, the weight store, a model engine and a plain service, with fault switches at the start and at run time. The engine protocol gains the hash of prompt prefixes, which cache events and the router both need.

--- /dev/null
+++ b/internal/standin/enginesim/cache.go
@@ -0,0 +1,144 @@
+package enginesim
+
+import (
+	"container/list"
+	"sync"
+	"time"
+
+	"mustarddoor/internal/connection/engine"
+	"mustarddoor/internal/standin/answer"
+)
+
+// blockTokens is the length of one cached block in tokens.
+var blockTokens = answer.PromptTokens(string(make([]byte, engine.PrefixBlockBytes)))
+
+// event is a cache event and the time from which it is published.
+type event struct {
+	engine.CacheEvent
+	published time.Time
+}
+
+// cache is the prefix cache: blocks of prompts, the least recently used one
+// goes first.
+type cache struct {
+	capacity int
+	lag      time.Duration
+	gap      int
+
+	mu       sync.Mutex
+	blocks   map[string]*list.Element
+	recent   *list.List
+	events   []event
+	sequence uint64
+}
+
+func newCache(options Options) *cache {
+	return &cache{
+		capacity: options.CacheTokens / blockTokens,
+		lag:      milliseconds(options.EventLag),
+		gap:      options.EventGap,
+		blocks:   map[string]*list.Element{},
+		recent:   list.New(),
+	}
+}
+
+// take returns how many tokens of the prompt were cached and caches its whole
+// blocks.
+func (c *cache) take(prompt string) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	cached := 0
+	hit := true
+	for count := 1; count*engine.PrefixBlockBytes <= len(prompt); count++ {
+		known := c.add(engine.PrefixHash(prompt, count), count*blockTokens)
+		hit = hit && known
+		if hit {
+			cached += blockTokens
+		}
+	}
+	return cached
+}
+
+// insert caches a block that was imported.
+func (c *cache) insert(hash string, tokens int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.add(hash, tokens)
+}
+
+// has reports whether a block is cached.
+func (c *cache) has(hash string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.blocks[hash] != nil
+}
+
+// tokens is how many tokens are cached.
+func (c *cache) tokens() int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return int64(c.recent.Len() * blockTokens)
+}
+
+// clear drops all blocks and events, as a restart does.
+func (c *cache) clear() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	clear(c.blocks)
+	c.recent.Init()
+	c.events = nil
+	c.sequence = 0
+}
+
+// since returns the published events from a sequence number on, and the number
+// to ask for next.
+func (c *cache) since(from uint64, now time.Time) ([]engine.CacheEvent, uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	found := []engine.CacheEvent{}
+	next := max(from, 1)
+	for _, e := range c.events {
+		if e.published.After(now) {
+			break
+		}
+		if e.Sequence >= from {
+			found = append(found, e.CacheEvent)
+			next = e.Sequence + 1
+		}
+	}
+	return found, next
+}
+
+// add makes a block the most recently used one and reports whether it was
+// cached already. Its tokens count from the start of the prompt.
+func (c *cache) add(hash string, tokens int) bool {
+	if element, ok := c.blocks[hash]; ok {
+		c.recent.MoveToFront(element)
+		return true
+	}
+	if c.capacity <= 0 {
+		return false
+	}
+	c.blocks[hash] = c.recent.PushFront(engine.CacheEvent{Prefix: hash, Tokens: tokens})
+	c.publish(engine.CacheEvent{Prefix: hash, Tokens: tokens})
+	if c.recent.Len() > c.capacity {
+		oldest := c.recent.Remove(c.recent.Back()).(engine.CacheEvent)
+		delete(c.blocks, oldest.Prefix)
+		oldest.Evicted = true
+		c.publish(oldest)
+	}
+	return false
+}
+
+// publish numbers an event and queues it, unless it falls into a gap.
+func (c *cache) publish(e engine.CacheEvent) {
+	c.sequence++
+	e.Sequence = c.sequence
+	if c.gap > 0 && c.sequence%uint64(c.gap) == 0 {
+		return
+	}
+	if len(c.events) >= maxCacheEvents {
+		c.events = c.events[1:]
+	}
+	c.events = append(c.events, event{CacheEvent: e, published: time.Now().Add(c.lag)})
+}
--- /dev/null
+++ b/internal/standin/enginesim/engine.go
@@ -0,0 +1,164 @@
+package enginesim
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/labstack/echo/v4"
+
+	"mustarddoor/internal/connection/engine"
+	"mustarddoor/internal/standin/executions"
+	"mustarddoor/internal/standin/fault"
+	"mustarddoor/internal/standin/server"
+)
+
+// PathStats takes a GET and answers Stats.
+const PathStats = "/stats"
+
+// Stats tells what load the engine has borne since the process started.
+type Stats struct {
+	// MaxRunning is the highest number of requests that ran at once.
+	MaxRunning int `json:"max_running"`
+	// ColdOverruns counts the requests that met a cold engine beyond its cold
+	// slots.
+	ColdOverruns int `json:"cold_overruns"`
+}
+
+// Engine is the model engine.
+type Engine struct {
+	options Options
+	started time.Time
+	faults  *fault.Set[Faults]
+	counter executions.Counter
+	batch   *batch
+	cache   *cache
+	streams *streams
+	report  atomic.Pointer[report]
+
+	// orders lets one order run at a time.
+	orders sync.Mutex
+
+	mu        sync.Mutex
+	state     engine.State
+	starts    int
+	coldUntil time.Time
+	stats     Stats
+}
+
+// report is a load report and when it was made.
+type report struct {
+	engine.Load
+	made time.Time
+}
+
+// New returns an engine that has just started. Its load reports are renewed
+// until the context ends.
+func New(ctx context.Context, options Options) *Engine {
+	e := &Engine{
+		options: options,
+		started: time.Now(),
+		batch:   newBatch(options.MaxConcurrent),
+		cache:   newCache(options),
+		streams: &streams{retention: milliseconds(options.RetainMillis), byKey: map[string]*stream{}},
+	}
+	e.state = engine.State{
+		Version:  options.Version,
+		Model:    options.Model,
+		Role:     options.Role,
+		Adapters: []string{},
+		Ready:    true,
+	}
+	e.coldTurn()
+	common := func(f *Faults) *fault.Common { return &f.Common }
+	e.faults = fault.NewSet(options.Faults, common, e.apply)
+	e.report.Store(e.measure())
+	go e.renewReports(ctx)
+	return e
+}
+
+// Handler serves the protocol of package engine, the counts and the fault
+// switches.
+func (e *Engine) Handler() http.Handler {
+	router := server.NewEcho()
+	e.faults.Register(router)
+	e.counter.Register(router)
+	router.GET(PathStats, e.getStats)
+	router.POST(engine.PathChat, e.post, e.faults.Middleware)
+	router.POST(engine.PathCompletions, e.post, e.faults.Middleware)
+	router.GET(fmt.Sprintf(engine.PathStream, ":key"), e.resume, e.faults.Middleware)
+	router.POST(fmt.Sprintf(engine.PathCancel, ":key"), e.cancel, e.faults.Middleware)
+	router.GET(engine.PathLoad, e.getLoad, e.faults.Middleware)
+	router.GET(engine.PathState, e.getState, e.faults.Middleware)
+	router.POST(engine.PathOrders, e.order, e.faults.Middleware)
+	router.GET(engine.PathCacheEvents, e.getEvents, e.faults.Middleware)
+	router.GET(engine.PathCacheBlocks, e.exportBlocks, e.faults.Middleware)
+	router.POST(engine.PathCacheBlocks, e.importBlocks, e.faults.Middleware)
+	return router
+}
+
+// apply acts on the cold switch and resets it.
+func (e *Engine) apply(faults *Faults) {
+	if !faults.TurnCold {
+		return
+	}
+	faults.TurnCold = false
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.coldTurn()
+}
+
+// renewReports makes a load report at every lag.
+func (e *Engine) renewReports(ctx context.Context) {
+	if e.options.LoadLag <= 0 {
+		return
+	}
+	ticker := time.NewTicker(milliseconds(e.options.LoadLag))
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			e.report.Store(e.measure())
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// measure makes a load report.
+func (e *Engine) measure() *report {
+	return &report{
+		Load: engine.Load{
+			Incarnation:  e.snapshot().Incarnation,
+			Running:      int(e.batch.running.Load()),
+			Waiting:      int(e.batch.waiting.Load()),
+			CachedTokens: e.cache.tokens(),
+		},
+		made: time.Now(),
+	}
+}
+
+// getLoad answers the last load report.
+func (e *Engine) getLoad(c echo.Context) error {
+	last := e.report.Load()
+	if e.options.LoadLag <= 0 {
+		last = e.measure()
+	}
+	load := last.Load
+	load.AgeMillis = time.Since(last.made).Milliseconds()
+	return c.JSON(http.StatusOK, load)
+}
+
+// getState answers the state.
+func (e *Engine) getState(c echo.Context) error { return c.JSON(http.StatusOK, e.snapshot()) }
+
+// getStats answers the load borne.
+func (e *Engine) getStats(c echo.Context) error {
+	e.mu.Lock()
+	stats := e.stats
+	e.mu.Unlock()
+	return c.JSON(http.StatusOK, stats)
+}
--- /dev/null
+++ b/internal/standin/enginesim/handlers.go
@@ -0,0 +1,217 @@
+package enginesim
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/labstack/echo/v4"
+
+	"mustarddoor/internal/connection/engine"
+	"mustarddoor/internal/standin/answer"
+	"mustarddoor/internal/standin/server"
+)
+
+// eventStream is the content type of an answer's event stream.
+const eventStream = "text/event-stream"
+
+// completionRequest is the part of an OpenAI-style request that the engine
+// looks at.
+type completionRequest struct {
+	Messages  []answer.Message `json:"messages"`
+	Prompt    string           `json:"prompt"`
+	MaxTokens int              `json:"max_tokens"`
+	Stream    bool             `json:"stream"`
+}
+
+// request is what determines the answer to a completion request.
+func (r completionRequest) request(key string, chat bool) answer.Request {
+	prompt := r.Prompt
+	if chat {
+		var text strings.Builder
+		for _, message := range r.Messages {
+			text.WriteString(message.Content + "\n")
+		}
+		prompt = text.String()
+	}
+	tokens := r.MaxTokens
+	if tokens <= 0 {
+		tokens = defaultAnswerTokens
+	}
+	return answer.Request{Key: key, Prompt: prompt, Tokens: min(tokens, maxAnswerTokens), Chat: chat}
+}
+
+// post runs a completion request, once more if its key is known.
+func (e *Engine) post(c echo.Context) error {
+	var body completionRequest
+	if err := json.NewDecoder(c.Request().Body).Decode(&body); err != nil {
+		return echo.NewHTTPError(http.StatusBadRequest, err.Error())
+	}
+	if !e.snapshot().Ready || int(e.batch.waiting.Load()) >= e.options.MaxWaiting {
+		return echo.NewHTTPError(http.StatusServiceUnavailable, "not ready")
+	}
+	path := c.Path()
+	request := body.request(c.Request().Header.Get(engine.HeaderKey), path == engine.PathChat)
+	out, err := e.start(request, path)
+	if err != nil {
+		return err
+	}
+	if body.Stream {
+		return copyStream(c, out, 0)
+	}
+	if !out.wait(c.Request().Context()) {
+		return echo.NewHTTPError(http.StatusInternalServerError, "request failed")
+	}
+	return c.JSONBlob(http.StatusOK, request.Body())
+}
+
+// start counts a request and starts its generation, which goes on when the
+// caller leaves.
+func (e *Engine) start(request answer.Request, path string) (*stream, error) {
+	_, served, ok := e.counter.Add(request.Key)
+	if !ok {
+		return nil, echo.NewHTTPError(http.StatusServiceUnavailable, "too many keys")
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	out := newStream(cancel)
+	if !e.streams.put(request.Key, out) {
+		cancel()
+		return nil, echo.NewHTTPError(http.StatusServiceUnavailable, "too many streams")
+	}
+	go func() {
+		defer cancel()
+		e.generate(ctx, request, path, served, out)
+	}()
+	return out, nil
+}
+
+// resume answers a stream from an offset on.
+func (e *Engine) resume(c echo.Context) error {
+	found, err := e.find(c)
+	if err != nil {
+		return err
+	}
+	offset, err := strconv.Atoi(c.QueryParam("offset"))
+	if err != nil || offset < 0 {
+		return echo.NewHTTPError(http.StatusBadRequest, "offset is not a number of bytes")
+	}
+	return copyStream(c, found, offset)
+}
+
+// cancel stops a request.
+func (e *Engine) cancel(c echo.Context) error {
+	found, err := e.find(c)
+	if err != nil {
+		return err
+	}
+	found.cancel()
+	return c.NoContent(http.StatusNoContent)
+}
+
+// find returns the stream that the path names.
+func (e *Engine) find(c echo.Context) (*stream, error) {
+	key, err := server.PathParam(c, "key")
+	if err != nil {
+		return nil, err
+	}
+	found := e.streams.get(key)
+	if found == nil {
+		return nil, echo.NewHTTPError(http.StatusNotFound, "no such request")
+	}
+	return found, nil
+}
+
+// copyStream answers a stream from an offset on, as it grows. A stream that
+// ends before its first byte is answered with status 500.
+func copyStream(c echo.Context, from *stream, offset int) error {
+	started := false
+	for {
+		part, ended, changed := from.from(offset)
+		if !started && (len(part) > 0 || ended) {
+			if len(part) == 0 && offset == 0 {
+				return echo.NewHTTPError(http.StatusInternalServerError, "request failed")
+			}
+			c.Response().Header().Set(echo.HeaderContentType, eventStream)
+			c.Response().WriteHeader(http.StatusOK)
+			started = true
+		}
+		if len(part) > 0 {
+			if _, err := c.Response().Write(part); err != nil {
+				return err
+			}
+			c.Response().Flush()
+			offset += len(part)
+			continue
+		}
+		if ended {
+			return nil
+		}
+		select {
+		case <-changed:
+		case <-c.Request().Context().Done():
+			return nil
+		}
+	}
+}
+
+// order carries an order out and answers the state.
+func (e *Engine) order(c echo.Context) error {
+	var order engine.Order
+	if err := json.NewDecoder(c.Request().Body).Decode(&order); err != nil {
+		return echo.NewHTTPError(http.StatusBadRequest, err.Error())
+	}
+	status := http.StatusOK
+	err := e.execute(order)
+	switch {
+	case errors.Is(err, errFence):
+		status = http.StatusConflict
+	case errors.Is(err, errOrder):
+		return echo.NewHTTPError(http.StatusBadRequest, err.Error())
+	case errors.Is(err, errWeights):
+		return echo.NewHTTPError(http.StatusBadGateway, err.Error())
+	}
+	return c.JSON(status, e.snapshot())
+}
+
+// getEvents answers the published cache events.
+func (e *Engine) getEvents(c echo.Context) error {
+	from, err := strconv.ParseUint(c.QueryParam("from"), 10, 64)
+	if err != nil {
+		return echo.NewHTTPError(http.StatusBadRequest, "from is not a sequence number")
+	}
+	events, next := e.cache.since(from, time.Now())
+	return c.JSON(http.StatusOK, engine.CacheEvents{
+		Incarnation: e.snapshot().Incarnation,
+		Events:      events,
+		Next:        next,
+	})
+}
+
+// exportBlocks answers a cached prefix in the stand-in's own form.
+func (e *Engine) exportBlocks(c echo.Context) error {
+	prefix := c.QueryParam("prefix")
+	if !e.cache.has(prefix) {
+		return echo.NewHTTPError(http.StatusNotFound, "prefix is not cached")
+	}
+	return c.Blob(http.StatusOK, echo.MIMEOctetStream, []byte("kv "+prefix))
+}
+
+// importBlocks caches a prefix that another stand-in exported.
+func (e *Engine) importBlocks(c echo.Context) error {
+	body, err := io.ReadAll(c.Request().Body)
+	if err != nil {
+		return echo.NewHTTPError(http.StatusBadRequest, err.Error())
+	}
+	var prefix string
+	if _, err := fmt.Sscanf(string(body), "kv %s", &prefix); err != nil {
+		return echo.NewHTTPError(http.StatusBadRequest, "not an export")
+	}
+	e.cache.insert(prefix, blockTokens)
+	return c.NoContent(http.StatusNoContent)
+}
--- /dev/null
+++ b/internal/standin/enginesim/stream.go
@@ -0,0 +1,126 @@
+package enginesim
+
+import (
+	"context"
+	"sync"
+	"time"
+)
+
+// stream is the event stream of one request, as far as it has been generated.
+type stream struct {
+	// cancel stops the generation.
+	cancel context.CancelFunc
+
+	mu       sync.Mutex
+	body     []byte
+	ended    bool
+	complete bool
+	endedAt  time.Time
+	// changed is closed and replaced when the stream grows or ends.
+	changed chan struct{}
+}
+
+func newStream(cancel context.CancelFunc) *stream {
+	return &stream{cancel: cancel, changed: make(chan struct{})}
+}
+
+// write adds bytes of the stream.
+func (s *stream) write(part []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.body = append(s.body, part...)
+	s.wake()
+}
+
+// end marks the stream as ended; complete tells whether it is whole.
+func (s *stream) end(complete bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ended = true
+	s.complete = complete
+	s.endedAt = time.Now()
+	s.wake()
+}
+
+// from returns the bytes from an offset on, whether the stream has ended, and
+// a channel that is closed at the next change.
+func (s *stream) from(offset int) ([]byte, bool, <-chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.body[min(offset, len(s.body)):], s.ended, s.changed
+}
+
+// wait waits for the stream's end and reports whether it is whole.
+func (s *stream) wait(ctx context.Context) bool {
+	for {
+		s.mu.Lock()
+		ended, complete, changed := s.ended, s.complete, s.changed
+		s.mu.Unlock()
+		if ended {
+			return complete
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
+
+// expired reports whether the stream ended before a time.
+func (s *stream) expired(before time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.ended && s.endedAt.Before(before)
+}
+
+// wake tells readers of a change.
+func (s *stream) wake() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// streams holds the streams by request key.
+type streams struct {
+	retention time.Duration
+
+	mu    sync.Mutex
+	byKey map[string]*stream
+}
+
+// put keeps a stream under its key, in place of an older one. It reports false
+// if too many streams are kept.
+func (s *streams) put(key string, added *stream) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.byKey) >= maxStreams {
+		s.expire()
+	}
+	if len(s.byKey) >= maxStreams {
+		return false
+	}
+	s.byKey[key] = added
+	return true
+}
+
+// get returns the stream of a key, or nil.
+func (s *streams) get(key string) *stream {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	found := s.byKey[key]
+	if found != nil && found.expired(time.Now().Add(-s.retention)) {
+		delete(s.byKey, key)
+		return nil
+	}
+	return found
+}
+
+// expire drops the streams past their retention.
+func (s *streams) expire() {
+	before := time.Now().Add(-s.retention)
+	for key, kept := range s.byKey {
+		if kept.expired(before) {
+			delete(s.byKey, key)
+		}
+	}
+}
--- /dev/null
+++ b/internal/standin/executions/executions.go
@@ -0,0 +1,72 @@
+// Package executions counts how often a stand-in ran each request, so that a
+// test sees a request that ran twice.
+package executions
+
+import (
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+
+	"github.com/labstack/echo/v4"
+)
+
+// Path takes a GET and answers a list of Execution, ordered by key.
+const Path = "/executions"
+
+// maxKeys bounds the keys that are counted; beyond it new keys are refused.
+const maxKeys = 1 << 20
+
+// Execution tells how often a request ran.
+type Execution struct {
+	Key   string `json:"key"`
+	Count int    `json:"count"`
+}
+
+// Counter counts executions by request key. The zero value is ready to use.
+type Counter struct {
+	mu     sync.Mutex
+	counts map[string]int
+	total  int
+}
+
+// Add counts one execution and returns how many there were before, of the key
+// and of all keys. It reports false, and counts nothing, if there are too many
+// keys.
+func (c *Counter) Add(key string) (ofKey, total int, ok bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.counts == nil {
+		c.counts = map[string]int{}
+	}
+	ofKey, known := c.counts[key]
+	if !known && len(c.counts) >= maxKeys {
+		return 0, c.total, false
+	}
+	total = c.total
+	c.counts[key]++
+	c.total++
+	return ofKey, total, true
+}
+
+// Count returns how often a request ran.
+func (c *Counter) Count(key string) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.counts[key]
+}
+
+// Register adds the handler of Path.
+func (c *Counter) Register(e *echo.Echo) { e.GET(Path, c.list) }
+
+// list answers all counts.
+func (c *Counter) list(ctx echo.Context) error {
+	c.mu.Lock()
+	list := make([]Execution, 0, len(c.counts))
+	for key, count := range c.counts {
+		list = append(list, Execution{Key: key, Count: count})
+	}
+	c.mu.Unlock()
+	slices.SortFunc(list, func(a, b Execution) int { return strings.Compare(a.Key, b.Key) })
+	return ctx.JSON(http.StatusOK, list)
+}
--- /dev/null
+++ b/internal/standin/hostlist/hostlist.go
@@ -0,0 +1,109 @@
+// Package hostlist stands in for the platform's lagging list of hosts.
+package hostlist
+
+import (
+	"encoding/json"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/labstack/echo/v4"
+	"github.com/rotisserie/eris"
+
+	"mustarddoor/internal/connection/platform"
+	"mustarddoor/internal/standin/fault"
+	"mustarddoor/internal/standin/server"
+)
+
+// ErrHost is returned for a host flag that cannot be read.
+var ErrHost = eris.New("a host is NAME,ADDRESS,MESH_ADDRESS,DOMAIN")
+
+// hostFields is how many fields a host flag has.
+const hostFields = 4
+
+// Faults are the switches of the host list.
+type Faults struct {
+	fault.Common
+}
+
+// Options are the flags of the host list.
+type Options struct {
+	server.Options
+	Faults
+	Hosts     []string `long:"host" description:"NAME,ADDRESS,MESH_ADDRESS,DOMAIN of a live host; may be repeated"`
+	LagMillis int      `long:"lag-ms" default:"0" description:"how late changes of the list show, in milliseconds"`
+}
+
+// change is a list and the time from which it is shown.
+type change struct {
+	list  platform.HostList
+	shown time.Time
+}
+
+// Service is the host list.
+type Service struct {
+	lag    time.Duration
+	faults *fault.Set[Faults]
+
+	mu      sync.Mutex
+	current platform.HostList
+	pending []change
+}
+
+// New returns the host list that the options name. It fails with ErrHost.
+func New(options Options) (*Service, error) {
+	s := &Service{lag: time.Duration(options.LagMillis) * time.Millisecond}
+	s.current.Hosts = []platform.ListedHost{}
+	for _, text := range options.Hosts {
+		fields := strings.Split(text, ",")
+		if len(fields) != hostFields {
+			return nil, eris.Wrapf(ErrHost, "%q", text)
+		}
+		s.current.Hosts = append(s.current.Hosts, platform.ListedHost{
+			Name:        fields[0],
+			Address:     fields[1],
+			MeshAddress: fields[2],
+			Domain:      fields[3],
+			State:       platform.HostLive,
+		})
+	}
+	common := func(f *Faults) *fault.Common { return &f.Common }
+	s.faults = fault.NewSet(options.Faults, common, nil)
+	return s, nil
+}
+
+// Handler serves the protocol of package platform and the fault switches. A
+// PUT to the list's path replaces the list.
+func (s *Service) Handler() http.Handler {
+	e := server.NewEcho()
+	s.faults.Register(e)
+	e.GET(platform.PathHosts, s.get, s.faults.Middleware)
+	e.PUT(platform.PathHosts, s.put)
+	return e
+}
+
+// get answers the newest list that the lag lets through.
+func (s *Service) get(c echo.Context) error {
+	s.mu.Lock()
+	now := time.Now()
+	for len(s.pending) > 0 && !s.pending[0].shown.After(now) {
+		s.current = s.pending[0].list
+		s.pending = s.pending[1:]
+	}
+	list := s.current
+	s.mu.Unlock()
+	return c.JSON(http.StatusOK, list)
+}
+
+// put replaces the list after the lag.
+func (s *Service) put(c echo.Context) error {
+	var list platform.HostList
+	if err := json.NewDecoder(c.Request().Body).Decode(&list); err != nil {
+		return echo.NewHTTPError(http.StatusBadRequest, err.Error())
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pending = append(s.pending, change{list: list, shown: time.Now().Add(s.lag)})
+	return c.NoContent(http.StatusNoContent)
+}
--- /dev/null
+++ b/internal/standin/logservice/stream.go
@@ -0,0 +1,104 @@
+package logservice
+
+import (
+	"sync"
+	"time"
+
+	"mustarddoor/internal/connection/platform"
+)
+
+// streams holds the streams by name.
+type streams struct {
+	mu         sync.Mutex
+	byName     map[string]*stream
+	maxRecords int
+}
+
+// stream is one append-only sequence of records.
+type stream struct {
+	mu         sync.Mutex
+	records    []platform.Record
+	next       uint64
+	maxRecords int
+	// changed is closed and replaced when records come or go.
+	changed chan struct{}
+}
+
+func newStreams(maxRecords int) *streams {
+	return &streams{byName: map[string]*stream{}, maxRecords: maxRecords}
+}
+
+// get returns a stream, empty if it is new.
+func (s *streams) get(name string) *stream {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	found, ok := s.byName[name]
+	if !ok {
+		found = &stream{next: 1, maxRecords: s.maxRecords, changed: make(chan struct{})}
+		s.byName[name] = found
+	}
+	return found
+}
+
+// append adds records and returns the first one's offset.
+func (s *stream) append(records []platform.AppendRecord, now time.Time) uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	first := s.next
+	for _, record := range records {
+		s.records = append(s.records, platform.Record{
+			Offset:         s.next,
+			ID:             record.ID,
+			Data:           record.Data,
+			AppendedMillis: now.UnixMilli(),
+		})
+		s.next++
+	}
+	if excess := len(s.records) - s.maxRecords; excess > 0 {
+		s.records = s.records[excess:]
+	}
+	s.wake()
+	return first
+}
+
+// read returns records from an offset on and a channel that is closed at the
+// next change.
+func (s *stream) read(from, limit uint64) (platform.ReadResponse, <-chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	first := s.next - uint64(len(s.records))
+	part := platform.ReadResponse{FirstOffset: first, NextOffset: s.next, Records: []platform.Record{}}
+	if from >= first && from < s.next {
+		start := from - first
+		end := start + min(limit, s.next-from)
+		part.Records = append(part.Records, s.records[start:end]...)
+	}
+	return part, s.changed
+}
+
+// trim removes the records before an offset.
+func (s *stream) trim(before uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	first := s.next - uint64(len(s.records))
+	if before <= first {
+		return
+	}
+	s.records = s.records[min(before, s.next)-first:]
+	s.wake()
+}
+
+// expire removes the records appended before a time.
+func (s *stream) expire(before time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for len(s.records) > 0 && s.records[0].AppendedMillis < before.UnixMilli() {
+		s.records = s.records[1:]
+	}
+}
+
+// wake tells waiting readers of a change.
+func (s *stream) wake() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
