Mesh transport: calls over WebSocket and CBOR, with a hybrid logical clock

Connections open on demand, carry calls by id and close when idle. A call that was surely not handled is ErrUnreachable; one that was written but not answered is ErrLost. Frames that wait behind each other share one message. Cuts drop frames in one direction to a peer, for scenarios.

--- /dev/null
+++ b/internal/connection/mesh/bench_test.go
@@ -0,0 +1,57 @@
+package mesh_test
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+)
+
+// BenchmarkCall measures calls on loopback by the number of callers at once.
+func BenchmarkCall(b *testing.B) {
+	for _, callers := range []int{1, 16, 256} {
+		b.Run(fmt.Sprintf("callers=%d", callers), func(b *testing.B) {
+			here, there := start(b, "a", nil), start(b, "b", nil)
+			measure(b, callers, func() error {
+				var reply echo
+				return here.client.Call(context.Background(), there.address, kindEcho, echo{Text: "0123456789"}, &reply)
+			})
+			frames := here.count("sent_frames")
+			b.ReportMetric(float64(here.count("sent_bytes"))/float64(frames), "B/call")
+		})
+	}
+}
+
+// measure runs calls from several goroutines and reports their latencies.
+func measure(b *testing.B, callers int, call func() error) {
+	const warmUp = 100
+	for range warmUp {
+		if err := call(); err != nil {
+			b.Fatal(err)
+		}
+	}
+	latencies := make([][]time.Duration, callers)
+	perCaller := b.N/callers + 1
+	b.ResetTimer()
+	var group sync.WaitGroup
+	for i := range callers {
+		group.Go(func() {
+			for range perCaller {
+				begin := time.Now()
+				if err := call(); err != nil {
+					b.Error(err)
+					return
+				}
+				latencies[i] = append(latencies[i], time.Since(begin))
+			}
+		})
+	}
+	group.Wait()
+	b.StopTimer()
+	all := slices.Concat(latencies...)
+	slices.Sort(all)
+	b.ReportMetric(float64(all[len(all)/2].Microseconds()), "p50-µs")
+	b.ReportMetric(float64(all[len(all)*99/100].Microseconds()), "p99-µs")
+}
--- /dev/null
+++ b/internal/connection/mesh/client.go
@@ -0,0 +1,210 @@
+package mesh
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/coder/websocket"
+	"github.com/rotisserie/eris"
+)
+
+// maxTries bounds how often a call moves to a new connection because the one
+// that it waited on ended before anything was written.
+const maxTries = 2
+
+// Client opens connections to other hosts on demand and calls their handlers.
+// It implements Caller and is safe for concurrent use.
+type Client struct {
+	options  Options
+	counters *counters
+	http     *http.Client
+	stop     chan struct{}
+
+	mutex  sync.Mutex
+	closed bool
+	links  map[string]*link
+}
+
+// NewClient makes a client without connections. Close releases it.
+func NewClient(options Options) *Client {
+	options = options.withDefaults()
+	transport := &http.Transport{
+		DialContext:       (&net.Dialer{Timeout: options.DialTimeout}).DialContext,
+		DisableKeepAlives: true,
+	}
+	client := &Client{
+		options:  options,
+		counters: newCounters(options.Metrics),
+		http:     &http.Client{Transport: transport},
+		stop:     make(chan struct{}),
+		links:    map[string]*link{},
+	}
+	go client.sweep()
+	return client
+}
+
+// Close ends all connections. Calls in flight fail.
+func (c *Client) Close() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.closed {
+		return
+	}
+	c.closed = true
+	close(c.stop)
+	for _, link := range c.links {
+		link.close()
+	}
+}
+
+// Call implements Caller. A context without a deadline gets CallTimeout.
+func (c *Client) Call(ctx context.Context, address string, kind Kind, request, response any) error {
+	c.counters.calls.Inc(1)
+	if _, limited := ctx.Deadline(); !limited {
+		bounded, cancel := context.WithTimeout(ctx, c.options.CallTimeout)
+		defer cancel()
+		ctx = bounded
+	}
+	err := c.exchange(ctx, address, kind, request, response)
+	c.count(err)
+	return err
+}
+
+func (c *Client) exchange(ctx context.Context, address string, kind Kind, request, response any) error {
+	body, err := encoder.Marshal(request)
+	if err != nil {
+		return eris.Wrapf(ErrUnreachable, "encoding %s: %v", kind, err)
+	}
+	if len(body) > c.options.MaxMessageBytes {
+		return eris.Wrapf(ErrUnreachable, "%s has %d bytes, more than %d", kind, len(body), c.options.MaxMessageBytes)
+	}
+	reply, err := c.send(ctx, address, frame{Type: frameCall, Kind: kind, Body: body})
+	if err != nil {
+		return err
+	}
+	if response == nil {
+		return nil
+	}
+	if err := decoder.Unmarshal(reply, response); err != nil {
+		return eris.Wrapf(ErrLost, "decoding the reply to %s: %v", kind, err)
+	}
+	return nil
+}
+
+// send makes the call on a connection that is open or opens one.
+func (c *Client) send(ctx context.Context, address string, call frame) ([]byte, error) {
+	var err error
+	for range maxTries {
+		var link *link
+		if link, err = c.link(ctx, address); err != nil {
+			return nil, err
+		}
+		var reply []byte
+		reply, err = link.call(ctx, call)
+		if !eris.Is(err, errNotWritten) {
+			return reply, err
+		}
+	}
+	return nil, eris.Wrap(ErrUnreachable, err.Error())
+}
+
+func (c *Client) count(err error) {
+	switch {
+	case err == nil:
+	case eris.Is(err, ErrUnreachable):
+		c.counters.unreachable.Inc(1)
+	case eris.Is(err, ErrLost):
+		c.counters.lost.Inc(1)
+	case eris.Is(err, ErrRejected):
+		c.counters.rejected.Inc(1)
+	}
+}
+
+// link gives the connection to an address, once it is open.
+func (c *Client) link(ctx context.Context, address string) (*link, error) {
+	c.mutex.Lock()
+	if c.closed {
+		c.mutex.Unlock()
+		return nil, eris.Wrap(ErrUnreachable, "client is closed")
+	}
+	current := c.links[address]
+	if current == nil || current.isOver() {
+		current = newLink(address)
+		c.links[address] = current
+		go c.open(current)
+	}
+	c.mutex.Unlock()
+	return current, current.wait(ctx)
+}
+
+// open dials and greets the peer, then serves the connection until it ends.
+func (c *Client) open(l *link) {
+	pipe, err := c.dial(l.address)
+	l.opened(pipe, err)
+	if err == nil {
+		c.counters.links.Inc(1)
+		l.serve()
+		c.counters.links.Dec(1)
+	}
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.links[l.address] == l {
+		delete(c.links, l.address)
+	}
+}
+
+func (c *Client) dial(address string) (*pipe, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), c.options.DialTimeout)
+	defer cancel()
+	gate := c.options.Gate
+	if !gate.Passes(address, ToPeer) || !gate.Passes(address, FromPeer) {
+		<-ctx.Done()
+		return nil, eris.Wrap(ErrUnreachable, ctx.Err().Error())
+	}
+	conn, _, err := websocket.Dial(ctx, "ws://"+address+Path, &websocket.DialOptions{
+		HTTPClient:      c.http,
+		CompressionMode: websocket.CompressionDisabled,
+	})
+	if err != nil {
+		return nil, eris.Wrap(ErrUnreachable, err.Error())
+	}
+	pipe := newPipe(conn, c.options, c.counters)
+	if err := pipe.greet(ctx); err != nil {
+		pipe.close()
+		return nil, eris.Wrap(ErrUnreachable, err.Error())
+	}
+	if err := pipe.meet(ctx); err != nil {
+		pipe.close()
+		return nil, eris.Wrap(ErrUnreachable, err.Error())
+	}
+	return pipe, nil
+}
+
+// sweep closes idle and stalled connections.
+func (c *Client) sweep() {
+	ticker := time.NewTicker(sweepInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-c.stop:
+			return
+		case now := <-ticker.C:
+			for _, link := range c.list() {
+				link.check(now)
+			}
+		}
+	}
+}
+
+func (c *Client) list() []*link {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	links := make([]*link, 0, len(c.links))
+	for _, link := range c.links {
+		links = append(links, link)
+	}
+	return links
+}
--- /dev/null
+++ b/internal/connection/mesh/frame.go
@@ -0,0 +1,105 @@
+package mesh
+
+import (
+	"github.com/fxamacker/cbor/v2"
+	"github.com/rotisserie/eris"
+
+	"mustarddoor/internal/process/hlc"
+	"mustarddoor/internal/process/identity"
+)
+
+// ProtocolVersion is the mesh protocol that this release speaks. Hosts of
+// different versions talk as long as each is at least the other's
+// OldestVersion; message kinds that one of them does not know are rejected.
+const (
+	ProtocolVersion = 1
+	OldestVersion   = 1
+)
+
+// Limits of what the decoder accepts.
+const (
+	maxNestedLevels  = 16
+	maxArrayElements = 1 << 16
+	maxMapPairs      = 1 << 16
+)
+
+// errFrame is returned for bytes that are not a frame.
+var errFrame = eris.New("malformed mesh frame")
+
+// frameType tells what a frame is for.
+type frameType uint8
+
+const (
+	// frameHello is the first frame in each direction; Body holds a hello.
+	frameHello frameType = 1
+	// frameCall asks the handler of Kind; Body holds the request.
+	frameCall frameType = 2
+	// frameReply answers a call; Body holds the response.
+	frameReply frameType = 3
+	// frameReject refuses a call; Text holds the reason.
+	frameReject frameType = 4
+)
+
+// frame is the unit of the protocol. A WebSocket message holds one or more
+// frames, one after the other.
+type frame struct {
+	Type frameType `cbor:"1,keyasint"`
+	// ID tells the calls of a connection apart; the reply repeats it.
+	ID uint64 `cbor:"2,keyasint,omitempty"`
+	// Stamp is the sender's hybrid logical clock.
+	Stamp hlc.Stamp `cbor:"3,keyasint"`
+	Kind  Kind      `cbor:"4,keyasint,omitempty"`
+	// Body is the encoded hello, request or response.
+	Body cbor.RawMessage `cbor:"5,keyasint,omitempty"`
+	Text string          `cbor:"6,keyasint,omitempty"`
+	// TimeoutMillis is how long the caller waits for the reply.
+	TimeoutMillis uint32 `cbor:"7,keyasint,omitempty"`
+}
+
+// hello names the host and protocol of one side of a connection.
+type hello struct {
+	Version uint16        `cbor:"1,keyasint"`
+	Oldest  uint16        `cbor:"2,keyasint"`
+	Host    identity.Host `cbor:"3,keyasint"`
+}
+
+// speaks reports whether this release and the peer understand each other.
+func (h hello) speaks() bool {
+	return h.Version >= OldestVersion && ProtocolVersion >= h.Oldest
+}
+
+var (
+	encoder = mustEncMode(cbor.EncOptions{}.EncMode())
+	decoder = mustDecMode(cbor.DecOptions{
+		MaxNestedLevels:  maxNestedLevels,
+		MaxArrayElements: maxArrayElements,
+		MaxMapPairs:      maxMapPairs,
+	}.DecMode())
+)
+
+func mustEncMode(mode cbor.EncMode, err error) cbor.EncMode {
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
+
+func mustDecMode(mode cbor.DecMode, err error) cbor.DecMode {
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
+
+// splitFrame decodes the first frame of a message and gives the rest.
+func splitFrame(message []byte) (frame, []byte, error) {
+	var f frame
+	rest, err := decoder.UnmarshalFirst(message, &f)
+	if err != nil {
+		return frame{}, nil, eris.Wrap(errFrame, err.Error())
+	}
+	if f.Type < frameHello {
+		return frame{}, nil, eris.Wrap(errFrame, "no type")
+	}
+	return f, rest, nil
+}
