--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -1,33 +1,10 @@
-// Command standin plays the parts around a fleet in tests: the log service,
-// the host list, the weight store, model engines and plain services, each as
-// one process with fault switches.
+// Command standin plays the parts around a fleet in tests.
 package main
 
 import (
-	"context"
-	"errors"
-	"fmt"
 	"os"
-	"os/signal"
-	"syscall"
 
-	"github.com/jessevdk/go-flags"
+	"mustarddoor/internal/standin"
 )
 
-func main() {
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer stop()
-	parser, err := newParser(ctx)
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(1)
-	}
-	_, err = parser.Parse()
-	var flagError *flags.Error
-	if errors.As(err, &flagError) && flagError.Type == flags.ErrHelp {
-		return
-	}
-	if err != nil {
-		os.Exit(1)
-	}
-}
+func main() { os.Exit(standin.Main(os.Args[1:])) }
--- a/internal/connection/caller/parse.go
+++ b/internal/connection/caller/parse.go
@@ -194,7 +194,7 @@
 func prefixesOf(prompt string) []scheduler.Prefix {
 	prefixes := []scheduler.Prefix{}
 	for _, prefix := range engine.Prefixes(prompt) {
-		prefixes = append(prefixes, scheduler.Prefix(prefix))
+		prefixes = append(prefixes, scheduler.Prefix{Hash: prefix.Hash, Tokens: prefix.Bytes / bytesPerToken})
 	}
 	return prefixes
 }
--- a/cmd/standin/commands.go
+++ b/internal/standin/commands.go
@@ -1,4 +1,4 @@
-package main
+package standin
 
 import (
 	"context"
@@ -79,6 +79,7 @@
 		{"weights", "Rate-limited weight store", &weightsCommand{ctx: ctx}},
 		{"engine", "Model engine", &engineCommand{ctx: ctx}},
 		{"plain", "Plain service", &plainCommand{ctx: ctx}},
+		{"answer", "Print what an engine answers", &answerCommand{}},
 	}
 	for _, c := range commands {
 		if _, err := parser.AddCommand(c.name, c.help, c.help+".", c.command); err != nil {
