--- /dev/null
+++ b/internal/request/flow/run.go
@@ -0,0 +1,122 @@
+package flow
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"mustarddoor/internal/connection/engine"
+	"mustarddoor/internal/process/placement"
+	"mustarddoor/internal/request/outcome"
+	"mustarddoor/internal/request/owner"
+)
+
+// run takes a request that this host owns to its end. The context ends when no
+// caller waits any more.
+func (r *Runner) run(gone context.Context, request *Request, own *owner.Request) {
+	own.Queue()
+	place, refusal := r.config.Placer.Place(gone, placementRequest(request))
+	for refusal == nil {
+		var reply *engine.Reply
+		var sent bool
+		reply, sent = r.dispatch(gone, request, own, place)
+		if sent {
+			r.finish(gone, request, own, place, reply)
+			return
+		}
+		if own.State().IsFinal() {
+			place.Done(placement.Result{Outcome: placement.OutcomeNotStarted})
+			r.config.Events.Ended(request, own)
+			return
+		}
+		place, refusal = place.Retry(gone)
+	}
+	own.RefuseAfter(reasonOf(refusal.Reason), refusal.RetryAfter)
+	r.config.Events.Ended(request, own)
+}
+
+func placementRequest(request *Request) placement.Request {
+	return placement.Request{
+		ID:              request.Key.Part,
+		Route:           request.Route.Name,
+		Team:            request.Team,
+		Adapter:         request.Adapter,
+		PromptTokens:    request.PromptTokens,
+		MaxOutputTokens: request.MaxOutputTokens,
+		Bytes:           len(request.Body),
+		Prefixes:        request.Prefixes,
+		Arrival:         request.Arrival,
+	}
+}
+
+// dispatch gets the witness's permission and sends the request. If sent is
+// false the endpoint surely did not start it. A nil reply of a sent request
+// means that the endpoint broke off.
+func (r *Runner) dispatch(gone context.Context, request *Request, own *owner.Request, place *placement.Placement) (reply *engine.Reply, sent bool) {
+	if !r.permit(gone, request, own, place) {
+		return nil, false
+	}
+	if refusal := own.Dispatch(); refusal != nil {
+		return nil, false
+	}
+	reply, err := r.config.Endpoints.Send(context.Background(), callOf(request, place.Address))
+	r.config.Events.Dispatched(request, place)
+	switch {
+	case errors.Is(err, engine.ErrNotStarted):
+		return nil, !own.NotSent()
+	case err != nil:
+		return nil, true
+	case isExplicitRefusal(request, reply.Status):
+		reply.Body.Close()
+		return nil, !own.NotSent()
+	default:
+		return reply, true
+	}
+}
+
+func (r *Runner) permit(gone context.Context, request *Request, own *owner.Request, place *placement.Placement) bool {
+	start := time.Now()
+	target := owner.Target{Service: request.Service.Name, Endpoint: place.Endpoint, Address: place.Address}
+	refusal := own.Permit(gone, target, sendWithin)
+	r.timers.permit.UpdateSince(start)
+	return refusal == nil
+}
+
+func callOf(request *Request, address string) engine.Call {
+	return engine.Call{
+		Address:     address,
+		Method:      request.Method,
+		Path:        request.EndpointPath,
+		ContentType: request.ContentType,
+		Body:        request.Body,
+		Key:         request.Key.String(),
+	}
+}
+
+// isExplicitRefusal reports whether the status says that the endpoint did not
+// start the request. Plain services promise that for 429 alone.
+func isExplicitRefusal(request *Request, status int) bool {
+	if status == http.StatusTooManyRequests {
+		return true
+	}
+	return status == http.StatusServiceUnavailable && request.IsEngine()
+}
+
+// reasonOf translates a placement's reason.
+func reasonOf(reason placement.Reason) outcome.Reason {
+	switch reason {
+	case placement.ReasonDeadline:
+		return outcome.ReasonDeadline
+	case placement.ReasonCapacity, placement.ReasonRetryBudget:
+		return outcome.ReasonShed
+	case placement.ReasonQueueFull:
+		return outcome.ReasonQueueFull
+	case placement.ReasonCanceled:
+		return outcome.ReasonCanceled
+	case placement.ReasonLeaving:
+		return outcome.ReasonStopping
+	default:
+		return outcome.ReasonNoEndpoint
+	}
+}
