--- /dev/null
+++ b/internal/request/owner/registry.go
@@ -0,0 +1,345 @@
+package owner
+
+import (
+	"context"
+	"math"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"mustarddoor/internal/process/identity"
+	"mustarddoor/internal/request/key"
+	"mustarddoor/internal/request/outcome"
+	"mustarddoor/internal/request/witness"
+)
+
+// Intender gets an intent acknowledged by the witness of the key's session.
+type Intender interface {
+	// Intend returns the witness's verdict. After any error the intent may or
+	// may not stand.
+	Intend(ctx context.Context, intent witness.Intent) (witness.Verdict, error)
+}
+
+// Recorder is told of ends of requests.
+type Recorder interface {
+	// Record notes the end of a request whose intent was sent to a witness. It
+	// never blocks.
+	Record(ended witness.Outcome)
+}
+
+// Limits bounds what a registry holds.
+type Limits struct {
+	// Requests is how many keys are held, finished ones included.
+	Requests int
+	// AnswerBytes is how many bytes of answers are held in all. Answers of
+	// finished requests are dropped first, the oldest before the others.
+	AnswerBytes int64
+	// WindowBytes is how many bytes of one answer are held.
+	WindowBytes int64
+}
+
+// Config is what a registry needs.
+type Config struct {
+	Self     identity.Incarnation
+	Limits   Limits
+	Intender Intender
+	Recorder Recorder
+	// Now is a clock that never jumps; sessions are issued by the same one.
+	Now func() time.Time
+	// Retention is how long after its session was issued a key is accepted.
+	Retention func() time.Duration
+}
+
+// Registry holds the requests that this host owns, by key, so that every
+// request with the same key joins the first. It is safe for concurrent use.
+//
+// It never forgets that it refused a key: when it has no room for a new key it
+// closes all sessions issued up to that key's session to unseen keys.
+type Registry struct {
+	config      Config
+	shards      [shardCount]shard
+	requests    atomic.Int64
+	answerBytes atomic.Int64
+	// closedUntil closes sessions issued up to then to unseen keys, in Unix
+	// milliseconds. Such keys never ran.
+	closedUntil atomic.Int64
+	// droppedUntil is the latest issue time of a session with dropped records.
+	droppedUntil atomic.Int64
+	finished     finishedQueue
+}
+
+const shardCount = 64
+
+// shard is a part of the registry's keys.
+type shard struct {
+	mu       sync.Mutex
+	requests map[key.Key]*Request
+	// order holds the keys by age of their record.
+	order []key.Key
+}
+
+// NewRegistry returns an empty registry.
+func NewRegistry(config Config) *Registry {
+	registry := &Registry{config: config}
+	for i := range registry.shards {
+		registry.shards[i].requests = make(map[key.Key]*Request)
+	}
+	return registry
+}
+
+// Owns reports whether this incarnation owns the key.
+func (r *Registry) Owns(k key.Key) bool { return k.Session.Owner == r.config.Self }
+
+// Open returns the request of a key that this host owns. Joined is false for
+// exactly one caller, which must run the request; all others read its answer.
+// The digest is a hash of the request's content: a key that comes again with
+// another content is refused. Zero joins whatever the content.
+//
+// If the refusal is not nil there is no request.
+func (r *Registry) Open(k key.Key, digest uint64) (request *Request, joined bool, refusal *outcome.Refusal) {
+	shard := r.shardOf(k)
+	shard.mu.Lock()
+	defer shard.mu.Unlock()
+	if found := shard.requests[k]; found != nil {
+		if digest != 0 && found.digest != 0 && digest != found.digest {
+			return nil, false, refuse(outcome.Unknown, outcome.ReasonKeyReused)
+		}
+		return found, true, nil
+	}
+	if refusal := r.admit(shard, k); refusal != nil {
+		return nil, false, refusal
+	}
+	return r.insert(shard, k, digest), false, nil
+}
+
+// Find returns the request of a key, or nil.
+func (r *Registry) Find(k key.Key) *Request {
+	shard := r.shardOf(k)
+	shard.mu.Lock()
+	defer shard.mu.Unlock()
+	return shard.requests[k]
+}
+
+// Locate tells another host where a request stands. If the key has not been
+// seen and closing is asked for, it is refused for good.
+func (r *Registry) Locate(k key.Key, closing bool) LocateReply {
+	if !r.Owns(k) {
+		return LocateReply{Foreign: true}
+	}
+	shard := r.shardOf(k)
+	shard.mu.Lock()
+	defer shard.mu.Unlock()
+	if found := shard.requests[k]; found != nil {
+		return found.locate()
+	}
+	if r.isDropped(k) {
+		return LocateReply{Expired: true}
+	}
+	if !closing {
+		return LocateReply{}
+	}
+	if refusal := r.admit(shard, k); refusal != nil {
+		final := witness.Final{Outcome: refusal.Outcome, Reason: refusal.Reason}
+		return LocateReply{State: StateRefused, Final: final}
+	}
+	closed := r.insert(shard, k, 0)
+	closed.Refuse(outcome.ReasonVoided)
+	return closed.locate()
+}
+
+// Stop closes the registry to unseen keys for good, as in a planned shutdown.
+// Keys that it holds can still be joined.
+func (r *Registry) Stop() { r.closedUntil.Store(math.MaxInt64) }
+
+// Len is how many keys are held.
+func (r *Registry) Len() int { return int(r.requests.Load()) }
+
+// AnswerBytes is how many bytes of answers are held.
+func (r *Registry) AnswerBytes() int64 { return r.answerBytes.Load() }
+
+// Running is how many requests have not ended. It locks all shards in turn.
+func (r *Registry) Running() int {
+	count := 0
+	for i := range r.shards {
+		count += r.shards[i].running()
+	}
+	return count
+}
+
+func (s *shard) running() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	count := 0
+	for _, request := range s.requests {
+		if !request.State().IsFinal() {
+			count++
+		}
+	}
+	return count
+}
+
+// Sweep drops ended requests whose sessions have expired. It is called from
+// time to time.
+func (r *Registry) Sweep() {
+	for i := range r.shards {
+		shard := &r.shards[i]
+		shard.mu.Lock()
+		r.sweepShard(shard)
+		shard.mu.Unlock()
+	}
+	r.finished.compact()
+}
+
+// isDropped reports whether the record of an unseen key may have been dropped.
+func (r *Registry) isDropped(k key.Key) bool {
+	if k.Session.IssuedMillis <= r.droppedUntil.Load() {
+		return true
+	}
+	return r.config.Now().Sub(k.Session.Issued()) >= r.config.Retention()
+}
+
+// admit decides whether an unseen key may be inserted. A refusal with outcome
+// NotRun holds for good.
+func (r *Registry) admit(shard *shard, k key.Key) *outcome.Refusal {
+	if k.Session.Issued().After(r.config.Now()) {
+		return refuse(outcome.Unknown, outcome.ReasonBadRequest)
+	}
+	if r.isDropped(k) {
+		return refuse(outcome.Unknown, outcome.ReasonExpired)
+	}
+	closedUntil := r.closedUntil.Load()
+	if closedUntil == math.MaxInt64 {
+		return refuse(outcome.NotRun, outcome.ReasonStopping)
+	}
+	if k.Session.IssuedMillis <= closedUntil {
+		return refuse(outcome.NotRun, outcome.ReasonMemory)
+	}
+	r.sweepShard(shard)
+	if r.hasRoom() {
+		return nil
+	}
+	raise(&r.closedUntil, k.Session.IssuedMillis)
+	return refuse(outcome.NotRun, outcome.ReasonMemory)
+}
+
+func (r *Registry) hasRoom() bool {
+	if r.requests.Load() >= int64(r.config.Limits.Requests) {
+		return false
+	}
+	return r.answerBytes.Load() < r.config.Limits.AnswerBytes
+}
+
+func (r *Registry) insert(shard *shard, k key.Key, digest uint64) *Request {
+	request := &Request{
+		registry: r,
+		digest:   digest,
+		answer:   NewAnswer(r.config.Limits.WindowBytes),
+		machine:  NewMachine(k),
+	}
+	shard.requests[k] = request
+	shard.order = append(shard.order, k)
+	r.requests.Add(1)
+	return request
+}
+
+// sweepBatch bounds how many records one call of sweepShard looks at.
+const sweepBatch = 64
+
+// sweepShard drops expired records at the head of the shard's order. The
+// shard is locked.
+func (r *Registry) sweepShard(shard *shard) {
+	now := r.config.Now()
+	retention := r.config.Retention()
+	for range sweepBatch {
+		if len(shard.order) == 0 {
+			return
+		}
+		k := shard.order[0]
+		if now.Sub(k.Session.Issued()) < retention {
+			return
+		}
+		shard.order = shard.order[1:]
+		if !shard.requests[k].State().IsFinal() {
+			shard.order = append(shard.order, k)
+			continue
+		}
+		r.drop(shard, k)
+	}
+}
+
+func (r *Registry) drop(shard *shard, k key.Key) {
+	raise(&r.droppedUntil, k.Session.IssuedMillis)
+	held := shard.requests[k].answer.Trim()
+	r.answerBytes.Add(-held)
+	delete(shard.requests, k)
+	r.requests.Add(-1)
+}
+
+// grow accounts for answer bytes and, over the limit, drops the oldest
+// finished answers.
+func (r *Registry) grow(by int64) {
+	total := r.answerBytes.Add(by)
+	for total > r.config.Limits.AnswerBytes {
+		oldest := r.finished.pop()
+		if oldest == nil {
+			return
+		}
+		total = r.answerBytes.Add(-oldest.Trim())
+	}
+}
+
+func (r *Registry) shardOf(k key.Key) *shard {
+	hash := xxhash.Sum64String(k.Part) ^ (k.Session.Nonce * 0x9e3779b97f4a7c15)
+	return &r.shards[hash%shardCount]
+}
+
+// raise sets the value to at least the given one.
+func raise(value *atomic.Int64, to int64) {
+	for {
+		current := value.Load()
+		if current >= to || value.CompareAndSwap(current, to) {
+			return
+		}
+	}
+}
+
+func refuse(result outcome.Outcome, reason outcome.Reason) *outcome.Refusal {
+	refusal := outcome.Refuse(result, reason)
+	return &refusal
+}
+
+// finishedQueue holds answers of finished requests, oldest first.
+type finishedQueue struct {
+	mu      sync.Mutex
+	answers []*Answer
+}
+
+func (q *finishedQueue) push(answer *Answer) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.answers = append(q.answers, answer)
+}
+
+func (q *finishedQueue) pop() *Answer {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if len(q.answers) == 0 {
+		return nil
+	}
+	oldest := q.answers[0]
+	q.answers[0] = nil
+	q.answers = q.answers[1:]
+	return oldest
+}
+
+// compact forgets answers at the head of the queue whose bytes are gone.
+func (q *finishedQueue) compact() {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for len(q.answers) > 0 && q.answers[0].held() == 0 {
+		q.answers[0] = nil
+		q.answers = q.answers[1:]
+	}
+}
