--- /dev/null
+++ b/internal/connection/platform/client.go
@@ -0,0 +1,115 @@
+package platform
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// Bounds of the connections to the platform's services.
+const (
+	dialTimeout   = time.Second
+	callTimeout   = 3 * time.Second
+	idleTimeout   = 60 * time.Second
+	maxIdle       = 8
+	maxReplyBytes = 64 << 20
+)
+
+// client sends JSON requests to one service of the platform.
+type client struct {
+	address string
+	http    *http.Client
+}
+
+func newClient(address string) client {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	transport := &http.Transport{
+		DialContext:         dialer.DialContext,
+		MaxIdleConnsPerHost: maxIdle,
+		IdleConnTimeout:     idleTimeout,
+	}
+	return client{address: address, http: &http.Client{Transport: transport}}
+}
+
+// reply is a service's answer, read whole.
+type reply struct {
+	status int
+	body   []byte
+}
+
+// get sends a GET. It fails with ErrUnavailable.
+func (c client) get(ctx context.Context, path string, query url.Values, timeout time.Duration) (reply, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	target := "http://" + c.address + path + "?" + query.Encode()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, target, nil)
+	if err != nil {
+		return reply{}, eris.Wrap(ErrRefused, err.Error())
+	}
+	answer, err := c.do(req)
+	if err != nil {
+		return reply{}, eris.Wrap(ErrUnavailable, err.Error())
+	}
+	if answer.status >= http.StatusInternalServerError || answer.status == http.StatusTooManyRequests {
+		return reply{}, eris.Wrapf(ErrUnavailable, "GET %s: status %d", path, answer.status)
+	}
+	return answer, nil
+}
+
+// post sends a POST once. It fails with ErrUnavailable if the service surely
+// did not see the request, else with ErrUncertain.
+func (c client) post(ctx context.Context, path string, request any) (reply, error) {
+	body, err := json.Marshal(request)
+	if err != nil {
+		return reply{}, eris.Wrap(ErrRefused, err.Error())
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	target := "http://" + c.address + path
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, target, bytes.NewReader(body))
+	if err != nil {
+		return reply{}, eris.Wrap(ErrRefused, err.Error())
+	}
+	// Without GetBody the transport cannot send the body a second time.
+	req.GetBody = nil
+	req.Header.Set("Content-Type", "application/json")
+	answer, err := c.do(req)
+	if isDialError(err) {
+		return reply{}, eris.Wrap(ErrUnavailable, err.Error())
+	}
+	if err != nil {
+		return reply{}, eris.Wrap(ErrUncertain, err.Error())
+	}
+	if answer.status >= http.StatusInternalServerError {
+		return reply{}, eris.Wrapf(ErrUncertain, "POST %s: status %d", path, answer.status)
+	}
+	return answer, nil
+}
+
+// do sends a request and reads the answer whole.
+func (c client) do(req *http.Request) (reply, error) {
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return reply{}, err
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxReplyBytes))
+	if err != nil {
+		return reply{}, err
+	}
+	return reply{status: resp.StatusCode, body: body}, nil
+}
+
+// isDialError reports whether a request failed before there was a connection.
+func isDialError(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial"
+}
--- /dev/null
+++ b/internal/connection/platform/log_client.go
@@ -0,0 +1,222 @@
+package platform
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/url"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// Bounds of reads and appends.
+const (
+	// MaxPageRecords bounds the records of one read.
+	MaxPageRecords = 256
+	appendAttempts = 3
+	retryPause     = 100 * time.Millisecond
+	firstOffset    = 1
+)
+
+// LogClient speaks to the log service. It is safe for concurrent use.
+type LogClient struct {
+	client client
+
+	mu sync.Mutex
+	// tails holds, by stream, the highest next offset that was seen.
+	tails map[string]uint64
+}
+
+var _ Log = (*LogClient)(nil)
+
+// NewLogClient gives a client of the log service at an IP:port.
+func NewLogClient(address string) *LogClient {
+	return &LogClient{client: newClient(address), tails: map[string]uint64{}}
+}
+
+// Append implements Log.
+func (c *LogClient) Append(ctx context.Context, batch Batch) (uint64, error) {
+	if len(batch.Records) == 0 {
+		return 0, eris.Wrap(ErrRefused, "empty batch")
+	}
+	if batch.Since != 0 {
+		offset, found, err := c.find(ctx, batch, batch.Since)
+		if err != nil || found {
+			return offset, uncertain(batch, batch.Since, err)
+		}
+		return c.appendSince(ctx, batch, batch.Since)
+	}
+	since, err := c.tail(ctx, batch.Stream)
+	if err != nil {
+		return 0, err
+	}
+	return c.appendSince(ctx, batch, since)
+}
+
+// appendSince appends records that do not stand before the offset since.
+func (c *LogClient) appendSince(ctx context.Context, batch Batch, since uint64) (uint64, error) {
+	sent := false
+	var cause error
+	for range appendAttempts {
+		offset, err := c.appendOnce(ctx, batch)
+		if err == nil {
+			return offset, nil
+		}
+		cause = err
+		if !errors.Is(err, ErrUncertain) {
+			break
+		}
+		sent = true
+		offset, found, err := c.find(ctx, batch, since)
+		if err != nil || found {
+			return offset, uncertain(batch, since, err)
+		}
+		if !pause(ctx, retryPause) {
+			break
+		}
+	}
+	if sent || batch.Since != 0 {
+		return 0, uncertain(batch, since, cause)
+	}
+	return 0, cause
+}
+
+// uncertain wraps a cause as an UncertainError; nil stays nil.
+func uncertain(batch Batch, since uint64, cause error) error {
+	if cause == nil {
+		return nil
+	}
+	return &UncertainError{Stream: batch.Stream, Since: since, Cause: cause}
+}
+
+// appendOnce sends the batch once.
+func (c *LogClient) appendOnce(ctx context.Context, batch Batch) (uint64, error) {
+	path := fmt.Sprintf(PathAppend, url.PathEscape(batch.Stream))
+	answer, err := c.client.post(ctx, path, AppendRequest{Records: batch.Records})
+	if err != nil {
+		return 0, err
+	}
+	if answer.status == http.StatusTooManyRequests {
+		return 0, eris.Wrap(ErrUnavailable, "append rate exceeded")
+	}
+	if answer.status != http.StatusOK {
+		return 0, eris.Wrapf(ErrRefused, "append to %s: status %d", batch.Stream, answer.status)
+	}
+	var response AppendResponse
+	if err := json.Unmarshal(answer.body, &response); err != nil || response.FirstOffset == 0 {
+		return 0, eris.Wrapf(ErrUncertain, "append to %s: unreadable reply", batch.Stream)
+	}
+	c.raiseTail(batch.Stream, response.FirstOffset+uint64(len(batch.Records)))
+	return response.FirstOffset, nil
+}
+
+// find looks for the batch's first record from an offset to the tail. Appends
+// are whole, so the others follow it. It fails with ErrUnavailable if the tail
+// was not reached or records on the way are gone.
+func (c *LogClient) find(ctx context.Context, batch Batch, from uint64) (uint64, bool, error) {
+	id := batch.Records[0].ID
+	for {
+		page, err := c.Read(ctx, Range{Stream: batch.Stream, From: from, Max: MaxPageRecords})
+		if err != nil {
+			return 0, false, err
+		}
+		if page.Trimmed {
+			return 0, false, eris.Wrapf(ErrUnavailable, "records from %d on are gone", from)
+		}
+		for _, record := range page.Records {
+			if record.ID == id {
+				return record.Offset, true, nil
+			}
+			from = record.Offset + 1
+		}
+		if len(page.Records) == 0 || from >= page.NextOffset {
+			return 0, false, nil
+		}
+	}
+}
+
+// Read implements Log.
+func (c *LogClient) Read(ctx context.Context, part Range) (Page, error) {
+	path := fmt.Sprintf(PathRead, url.PathEscape(part.Stream))
+	query := url.Values{
+		"from":    {strconv.FormatUint(part.From, 10)},
+		"max":     {strconv.Itoa(part.Max)},
+		"wait_ms": {strconv.FormatInt(part.Wait.Milliseconds(), 10)},
+	}
+	answer, err := c.client.get(ctx, path, query, part.Wait+callTimeout)
+	if err != nil {
+		return Page{}, err
+	}
+	if answer.status != http.StatusOK && answer.status != http.StatusGone {
+		return Page{}, eris.Wrapf(ErrRefused, "read of %s: status %d", part.Stream, answer.status)
+	}
+	var response ReadResponse
+	if err := json.Unmarshal(answer.body, &response); err != nil {
+		return Page{}, eris.Wrapf(ErrUnavailable, "read of %s: %v", part.Stream, err)
+	}
+	page := Page{
+		Records:     response.Records,
+		FirstOffset: response.FirstOffset,
+		NextOffset:  response.NextOffset,
+		Trimmed:     answer.status == http.StatusGone,
+	}
+	if err := checkPage(part, page); err != nil {
+		return Page{}, err
+	}
+	c.raiseTail(part.Stream, page.NextOffset)
+	return page, nil
+}
+
+// checkPage refuses a page whose records do not follow one another from the
+// offset wanted.
+func checkPage(part Range, page Page) error {
+	if page.Trimmed && len(page.Records) > 0 {
+		return eris.Wrapf(ErrUnavailable, "read of %s: a trimmed page with records", part.Stream)
+	}
+	want := part.From
+	for _, record := range page.Records {
+		if record.Offset != want {
+			return eris.Wrapf(ErrUnavailable, "read of %s: offset %d instead of %d", part.Stream, record.Offset, want)
+		}
+		want++
+	}
+	return nil
+}
+
+// tail gives an offset that no record appended from now on stands before.
+func (c *LogClient) tail(ctx context.Context, stream string) (uint64, error) {
+	c.mu.Lock()
+	known := c.tails[stream]
+	c.mu.Unlock()
+	if known != 0 {
+		return known, nil
+	}
+	page, err := c.Read(ctx, Range{Stream: stream, From: firstOffset, Max: 1})
+	if err != nil {
+		return 0, err
+	}
+	return max(page.NextOffset, firstOffset), nil
+}
+
+func (c *LogClient) raiseTail(stream string, next uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.tails[stream] = max(c.tails[stream], next)
+}
+
+// pause waits and reports whether the context still runs.
+func pause(ctx context.Context, wait time.Duration) bool {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
