--- a/internal/command/admin.go
+++ b/internal/command/admin.go
@@ -55,6 +55,9 @@
 	if resp.StatusCode >= http.StatusBadRequest {
 		return eris.Wrapf(ErrRefused, "%d: %s", resp.StatusCode, bytes.TrimSpace(content))
 	}
+	if response == nil {
+		return nil
+	}
 	if err := json.Unmarshal(content, response); err != nil {
 		return eris.Wrap(ErrFailed, err.Error())
 	}
--- /dev/null
+++ b/internal/command/gate.go
@@ -0,0 +1,33 @@
+package command
+
+import (
+	"fmt"
+	"io"
+
+	"mustarddoor/internal/connection/mesh"
+)
+
+// gateVerb cuts and mends mesh links in tests.
+type gateVerb struct {
+	adminOptions
+	Peer      string         `long:"peer" value-name:"IP:PORT" required:"yes" description:"mesh address of the peer"`
+	Direction mesh.Direction `long:"direction" choice:"to" choice:"from" required:"yes" description:"direction of the frames, seen from this host"`
+	Mend      bool           `long:"mend" description:"let frames pass again"`
+	out       io.Writer
+}
+
+func newGate(out io.Writer) verb {
+	return verb{"gate", "Cut a mesh link in a test",
+		"Drops the frames between a host and a peer in one direction. It works only on hosts whose settings have test_gate.",
+		&gateVerb{out: out}}
+}
+
+// Execute implements flags.Commander.
+func (v *gateVerb) Execute([]string) error {
+	order := mesh.CutOrder{Cut: mesh.Cut{Peer: v.Peer, Direction: v.Direction}, Broken: !v.Mend}
+	if err := v.post("/test/gate", order, nil); err != nil {
+		return err
+	}
+	fmt.Fprintln(v.out, "done")
+	return nil
+}
--- /dev/null
+++ b/internal/request/flow/events.go
@@ -0,0 +1,87 @@
+package flow
+
+import (
+	"mustarddoor/internal/process/placement"
+	"mustarddoor/internal/process/timeline"
+	"mustarddoor/internal/request/outcome"
+	"mustarddoor/internal/request/owner"
+)
+
+// Events writes the events of requests to the time line.
+type Events struct {
+	Recorder timeline.Recorder
+}
+
+// eventOf gives an event with what is known of a request on its arrival.
+func eventOf(kind timeline.Kind, request *Request) timeline.Event {
+	event := timeline.Event{Kind: kind, Request: request.Key.String(), Team: request.Team}
+	if request.Route != nil {
+		event.Service = request.Service.Name
+		event.Tier = request.Tier.Name
+		event.Rank = request.Tier.Rank
+	}
+	return event
+}
+
+// Received tells that the request has come to its owner.
+func (e Events) Received(request *Request) {
+	e.Recorder.Record(eventOf(timeline.RequestReceived, request))
+}
+
+// Intended tells that the witness has acknowledged the intent.
+func (e Events) Intended(request *Request, place *placement.Placement) {
+	event := placedEvent(timeline.RequestIntent, request, place)
+	event.Peer = request.Key.Session.Witness
+	e.Recorder.Record(event)
+}
+
+// Dispatched tells that the request was sent to its endpoint.
+func (e Events) Dispatched(request *Request, place *placement.Placement) {
+	e.Recorder.Record(placedEvent(timeline.RequestDispatched, request, place))
+}
+
+// TakenBack tells that the endpoint surely did not start the request that was
+// dispatched to it, so that the request waits again.
+func (e Events) TakenBack(request *Request) {
+	event := eventOf(timeline.RequestQueued, request)
+	event.Detail = timeline.DetailNotStarted
+	e.Recorder.Record(event)
+}
+
+// FirstToken tells that the answer has begun.
+func (e Events) FirstToken(request *Request, place *placement.Placement) {
+	e.Recorder.Record(placedEvent(timeline.RequestFirstToken, request, place))
+}
+
+func placedEvent(kind timeline.Kind, request *Request, place *placement.Placement) timeline.Event {
+	event := eventOf(kind, request)
+	event.Endpoint = place.Endpoint
+	event.Domain = place.Domain
+	event.Version = place.Version
+	return event
+}
+
+// Refused tells that the request was refused before it was taken on.
+func (e Events) Refused(request *Request, refusal outcome.Refusal) {
+	event := eventOf(timeline.RequestRefused, request)
+	event.Outcome = string(refusal.Outcome)
+	event.Detail = string(refusal.Reason)
+	e.Recorder.Record(event)
+}
+
+// Ended tells the outcome of a request that was taken on. The place is nil if
+// it was not dispatched.
+func (e Events) Ended(request *Request, own *owner.Request, place *placement.Placement) {
+	final := own.Final()
+	if place == nil {
+		e.Refused(request, outcome.Refuse(final.Outcome, final.Reason))
+		return
+	}
+	event := placedEvent(timeline.RequestDone, request, place)
+	event.Outcome = string(final.Outcome)
+	if final.Reason == outcome.ReasonCanceled {
+		event.Outcome = timeline.OutcomeCanceled
+	}
+	event.Detail = string(final.Reason)
+	e.Recorder.Record(event)
+}
--- a/internal/request/flow/finish.go
+++ b/internal/request/flow/finish.go
@@ -61,7 +61,7 @@
 		CachedTokens: -1,
 	})
 	r.timers.whole.UpdateSince(request.Arrival)
-	r.config.Events.Ended(request, own)
+	r.config.Events.Ended(request, own, place)
 }
 
 func placementOutcome(result witness.Final) placement.Outcome {
--- a/internal/request/flow/run.go
+++ b/internal/request/flow/run.go
@@ -27,13 +27,13 @@
 		}
 		if own.State().IsFinal() {
 			place.Done(placement.Result{Outcome: placement.OutcomeNotStarted})
-			r.config.Events.Ended(request, own)
+			r.config.Events.Ended(request, own, nil)
 			return
 		}
 		place, refusal = place.Retry(gone)
 	}
-	own.RefuseAfter(reasonOf(refusal.Reason), refusal.RetryAfter)
-	r.config.Events.Ended(request, own)
+	own.Refuse(reasonOf(refusal.Reason))
+	r.config.Events.Ended(request, own, nil)
 }
 
 func placementRequest(request *Request) placement.Request {
@@ -60,27 +60,40 @@
 	if refusal := own.Dispatch(); refusal != nil {
 		return nil, false
 	}
-	reply, err := r.config.Endpoints.Send(context.Background(), callOf(request, place.Address))
 	r.config.Events.Dispatched(request, place)
+	reply, err := r.config.Endpoints.Send(context.Background(), callOf(request, place.Address))
 	switch {
 	case errors.Is(err, engine.ErrNotStarted):
-		return nil, !own.NotSent()
+		return nil, !r.takeBack(request, own)
 	case err != nil:
 		return nil, true
 	case isExplicitRefusal(request, reply.Status):
 		reply.Body.Close()
-		return nil, !own.NotSent()
+		return nil, !r.takeBack(request, own)
 	default:
 		return reply, true
 	}
 }
 
+// takeBack notes that the endpoint did not start a dispatched request.
+func (r *Runner) takeBack(request *Request, own *owner.Request) bool {
+	if !own.NotSent() {
+		return false
+	}
+	r.config.Events.TakenBack(request)
+	return true
+}
+
 func (r *Runner) permit(gone context.Context, request *Request, own *owner.Request, place *placement.Placement) bool {
 	start := time.Now()
 	target := owner.Target{Service: request.Service.Name, Endpoint: place.Endpoint, Address: place.Address}
 	refusal := own.Permit(gone, target, sendWithin)
+	if refusal != nil {
+		return false
+	}
 	r.timers.permit.UpdateSince(start)
-	return refusal == nil
+	r.config.Events.Intended(request, place)
+	return true
 }
 
 func callOf(request *Request, address string) engine.Call {
--- a/internal/request/outcome/outcome.go
+++ b/internal/request/outcome/outcome.go
@@ -70,6 +70,8 @@
 	ReasonOwnerLost Reason = "owner_lost"
 	// ReasonReplyLost: the endpoint's reply broke off and cannot be resumed.
 	ReasonReplyLost Reason = "reply_lost"
+	// ReasonNotReceived: the owner has not seen the key.
+	ReasonNotReceived Reason = "not_received"
 	// ReasonCanceled: the caller left before the request was dispatched.
 	ReasonCanceled Reason = "canceled"
 	// ReasonEndpoint: the endpoint answered with an error.
--- a/internal/request/owner/request.go
+++ b/internal/request/owner/request.go
@@ -37,6 +37,13 @@
 	return r.machine.State()
 }
 
+// Final is the outcome; it is set in final states.
+func (r *Request) Final() witness.Final {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.machine.Final()
+}
+
 // Target is the endpoint of the last attempt and whether the request may have
 // reached it.
 func (r *Request) Target() (target Target, mayHaveRun bool) {
