--- /dev/null
+++ b/internal/process/timeline/check/check.go
@@ -0,0 +1,119 @@
+// Package check tests the promises of the system over a merged time line.
+//
+// Each rule reads the whole time line and returns its violations. A time line
+// with gaps can hide violations; rules that would see false ones because of a
+// gap are reported as undecided instead of being run.
+package check
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"mustarddoor/internal/process/timeline"
+)
+
+// Defaults of Limits.
+const (
+	DefaultOutDelay     = 3 * time.Second
+	DefaultLeavingDelay = 3 * time.Second
+	DefaultBadDelay     = 3 * time.Second
+	DefaultColdDelay    = 250 * time.Millisecond
+)
+
+// Limits are how long the fleet may take to act on news.
+type Limits struct {
+	// OutDelay is how long after a domain's out-mark it may get new work.
+	OutDelay time.Duration
+	// LeavingDelay is the same for an endpoint that leaves.
+	LeavingDelay time.Duration
+	// BadDelay is the same for a version after the verdict against it.
+	BadDelay time.Duration
+	// ColdDelay is how long after the start of a cold spell dispatches may
+	// still go by the old limit.
+	ColdDelay time.Duration
+}
+
+// DefaultLimits are the limits of today's fleets.
+func DefaultLimits() Limits {
+	return Limits{
+		OutDelay:     DefaultOutDelay,
+		LeavingDelay: DefaultLeavingDelay,
+		BadDelay:     DefaultBadDelay,
+		ColdDelay:    DefaultColdDelay,
+	}
+}
+
+// Violation is a broken promise with the events that show it.
+type Violation struct {
+	Rule   string
+	Text   string
+	Events []timeline.Event
+}
+
+// Rule tests one promise.
+type Rule struct {
+	Name string
+	// NeedsWhole tells that a gap in the time line can bring false violations.
+	NeedsWhole bool
+	Find       func([]timeline.Event, Limits) []Violation
+}
+
+// Rules are all rules in the order in which they are run.
+var Rules = []Rule{
+	{Name: "dispatched at most once", Find: dispatchedOnce},
+	{Name: "one outcome per request", Find: oneOutcome},
+	{Name: "not run is true", Find: notRunIsTrue},
+	{Name: "no dispatch to a domain out of service", Find: domainOut},
+	{Name: "no dispatch to a leaving endpoint", Find: endpointLeaving},
+	{Name: "cold endpoint within its limit", NeedsWhole: true, Find: coldLimit},
+	{Name: "no higher tier shed before a lower one", NeedsWhole: true, Find: shedOrder},
+	{Name: "configuration never goes back", Find: configForward},
+	{Name: "no dispatch to a bad version", Find: badVersion},
+}
+
+// Report is the result of all rules.
+type Report struct {
+	Violations []Violation
+	// Undecided names the rules that were not run because of gaps.
+	Undecided []string
+	// Gaps are the time line's.
+	Gaps []timeline.Gap
+	// Counts of what the rules had to look at.
+	Events, Dispatches int
+}
+
+// Run checks a merged time line against all rules.
+func Run(merged timeline.Merged, limits Limits) Report {
+	report := Report{Gaps: merged.Gaps, Events: len(merged.Events)}
+	for i := range merged.Events {
+		if merged.Events[i].Kind == timeline.RequestDispatched {
+			report.Dispatches++
+		}
+	}
+	for _, rule := range Rules {
+		if rule.NeedsWhole && len(merged.Gaps) > 0 {
+			report.Undecided = append(report.Undecided, rule.Name)
+			continue
+		}
+		for _, violation := range rule.Find(merged.Events, limits) {
+			violation.Rule = rule.Name
+			report.Violations = append(report.Violations, violation)
+		}
+	}
+	return report
+}
+
+// String gives the report as text, one line for each finding.
+func (r Report) String() string {
+	var text strings.Builder
+	fmt.Fprintf(&text, "%d events, %d dispatches, %d gaps, %d violations\n",
+		r.Events, r.Dispatches, len(r.Gaps), len(r.Violations))
+	for _, name := range r.Undecided {
+		fmt.Fprintf(&text, "undecided: %s\n", name)
+	}
+	for _, violation := range r.Violations {
+		fmt.Fprintf(&text, "violated: %s: %s\n", violation.Rule, violation.Text)
+	}
+	return text.String()
+}
--- /dev/null
+++ b/internal/process/timeline/check/load.go
@@ -0,0 +1,115 @@
+package check
+
+import (
+	"fmt"
+	"time"
+
+	"mustarddoor/internal/process/hlc"
+	"mustarddoor/internal/process/timeline"
+)
+
+// coldSpell is the time from an endpoint's cold start until it is warm.
+type coldSpell struct {
+	since hlc.Stamp
+	limit int64
+}
+
+// coldLimit finds dispatches to a cold endpoint that bear it more requests
+// than its limit.
+func coldLimit(events []timeline.Event, limits Limits) []Violation {
+	spells := map[string]coldSpell{}
+	running := map[string]map[string]bool{}
+	at := map[string]string{}
+	var found []Violation
+	for _, event := range events {
+		switch event.Kind {
+		case timeline.EndpointCold:
+			spells[event.Endpoint] = coldSpell{since: event.Stamp, limit: event.Value}
+		case timeline.EndpointLimit:
+			if spell, cold := spells[event.Endpoint]; cold {
+				spell.limit = event.Value
+				spells[event.Endpoint] = spell
+			}
+		case timeline.EndpointWarm, timeline.EndpointGone:
+			delete(spells, event.Endpoint)
+		case timeline.RequestDispatched:
+			at[event.Request] = event.Endpoint
+			if running[event.Endpoint] == nil {
+				running[event.Endpoint] = map[string]bool{}
+			}
+			running[event.Endpoint][event.Request] = true
+			spell, cold := spells[event.Endpoint]
+			count := len(running[event.Endpoint])
+			if cold && int64(count) > spell.limit && isPast(event, spell.since, limits.ColdDelay) {
+				found = append(found, Violation{
+					Text:   fmt.Sprintf("%d requests at %s, whose cold limit is %d", count, event.Endpoint, spell.limit),
+					Events: []timeline.Event{event},
+				})
+			}
+		case timeline.RequestDone:
+			delete(running[at[event.Request]], event.Request)
+		}
+	}
+	return found
+}
+
+func isPast(event timeline.Event, since hlc.Stamp, delay time.Duration) bool {
+	return event.Stamp.Time().Sub(since.Time()) > delay
+}
+
+// service is the time that one request held a slot of its service.
+type service struct {
+	dispatch timeline.Event
+	// end is when the slot was given back; zero if the time line ends before.
+	end hlc.Stamp
+}
+
+// shedOrder finds requests that were shed although one of a lower tier held a
+// slot of the same service at some time between the confirmation of the
+// opposite and the shedding.
+func shedOrder(events []timeline.Event, _ Limits) []Violation {
+	served := services(events)
+	var found []Violation
+	for _, shed := range events {
+		if shed.Kind != timeline.RequestShed {
+			continue
+		}
+		for _, lower := range served[shed.Service] {
+			if lower.dispatch.Rank > shed.Rank && lower.overlaps(shed.Since, shed.Stamp) {
+				found = append(found, Violation{
+					Text:   fmt.Sprintf("%s of tier %s shed while %s of tier %s was served", shed.Request, shed.Tier, lower.dispatch.Request, lower.dispatch.Tier),
+					Events: []timeline.Event{lower.dispatch, shed},
+				})
+				break
+			}
+		}
+	}
+	return found
+}
+
+// services lists who was served when, by the name of the service.
+func services(events []timeline.Event) map[string][]service {
+	ends := map[string]hlc.Stamp{}
+	for _, event := range events {
+		if event.Kind == timeline.RequestDone {
+			ends[event.Request] = event.Stamp
+		}
+	}
+	served := map[string][]service{}
+	for _, event := range events {
+		if event.Kind == timeline.RequestDispatched {
+			one := service{dispatch: event, end: ends[event.Request]}
+			served[event.Service] = append(served[event.Service], one)
+		}
+	}
+	return served
+}
+
+// overlaps reports whether the service took place within the interval. An
+// interval without a start is its end alone.
+func (s service) overlaps(from, to hlc.Stamp) bool {
+	if from == 0 {
+		from = to
+	}
+	return s.dispatch.Stamp < to && (s.end == 0 || s.end > from)
+}
--- /dev/null
+++ b/internal/process/timeline/filter.go
@@ -0,0 +1,102 @@
+package timeline
+
+import (
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"mustarddoor/internal/process/hlc"
+)
+
+// ErrFilter is returned for a query that is not a filter.
+var ErrFilter = eris.New("not a time line filter")
+
+// Names of the query parameters of a filter.
+const (
+	paramRequest  = "request"
+	paramEndpoint = "endpoint"
+	paramDomain   = "domain"
+	paramVersion  = "version"
+	paramHost     = "host"
+	paramSince    = "since"
+)
+
+// Filter selects events. Empty fields select all.
+type Filter struct {
+	Request  string `cbor:"1,keyasint,omitempty"`
+	Endpoint string `cbor:"2,keyasint,omitempty"`
+	Domain   string `cbor:"3,keyasint,omitempty"`
+	Version  string `cbor:"4,keyasint,omitempty"`
+	// Host selects events that the host recorded or that are about it.
+	Host string `cbor:"5,keyasint,omitempty"`
+	// Since is the stamp of the first event wanted.
+	Since hlc.Stamp `cbor:"6,keyasint,omitempty"`
+}
+
+// Matches reports whether the event passes the filter.
+func (f Filter) Matches(event *Event) bool {
+	return event.Stamp >= f.Since &&
+		matches(f.Request, event.Request) &&
+		matches(f.Endpoint, event.Endpoint) &&
+		matches(f.Domain, event.Domain) &&
+		matches(f.Version, event.Version) &&
+		(matches(f.Host, event.Host.Host) || f.Host == event.Peer.Host)
+}
+
+func matches(want, got string) bool { return want == "" || want == got }
+
+// Values gives the filter as query parameters.
+func (f Filter) Values() url.Values {
+	values := url.Values{}
+	set := func(name, value string) {
+		if value != "" {
+			values.Set(name, value)
+		}
+	}
+	set(paramRequest, f.Request)
+	set(paramEndpoint, f.Endpoint)
+	set(paramDomain, f.Domain)
+	set(paramVersion, f.Version)
+	set(paramHost, f.Host)
+	if f.Since > 0 {
+		set(paramSince, strconv.FormatUint(uint64(f.Since), 10))
+	}
+	return values
+}
+
+// ParseFilter is the inverse of Filter.Values. The parameter since may also be
+// a time as of RFC 3339, or a duration that counts back from now. It fails
+// with ErrFilter.
+func ParseFilter(values url.Values, now time.Time) (Filter, error) {
+	since, err := parseSince(values.Get(paramSince), now)
+	if err != nil {
+		return Filter{}, err
+	}
+	return Filter{
+		Request:  values.Get(paramRequest),
+		Endpoint: values.Get(paramEndpoint),
+		Domain:   values.Get(paramDomain),
+		Version:  values.Get(paramVersion),
+		Host:     values.Get(paramHost),
+		Since:    since,
+	}, nil
+}
+
+func parseSince(text string, now time.Time) (hlc.Stamp, error) {
+	if text == "" {
+		return 0, nil
+	}
+	if number, err := strconv.ParseUint(text, 10, 64); err == nil {
+		return hlc.Stamp(number), nil
+	}
+	if ago, err := time.ParseDuration(text); err == nil {
+		return hlc.At(now.Add(-ago)), nil
+	}
+	at, err := time.Parse(time.RFC3339Nano, text)
+	if err != nil {
+		return 0, eris.Wrapf(ErrFilter, "since %q", text)
+	}
+	return hlc.At(at), nil
+}
