A dispatch that the endpoint did not start is taken back in the time line

Cause: a connection that is refused is dispatched again, which the checker took for a second dispatch. A second dispatch without it is still a violation (table cases for both).

--- a/internal/process/timeline/check/check_test.go
+++ b/internal/process/timeline/check/check_test.go
@@ -79,6 +79,21 @@
 			events: []timeline.Event{at(0, dispatch("r", "e")), at(1, dispatch("r", "f"))},
 			broken: "dispatched at most once",
 		},
+		{
+			name: "a dispatch that was taken back",
+			events: []timeline.Event{
+				at(0, dispatch("r", "e")), at(1, timeline.Event{Kind: timeline.RequestNotStarted, Request: "r"}),
+				at(2, dispatch("r", "f")), at(3, done("r")),
+			},
+		},
+		{
+			name: "a dispatch that was taken back, then two",
+			events: []timeline.Event{
+				at(0, dispatch("r", "e")), at(1, timeline.Event{Kind: timeline.RequestNotStarted, Request: "r"}),
+				at(2, dispatch("r", "f")), at(3, dispatch("r", "e")),
+			},
+			broken: "dispatched at most once",
+		},
 		{
 			name:   "unknown, then done",
 			events: []timeline.Event{at(0, refused("r", timeline.OutcomeUnknown)), at(1, done("r"))},
--- a/internal/process/timeline/event.go
+++ b/internal/process/timeline/event.go
@@ -24,6 +24,9 @@
 	// RequestVoided tells that the recording witness wrote void.
 	RequestVoided     Kind = "request.voided"
 	RequestDispatched Kind = "request.dispatched"
+	// RequestNotStarted takes the last dispatch back: the endpoint surely did
+	// not start the request.
+	RequestNotStarted Kind = "request.not_started"
 	RequestFirstToken Kind = "request.first_token"
 	// RequestDone is the end of a dispatched request; Outcome says which.
 	RequestDone Kind = "request.done"
--- a/internal/request/flow/events.go
+++ b/internal/request/flow/events.go
@@ -40,12 +40,10 @@
 	e.Recorder.Record(placedEvent(timeline.RequestDispatched, request, place))
 }
 
-// TakenBack tells that the endpoint surely did not start the request that was
+// NotStarted tells that the endpoint surely did not start the request that was
 // dispatched to it, so that the request waits again.
-func (e Events) TakenBack(request *Request) {
-	event := eventOf(timeline.RequestQueued, request)
-	event.Detail = timeline.DetailNotStarted
-	e.Recorder.Record(event)
+func (e Events) NotStarted(request *Request) {
+	e.Recorder.Record(eventOf(timeline.RequestNotStarted, request))
 }
 
 // FirstToken tells that the answer has begun.
--- a/internal/request/flow/run.go
+++ b/internal/request/flow/run.go
@@ -80,7 +80,7 @@
 	if !own.NotSent() {
 		return false
 	}
-	r.config.Events.TakenBack(request)
+	r.config.Events.NotStarted(request)
 	return true
 }
 
