--- /dev/null
+++ b/internal/process/daemon/requests.go
@@ -0,0 +1,85 @@
+package daemon
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"time"
+
+	"mustarddoor/internal/connection/caller"
+	"mustarddoor/internal/process/identity"
+	"mustarddoor/internal/request/flow"
+	"mustarddoor/internal/request/key"
+	"mustarddoor/internal/request/session"
+)
+
+// mintedPart is the caller's part of keys that a host makes.
+const mintedPart = "r"
+
+// callerRequests serves the caller interface.
+type callerRequests struct {
+	self   identity.Host
+	runner *flow.Runner
+	minter *session.Minter
+	// live lists the other hosts that are alive and not leaving.
+	live func() []identity.Host
+	// keep is how long an entry may be kept.
+	keep func() time.Duration
+	// leaving reports whether this host is stopping.
+	leaving func() bool
+}
+
+// Serve implements caller.Requests.
+func (c *callerRequests) Serve(ctx context.Context, request *flow.Request, w http.ResponseWriter) {
+	c.runner.Serve(ctx, request, w)
+}
+
+// Resume implements caller.Requests.
+func (c *callerRequests) Resume(ctx context.Context, request *flow.Request, w http.ResponseWriter) {
+	c.runner.Resume(ctx, request, w)
+}
+
+// Mint implements caller.Requests.
+func (c *callerRequests) Mint() key.Key {
+	return key.Key{Session: c.minter.Mint(), Part: mintedPart}
+}
+
+// Entry implements caller.Requests. It names this host first, then those of
+// other failure domains, then the rest; a host that is stopping leaves itself
+// out.
+func (c *callerRequests) Entry() caller.Entry {
+	return caller.Entry{
+		Addresses:  c.addresses(),
+		KeepMillis: c.keep().Milliseconds(),
+		Session:    c.minter.Mint().String(),
+	}
+}
+
+func (c *callerRequests) addresses() []string {
+	others := c.otherAddresses()
+	if c.leaving() {
+		return others
+	}
+	return append([]string{c.self.Address}, others...)
+}
+
+// otherAddresses lists the caller addresses of other live hosts, those of
+// other failure domains first.
+func (c *callerRequests) otherAddresses() []string {
+	hosts := slices.Clone(c.live())
+	slices.SortStableFunc(hosts, func(a, b identity.Host) int {
+		return c.preference(a) - c.preference(b)
+	})
+	addresses := []string{}
+	for _, host := range hosts {
+		addresses = append(addresses, host.Address)
+	}
+	return addresses
+}
+
+func (c *callerRequests) preference(host identity.Host) int {
+	if host.Domain == c.self.Domain {
+		return 1
+	}
+	return 0
+}
