--- /dev/null
+++ b/internal/request/journal/writer.go
@@ -0,0 +1,113 @@
+package journal
+
+import (
+	"context"
+	"strconv"
+	"time"
+
+	metrics "github.com/rcrowley/go-metrics"
+
+	"mustarddoor/internal/connection/platform"
+	"mustarddoor/internal/process/identity"
+	"mustarddoor/internal/request/witness"
+)
+
+// maxBatchEntries is how many entries one log record holds at most.
+const maxBatchEntries = 1024
+
+// Unlogged is where a writer takes records from; witness.Register is one.
+type Unlogged interface {
+	TakeUnlogged(start uint, limit int) []witness.Unlogged
+	Relog(records []witness.Unlogged)
+	Logged(records []witness.Unlogged)
+}
+
+// WriterConfig is what a writer needs.
+type WriterConfig struct {
+	Self     identity.Incarnation
+	Register Unlogged
+	Log      Appender
+	// Interval is the time between appends. While records remain after one, the
+	// next follows at once.
+	Interval time.Duration
+	// Timeout is how long an append may take.
+	Timeout time.Duration
+	// Metrics gets the counters journal.appends, journal.failures and
+	// journal.entries.
+	Metrics metrics.Registry
+}
+
+// Writer appends the records that the log lacks, one batch at a time.
+type Writer struct {
+	config   WriterConfig
+	sequence uint64
+	appends  metrics.Counter
+	failures metrics.Counter
+	entries  metrics.Counter
+}
+
+// NewWriter returns a writer.
+func NewWriter(config WriterConfig) *Writer {
+	return &Writer{
+		config:   config,
+		appends:  metrics.GetOrRegisterCounter("journal.appends", config.Metrics),
+		failures: metrics.GetOrRegisterCounter("journal.failures", config.Metrics),
+		entries:  metrics.GetOrRegisterCounter("journal.entries", config.Metrics),
+	}
+}
+
+// Run appends until the context ends, and then once more what is left.
+func (w *Writer) Run(ctx context.Context) error {
+	ticker := time.NewTicker(w.config.Interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			w.Flush(ctx)
+		case <-ctx.Done():
+			w.Flush(context.WithoutCancel(ctx))
+			return nil
+		}
+	}
+}
+
+// Flush appends until the log has everything or an append fails. It returns
+// whether the log has everything.
+func (w *Writer) Flush(ctx context.Context) bool {
+	for {
+		records := w.config.Register.TakeUnlogged(uint(w.sequence), maxBatchEntries)
+		if len(records) == 0 {
+			return true
+		}
+		if err := w.append(ctx, records); err != nil {
+			w.failures.Inc(1)
+			w.config.Register.Relog(records)
+			return false
+		}
+		w.config.Register.Logged(records)
+		if len(records) < maxBatchEntries {
+			return true
+		}
+	}
+}
+
+func (w *Writer) append(ctx context.Context, records []witness.Unlogged) error {
+	data, err := encode(records)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, w.config.Timeout)
+	defer cancel()
+	w.sequence++
+	record := platform.AppendRecord{ID: w.recordID(), Data: data}
+	if _, err := w.config.Log.Append(ctx, platform.StreamRequests, []platform.AppendRecord{record}); err != nil {
+		return err
+	}
+	w.appends.Inc(1)
+	w.entries.Inc(int64(len(records)))
+	return nil
+}
+
+func (w *Writer) recordID() string {
+	return w.config.Self.String() + "/" + strconv.FormatUint(w.sequence, 36)
+}
--- a/internal/request/key/key.go
+++ b/internal/request/key/key.go
@@ -8,10 +8,12 @@
 package key
 
 import (
+	"encoding/binary"
 	"strconv"
 	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/rotisserie/eris"
 
 	"mustarddoor/internal/process/identity"
@@ -122,3 +124,24 @@
 	}
 	return true
 }
+
+// Hash is a hash of the whole key. Different keys may share one.
+func (k Key) Hash() uint64 {
+	var buffer [maxHashedBytes]byte
+	bytes := appendIncarnation(buffer[:0], k.Session.Owner)
+	bytes = appendIncarnation(bytes, k.Session.Witness)
+	bytes = binary.BigEndian.AppendUint64(bytes, k.Session.Nonce)
+	bytes = binary.BigEndian.AppendUint64(bytes, uint64(k.Session.IssuedMillis))
+	bytes = append(bytes, k.Part...)
+	return xxhash.Sum64(bytes)
+}
+
+// maxHashedBytes is room for two incarnations, two numbers and the longest
+// part.
+const maxHashedBytes = 2*(63+1+8) + 2*8 + MaxPartBytes
+
+func appendIncarnation(bytes []byte, incarnation identity.Incarnation) []byte {
+	bytes = append(bytes, incarnation.Host...)
+	bytes = append(bytes, 0)
+	return binary.BigEndian.AppendUint64(bytes, incarnation.Number)
+}
--- a/internal/request/owner/registry.go
+++ b/internal/request/owner/registry.go
@@ -7,8 +7,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"mustarddoor/internal/process/identity"
 	"mustarddoor/internal/request/key"
 	"mustarddoor/internal/request/outcome"
@@ -291,8 +289,7 @@
 }
 
 func (r *Registry) shardOf(k key.Key) *shard {
-	hash := xxhash.Sum64String(k.Part) ^ (k.Session.Nonce * 0x9e3779b97f4a7c15)
-	return &r.shards[hash%shardCount]
+	return &r.shards[k.Hash()%shardCount]
 }
 
 // raise sets the value to at least the given one.
--- a/internal/request/witness/doc.go
+++ b/internal/request/witness/doc.go
@@ -9,7 +9,7 @@
 // up to which session it dropped any and never voids a key that it may have
 // known before.
 //
-// Wiring: make one Register for the process and register its handlers with
-// the mesh (Register.Handlers); call Sweep every few seconds. Sender is the
+// Wiring: make one Register for the process, call its HandleOn with the mesh
+// router and Sweep every few seconds. Sender is the
 // owner's side and implements owner.Intender and owner.Recorder.
 package witness
--- /dev/null
+++ b/internal/request/witness/outcomes.go
@@ -0,0 +1,125 @@
+package witness
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"mustarddoor/internal/process/identity"
+)
+
+// Bounds of the outcomes that wait to be sent.
+const (
+	// maxOutcomes is how many outcomes may wait; beyond it the oldest are
+	// dropped, and their witnesses keep telling the intent.
+	maxOutcomes = 16384
+	// maxOutcomeBatch is how many outcomes go into one message, so that a
+	// message with the longest answers stays well under a megabyte.
+	maxOutcomeBatch = 128
+	// maxOutcomeTries is how often an outcome is sent.
+	maxOutcomeTries = 4
+)
+
+// pendingOutcome is an outcome that waits to be sent.
+type pendingOutcome struct {
+	ended Outcome
+	tries int
+}
+
+// outcomeQueue holds outcomes, oldest first.
+type outcomeQueue struct {
+	mu      sync.Mutex
+	pending []pendingOutcome
+}
+
+func (q *outcomeQueue) add(added ...pendingOutcome) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.pending = append(q.pending, added...)
+	if excess := len(q.pending) - maxOutcomes; excess > 0 {
+		q.pending = append([]pendingOutcome(nil), q.pending[excess:]...)
+	}
+}
+
+func (q *outcomeQueue) takeAll() []pendingOutcome {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	taken := q.pending
+	q.pending = nil
+	return taken
+}
+
+// Record queues an outcome for its key's witness. It never blocks.
+func (s *Sender) Record(ended Outcome) {
+	if ended.Key.Session.Witness.IsZero() {
+		s.config.Local.Finish(ended)
+		return
+	}
+	s.outcomes.add(pendingOutcome{ended: ended})
+}
+
+// Run sends outcomes until the context ends, and then those that wait.
+func (s *Sender) Run(ctx context.Context) error {
+	ticker := time.NewTicker(s.config.OutcomeInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			s.Flush(ctx)
+		case <-ctx.Done():
+			s.Flush(context.WithoutCancel(ctx))
+			return nil
+		}
+	}
+}
+
+// Flush sends the outcomes that wait and returns when all were sent once.
+func (s *Sender) Flush(ctx context.Context) {
+	byWitness := make(map[identity.Incarnation][]pendingOutcome)
+	for _, pending := range s.outcomes.takeAll() {
+		witness := pending.ended.Key.Session.Witness
+		byWitness[witness] = append(byWitness[witness], pending)
+	}
+	var group sync.WaitGroup
+	for witness, pending := range byWitness {
+		group.Go(func() { s.sendOutcomes(ctx, witness, pending) })
+	}
+	group.Wait()
+}
+
+func (s *Sender) sendOutcomes(ctx context.Context, witness identity.Incarnation, pending []pendingOutcome) {
+	host, known := s.config.Hosts.Find(witness)
+	if !known {
+		return
+	}
+	for len(pending) > 0 {
+		count := min(len(pending), maxOutcomeBatch)
+		s.sendBatch(ctx, host.MeshAddress, pending[:count])
+		pending = pending[count:]
+	}
+}
+
+func (s *Sender) sendBatch(ctx context.Context, address string, batch []pendingOutcome) {
+	ctx, cancel := context.WithTimeout(ctx, s.config.IntentTimeout)
+	defer cancel()
+	request := OutcomeRequest{Outcomes: make([]Outcome, len(batch))}
+	for i, pending := range batch {
+		request.Outcomes[i] = pending.ended
+	}
+	var reply OutcomeReply
+	if err := s.config.Caller.Call(ctx, address, KindOutcome, request, &reply); err != nil {
+		s.retry(batch)
+	}
+}
+
+// retry queues outcomes again that have tries left.
+func (s *Sender) retry(batch []pendingOutcome) {
+	var again []pendingOutcome
+	for _, pending := range batch {
+		pending.tries++
+		if pending.tries < maxOutcomeTries {
+			again = append(again, pending)
+		}
+	}
+	s.outcomes.add(again...)
+}
--- a/internal/request/witness/sender.go
+++ b/internal/request/witness/sender.go
@@ -2,23 +2,98 @@
 
 import (
 	"context"
+	"sync"
+	"time"
 
+	"github.com/rotisserie/eris"
+
+	"mustarddoor/internal/connection/mesh"
 	"mustarddoor/internal/process/identity"
 )
 
+// ErrNoWitness is returned when the witness incarnation is not a known host.
+// The intent was not sent.
+var ErrNoWitness = eris.New("witness is not known")
+
 // Hosts finds the addresses of host incarnations.
 type Hosts interface {
 	// Find returns the host if this very incarnation is known.
 	Find(incarnation identity.Incarnation) (identity.Host, bool)
 }
 
-// Sender sends intents and outcomes to witnesses, in batches.
-type Sender struct{}
+// SenderConfig is what a sender needs.
+type SenderConfig struct {
+	Caller mesh.Caller
+	Hosts  Hosts
+	// Local is this host's own register. It keeps the records of sessions
+	// without a witness until the log has them.
+	Local *Register
+	// Now is the clock of Local.
+	Now func() time.Time
+	// IntentTimeout is how long a witness may take to acknowledge.
+	IntentTimeout time.Duration
+	// OutcomeInterval is how often outcomes are sent.
+	OutcomeInterval time.Duration
+}
+
+// Sender sends intents and outcomes to their witnesses, in batches. It
+// implements owner.Intender and owner.Recorder and is safe for concurrent use.
+// Outcomes are sent while Run runs.
+type Sender struct {
+	config   SenderConfig
+	mu       sync.RWMutex
+	batchers map[string]*batcher
+	outcomes outcomeQueue
+}
 
-// Intend sends an intent to its key's witness.
+// NewSender returns a sender.
+func NewSender(config SenderConfig) *Sender {
+	return &Sender{config: config, batchers: make(map[string]*batcher)}
+}
+
+// Intend sends an intent to its key's witness and returns the verdict. It fails
+// with ErrNoWitness, ErrBusy, a mesh error or the context's error; the intent
+// may stand after the last two.
 func (s *Sender) Intend(ctx context.Context, intent Intent) (Verdict, error) {
-	return Full, nil
+	incarnation := intent.Key.Session.Witness
+	if incarnation.IsZero() {
+		return s.config.Local.Adopt(s.config.Now(), intent), nil
+	}
+	host, known := s.config.Hosts.Find(incarnation)
+	if !known {
+		return 0, eris.Wrap(ErrNoWitness, incarnation.String())
+	}
+	results, err := s.batcher(host.MeshAddress).intend(intent)
+	if err != nil {
+		return 0, err
+	}
+	select {
+	case got := <-results:
+		return got.verdict, got.err
+	case <-ctx.Done():
+		return 0, ctx.Err()
+	}
 }
 
-// Record sends an outcome to its key's witness.
-func (s *Sender) Record(ended Outcome) {}
+// maxBatchers bounds the batchers that are kept; idle ones are then dropped.
+const maxBatchers = 1024
+
+func (s *Sender) batcher(address string) *batcher {
+	s.mu.RLock()
+	found := s.batchers[address]
+	s.mu.RUnlock()
+	if found != nil {
+		return found
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if found := s.batchers[address]; found != nil {
+		return found
+	}
+	if len(s.batchers) >= maxBatchers {
+		clear(s.batchers)
+	}
+	added := &batcher{caller: s.config.Caller, address: address, timeout: s.config.IntentTimeout}
+	s.batchers[address] = added
+	return added
+}
--- /dev/null
+++ b/internal/request/witness/unlogged.go
@@ -0,0 +1,76 @@
+package witness
+
+// Unlogged is a record that the log lacks, as it stood when it was taken.
+type Unlogged struct {
+	Intent Intent
+	// Final is nil if the request has not ended.
+	Final *Final
+}
+
+// TakeUnlogged returns up to limit records that the log lacks, the oldest of
+// each shard first. Each is returned once until it changes, or until Relog
+// gives it back. The start number, any that grows by one with each call, makes
+// calls begin with different shards.
+func (r *Register) TakeUnlogged(start uint, limit int) []Unlogged {
+	var taken []Unlogged
+	for i := range uint(shardCount) {
+		shard := &r.shards[(start+i)%shardCount]
+		taken = shard.takeUnlogged(taken, limit)
+	}
+	return taken
+}
+
+func (s *shard) takeUnlogged(taken []Unlogged, limit int) []Unlogged {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for len(s.unlogged) > 0 && len(taken) < limit {
+		oldest := s.unlogged[0]
+		s.unlogged[0] = nil
+		s.unlogged = s.unlogged[1:]
+		oldest.isQueued = false
+		if oldest.isDropped {
+			continue
+		}
+		taken = append(taken, Unlogged{Intent: oldest.intent(), Final: oldest.final})
+	}
+	return taken
+}
+
+// Relog gives back records whose append failed or may have failed.
+func (r *Register) Relog(records []Unlogged) {
+	for _, back := range records {
+		r.relog(back)
+	}
+}
+
+func (r *Register) relog(back Unlogged) {
+	shard, hash := r.locate(back.Intent.Key)
+	shard.mu.Lock()
+	defer shard.mu.Unlock()
+	found := shard.records[hash]
+	if found != nil && found.key == back.Intent.Key {
+		shard.enqueue(found)
+	}
+}
+
+// Logged notes that the log has the records as they were taken. Those that
+// have ended are dropped but for the hash of the key.
+func (r *Register) Logged(records []Unlogged) {
+	for _, logged := range records {
+		if logged.Final != nil {
+			r.dropLogged(logged)
+		}
+	}
+}
+
+func (r *Register) dropLogged(logged Unlogged) {
+	shard, hash := r.locate(logged.Intent.Key)
+	shard.mu.Lock()
+	defer shard.mu.Unlock()
+	found := shard.records[hash]
+	if found == nil || found.key != logged.Intent.Key {
+		return
+	}
+	shard.records[hash] = inLog
+	r.bytes.Add(inLog.size() - found.size())
+}
