--- a/internal/command/admin.go
+++ b/internal/command/admin.go
@@ -34,6 +34,11 @@
 	return a.call(http.MethodPost, path, nil, body, response)
 }
 
+// postRaw sends bytes to the admin address and reads JSON into response.
+func (a adminOptions) postRaw(path string, body []byte, response any) error {
+	return a.call(http.MethodPost, path, nil, body, response)
+}
+
 func (a adminOptions) call(method, path string, query url.Values, body []byte, response any) error {
 	ctx, cancel := context.WithTimeout(context.Background(), adminTimeout)
 	defer cancel()
--- /dev/null
+++ b/internal/command/publish.go
@@ -0,0 +1,45 @@
+package command
+
+import (
+	"io"
+
+	"mustarddoor/internal/version/config"
+)
+
+// publishVerb offers a bundle to the fleet.
+type publishVerb struct {
+	operatorOptions
+	Base uint64 `long:"base" description:"version that the bundle was written from; the newest if not given"`
+	Args struct {
+		File string `positional-arg-name:"BUNDLE" description:"bundle file, JSON"`
+	} `positional-args:"yes" required:"yes"`
+	out io.Writer
+}
+
+func newPublish(out io.Writer) verb {
+	return verb{"publish", "Publish a bundle",
+		"Checks a bundle, signs it and appends it to the log. Of two operators who publish from the same base, " +
+			"the first in the log wins and the other is told so (exit 1). Give --base to be sure which one yours is.",
+		&publishVerb{out: out}}
+}
+
+// Execute implements flags.Commander.
+func (v *publishVerb) Execute([]string) error {
+	loaded, err := readBundle(v.Args.File)
+	if err != nil {
+		return err
+	}
+	signer, err := v.signer()
+	if err != nil {
+		return err
+	}
+	status, err := v.status()
+	if err != nil {
+		return err
+	}
+	base := v.Base
+	if base == 0 && status.Config.Head != nil {
+		base = status.Config.Head.Version
+	}
+	return v.submit(v.out, signer.Publish(config.Draft{Base: base, Bundle: loaded}, v.sequence(status)))
+}
--- /dev/null
+++ b/internal/command/status.go
@@ -0,0 +1,104 @@
+package command
+
+import (
+	"fmt"
+	"io"
+	"time"
+
+	"mustarddoor/internal/process/daemon"
+	"mustarddoor/internal/version/config"
+)
+
+// watchInterval is the time between two readings with --watch.
+const watchInterval = time.Second
+
+// statusVerb tells what is in force at a host and what it believes.
+type statusVerb struct {
+	adminOptions
+	outputOptions
+	Watch bool `long:"watch" description:"go on until interrupted"`
+	out   io.Writer
+}
+
+func newStatus(out io.Writer) verb {
+	return verb{"status", "Tell what is in force and who is suspected",
+		"Tells what is in force at a host, which failure domains are out and why, which version moves run, " +
+			"and what the host believes of the others.",
+		&statusVerb{out: out}}
+}
+
+// Execute implements flags.Commander.
+func (v *statusVerb) Execute([]string) error {
+	for {
+		status, err := v.status()
+		if err != nil {
+			return err
+		}
+		if err := v.print(v.out, status, func() *table { return statusTable(status) }); err != nil {
+			return err
+		}
+		if !v.Watch {
+			return nil
+		}
+		time.Sleep(watchInterval)
+	}
+}
+
+func statusTable(status daemon.Status) *table {
+	t := &table{header: []string{"WHAT", "NAME", "STATE", "DETAIL"}}
+	t.add("host", status.Host.Incarnation.String(), readiness(status), status.Reason)
+	t.add(versionRow("in force", status.Config.InForce)...)
+	t.add(versionRow("newest", status.Config.Head)...)
+	t.add("log", "", availability(status.Config.Log), status.Config.Log.Error)
+	for _, domain := range status.Config.Domains {
+		t.add("domain", domain.Domain, mark(domain), domain.Operator+": "+domain.Reason)
+	}
+	for _, move := range status.Config.Moves {
+		name := fmt.Sprintf("%s %s to %s", move.ID.Service, move.ID.From, move.ID.To)
+		state := fmt.Sprintf("%s, stage %d", move.State.Verdict, move.State.Stage)
+		t.add("move", name, state, move.State.Reason)
+	}
+	for _, member := range status.Members {
+		t.add("member", member.Incarnation.String(), memberState(member), member.Domain)
+	}
+	for _, refused := range status.Config.Refused {
+		t.add("refused", string(refused.Kind), string(refused.Result), string(refused.Reason)+" "+refused.Detail)
+	}
+	return t
+}
+
+func readiness(status daemon.Status) string {
+	if status.Ready {
+		return "ready"
+	}
+	return "not ready"
+}
+
+func versionRow(what string, version *config.VersionInfo) []string {
+	if version == nil {
+		return []string{what, "-", "none", ""}
+	}
+	signers := fmt.Sprintf("published by %s, approved by %s, rolled by %s", version.Publisher, version.Approver, version.Roller)
+	return []string{what, version.Name, fmt.Sprintf("version %d", version.Version), signers}
+}
+
+func availability(log config.LogStatus) string {
+	if log.Available {
+		return "available"
+	}
+	return "out"
+}
+
+func mark(domain config.DomainStatus) string {
+	if domain.Out {
+		return "out"
+	}
+	return "in"
+}
+
+func memberState(member daemon.MemberStatus) string {
+	if member.Leaving {
+		return member.State + ", leaving"
+	}
+	return member.State
+}
--- a/internal/process/daemon/admin.go
+++ b/internal/process/daemon/admin.go
@@ -14,7 +14,6 @@
 const (
 	pathMetrics = "/metrics"
 	pathReady   = "/readyz"
-	pathStatus  = "/status"
 	pathGate    = "/test/gate"
 	pathProfile = "/debug/pprof/"
 )
@@ -31,7 +30,6 @@
 	router := echo.New()
 	router.GET(pathMetrics, h.serveMetrics)
 	router.GET(pathReady, h.serveReady)
-	router.GET(pathStatus, h.serveStatus)
 	router.GET(timeline.Path, echo.WrapHandler(h.timelineService()))
 	router.GET(pathProfile+"*", echo.WrapHandler(http.HandlerFunc(pprof.Index)))
 	router.GET(pathProfile+"profile", echo.WrapHandler(http.HandlerFunc(pprof.Profile)))
