--- /dev/null
+++ b/internal/version/config/cell.go
@@ -0,0 +1,139 @@
+package config
+
+import (
+	"mustarddoor/internal/connection/platform"
+)
+
+// update changes the state and tells everyone who needs to know. The function
+// may change the maps of the state it gets.
+func (f *Follower) update(change func(*State)) {
+	f.mu.Lock()
+	changes := f.updateLocked(change)
+	f.mu.Unlock()
+	f.observe(changes)
+}
+
+func (f *Follower) observe(changes []Change) {
+	for _, change := range changes {
+		f.options.Observe(change)
+	}
+}
+
+// updateLocked changes the state and returns what changed.
+func (f *Follower) updateLocked(change func(*State)) []Change {
+	before := f.state
+	readyBefore, _ := f.readiness()
+	next := before.clone()
+	change(&next)
+	f.state = next
+	if next.InForce != nil && next.InForce.bundle != nil {
+		f.known = laterVersion(f.known, next.InForce)
+	}
+	changes := f.changesSince(before)
+	if len(changes) > 0 {
+		f.publishView()
+	}
+	if ready, _ := f.readiness(); ready != readyBefore {
+		changes = append(changes, Change{Kind: ChangeReady})
+	}
+	f.metrics.offset.Update(int64(next.Log.Offset))
+	f.metrics.inForce.Update(int64(next.InForce.offset()))
+	signal(f.work)
+	return changes
+}
+
+// changesSince compares the state with an earlier one and notes what peers
+// need to hear of.
+func (f *Follower) changesSince(before State) []Change {
+	changes := []Change{}
+	if f.state.InForce.offset() != before.InForce.offset() {
+		changes = append(changes, Change{Kind: ChangeInForce, Version: f.state.InForce.Info()})
+	}
+	for domain, mark := range f.state.Marks {
+		if before.Marks[domain].ID != mark.ID {
+			changes = append(changes, Change{Kind: ChangeDomain, Mark: mark})
+			f.unsent.marks[domain] = true
+		}
+	}
+	for id, move := range f.state.Moves {
+		if before.Moves[id] != move {
+			changes = append(changes, Change{Kind: ChangeMove, Move: MoveView{ID: id, State: move}})
+			f.unsent.moves[id] = true
+		}
+	}
+	if !f.unsent.isEmpty() {
+		signal(f.news)
+	}
+	return changes
+}
+
+// publishView makes the view of the state and hands it to subscribers.
+func (f *Follower) publishView() {
+	view := newView(f.state, f.known)
+	f.view.Store(view)
+	for _, reader := range f.readers {
+		select {
+		case <-reader:
+		default:
+		}
+		reader <- view
+	}
+}
+
+// signal wakes the receiver of a channel of one element.
+func signal(channel chan struct{}) {
+	select {
+	case channel <- struct{}{}:
+	default:
+	}
+}
+
+// apply applies records of the log in their order.
+func (f *Follower) apply(entries []platform.Record) {
+	for _, entry := range entries {
+		f.mu.Lock()
+		var outcome Outcome
+		changes := f.updateLocked(func(s *State) { *s, outcome = s.Apply(entry, f.options.Keys) })
+		f.settle(outcome)
+		f.mu.Unlock()
+		if outcome.Result == ResultRefused || outcome.Result == ResultUnknown {
+			changes = append(changes, Change{Kind: ChangeRefused, Outcome: outcome})
+		}
+		f.observe(changes)
+	}
+}
+
+// settle counts an outcome and hands it to those who wait for it.
+func (f *Follower) settle(outcome Outcome) {
+	if outcome.Result == ResultSkipped {
+		return
+	}
+	f.metrics.count(outcome)
+	if !f.outcomes.add(outcome) {
+		return
+	}
+	for _, waiter := range f.waiters[outcome.ID] {
+		waiter <- outcome
+	}
+	delete(f.waiters, outcome.ID)
+}
+
+// merge takes in a state that a peer or a snapshot holds.
+func (f *Follower) merge(other State) {
+	f.update(func(s *State) { *s = Merge(*s, other).clone() })
+}
+
+// currentState gives the state as it is.
+func (f *Follower) currentState() State {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.state
+}
+
+// nextSequence gives the sequence of this host's next record.
+func (f *Follower) nextSequence() uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.sequence = NextSequence(f.sequence, now())
+	return f.sequence
+}
--- /dev/null
+++ b/internal/version/config/health.go
@@ -0,0 +1,145 @@
+package config
+
+import (
+	"fmt"
+	"time"
+)
+
+// now reads the clock.
+func now() time.Time { return time.Now() }
+
+// health is what a follower knows of the log and its peers.
+type health struct {
+	// reachedTail tells that the log was once read to its tail.
+	reachedTail bool
+	// logTail is the highest next offset that the log has told.
+	logTail uint64
+	// logFirst is the oldest offset that the log had when it was last read.
+	logFirst uint64
+	// logDownSince is when reading the log began to fail; zero if it works.
+	logDownSince time.Time
+	logError     string
+	// peersAsked and peersAnswered count peers of the last round in which all
+	// were asked.
+	peersAsked    int
+	peersAnswered int
+	// gapFrom and gapTo are records that are gone from the log unread; zero if
+	// none.
+	gapFrom uint64
+	gapTo   uint64
+	// isShort tells that the log ends before what was read.
+	isShort bool
+	// wasReady keeps a host ready once it was.
+	wasReady bool
+}
+
+// readiness reports whether the host may serve and, if not, why. The lock is
+// held.
+func (f *Follower) readiness() (bool, string) {
+	h := &f.health
+	switch {
+	case h.wasReady:
+		return true, ""
+	case h.reachedTail && f.known != nil:
+		h.wasReady = true
+		return true, ""
+	case h.isLogDown() && h.peersAnswered > 0 && f.known != nil:
+		h.wasReady = true
+		return true, ""
+	}
+	return false, f.unreadyReason()
+}
+
+func (h *health) isLogDown() bool { return !h.logDownSince.IsZero() }
+
+// unreadyReason says for people what is missing.
+func (f *Follower) unreadyReason() string {
+	h := f.health
+	switch {
+	case f.state.InForce != nil && f.known == nil:
+		return fmt.Sprintf("bundle %q has schema %d, which this release does not know",
+			f.state.InForce.Name, f.state.InForce.Schema)
+	case h.gapTo != 0:
+		return fmt.Sprintf("records %d to %d are gone from the log, and neither a snapshot nor a peer has what they said",
+			h.gapFrom, h.gapTo)
+	case h.isLogDown():
+		return fmt.Sprintf("the log service has been unavailable since %s (%s), and none of %d peers has a configuration (%d answered)",
+			h.logDownSince.UTC().Format(time.RFC3339), h.logError, h.peersAsked, h.peersAnswered)
+	case !h.reachedTail:
+		return fmt.Sprintf("reading the log: at offset %d of %d", f.state.Log.Offset, max(h.logTail, 1)-1)
+	default:
+		return "no bundle has been rolled"
+	}
+}
+
+// logFailed notes that reading the log failed.
+func (f *Follower) logFailed(err error) {
+	f.mu.Lock()
+	h := &f.health
+	wasDown := h.isLogDown()
+	h.logError = err.Error()
+	if !wasDown {
+		h.logDownSince = now()
+	}
+	f.mu.Unlock()
+	f.metrics.logErrors.Inc(1)
+	if !wasDown {
+		f.options.Logger.WithError(err).Warn("log service is unavailable")
+		f.options.Observe(Change{Kind: ChangeLog, Text: "unavailable"})
+	}
+}
+
+// logAnswered notes that the log was read; first is its oldest offset and next
+// the one after its tail.
+func (f *Follower) logAnswered(first, next uint64) {
+	f.mu.Lock()
+	h := &f.health
+	wasDown := h.isLogDown()
+	h.logDownSince = time.Time{}
+	h.logError = ""
+	h.logTail = max(h.logTail, next)
+	h.logFirst = first
+	h.isShort = next <= f.state.Log.Offset
+	f.mu.Unlock()
+	if wasDown {
+		f.options.Logger.Info("log service is available again")
+		f.options.Observe(Change{Kind: ChangeLog, Text: "available"})
+		signal(f.work)
+	}
+}
+
+// caughtUp notes that the log was read to its tail.
+func (f *Follower) caughtUp() {
+	f.mu.Lock()
+	readyBefore, _ := f.readiness()
+	f.health.reachedTail = true
+	f.health.gapFrom = 0
+	f.health.gapTo = 0
+	ready, _ := f.readiness()
+	f.mu.Unlock()
+	if ready && !readyBefore {
+		f.options.Observe(Change{Kind: ChangeReady})
+	}
+	signal(f.work)
+}
+
+// gapFound notes records that nobody could give so far.
+func (f *Follower) gapFound(from, to uint64) {
+	f.mu.Lock()
+	isNew := f.health.gapTo != to
+	f.health.gapFrom = from
+	f.health.gapTo = to
+	f.mu.Unlock()
+	if isNew {
+		f.metrics.gaps.Inc(1)
+		f.options.Logger.Warnf("records %d to %d are gone from the log unread", from, to)
+	}
+}
+
+// peersHeard notes the outcome of a round in which all peers were asked.
+func (f *Follower) peersHeard(asked, answered int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.health.peersAsked = asked
+	f.health.peersAnswered = answered
+}
--- /dev/null
+++ b/internal/version/config/operator.go
@@ -0,0 +1,225 @@
+package config
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"time"
+
+	"mustarddoor/internal/connection/platform"
+	"mustarddoor/internal/version/bundle"
+)
+
+// Bounds of what operators may submit.
+const (
+	// MaxStampAhead bounds how far a mark's stamp may lie ahead of the clock of
+	// the host that takes it.
+	MaxStampAhead = time.Minute
+	// MaxReasonBytes bounds the reason of a domain mark.
+	MaxReasonBytes = 1024
+	submitTimeout  = 15 * time.Second
+)
+
+// Operator takes operators' records for the log and tells what became of them.
+// Any host has one.
+type Operator struct {
+	follower *Follower
+}
+
+// NewOperator gives the operators' side of a follower.
+func NewOperator(follower *Follower) *Operator {
+	return &Operator{follower: follower}
+}
+
+// Submit takes a signed record. A publish, approve or roll is appended to the
+// log, and the outcome is told once this host has read it there. A domain mark
+// is in force on this host at once, spreads by the mesh and gets to the log
+// later. A record may be submitted again, at any host: it takes effect at most
+// once.
+func (o *Operator) Submit(ctx context.Context, raw []byte) Outcome {
+	f := o.follower
+	record, err := Open(raw, f.options.Keys)
+	if err != nil {
+		return f.refuseSubmitted(Record{}, refusedOpen(err))
+	}
+	if outcome, found := f.outcomeOf(record.ID); found {
+		return outcome
+	}
+	if record.Role != RoleOperator {
+		return f.refuseSubmitted(record, refused(ReasonRole, "%s", record.Kind))
+	}
+	switch record.Kind {
+	case KindMark:
+		return o.submitMark(record)
+	case KindPublish, KindApprove, KindRoll:
+		return o.submitOrdered(ctx, record)
+	default:
+		return f.refuseSubmitted(record, refused(ReasonSyntax, "kind %q", record.Kind))
+	}
+}
+
+// refuseSubmitted counts and shows a refusal.
+func (f *Follower) refuseSubmitted(record Record, outcome Outcome) Outcome {
+	outcome = describe(record, outcome)
+	f.refuseFromPeer(outcome)
+	return outcome
+}
+
+// describe completes an outcome with what the record says.
+func describe(record Record, outcome Outcome) Outcome {
+	outcome.ID = record.ID
+	outcome.Kind = record.Kind
+	outcome.Signer = record.Signer
+	return outcome
+}
+
+// outcomeOf finds the outcome of a record that stands in the log.
+func (f *Follower) outcomeOf(id string) (Outcome, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	outcome, found := f.outcomes.byID[id]
+	return outcome, found
+}
+
+// submitMark puts a mark in force.
+func (o *Operator) submitMark(record Record) Outcome {
+	f := o.follower
+	mark, outcome, ok := readMark(record)
+	if !ok {
+		return f.refuseSubmitted(record, outcome)
+	}
+	if outcome, ok := f.checkMark(mark); !ok {
+		return f.refuseSubmitted(record, outcome)
+	}
+	isNews := false
+	f.update(func(s *State) { isNews = s.joinMark(mark) })
+	if !isNews && f.currentState().Marks[mark.Domain].ID != mark.ID {
+		return f.refuseSubmitted(record, refused(ReasonOlderMark, "%s", mark.Domain))
+	}
+	detail := "%s is %s on this host; the mesh spreads it, and the log gets it when it is available"
+	return describe(record, accepted(detail, mark.Domain, inOrOut(mark.Out)))
+}
+
+// checkMark checks what only the host that takes a mark can check.
+func (f *Follower) checkMark(mark Mark) (Outcome, bool) {
+	limit := now().Add(MaxStampAhead).UnixMilli()
+	if mark.Stamp.Millis > limit && mark.Stamp.Compare(f.lastStamp()) > 0 {
+		return refused(ReasonStamp, "%d ms", mark.Stamp.Millis), false
+	}
+	if b := f.Current().Bundle; b != nil && !hasDomain(b, mark.Domain) {
+		return refused(ReasonDomain, "%q; the bundle in force has %s", mark.Domain, domainNames(b)), false
+	}
+	return Outcome{}, true
+}
+
+func hasDomain(b *bundle.Bundle, name string) bool {
+	return slices.ContainsFunc(b.Domains, func(d bundle.Domain) bool { return d.Name == name })
+}
+
+func domainNames(b *bundle.Bundle) []string {
+	names := []string{}
+	for _, domain := range b.Domains {
+		names = append(names, domain.Name)
+	}
+	return names
+}
+
+// submitOrdered appends a record and waits until this host has read it.
+func (o *Operator) submitOrdered(ctx context.Context, record Record) Outcome {
+	f := o.follower
+	if outcome, ok := checkOrdered(record); !ok {
+		return f.refuseSubmitted(record, outcome)
+	}
+	ctx, cancel := context.WithTimeout(ctx, submitTimeout)
+	defer cancel()
+	read := f.await(record.ID)
+	defer f.forget(record.ID, read)
+	offset, err := f.options.Log.Append(ctx, platform.Batch{
+		Stream:  platform.StreamConfig,
+		Records: []platform.AppendRecord{{ID: record.ID, Data: record.Raw}},
+	})
+	if err != nil {
+		f.metrics.appendFail.Inc(1)
+		return describe(record, failedAppend(err))
+	}
+	f.metrics.appended.Inc(1)
+	select {
+	case outcome := <-read:
+		return outcome
+	case <-ctx.Done():
+		detail := fmt.Sprintf("appended at offset %d, but this host has not read it yet", offset)
+		return describe(record, Outcome{Result: ResultUncertain, Detail: detail, Offset: offset})
+	}
+}
+
+// checkOrdered refuses a record that no host would accept, before it takes
+// room in the log.
+func checkOrdered(record Record) (Outcome, bool) {
+	if record.Kind != KindPublish {
+		return Outcome{}, true
+	}
+	var body PublishBody
+	if err := decoding.Unmarshal(record.Body, &body); err != nil {
+		return refused(ReasonSyntax, "%v", err), false
+	}
+	if _, err := readBundle(body.Schema, body.Name, body.Digest, body.Content); err != nil {
+		return refused(ReasonBundle, "%v", err), false
+	}
+	return Outcome{}, true
+}
+
+// failedAppend tells whether a record that was not acknowledged may stand in
+// the log.
+func failedAppend(err error) Outcome {
+	outcome := Outcome{Result: ResultUnavailable, Detail: err.Error()}
+	if errors.Is(err, platform.ErrUncertain) {
+		outcome.Result = ResultUncertain
+	}
+	return outcome
+}
+
+// await gives a channel that gets the outcome of a record once it was read.
+func (f *Follower) await(id string) chan Outcome {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	waiter := make(chan Outcome, 1)
+	f.waiters[id] = append(f.waiters[id], waiter)
+	return waiter
+}
+
+// forget ends the wait for an outcome.
+func (f *Follower) forget(id string, waiter chan Outcome) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	rest := slices.DeleteFunc(f.waiters[id], func(other chan Outcome) bool { return other == waiter })
+	f.waiters[id] = rest
+	if len(rest) == 0 {
+		delete(f.waiters, id)
+	}
+}
+
+// lastStamp gives the latest stamp that this host has issued or seen.
+func (f *Follower) lastStamp() Stamp {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.lastStampLocked()
+}
+
+func (f *Follower) lastStampLocked() Stamp {
+	last := f.stamp
+	for _, mark := range f.state.Marks {
+		if mark.Stamp.Compare(last) > 0 {
+			last = mark.Stamp
+		}
+	}
+	return last
+}
+
+// issueStamp gives a stamp that is later than all that this host has seen.
+func (f *Follower) issueStamp() Stamp {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.stamp = f.lastStampLocked().next(now().UnixMilli(), f.options.Host)
+	return f.stamp
+}
--- /dev/null
+++ b/internal/version/config/outcome.go
@@ -0,0 +1,97 @@
+package config
+
+// Result is what became of a record.
+type Result string
+
+// The results.
+const (
+	// ResultAccepted is a record that took effect.
+	ResultAccepted Result = "accepted"
+	// ResultLostRace is a record that is based on a version that is no longer
+	// the newest.
+	ResultLostRace Result = "lost race"
+	// ResultRefused is a record that breaks a rule; see Reason.
+	ResultRefused Result = "refused"
+	// ResultUnknown is a record of a kind or schema that this release does not
+	// know. It is kept.
+	ResultUnknown Result = "unknown kind"
+	// ResultSkipped is a record that does not follow the state's offset: it
+	// was applied before, or records before it are missing.
+	ResultSkipped Result = "skipped"
+	// ResultUnavailable is a record that surely did not reach the log.
+	ResultUnavailable Result = "unavailable"
+	// ResultUncertain is a record that may stand in the log. It can be
+	// submitted again as it is: it takes effect at most once.
+	ResultUncertain Result = "uncertain"
+)
+
+// Reason is the rule that a refused record breaks.
+type Reason string
+
+// The reasons.
+const (
+	ReasonNone        Reason = ""
+	ReasonSyntax      Reason = "not a record"
+	ReasonSigner      Reason = "unknown signer"
+	ReasonSignature   Reason = "wrong signature"
+	ReasonRole        Reason = "signer may not write this kind"
+	ReasonReplay      Reason = "replayed: an earlier sequence of its signer"
+	ReasonBundle      Reason = "invalid bundle"
+	ReasonName        Reason = "name is taken"
+	ReasonDigest      Reason = "digest is not the version's"
+	ReasonSelf        Reason = "approver is the publisher"
+	ReasonApproved    Reason = "already approved"
+	ReasonNotApproved Reason = "not approved"
+	ReasonInForce     Reason = "already in force"
+	ReasonDomain      Reason = "no such failure domain"
+	ReasonStamp       Reason = "stamp lies ahead of this host's clock"
+	ReasonOlderMark   Reason = "a later mark of the domain is in force"
+	ReasonSnapshot    Reason = "snapshot is of a later offset than its own"
+)
+
+// Outcome tells an operator what became of a record.
+type Outcome struct {
+	Result Result `json:"result"`
+	Reason Reason `json:"reason,omitempty"`
+	// Detail says more, for people.
+	Detail string `json:"detail,omitempty"`
+	// Offset is where the record stands in the log; zero if it does not.
+	Offset uint64 `json:"offset,omitempty"`
+	ID     string `json:"id,omitempty"`
+	Kind   Kind   `json:"kind,omitempty"`
+	Signer string `json:"signer,omitempty"`
+	// Winner is, for a lost race, the newest version.
+	Winner *VersionInfo `json:"winner,omitempty"`
+}
+
+// VersionInfo tells of a version what operators want to see.
+type VersionInfo struct {
+	Version   uint64 `json:"version"`
+	Name      string `json:"name"`
+	Digest    string `json:"digest"`
+	Publisher string `json:"publisher"`
+	Approver  string `json:"approver,omitempty"`
+	Roller    string `json:"roller,omitempty"`
+	// RolledMillis is when it was rolled by the log's clock, Unix
+	// milliseconds.
+	RolledMillis int64 `json:"rolled_ms,omitempty"`
+	// Understood tells whether this host's release knows its schema.
+	Understood bool `json:"understood"`
+}
+
+// Info describes the version; nil stays nil.
+func (v *Version) Info() *VersionInfo {
+	if v == nil {
+		return nil
+	}
+	return &VersionInfo{
+		Version:      v.Offset,
+		Name:         v.Name,
+		Digest:       v.Digest,
+		Publisher:    v.Publisher,
+		Approver:     v.Approver,
+		Roller:       v.Roller,
+		RolledMillis: v.RolledMillis,
+		Understood:   v.bundle != nil,
+	}
+}
--- /dev/null
+++ b/internal/version/config/peers.go
@@ -0,0 +1,321 @@
+package config
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"golang.org/x/sync/errgroup"
+
+	"mustarddoor/internal/connection/mesh"
+	"mustarddoor/internal/process/identity"
+)
+
+// Kinds of mesh messages.
+const (
+	kindPull mesh.Kind = "config.pull"
+	kindPush mesh.Kind = "config.push"
+)
+
+// Times and sizes of the exchange with peers.
+const (
+	pullTimeout       = time.Second
+	pushTimeout       = time.Second
+	calmPullInterval  = 5 * time.Second
+	needyPullInterval = 500 * time.Millisecond
+	// maxPullPeers bounds the peers asked in one round.
+	maxPullPeers = 16
+	// maxPushPeers bounds the peers that hear of a change at once; the rest
+	// hear of it from them or by their own pulls.
+	maxPushPeers     = 8
+	parallelMessages = 8
+)
+
+// errNoAnswer is returned by a pull that a peer did not answer.
+var errNoAnswer = errors.New("no answer")
+
+// pullRequest asks a peer for what the sender does not have.
+type pullRequest struct {
+	Offset uint64 `cbor:"1,keyasint"`
+	// Joins is the digest of the sender's marks and moves.
+	Joins uint64 `cbor:"2,keyasint"`
+	// NeedsState tells that the sender cannot go on by the log alone.
+	NeedsState bool `cbor:"3,keyasint"`
+}
+
+// pullReply is what the receiver has.
+type pullReply struct {
+	// Snapshot is a snapshot record; empty if it would be no news.
+	Snapshot []byte `cbor:"1,keyasint"`
+	Delta    delta  `cbor:"2,keyasint"`
+}
+
+// delta holds marks, as signed records, and moves.
+type delta struct {
+	Marks [][]byte   `cbor:"1,keyasint,omitempty"`
+	Moves []moveWire `cbor:"2,keyasint,omitempty"`
+}
+
+// pushReply is empty.
+type pushReply struct{}
+
+// unsent holds what peers have not heard of yet.
+type unsent struct {
+	marks map[string]bool
+	moves map[MoveID]bool
+}
+
+func newUnsent() unsent {
+	return unsent{marks: map[string]bool{}, moves: map[MoveID]bool{}}
+}
+
+func (u unsent) isEmpty() bool { return len(u.marks) == 0 && len(u.moves) == 0 }
+
+// Register registers the handlers of the follower's mesh messages.
+func (f *Follower) Register(router mesh.Router) {
+	router.Handle(kindPull, f.handlePull)
+	router.Handle(kindPush, f.handlePush)
+}
+
+func (f *Follower) handlePull(_ context.Context, _ identity.Incarnation, body cbor.RawMessage) (any, error) {
+	var request pullRequest
+	if err := decoding.Unmarshal(body, &request); err != nil {
+		return nil, err
+	}
+	state := f.currentState()
+	reply := pullReply{}
+	if request.NeedsState && state.Log.Offset > request.Offset {
+		signer := f.options.Keys.host(f.options.Host)
+		reply.Snapshot = state.encodeSnapshot(signer, f.nextSequence()).Raw
+	} else if state.joinDigest() != request.Joins {
+		reply.Delta = state.delta()
+	}
+	return reply, nil
+}
+
+func (f *Follower) handlePush(_ context.Context, _ identity.Incarnation, body cbor.RawMessage) (any, error) {
+	var news delta
+	if err := decoding.Unmarshal(body, &news); err != nil {
+		return nil, err
+	}
+	f.mergeDelta(news)
+	return pushReply{}, nil
+}
+
+// delta gives all marks and moves of the state.
+func (s State) delta() delta {
+	d := delta{Moves: moveWires(s.Moves)}
+	for _, mark := range s.Marks {
+		d.Marks = append(d.Marks, mark.Raw)
+	}
+	return d
+}
+
+// mergeDelta takes in marks whose signature is right, and moves.
+func (f *Follower) mergeDelta(news delta) {
+	marks := f.openMarks(news.Marks)
+	if len(marks) == 0 && len(news.Moves) == 0 {
+		return
+	}
+	f.update(func(s *State) {
+		for _, mark := range marks {
+			s.joinMark(mark)
+		}
+		for _, move := range news.Moves {
+			s.joinMove(move.ID, move.State)
+		}
+	})
+}
+
+// openMarks checks the signatures of marks that a peer has sent. Marks that
+// this host has need no check.
+func (f *Follower) openMarks(raws [][]byte) []Mark {
+	state := f.currentState()
+	marks := []Mark{}
+	for _, raw := range raws {
+		if state.hasMark(raw) {
+			continue
+		}
+		record, err := Open(raw, f.options.Keys)
+		if err != nil {
+			f.refuseFromPeer(refusedOpen(err))
+			continue
+		}
+		mark, outcome, ok := readMark(record)
+		if !ok {
+			f.refuseFromPeer(outcome)
+			continue
+		}
+		marks = append(marks, mark)
+	}
+	return marks
+}
+
+// hasMark reports whether the state holds the very record.
+func (s State) hasMark(raw []byte) bool {
+	record, err := openUnchecked(raw)
+	if err != nil {
+		return false
+	}
+	mark, _, ok := readMark(record)
+	return ok && mark.compare(s.Marks[mark.Domain]) == 0
+}
+
+// refuseFromPeer counts and shows a record that a peer should not have sent.
+func (f *Follower) refuseFromPeer(outcome Outcome) {
+	f.mu.Lock()
+	f.metrics.count(outcome)
+	f.outcomes.add(outcome)
+	f.mu.Unlock()
+	f.options.Observe(Change{Kind: ChangeRefused, Outcome: outcome})
+}
+
+// exchange pulls from one peer at a time until the context ends.
+func (f *Follower) exchange(ctx context.Context) error {
+	for ctx.Err() == nil {
+		if peers := pick(f.options.Peers(), 1); len(peers) == 1 {
+			_ = f.pull(ctx, peers[0])
+		}
+		interval := f.pullInterval()
+		pause(ctx, interval/2+rand.N(interval))
+	}
+	return nil
+}
+
+// pullInterval is the mean time between two pulls.
+func (f *Follower) pullInterval() time.Duration {
+	if f.needsState() {
+		return needyPullInterval
+	}
+	return calmPullInterval
+}
+
+// needsState reports whether the log alone does not bring the host up to date.
+func (f *Follower) needsState() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	h := f.health
+	return h.isLogDown() || h.gapTo != 0 || !h.reachedTail
+}
+
+// pullAll asks several peers at once and notes how many answered.
+func (f *Follower) pullAll(ctx context.Context) {
+	peers := pick(f.options.Peers(), maxPullPeers)
+	answers := make(chan bool, len(peers))
+	var group errgroup.Group
+	group.SetLimit(parallelMessages)
+	for _, peer := range peers {
+		group.Go(func() error {
+			answers <- f.pullState(ctx, peer, true) == nil
+			return nil
+		})
+	}
+	_ = group.Wait()
+	close(answers)
+	answered := 0
+	for ok := range answers {
+		if ok {
+			answered++
+		}
+	}
+	f.peersHeard(len(peers), answered)
+}
+
+// pull asks one peer for what this host does not have.
+func (f *Follower) pull(ctx context.Context, peer string) error {
+	return f.pullState(ctx, peer, f.needsState())
+}
+
+func (f *Follower) pullState(ctx context.Context, peer string, needsState bool) error {
+	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
+	defer cancel()
+	state := f.currentState()
+	request := pullRequest{Offset: state.Log.Offset, Joins: state.joinDigest(), NeedsState: needsState}
+	var reply pullReply
+	if err := f.options.Caller.Call(ctx, peer, kindPull, request, &reply); err != nil {
+		f.metrics.pullErrors.Inc(1)
+		return errNoAnswer
+	}
+	f.metrics.pulls.Inc(1)
+	f.mergeDelta(reply.Delta)
+	f.mergeSnapshot(reply.Snapshot)
+	return nil
+}
+
+// mergeSnapshot takes in a peer's snapshot if its signature is right.
+func (f *Follower) mergeSnapshot(raw []byte) {
+	if len(raw) == 0 {
+		return
+	}
+	record, err := Open(raw, f.options.Keys)
+	if err != nil {
+		f.refuseFromPeer(refusedOpen(err))
+		return
+	}
+	snapshot, outcome, ok := readSnapshot(record)
+	if !ok {
+		f.refuseFromPeer(outcome)
+		return
+	}
+	f.merge(snapshot)
+}
+
+// spread tells peers of changes until the context ends.
+func (f *Follower) spread(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-f.news:
+			f.push(ctx, f.takeUnsent())
+		}
+	}
+}
+
+// takeUnsent gives what peers have not heard of.
+func (f *Follower) takeUnsent() delta {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	news := delta{}
+	for domain := range f.unsent.marks {
+		news.Marks = append(news.Marks, f.state.Marks[domain].Raw)
+	}
+	for id := range f.unsent.moves {
+		if state, found := f.state.Moves[id]; found {
+			news.Moves = append(news.Moves, moveWire{ID: id, State: state})
+		}
+	}
+	f.unsent = newUnsent()
+	return news
+}
+
+// push sends news to some peers at once. A peer that does not hear of them now
+// does by its own pulls.
+func (f *Follower) push(ctx context.Context, news delta) {
+	if len(news.Marks) == 0 && len(news.Moves) == 0 {
+		return
+	}
+	var group errgroup.Group
+	group.SetLimit(parallelMessages)
+	for _, peer := range pick(f.options.Peers(), maxPushPeers) {
+		group.Go(func() error {
+			ctx, cancel := context.WithTimeout(ctx, pushTimeout)
+			defer cancel()
+			var reply pushReply
+			if err := f.options.Caller.Call(ctx, peer, kindPush, news, &reply); err != nil {
+				f.metrics.pushErrors.Inc(1)
+			}
+			return nil
+		})
+	}
+	_ = group.Wait()
+}
+
+// pick gives some peers at random.
+func pick(peers []string, count int) []string {
+	picked := append([]string(nil), peers...)
+	rand.Shuffle(len(picked), func(i, j int) { picked[i], picked[j] = picked[j], picked[i] })
+	return picked[:min(count, len(picked))]
+}
--- /dev/null
+++ b/internal/version/config/record.go
@@ -0,0 +1,232 @@
+package config
+
+import (
+	"crypto/ed25519"
+	"crypto/rand"
+	"encoding/hex"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/rotisserie/eris"
+)
+
+// RecordSchema is the schema version of the records that this release writes.
+const RecordSchema = 1
+
+// MaxRecordBytes bounds a record.
+const MaxRecordBytes = 8 << 20
+
+// signaturePrefix separates signatures over records from other uses of a key.
+const signaturePrefix = "mustarddoor config record v1\n"
+
+const recordIDBytes = 16
+
+// Errors of opening a record.
+var (
+	ErrRecord        = eris.New("not a record")
+	ErrUnknownSigner = eris.New("record of an unknown signer")
+	ErrSignature     = eris.New("record with a wrong signature")
+)
+
+// Kind names a type of record.
+type Kind string
+
+// The kinds of records.
+const (
+	KindPublish  Kind = "publish"
+	KindApprove  Kind = "approve"
+	KindRoll     Kind = "roll"
+	KindMark     Kind = "domain-mark"
+	KindVerdict  Kind = "verdict"
+	KindSnapshot Kind = "snapshot"
+)
+
+// Role tells whose key signs a record.
+type Role uint8
+
+// The roles of signers.
+const (
+	RoleOperator Role = 1
+	RoleHost     Role = 2
+)
+
+// Header is what all kinds of records have.
+type Header struct {
+	// Schema is the schema version of the body.
+	Schema int    `cbor:"1,keyasint"`
+	Kind   Kind   `cbor:"2,keyasint"`
+	ID     string `cbor:"3,keyasint"`
+	// Signer is the operator's or host's name.
+	Signer string `cbor:"4,keyasint"`
+	Role   Role   `cbor:"5,keyasint"`
+	// Sequence grows with every record of a signer.
+	Sequence uint64 `cbor:"6,keyasint"`
+}
+
+// Record is a record whose signature was checked.
+type Record struct {
+	Header
+	// Body is the CBOR encoding of the kind's body.
+	Body cbor.RawMessage
+	// Raw is the signed record as it stands in the log.
+	Raw []byte
+}
+
+// payload is the part of a record that is signed.
+type payload struct {
+	Header
+	Body cbor.RawMessage `cbor:"7,keyasint"`
+}
+
+// envelope is a payload with its signature.
+type envelope struct {
+	Payload   []byte `cbor:"1,keyasint"`
+	Signature []byte `cbor:"2,keyasint"`
+}
+
+// PublishBody offers a bundle.
+type PublishBody struct {
+	// Base is the version that was the newest when the operator wrote the
+	// bundle; zero if there was none.
+	Base uint64 `cbor:"1,keyasint"`
+	// Schema is the bundle's schema version.
+	Schema int    `cbor:"2,keyasint"`
+	Name   string `cbor:"3,keyasint"`
+	Digest string `cbor:"4,keyasint"`
+	// Content is the bundle's canonical content, compressed.
+	Content []byte `cbor:"5,keyasint"`
+	// Restart accepts the bundle whatever its base is. It is for a log that
+	// has lost records which no host has read.
+	Restart bool `cbor:"6,keyasint,omitempty"`
+}
+
+// ApproveBody approves a version.
+type ApproveBody struct {
+	Version uint64 `cbor:"1,keyasint"`
+	Digest  string `cbor:"2,keyasint"`
+}
+
+// RollBody puts a version in force.
+type RollBody struct {
+	Version uint64 `cbor:"1,keyasint"`
+	Digest  string `cbor:"2,keyasint"`
+}
+
+// MarkBody takes a failure domain out of service or back in.
+type MarkBody struct {
+	Domain string `cbor:"1,keyasint"`
+	Out    bool   `cbor:"2,keyasint"`
+	Reason string `cbor:"3,keyasint"`
+	Stamp  Stamp  `cbor:"4,keyasint"`
+}
+
+// VerdictBody tells how a version move ended.
+type VerdictBody struct {
+	Move  MoveID    `cbor:"1,keyasint"`
+	State MoveState `cbor:"2,keyasint"`
+}
+
+// SnapshotBody carries a host's state.
+type SnapshotBody struct {
+	State stateWire `cbor:"1,keyasint"`
+}
+
+var (
+	encoding = mustEncoding()
+	decoding = mustDecoding()
+)
+
+// mustEncoding gives an encoding in which equal values have equal bytes.
+func mustEncoding() cbor.EncMode {
+	mode, err := cbor.CoreDetEncOptions().EncMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
+
+func mustDecoding() cbor.DecMode {
+	options := cbor.DecOptions{
+		DupMapKey:   cbor.DupMapKeyEnforcedAPF,
+		IndefLength: cbor.IndefLengthForbidden,
+	}
+	mode, err := options.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
+
+// mustEncode encodes a value of the package's own types.
+func mustEncode(value any) []byte {
+	data, err := encoding.Marshal(value)
+	if err != nil {
+		panic(err)
+	}
+	return data
+}
+
+// sign makes a record. The sequence must be greater than that of any record
+// that the signer signed before.
+func (s *Signer) sign(kind Kind, sequence uint64, body any) Record {
+	header := Header{
+		Schema:   RecordSchema,
+		Kind:     kind,
+		ID:       newRecordID(),
+		Signer:   s.name,
+		Role:     s.role,
+		Sequence: sequence,
+	}
+	encoded := mustEncode(body)
+	signed := mustEncode(payload{Header: header, Body: encoded})
+	signature := ed25519.Sign(s.key, append([]byte(signaturePrefix), signed...))
+	raw := mustEncode(envelope{Payload: signed, Signature: signature})
+	return Record{Header: header, Body: encoded, Raw: raw}
+}
+
+func newRecordID() string {
+	id := make([]byte, recordIDBytes)
+	if _, err := rand.Read(id); err != nil {
+		panic(err)
+	}
+	return hex.EncodeToString(id)
+}
+
+// Open checks a record's signature. It fails with ErrRecord, ErrUnknownSigner
+// or ErrSignature.
+func Open(raw []byte, keys *Keyring) (Record, error) {
+	sealed, record, err := split(raw)
+	if err != nil {
+		return Record{}, err
+	}
+	key := keys.publicKey(record.Role, record.Signer)
+	if key == nil {
+		return Record{}, eris.Wrapf(ErrUnknownSigner, "%q", record.Signer)
+	}
+	message := append([]byte(signaturePrefix), sealed.Payload...)
+	if !ed25519.Verify(key, message, sealed.Signature) {
+		return Record{}, eris.Wrapf(ErrSignature, "of %q", record.Signer)
+	}
+	return record, nil
+}
+
+// openUnchecked reads a record whose signature another host has checked.
+func openUnchecked(raw []byte) (Record, error) {
+	_, record, err := split(raw)
+	return record, err
+}
+
+// split decodes a record without a look at its signature.
+func split(raw []byte) (envelope, Record, error) {
+	var sealed envelope
+	if len(raw) > MaxRecordBytes {
+		return envelope{}, Record{}, eris.Wrapf(ErrRecord, "%d bytes", len(raw))
+	}
+	if err := decoding.Unmarshal(raw, &sealed); err != nil {
+		return envelope{}, Record{}, eris.Wrap(ErrRecord, err.Error())
+	}
+	var signed payload
+	if err := decoding.Unmarshal(sealed.Payload, &signed); err != nil {
+		return envelope{}, Record{}, eris.Wrap(ErrRecord, err.Error())
+	}
+	return sealed, Record{Header: signed.Header, Body: signed.Body, Raw: raw}, nil
+}
--- /dev/null
+++ b/internal/version/config/ring.go
@@ -0,0 +1,43 @@
+package config
+
+// Bounds of the outcomes that a follower remembers.
+const (
+	maxOutcomes = 512
+	maxRefused  = 32
+)
+
+// outcomeRing remembers the outcomes of recent records by id.
+type outcomeRing struct {
+	byID  map[string]Outcome
+	order []string
+	// refused holds the recent records that were not accepted.
+	refused []Outcome
+}
+
+func newOutcomeRing() outcomeRing {
+	return outcomeRing{byID: map[string]Outcome{}}
+}
+
+// add remembers an outcome and reports whether it is the first of its id from
+// the log: a record that stands there twice has the outcome of its first copy.
+func (r *outcomeRing) add(outcome Outcome) bool {
+	if outcome.Result != ResultAccepted {
+		r.refused = append(r.refused, outcome)
+		if len(r.refused) > maxRefused {
+			r.refused = r.refused[1:]
+		}
+	}
+	if outcome.ID == "" || outcome.Offset == 0 {
+		return false
+	}
+	if _, found := r.byID[outcome.ID]; found {
+		return false
+	}
+	r.byID[outcome.ID] = outcome
+	r.order = append(r.order, outcome.ID)
+	if len(r.order) > maxOutcomes {
+		delete(r.byID, r.order[0])
+		r.order = r.order[1:]
+	}
+	return true
+}
--- /dev/null
+++ b/internal/version/config/snapshot.go
@@ -0,0 +1,193 @@
+package config
+
+import (
+	"maps"
+	"slices"
+	"strings"
+
+	"github.com/rotisserie/eris"
+)
+
+// stateWire is the encoding of a State. Its lists are sorted, so that equal
+// states have equal bytes.
+type stateWire struct {
+	Offset         uint64              `cbor:"1,keyasint"`
+	Head           *Version            `cbor:"2,keyasint"`
+	Names          []string            `cbor:"3,keyasint"`
+	Sequences      map[string]uint64   `cbor:"4,keyasint"`
+	SequenceFloor  uint64              `cbor:"5,keyasint"`
+	LogMoves       []MoveID            `cbor:"6,keyasint"`
+	LogMarks       map[string]Stamp    `cbor:"7,keyasint"`
+	Verdicts       []moveWire          `cbor:"8,keyasint"`
+	Snapshot       uint64              `cbor:"9,keyasint"`
+	SnapshotMillis int64               `cbor:"10,keyasint"`
+	Unknown        []UnknownRecord     `cbor:"11,keyasint"`
+	UnknownCount   uint64              `cbor:"12,keyasint"`
+	InForce        *Version            `cbor:"13,keyasint"`
+	Marks          map[string]markWire `cbor:"14,keyasint"`
+	Moves          []moveWire          `cbor:"15,keyasint"`
+	// HeadInForce tells that the newest version is in force; InForce is then
+	// left out.
+	HeadInForce bool `cbor:"16,keyasint"`
+}
+
+// markWire is the encoding of a Mark: its signed record, which the receiver
+// reads again.
+type markWire struct {
+	Raw []byte `cbor:"1,keyasint"`
+}
+
+// moveWire is the encoding of a move with its state.
+type moveWire struct {
+	ID    MoveID    `cbor:"1,keyasint"`
+	State MoveState `cbor:"2,keyasint"`
+}
+
+// wire gives the state's encoding.
+func (s State) wire() stateWire {
+	log := s.Log
+	wire := stateWire{
+		Offset:         log.Offset,
+		Head:           log.Head,
+		Names:          log.Names,
+		Sequences:      log.Sequences,
+		SequenceFloor:  log.SequenceFloor,
+		LogMoves:       log.Moves,
+		LogMarks:       log.Marks,
+		Verdicts:       moveWires(log.Verdicts),
+		Snapshot:       log.Snapshot,
+		SnapshotMillis: log.SnapshotMillis,
+		Unknown:        log.Unknown,
+		UnknownCount:   log.UnknownCount,
+		InForce:        s.InForce,
+		Marks:          map[string]markWire{},
+		Moves:          moveWires(s.Moves),
+	}
+	for domain, mark := range s.Marks {
+		wire.Marks[domain] = markWire{Raw: mark.Raw}
+	}
+	if log.Head != nil && s.InForce != nil && log.Head.Offset == s.InForce.Offset {
+		wire.HeadInForce = true
+		wire.InForce = nil
+	}
+	return wire
+}
+
+// moveWires lists moves in the order of their ids.
+func moveWires(moves map[MoveID]MoveState) []moveWire {
+	wires := []moveWire{}
+	for _, id := range slices.SortedFunc(maps.Keys(moves), compareMoveIDs) {
+		wires = append(wires, moveWire{ID: id, State: moves[id]})
+	}
+	return wires
+}
+
+// state gives the state that the encoding holds.
+func (w stateWire) state() (State, error) {
+	state := State{
+		Log: LogState{
+			Offset:         w.Offset,
+			Head:           w.Head,
+			Names:          w.Names,
+			Sequences:      w.Sequences,
+			SequenceFloor:  w.SequenceFloor,
+			Moves:          w.LogMoves,
+			Marks:          w.LogMarks,
+			Verdicts:       map[MoveID]MoveState{},
+			Snapshot:       w.Snapshot,
+			SnapshotMillis: w.SnapshotMillis,
+			Unknown:        w.Unknown,
+			UnknownCount:   w.UnknownCount,
+		},
+		InForce: w.InForce,
+	}
+	state = state.clone()
+	if err := state.readBundles(w.HeadInForce); err != nil {
+		return State{}, err
+	}
+	for _, move := range w.Verdicts {
+		state.Log.Verdicts[move.ID] = move.State
+	}
+	for _, move := range w.Moves {
+		state.joinMove(move.ID, move.State)
+	}
+	for _, wire := range w.Marks {
+		if err := state.readMarkWire(wire); err != nil {
+			return State{}, err
+		}
+	}
+	return state, nil
+}
+
+// readBundles checks the bundles of the versions.
+func (s *State) readBundles(headInForce bool) error {
+	if headInForce {
+		s.InForce = s.Log.Head
+	}
+	if err := s.Log.Head.readBundle(); err != nil {
+		return err
+	}
+	if s.InForce == s.Log.Head {
+		return nil
+	}
+	return s.InForce.readBundle()
+}
+
+// readBundle checks and decodes a version's bundle.
+func (v *Version) readBundle() error {
+	if v == nil {
+		return nil
+	}
+	parsed, err := readBundle(v.Schema, v.Name, v.Digest, v.Content)
+	if err != nil {
+		return err
+	}
+	v.bundle = parsed
+	return nil
+}
+
+// readMarkWire takes in a mark of a snapshot. The host that signed the
+// snapshot has checked the operator's signature.
+func (s *State) readMarkWire(wire markWire) error {
+	record, err := openUnchecked(wire.Raw)
+	if err != nil {
+		return err
+	}
+	mark, outcome, ok := readMark(record)
+	if !ok {
+		return eris.Wrapf(ErrRecord, "mark in a snapshot: %s", outcome.Detail)
+	}
+	s.joinMark(mark)
+	return nil
+}
+
+// encodeSnapshot makes a snapshot record of the state.
+func (s State) encodeSnapshot(signer *Signer, sequence uint64) Record {
+	return signer.sign(KindSnapshot, sequence, SnapshotBody{State: s.wire()})
+}
+
+// readSnapshot decodes a snapshot record.
+func readSnapshot(record Record) (State, Outcome, bool) {
+	if record.Kind != KindSnapshot || record.Role != RoleHost {
+		return State{}, refused(ReasonRole, "%s", record.Kind), false
+	}
+	var body SnapshotBody
+	if err := decoding.Unmarshal(record.Body, &body); err != nil {
+		return State{}, refused(ReasonSyntax, "%s: %v", record.Kind, err), false
+	}
+	state, err := body.State.state()
+	if err != nil {
+		return State{}, refused(ReasonSyntax, "%s: %v", record.Kind, err), false
+	}
+	return state, Outcome{}, true
+}
+
+// joinDigest tells whether two hosts have the same marks and moves.
+func (s State) joinDigest() uint64 {
+	var text strings.Builder
+	for _, domain := range slices.Sorted(maps.Keys(s.Marks)) {
+		text.WriteString(s.Marks[domain].ID)
+	}
+	text.Write(mustEncode(moveWires(s.Moves)))
+	return digest64(text.String())
+}
--- /dev/null
+++ b/internal/version/config/supply.go
@@ -0,0 +1,146 @@
+package config
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"mustarddoor/internal/connection/platform"
+)
+
+// Times of what hosts append themselves.
+const (
+	supplyInterval = 250 * time.Millisecond
+	supplyTimeout  = 10 * time.Second
+	supplyRetry    = time.Second
+	// staggerSpan is the time over which hosts spread appends that any of them
+	// may do.
+	staggerSpan = 2 * time.Second
+	// Snapshots are due at a fraction of the log's retention, at a time that
+	// differs by host within the next fraction.
+	snapshotAge    = 0.4
+	snapshotSpread = 0.2
+)
+
+// supplyItem is a record that the log does not have yet.
+type supplyItem struct {
+	record Record
+	due    time.Time
+	// since is where the record may stand in the log after an append; zero
+	// before the first.
+	since uint64
+}
+
+// supply appends what the log lacks until the context ends.
+func (f *Follower) supply(ctx context.Context) error {
+	items := map[string]*supplyItem{}
+	for {
+		timer := time.NewTimer(supplyInterval)
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return nil
+		case <-f.work:
+			timer.Stop()
+		case <-timer.C:
+		}
+		f.supplyOnce(ctx, items)
+	}
+}
+
+// supplyOnce appends what is due.
+func (f *Follower) supplyOnce(ctx context.Context, items map[string]*supplyItem) {
+	state, ready := f.supplyState()
+	if !ready {
+		return
+	}
+	f.plan(state, items)
+	for key, item := range items {
+		if now().Before(item.due) {
+			continue
+		}
+		if f.append(ctx, item) {
+			delete(items, key)
+		}
+	}
+}
+
+// supplyState gives the state, and whether it is up to date with the log.
+func (f *Follower) supplyState() (State, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	h := f.health
+	return f.state, h.reachedTail && !h.isLogDown() && h.gapTo == 0
+}
+
+// plan adds the records that the log lacks and drops those that it has.
+func (f *Follower) plan(state State, items map[string]*supplyItem) {
+	wanted := map[string]bool{}
+	for _, mark := range state.unloggedMarks() {
+		key := "mark " + mark.ID
+		wanted[key] = true
+		if items[key] == nil {
+			record := Record{Header: Header{ID: mark.ID}, Raw: mark.Raw}
+			items[key] = &supplyItem{record: record, due: now().Add(f.stagger(key, mark.Stamp.Host))}
+		}
+	}
+	for _, move := range state.unloggedVerdicts() {
+		key := move.key()
+		wanted[key] = true
+		if items[key] == nil {
+			record := f.options.Keys.host(f.options.Host).sign(KindVerdict, f.nextSequence(),
+				VerdictBody{Move: move.ID, State: move.State})
+			items[key] = &supplyItem{record: record, due: now().Add(f.stagger(key, ""))}
+		}
+	}
+	for key := range items {
+		if !wanted[key] {
+			delete(items, key)
+		}
+	}
+	f.planSnapshot(state, items)
+}
+
+// planSnapshot adds a snapshot if it is due.
+func (f *Follower) planSnapshot(state State, items map[string]*supplyItem) {
+	if state.Log.Head == nil && len(state.Marks) == 0 {
+		return
+	}
+	if now().Before(f.snapshotDue(state.Log)) {
+		return
+	}
+	record := state.encodeSnapshot(f.options.Keys.host(f.options.Host), f.nextSequence())
+	items["snapshot"] = &supplyItem{record: record, due: now()}
+}
+
+// stagger is how long this host leaves an append to others. The host that
+// issued a mark's stamp does not wait.
+func (f *Follower) stagger(key, issuer string) time.Duration {
+	if issuer == f.options.Host {
+		return 0
+	}
+	return hostShare(f.options.Host, digest64(key), staggerSpan)
+}
+
+// append appends an item and reports whether it is off the list.
+func (f *Follower) append(ctx context.Context, item *supplyItem) bool {
+	ctx, cancel := context.WithTimeout(ctx, supplyTimeout)
+	defer cancel()
+	offset, err := f.options.Log.Append(ctx, platform.Batch{
+		Stream:  platform.StreamConfig,
+		Records: []platform.AppendRecord{{ID: item.record.ID, Data: item.record.Raw}},
+		Since:   item.since,
+	})
+	item.due = now().Add(supplyRetry)
+	if err == nil {
+		f.metrics.appended.Inc(1)
+		item.since = offset
+		return item.record.Kind == KindSnapshot
+	}
+	f.metrics.appendFail.Inc(1)
+	var uncertain *platform.UncertainError
+	if errors.As(err, &uncertain) {
+		item.since = uncertain.Since
+	}
+	return item.record.Kind == KindSnapshot
+}
--- /dev/null
+++ b/internal/version/config/unlogged.go
@@ -0,0 +1,37 @@
+package config
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+)
+
+// key names a move and its verdict.
+func (m moveWire) key() string {
+	return fmt.Sprintf("verdict %d %s %s %s %d", m.ID.Since, m.ID.Service, m.ID.From, m.ID.To, m.State.Verdict)
+}
+
+// unloggedMarks gives the marks that do not stand in the log.
+func (s State) unloggedMarks() []Mark {
+	marks := []Mark{}
+	for _, domain := range slices.Sorted(maps.Keys(s.Marks)) {
+		mark := s.Marks[domain]
+		if s.Log.Marks[domain].Compare(mark.Stamp) < 0 {
+			marks = append(marks, mark)
+		}
+	}
+	return marks
+}
+
+// unloggedVerdicts gives the verdicts on moves under way that do not stand in
+// the log.
+func (s State) unloggedVerdicts() []moveWire {
+	verdicts := []moveWire{}
+	for _, id := range s.Log.Moves {
+		move := s.Moves[id]
+		if move.Verdict > s.Log.Verdicts[id].Verdict {
+			verdicts = append(verdicts, moveWire{ID: id, State: move})
+		}
+	}
+	return verdicts
+}
