--- /dev/null
+++ b/cmd/standin/main.go
@@ -0,0 +1,10 @@
+// Command standin plays the parts around a fleet in tests.
+package main
+
+import (
+	"os"
+
+	"mustarddoor/internal/standin"
+)
+
+func main() { os.Exit(standin.Main(os.Args[1:])) }
