--- /dev/null
+++ b/internal/process/daemon/configuration.go
@@ -0,0 +1,139 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"mustarddoor/internal/connection/platform"
+	"mustarddoor/internal/process/hlc"
+	"mustarddoor/internal/process/placement"
+	"mustarddoor/internal/process/timeline"
+	"mustarddoor/internal/version/bundle"
+	"mustarddoor/internal/version/config"
+)
+
+// Retention and keep times before a bundle is in force.
+const (
+	defaultRetention = 5 * time.Minute
+	defaultEntryKeep = 10 * time.Second
+)
+
+// makeConfig makes the follower of the configuration stream.
+func (h *host) makeConfig() error {
+	keys, err := config.NewKeyring(h.settings.Operators, h.settings.FleetSecret)
+	if err != nil {
+		return err
+	}
+	h.log = platform.NewLogClient(h.settings.Platform.Log)
+	h.follower = config.NewFollower(config.Options{
+		Host:    h.self.Host,
+		Keys:    keys,
+		Log:     h.log,
+		Caller:  h.meshClient,
+		Peers:   h.peerAddresses,
+		Metrics: h.metrics,
+		Logger:  h.logger,
+		Observe: h.observeConfig,
+	})
+	h.follower.Register(h.meshServer)
+	h.operator = config.NewOperator(h.follower)
+	return nil
+}
+
+// makePlacement makes what finds endpoints.
+func (h *host) makePlacement() error {
+	h.placer = placement.New(placement.Config{
+		Self:    h.self,
+		Caller:  h.meshClient,
+		Metrics: h.metrics,
+	})
+	h.placer.Register(h.meshServer)
+	return nil
+}
+
+// followConfig hands every new configuration view on until the context ends.
+func (h *host) followConfig(ctx context.Context) error {
+	views, unsubscribe := h.follower.Subscribe()
+	defer unsubscribe()
+	h.apply(h.follower.Current())
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case view := <-views:
+			h.apply(view)
+		}
+	}
+}
+
+// apply puts a view in force on this host.
+func (h *host) apply(view *config.View) {
+	if view.Bundle == nil {
+		return
+	}
+	if current := h.index.Load(); current == nil || current.Bundle() != view.Bundle {
+		h.index.Store(bundle.NewIndex(view.Bundle))
+		h.ring.Record(timeline.Event{
+			Kind:   timeline.ConfigInForce,
+			Value:  int64(view.Version.Version),
+			Detail: view.Version.Name,
+		})
+		h.logger.WithFields(logrus.Fields{
+			"bundle":  view.Version.Name,
+			"version": view.Version.Version,
+		}).Info("bundle is in force")
+	}
+	h.placer.Update(h.placementView(view))
+}
+
+func (h *host) placementView(view *config.View) placement.View {
+	out := []string{}
+	for name := range view.Out {
+		out = append(out, name)
+	}
+	hosts := append(h.Live(), h.self)
+	return placement.View{Bundle: view.Bundle, DomainsOut: out, Hosts: hosts}
+}
+
+// observeConfig puts changes of the configuration on the time line.
+func (h *host) observeConfig(change config.Change) {
+	switch change.Kind {
+	case config.ChangeDomain:
+		kind := timeline.DomainIn
+		if change.Mark.Out {
+			kind = timeline.DomainOut
+		}
+		h.ring.Record(timeline.Event{
+			Kind:   kind,
+			Domain: change.Mark.Domain,
+			Detail: change.Mark.Reason,
+			Since:  hlc.At(time.UnixMilli(change.Mark.Stamp.Millis)),
+		})
+	case config.ChangeRefused:
+		h.ring.Record(timeline.Event{
+			Kind:    timeline.ConfigRejected,
+			Outcome: string(change.Outcome.Result),
+			Detail:  string(change.Outcome.Reason) + " " + change.Outcome.Detail,
+		})
+	}
+}
+
+// retention is how long request records are kept.
+func (h *host) retention() time.Duration {
+	index := h.index.Load()
+	if index == nil {
+		return defaultRetention
+	}
+	return time.Duration(index.Bundle().RetentionSeconds) * time.Second
+}
+
+// entryKeep is how long callers may keep an entry.
+func (h *host) entryKeep() time.Duration {
+	index := h.index.Load()
+	if index == nil {
+		return defaultEntryKeep
+	}
+	return time.Duration(index.Bundle().EntryKeepSeconds) * time.Second
+}
--- /dev/null
+++ b/internal/process/daemon/host.go
@@ -0,0 +1,327 @@
+package daemon
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/oklog/run"
+	metrics "github.com/rcrowley/go-metrics"
+	"github.com/rotisserie/eris"
+	"github.com/sirupsen/logrus"
+
+	"mustarddoor/internal/connection/caller"
+	"mustarddoor/internal/connection/engine"
+	"mustarddoor/internal/connection/mesh"
+	"mustarddoor/internal/connection/platform"
+	"mustarddoor/internal/process/hlc"
+	"mustarddoor/internal/process/identity"
+	"mustarddoor/internal/process/member"
+	"mustarddoor/internal/process/placement"
+	"mustarddoor/internal/process/settings"
+	"mustarddoor/internal/process/timeline"
+	"mustarddoor/internal/request/flow"
+	"mustarddoor/internal/request/journal"
+	"mustarddoor/internal/request/owner"
+	"mustarddoor/internal/request/session"
+	"mustarddoor/internal/request/witness"
+	"mustarddoor/internal/version/bundle"
+	"mustarddoor/internal/version/config"
+)
+
+// host is one running daemon.
+type host struct {
+	settings *settings.Settings
+	self     identity.Host
+	logger   *logrus.Logger
+	metrics  metrics.Registry
+	clock    *hlc.Clock
+	ring     *timeline.Ring
+	gate     *mesh.Cuts
+
+	listeners  listeners
+	meshServer *mesh.Server
+	meshClient *mesh.Client
+	members    *member.Driver
+
+	log      platform.Log
+	follower *config.Follower
+	operator *config.Operator
+	index    atomic.Pointer[bundle.Index]
+
+	endpoints *engine.Client
+	placer    *placement.Placer
+
+	sessionClock *session.Clock
+	register     *witness.Register
+	sender       *witness.Sender
+	registry     *owner.Registry
+	journal      *journal.Writer
+	requests     *callerRequests
+	callers      *caller.Server
+
+	stopping atomic.Bool
+}
+
+// listeners are opened first, so that a port that is taken is noticed before
+// anything else happens.
+type listeners struct {
+	callers net.Listener
+	mesh    net.Listener
+	admin   net.Listener
+}
+
+// newHost makes a host with all its parts; none of them runs yet.
+func newHost(loaded *settings.Settings, logger *logrus.Logger) (*host, error) {
+	h := &host{
+		settings:     loaded,
+		self:         selfOf(loaded),
+		logger:       logger,
+		metrics:      metrics.NewRegistry(),
+		clock:        hlc.NewClock(time.Now),
+		gate:         &mesh.Cuts{},
+		endpoints:    engine.NewClient(),
+		sessionClock: session.NewClock(),
+	}
+	h.ring = timeline.NewRing(h.self.Incarnation, h.clock, loaded.Limits.TimelineEvents)
+	steps := []func() error{h.listen, h.makeMesh, h.makeConfig, h.makePlacement, h.makeRequests}
+	for _, step := range steps {
+		if err := step(); err != nil {
+			return nil, err
+		}
+	}
+	return h, nil
+}
+
+// selfOf names this process start. Later starts have greater numbers as long as
+// the clock has moved on a microsecond.
+func selfOf(loaded *settings.Settings) identity.Host {
+	return identity.Host{
+		Incarnation: identity.Incarnation{Host: loaded.Host.Name, Number: uint64(time.Now().UnixMicro())},
+		Domain:      loaded.Host.Domain,
+		Region:      loaded.Host.Region,
+		Address:     loaded.Address,
+		MeshAddress: loaded.MeshAddress,
+	}
+}
+
+func (h *host) listen() error {
+	for _, l := range []struct {
+		address string
+		into    *net.Listener
+	}{
+		{h.settings.Address, &h.listeners.callers},
+		{h.settings.MeshAddress, &h.listeners.mesh},
+		{h.settings.AdminAddress, &h.listeners.admin},
+	} {
+		opened, err := net.Listen("tcp", l.address)
+		if err != nil {
+			return eris.Wrap(err, "opening a port")
+		}
+		*l.into = opened
+	}
+	return nil
+}
+
+// makeMesh makes the connections to other hosts and the membership.
+func (h *host) makeMesh() error {
+	options := mesh.Options{Self: h.self, Clock: h.clock, Metrics: h.metrics}
+	memberOptions := member.Options{
+		Self:     h.self,
+		Seeds:    h.settings.Peers,
+		Clock:    h.clock,
+		Recorder: h.ring,
+		Metrics:  h.metrics,
+	}
+	if h.settings.TestGate {
+		options.Gate = h.gate
+		memberOptions.Gate = h.gate
+	}
+	h.meshServer = mesh.NewServer(options)
+	h.meshClient = mesh.NewClient(options)
+	timeline.Register(h.meshServer, h.ring)
+	driver, err := member.NewDriver(memberOptions)
+	h.members = driver
+	return err
+}
+
+// makeRequests makes what serves callers.
+func (h *host) makeRequests() error {
+	now := h.sessionClock.Now
+	h.register = witness.NewRegister(witness.Config{
+		Self:      h.self.Incarnation,
+		Limits:    witness.Limits{Records: registerRecords, Bytes: h.settings.Limits.RegisterBytes, Owners: registerOwners},
+		Retention: h.retention,
+	})
+	h.register.HandleOn(h.meshServer, now)
+	h.sender = witness.NewSender(witness.SenderConfig{
+		Caller:          h.meshClient,
+		Hosts:           h,
+		Local:           h.register,
+		Now:             now,
+		IntentTimeout:   intentTimeout,
+		OutcomeInterval: outcomeInterval,
+	})
+	h.registry = owner.NewRegistry(owner.Config{
+		Self: h.self.Incarnation,
+		Limits: owner.Limits{
+			Requests:    registerRecords,
+			AnswerBytes: h.settings.Limits.AnswerBytes,
+			WindowBytes: answerWindowBytes,
+		},
+		Intender:  h.sender,
+		Recorder:  h.sender,
+		Now:       now,
+		Retention: h.retention,
+	})
+	h.meshServer.Handle(owner.KindLocate, h.registry.Handle)
+	h.journal = journal.NewWriter(journal.WriterConfig{
+		Self:     h.self.Incarnation,
+		Register: h.register,
+		Log:      logAppender{h.log},
+		Interval: journalInterval,
+		Timeout:  journalTimeout,
+		Metrics:  h.metrics,
+	})
+	h.requests = &callerRequests{
+		self:    h.self,
+		minter:  session.NewMinter(h.self, h, h.sessionClock),
+		live:    h.Live,
+		keep:    h.entryKeep,
+		leaving: h.stopping.Load,
+	}
+	h.requests.runner = flow.New(flow.Config{
+		Registry:   h.registry,
+		Placer:     h.placer,
+		Endpoints:  h.endpoints,
+		Events:     flow.Events{Recorder: h.ring},
+		OtherHosts: h.requests.otherAddresses,
+		Metrics:    h.metrics,
+	})
+	h.callers = caller.NewServer(caller.Config{
+		Requests:     h.requests,
+		Index:        h.index.Load,
+		NotReady:     h.notReady,
+		MaxBodyBytes: h.settings.Limits.BodyBytes,
+		Metrics:      h.metrics,
+	})
+	return nil
+}
+
+// Bounds and periods of the request records.
+const (
+	registerRecords   = 1 << 18
+	registerOwners    = 1024
+	answerWindowBytes = 1 << 20
+	intentTimeout     = time.Second
+	outcomeInterval   = 20 * time.Millisecond
+	journalInterval   = 100 * time.Millisecond
+	journalTimeout    = 5 * time.Second
+)
+
+// logAppender appends to the log service for the journal.
+type logAppender struct{ log platform.Log }
+
+// Append implements journal.Appender.
+func (l logAppender) Append(ctx context.Context, stream string, records []platform.AppendRecord) (uint64, error) {
+	return l.log.Append(ctx, platform.Batch{Stream: stream, Records: records})
+}
+
+// notReady says why this host takes no requests; it is empty if it does.
+func (h *host) notReady() string {
+	if h.stopping.Load() {
+		return "host is stopping"
+	}
+	if ready, reason := h.follower.Ready(); !ready {
+		return reason
+	}
+	if h.index.Load() == nil {
+		return "no bundle is in force"
+	}
+	return ""
+}
+
+// Live implements session.Peers: the other hosts that may take promises.
+func (h *host) Live() []identity.Host {
+	live := []identity.Host{}
+	for _, m := range h.members.View().Usable() {
+		if m.Incarnation != h.self.Incarnation {
+			live = append(live, m.Host)
+		}
+	}
+	return live
+}
+
+// otherHosts are the other hosts that have not gone.
+func (h *host) otherHosts() []identity.Host { return h.members.View().Peers() }
+
+// Find implements witness.Hosts.
+func (h *host) Find(incarnation identity.Incarnation) (identity.Host, bool) {
+	m, found := h.members.View().ByIncarnation(incarnation)
+	return m.Host, found
+}
+
+// peerAddresses are the mesh addresses of the other hosts.
+func (h *host) peerAddresses() []string {
+	addresses := []string{}
+	for _, peer := range h.otherHosts() {
+		addresses = append(addresses, peer.MeshAddress)
+	}
+	return addresses
+}
+
+// addActors adds all that runs to the group.
+func (h *host) addActors(group *run.Group) {
+	addRunActor(group, h.members.Run)
+	addRunActor(group, h.follower.Run)
+	addRunActor(group, h.followConfig)
+	addRunActor(group, h.placer.Run)
+	addRunActor(group, h.sender.Run)
+	addRunActor(group, h.journal.Run)
+	addRunActor(group, h.sweep)
+	addServerActor(group, h.listeners.mesh, h.meshHTTP())
+	addServerActor(group, h.listeners.admin, h.server(h.adminHandler()))
+	addServerActor(group, h.listeners.callers, h.server(h.callers))
+	h.ring.Record(timeline.Event{Kind: timeline.HostStarted})
+	h.logger.WithFields(logrus.Fields{
+		"host":    h.self.Incarnation.String(),
+		"address": h.self.Address,
+	}).Info("listening on " + h.self.Address)
+}
+
+// server gives an HTTP server with the bounds of the settings.
+func (h *host) server(handler http.Handler) *http.Server {
+	return &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: h.settings.Limits.HeaderTimeout(),
+		IdleTimeout:       h.settings.Limits.IdleTimeout(),
+	}
+}
+
+func (h *host) meshHTTP() *http.Server {
+	mux := http.NewServeMux()
+	mux.Handle(mesh.Path, h.meshServer)
+	server := h.server(mux)
+	server.RegisterOnShutdown(h.meshServer.Close)
+	return server
+}
+
+// sweepInterval is how often expired request records are dropped.
+const sweepInterval = time.Second
+
+// sweep drops expired request records until the context ends.
+func (h *host) sweep(ctx context.Context) error {
+	ticker := time.NewTicker(sweepInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			h.registry.Sweep()
+			h.register.Sweep(h.sessionClock.Now())
+		}
+	}
+}
