--- /dev/null
+++ b/internal/process/member/driver.go
@@ -0,0 +1,349 @@
+package member
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/rotisserie/eris"
+
+	"mustarddoor/internal/connection/mesh"
+	"mustarddoor/internal/process/hlc"
+	"mustarddoor/internal/process/identity"
+	"mustarddoor/internal/process/timeline"
+)
+
+// ErrSuperseded ends Driver.Run when a process with a greater incarnation
+// number runs under this host's name. Restarting with a greater number helps
+// if the other one is gone.
+var ErrSuperseded = eris.New("another process runs under this host's name")
+
+const (
+	// packetQueue is how many received messages may wait.
+	packetQueue = 256
+	// maxCommands bounds the commands that wait for the loop.
+	maxCommands = 1024
+	// readBytes is longer than any datagram that hosts send.
+	readBytes = 2 * maxDatagramBytes
+)
+
+// Options configure a Driver. Self, Clock, Recorder and Metrics are required.
+type Options struct {
+	Self identity.Host
+	// Seeds are mesh addresses (IP:port) at which other hosts may be found.
+	Seeds []string
+	// Clock stamps messages and observes the stamps of peers.
+	Clock *hlc.Clock
+	// Recorder takes the events of members.
+	Recorder timeline.Recorder
+	Metrics  metrics.Registry
+	// Gate drops messages in tests; nil lets all pass.
+	Gate mesh.Gate
+	// Timing is DefaultTiming if zero.
+	Timing Timing
+}
+
+// packet is a message with the mesh address that it came from.
+type packet struct {
+	address string
+	message Message
+}
+
+// command is work for the goroutine that owns the core.
+type command func(core *Core, now time.Duration) Output
+
+// Driver runs a Core over UDP. Its methods are safe for concurrent use.
+type Driver struct {
+	options Options
+	conn    *net.UDPConn
+	core    *Core
+	start   time.Time
+	view    atomic.Pointer[View]
+	packets chan packet
+	wake    chan struct{}
+	ended   chan struct{}
+
+	mutex       sync.Mutex
+	commands    []command
+	subscribers []func([]Change)
+
+	sentBytes, sentMessages         metrics.Counter
+	receivedBytes, receivedMessages metrics.Counter
+	dropped, malformed, oversized   metrics.Counter
+	suspected                       metrics.Counter
+}
+
+// NewDriver listens on the mesh address of Self. Run starts the protocol.
+func NewDriver(options Options) (*Driver, error) {
+	if options.Timing == (Timing{}) {
+		options.Timing = DefaultTiming()
+	}
+	address, err := netip.ParseAddrPort(options.Self.MeshAddress)
+	if err != nil {
+		return nil, eris.Wrap(err, "reading the mesh address")
+	}
+	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(address))
+	if err != nil {
+		return nil, eris.Wrap(err, "listening for membership messages")
+	}
+	driver := &Driver{
+		options: options,
+		conn:    conn,
+		start:   time.Now(),
+		packets: make(chan packet, packetQueue),
+		wake:    make(chan struct{}, 1),
+		ended:   make(chan struct{}),
+	}
+	driver.count(options.Metrics)
+	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	driver.core = NewCore(options.Self, options.Seeds, options.Timing, random, 0)
+	driver.publish()
+	return driver, nil
+}
+
+func (d *Driver) count(registry metrics.Registry) {
+	counter := func(name string) metrics.Counter {
+		return metrics.GetOrRegisterCounter("member."+name, registry)
+	}
+	d.sentBytes = counter("sent_bytes")
+	d.sentMessages = counter("sent_messages")
+	d.receivedBytes = counter("received_bytes")
+	d.receivedMessages = counter("received_messages")
+	d.dropped = counter("dropped_messages")
+	d.malformed = counter("malformed_messages")
+	d.oversized = counter("oversized_messages")
+	d.suspected = counter("suspected")
+}
+
+// AddSource lets the state of a source spread. All hosts add their sources in
+// the same order, before Run.
+func (d *Driver) AddSource(source Source) { d.core.AddSource(source) }
+
+// Subscribe calls the function after each change of the view, from the
+// membership's goroutine; it must not block.
+func (d *Driver) Subscribe(notify func([]Change)) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.subscribers = append(d.subscribers, notify)
+}
+
+// View gives what this process believes of the fleet now.
+func (d *Driver) View() *View { return d.view.Load() }
+
+// Spread sends a delta to all hosts.
+func (d *Driver) Spread(delta Delta) {
+	d.post(func(core *Core, _ time.Duration) Output {
+		core.Spread(delta)
+		return Output{}
+	})
+}
+
+// Hint starts a probe of the host at a mesh address, which did not answer.
+func (d *Driver) Hint(address string) {
+	d.post(func(core *Core, now time.Duration) Output { return core.Hint(now, address) })
+}
+
+// SetSeeds replaces the addresses at which other hosts may be found.
+func (d *Driver) SetSeeds(seeds []string) {
+	d.post(func(core *Core, _ time.Duration) Output {
+		core.SetSeeds(seeds)
+		return Output{}
+	})
+}
+
+// Leave tells the fleet that a planned stop of this host has begun.
+func (d *Driver) Leave() {
+	d.post(func(core *Core, _ time.Duration) Output { return core.Leave() })
+}
+
+// Depart tells the fleet that this process ends, and returns when that is
+// sent. Call it before Run ends.
+func (d *Driver) Depart(ctx context.Context) {
+	sent := make(chan struct{})
+	d.post(func(core *Core, _ time.Duration) Output {
+		out := core.Depart()
+		d.send(out.Datagrams)
+		out.Datagrams = nil
+		close(sent)
+		return out
+	})
+	select {
+	case <-sent:
+	case <-d.ended:
+	case <-ctx.Done():
+	}
+}
+
+// post hands work to the loop. Beyond maxCommands it is dropped; digests make
+// up for lost deltas.
+func (d *Driver) post(work command) {
+	d.mutex.Lock()
+	if len(d.commands) < maxCommands {
+		d.commands = append(d.commands, work)
+	}
+	d.mutex.Unlock()
+	select {
+	case d.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Run drives the protocol until the context ends, then returns nil. It fails
+// with ErrSuperseded.
+func (d *Driver) Run(ctx context.Context) error {
+	defer close(d.ended)
+	stop := context.AfterFunc(ctx, func() { d.conn.Close() })
+	defer stop()
+	defer d.conn.Close()
+	go d.read()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		var out Output
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-timer.C:
+			out = d.core.Tick(d.now())
+		case received := <-d.packets:
+			out = d.core.Receive(d.now(), received.address, received.message)
+		case <-d.wake:
+			out = d.execute()
+		}
+		if out.Superseded {
+			return ErrSuperseded
+		}
+		d.apply(out)
+		timer.Reset(d.core.Next() - d.now())
+	}
+}
+
+func (d *Driver) now() time.Duration { return time.Since(d.start) }
+
+// execute runs the posted commands.
+func (d *Driver) execute() Output {
+	d.mutex.Lock()
+	commands := d.commands
+	d.commands = nil
+	d.mutex.Unlock()
+	var all Output
+	for _, work := range commands {
+		out := work(d.core, d.now())
+		all.Datagrams = append(all.Datagrams, out.Datagrams...)
+		all.Changes = append(all.Changes, out.Changes...)
+		all.Superseded = all.Superseded || out.Superseded
+	}
+	return all
+}
+
+func (d *Driver) apply(out Output) {
+	d.send(out.Datagrams)
+	if len(out.Changes) == 0 {
+		return
+	}
+	d.publish()
+	for _, change := range out.Changes {
+		d.record(change)
+	}
+	d.mutex.Lock()
+	subscribers := d.subscribers
+	d.mutex.Unlock()
+	for _, notify := range subscribers {
+		notify(out.Changes)
+	}
+}
+
+func (d *Driver) publish() {
+	d.view.Store(newView(d.options.Self.Incarnation, d.core.Members()))
+}
+
+// record puts a change of another host on the time line.
+func (d *Driver) record(change Change) {
+	if change.Member.Incarnation == d.options.Self.Incarnation {
+		return
+	}
+	for _, event := range change.events() {
+		if event.Kind == timeline.MemberSuspected {
+			d.suspected.Inc(1)
+		}
+		d.options.Recorder.Record(event)
+	}
+}
+
+func (d *Driver) send(datagrams []Datagram) {
+	for _, datagram := range datagrams {
+		d.sendOne(datagram)
+	}
+}
+
+// sendOne sends a datagram. Failures count as loss on the way.
+func (d *Driver) sendOne(datagram Datagram) {
+	if d.options.Gate != nil && !d.options.Gate.Passes(datagram.Address, mesh.ToPeer) {
+		d.dropped.Inc(1)
+		return
+	}
+	address, err := netip.ParseAddrPort(datagram.Address)
+	if err != nil {
+		d.dropped.Inc(1)
+		return
+	}
+	datagram.Message.Stamp = d.options.Clock.Now()
+	encoded, err := datagram.Message.Encode()
+	if err != nil {
+		d.malformed.Inc(1)
+		return
+	}
+	if len(encoded) > maxDatagramBytes {
+		d.oversized.Inc(1)
+	}
+	if _, err := d.conn.WriteToUDPAddrPort(encoded, address); err != nil {
+		d.dropped.Inc(1)
+		return
+	}
+	d.sentMessages.Inc(1)
+	d.sentBytes.Inc(int64(len(encoded)))
+}
+
+// read receives messages until the socket closes.
+func (d *Driver) read() {
+	buffer := make([]byte, readBytes)
+	for {
+		count, from, err := d.conn.ReadFromUDPAddrPort(buffer)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			continue
+		}
+		address := netip.AddrPortFrom(from.Addr().Unmap(), from.Port()).String()
+		if received, ok := d.decode(address, buffer[:count]); ok {
+			select {
+			case d.packets <- received:
+			case <-d.ended:
+				return
+			}
+		}
+	}
+}
+
+func (d *Driver) decode(address string, datagram []byte) (packet, bool) {
+	d.receivedMessages.Inc(1)
+	d.receivedBytes.Inc(int64(len(datagram)))
+	if d.options.Gate != nil && !d.options.Gate.Passes(address, mesh.FromPeer) {
+		d.dropped.Inc(1)
+		return packet{}, false
+	}
+	message, err := Decode(datagram)
+	if err != nil {
+		d.malformed.Inc(1)
+		return packet{}, false
+	}
+	d.options.Clock.Observe(message.Stamp)
+	return packet{address: address, message: message}, true
+}
--- /dev/null
+++ b/internal/process/member/events.go
@@ -0,0 +1,46 @@
+package member
+
+import "mustarddoor/internal/process/timeline"
+
+// events gives the entries of the time line for a change.
+func (c Change) events() []timeline.Event {
+	var events []timeline.Event
+	add := func(kind timeline.Kind, about Member) {
+		events = append(events, timeline.Event{Kind: kind, Peer: about.Incarnation, Detail: about.MeshAddress})
+	}
+	if c.IsNewIncarnation() {
+		if !c.Before.IsZero() && !c.Before.State.IsGone() {
+			add(timeline.MemberDead, c.Before)
+		}
+		add(timeline.MemberJoined, c.Member)
+	}
+	if c.Member.Leaving && !c.Member.State.IsGone() && (c.IsNewIncarnation() || !c.Before.Leaving) {
+		add(timeline.MemberLeaving, c.Member)
+	}
+	if kind := stateKind(c.Member.State); kind != "" && c.isNewState() {
+		add(kind, c.Member)
+	}
+	return events
+}
+
+// isNewState reports whether the state is worth an entry beside the join.
+func (c Change) isNewState() bool {
+	if c.IsNewIncarnation() {
+		return c.Member.State != StateAlive
+	}
+	return c.Member.State != c.Before.State
+}
+
+func stateKind(state State) timeline.Kind {
+	switch state {
+	case StateAlive:
+		return timeline.MemberAlive
+	case StateSuspect:
+		return timeline.MemberSuspected
+	case StateDead:
+		return timeline.MemberDead
+	case StateLeft:
+		return timeline.MemberLeft
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/process/member/view.go
@@ -0,0 +1,94 @@
+package member
+
+import (
+	"slices"
+	"strings"
+
+	"mustarddoor/internal/process/identity"
+)
+
+// Member is one host of a View.
+type Member struct {
+	identity.Host
+	State State
+	// Leaving tells that the host has begun a planned stop.
+	Leaving bool
+}
+
+// IsUsable reports whether new work and promises may go to the host.
+func (m Member) IsUsable() bool { return m.State == StateAlive && !m.Leaving }
+
+// View is what this process believes of the fleet at one time, itself
+// included. It is immutable.
+type View struct {
+	self   identity.Incarnation
+	sorted []Member
+	byName map[string]Member
+}
+
+func newView(self identity.Incarnation, members []Member) *View {
+	view := &View{self: self, sorted: members, byName: make(map[string]Member, len(members))}
+	slices.SortFunc(members, func(a, b Member) int { return strings.Compare(a.Host.Host, b.Host.Host) })
+	for _, member := range members {
+		view.byName[member.Host.Host] = member
+	}
+	return view
+}
+
+// Members gives all members by name, those that are gone included for a while.
+// The slice must not be changed.
+func (v *View) Members() []Member { return v.sorted }
+
+// ByName gives the newest incarnation of a host.
+func (v *View) ByName(name string) (Member, bool) {
+	member, known := v.byName[name]
+	return member, known
+}
+
+// ByIncarnation gives the member if this very incarnation is the newest known.
+// An incarnation that has been replaced is gone.
+func (v *View) ByIncarnation(incarnation identity.Incarnation) (Member, bool) {
+	member, known := v.byName[incarnation.Host]
+	if !known || member.Number != incarnation.Number {
+		return Member{}, false
+	}
+	return member, true
+}
+
+// Usable gives the hosts that new work may go to, this host included.
+func (v *View) Usable() []Member {
+	return v.filter(func(m Member) bool { return m.IsUsable() })
+}
+
+// Peers gives the other hosts that have not gone.
+func (v *View) Peers() []identity.Host {
+	var peers []identity.Host
+	for _, member := range v.sorted {
+		if member.Incarnation != v.self && !member.State.IsGone() {
+			peers = append(peers, member.Host)
+		}
+	}
+	return peers
+}
+
+func (v *View) filter(keep func(Member) bool) []Member {
+	var kept []Member
+	for _, member := range v.sorted {
+		if keep(member) {
+			kept = append(kept, member)
+		}
+	}
+	return kept
+}
+
+// Change is one change of a View.
+type Change struct {
+	// Member is the new state.
+	Member Member
+	// Before is the state before; zero for a host name that was not known.
+	Before Member
+}
+
+// IsNewIncarnation reports whether the host was not known, or another
+// incarnation of it.
+func (c Change) IsNewIncarnation() bool { return c.Before.Incarnation != c.Member.Incarnation }
