--- a/internal/process/daemon/host.go
+++ b/internal/process/daemon/host.go
@@ -194,7 +194,7 @@
 	}
 	h.requests.runner = flow.New(flow.Config{
 		Registry:   h.registry,
-		Placer:     h.placer,
+		Placer:     &rotatingPlacer{index: h.index.Load},
 		Endpoints:  h.endpoints,
 		Events:     flow.Events{Recorder: h.ring},
 		OtherHosts: h.requests.otherAddresses,
--- a/scenario/process_test.go
+++ b/scenario/process_test.go
@@ -112,7 +112,7 @@
 		if _, err := os.Stat(path); err == nil {
 			command := exec.Command(path, args...)
 			command.Dir = ts.MkAbs(".")
-			command.Env = append(os.Environ(), "PATH="+ts.Getenv("PATH"), "HOME="+ts.Getenv("HOME"), "NET="+ts.Getenv("NET"))
+			command.Env = append(os.Environ(), "PATH="+ts.Getenv("PATH"), "GORACE="+ts.Getenv("GORACE"))
 			return command
 		}
 	}
--- a/scenario/scenario_test.go
+++ b/scenario/scenario_test.go
@@ -33,12 +33,17 @@
 	networkCount = 200
 )
 
+// raceOptions spare each process the second that the race detector waits at
+// its end.
+const raceOptions = "atexit_sleep_ms=0"
+
 func TestScenarios(t *testing.T) {
 	testscript.Run(t, testscript.Params{
 		Dir: "testdata",
 		Setup: func(env *testscript.Env) error {
 			network := fmt.Sprintf("127.%d.%d", firstNetwork+os.Getpid()%networkCount, networks.Add(1))
 			env.Setenv("NET", network)
+			env.Setenv("GORACE", raceOptions)
 			processes := newProcessTable(env.WorkDir)
 			env.Values[processesKey{}] = processes
 			env.Defer(processes.killAll)
