A refusal for its form does not deny an earlier request of the same key

Cause: the caller interface refused a malformed or unknown request, and every request to a host that is stopping, as not_run, even when an earlier request had run under the same key. Change: the refusal closes the key at its owner and says not_run only if the owner has refused it for good, else unknown. A stopping host goes on answering for the requests it has; the owner registry refuses new keys.

--- /dev/null
+++ b/demo/demo_test.go
@@ -0,0 +1,34 @@
+// Package demo holds the example fleet of make demo and of the pages.
+package demo
+
+import (
+	"os"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"mustarddoor/internal/process/settings"
+	"mustarddoor/internal/version/bundle"
+)
+
+const publicKey = "AAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAA="
+
+func fill(t *testing.T, file string) []byte {
+	t.Helper()
+	content, err := os.ReadFile(file)
+	assert.NilError(t, err)
+	replacer := strings.NewReplacer("NET", "127.0.50", "INDEX", "1", "DOMAIN", "guadalupe-a",
+		"ALMA", publicKey, "BERTA", publicKey)
+	return []byte(replacer.Replace(string(content)))
+}
+
+func TestExampleBundle(t *testing.T) {
+	_, err := bundle.Parse("bundle.json", fill(t, "bundle.json"))
+	assert.NilError(t, err)
+}
+
+func TestExampleSettings(t *testing.T) {
+	_, err := settings.Parse("host.json", fill(t, "host.json"))
+	assert.NilError(t, err)
+}
--- a/internal/connection/caller/fault.go
+++ b/internal/connection/caller/fault.go
@@ -4,6 +4,8 @@
 	"encoding/json"
 	"errors"
 	"net/http"
+
+	"mustarddoor/internal/request/outcome"
 )
 
 // faultKind classifies what is wrong with the form of a request.
@@ -17,14 +19,19 @@
 	notReady     faultKind = "not_ready"
 )
 
-// fault tells what is wrong with the form of a request. Such a request was not
-// run.
+// fault tells what is wrong with the form of a request. The request at hand is
+// not run.
 type fault struct {
 	kind   faultKind
 	detail string
+	// outcome is what can be said of the request's key, which an earlier
+	// request may have used.
+	outcome outcome.Outcome
 }
 
-func faultOf(kind faultKind, detail string) *fault { return &fault{kind: kind, detail: detail} }
+func faultOf(kind faultKind, detail string) *fault {
+	return &fault{kind: kind, detail: detail, outcome: outcome.NotRun}
+}
 
 // bodyFault tells an oversize body from a broken one.
 func bodyFault(err error) *fault {
@@ -52,16 +59,16 @@
 
 // faultBody is the JSON of a fault; its first fields are those of a refusal.
 type faultBody struct {
-	Outcome          string    `json:"outcome"`
-	Reason           faultKind `json:"reason"`
-	RetryAfterMillis int64     `json:"retry_after_ms"`
-	Addresses        []string  `json:"addresses"`
-	Detail           string    `json:"detail"`
+	Outcome          outcome.Outcome `json:"outcome"`
+	Reason           faultKind       `json:"reason"`
+	RetryAfterMillis int64           `json:"retry_after_ms"`
+	Addresses        []string        `json:"addresses"`
+	Detail           string          `json:"detail"`
 }
 
 func (f *fault) write(w http.ResponseWriter) error {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(f.status())
-	body := faultBody{Outcome: "not_run", Reason: f.kind, Addresses: []string{}, Detail: f.detail}
+	body := faultBody{Outcome: f.outcome, Reason: f.kind, Addresses: []string{}, Detail: f.detail}
 	return json.NewEncoder(w).Encode(body)
 }
--- a/internal/connection/caller/server.go
+++ b/internal/connection/caller/server.go
@@ -13,6 +13,7 @@
 	"mustarddoor/internal/connection/engine"
 	"mustarddoor/internal/request/flow"
 	"mustarddoor/internal/request/key"
+	"mustarddoor/internal/request/outcome"
 	"mustarddoor/internal/version/bundle"
 )
 
@@ -25,6 +26,9 @@
 	// offset on. It never dispatches; only Key, Offset, CallerPath, Team and
 	// IsRelayed are set.
 	Resume(ctx context.Context, request *flow.Request, w http.ResponseWriter)
+	// Close makes sure that no request of the key is dispatched from now on, if
+	// it can, and tells what can be said of the key: NotRun or Unknown.
+	Close(requestKey key.Key) outcome.Outcome
 	// Mint makes a key for a request that came without one.
 	Mint() key.Key
 	// Entry tells which hosts a caller should use.
@@ -140,8 +144,12 @@
 	return nil
 }
 
-// refuse counts a fault and tells the caller.
+// refuse counts a fault and tells the caller. If the caller gave a key, an
+// earlier request may have run under it, and the refusal must not deny that.
 func (s *Server) refuse(c echo.Context, fault *fault) error {
+	if parsed, err := key.Parse(c.Request().Header.Get(HeaderIdempotencyKey)); err == nil {
+		fault.outcome = s.config.Requests.Close(parsed)
+	}
 	metrics.GetOrRegisterCounter("caller.refused."+string(fault.kind), s.config.Metrics).Inc(1)
 	return fault.write(c.Response())
 }
--- a/internal/process/daemon/host.go
+++ b/internal/process/daemon/host.go
@@ -186,11 +186,12 @@
 		Metrics:  h.metrics,
 	})
 	h.requests = &callerRequests{
-		self:    h.self,
-		minter:  session.NewMinter(h.self, h, h.sessionClock),
-		live:    h.Live,
-		keep:    h.entryKeep,
-		leaving: h.stopping.Load,
+		self:     h.self,
+		registry: h.registry,
+		minter:   session.NewMinter(h.self, h, h.sessionClock),
+		live:     h.Live,
+		keep:     h.entryKeep,
+		leaving:  h.stopping.Load,
 	}
 	h.requests.runner = flow.New(flow.Config{
 		Registry:   h.registry,
@@ -203,7 +204,7 @@
 	h.callers = caller.NewServer(caller.Config{
 		Requests:     h.requests,
 		Index:        h.index.Load,
-		NotReady:     h.notReady,
+		NotReady:     h.notConfigured,
 		MaxBodyBytes: h.settings.Limits.BodyBytes,
 		Metrics:      h.metrics,
 	})
@@ -229,11 +230,18 @@
 	return l.log.Append(ctx, platform.Batch{Stream: stream, Records: records})
 }
 
-// notReady says why this host takes no requests; it is empty if it does.
+// notReady says why this host should get no new requests; it is empty if it
+// should.
 func (h *host) notReady() string {
 	if h.stopping.Load() {
 		return "host is stopping"
 	}
+	return h.notConfigured()
+}
+
+// notConfigured says why this host can take no requests at all; it is empty if
+// it can. A host that is stopping still answers for the requests it has.
+func (h *host) notConfigured() string {
 	if ready, reason := h.follower.Ready(); !ready {
 		return reason
 	}
--- a/internal/process/daemon/requests.go
+++ b/internal/process/daemon/requests.go
@@ -10,6 +10,8 @@
 	"mustarddoor/internal/process/identity"
 	"mustarddoor/internal/request/flow"
 	"mustarddoor/internal/request/key"
+	"mustarddoor/internal/request/outcome"
+	"mustarddoor/internal/request/owner"
 	"mustarddoor/internal/request/session"
 )
 
@@ -18,9 +20,10 @@
 
 // callerRequests serves the caller interface.
 type callerRequests struct {
-	self   identity.Host
-	runner *flow.Runner
-	minter *session.Minter
+	self     identity.Host
+	runner   *flow.Runner
+	registry *owner.Registry
+	minter   *session.Minter
 	// live lists the other hosts that are alive and not leaving.
 	live func() []identity.Host
 	// keep is how long an entry may be kept.
@@ -39,6 +42,17 @@
 	c.runner.Resume(ctx, request, w)
 }
 
+// Close implements caller.Requests.
+func (c *callerRequests) Close(requestKey key.Key) outcome.Outcome {
+	if !c.registry.Owns(requestKey) {
+		return outcome.Unknown
+	}
+	if c.registry.Locate(requestKey, true).State == owner.StateRefused {
+		return outcome.NotRun
+	}
+	return outcome.Unknown
+}
+
 // Mint implements caller.Requests.
 func (c *callerRequests) Mint() key.Key {
 	return key.Key{Session: c.minter.Mint(), Part: mintedPart}
