--- /dev/null
+++ b/internal/version/rollout/counts.go
@@ -0,0 +1,87 @@
+package rollout
+
+// Latency counts requests by how their time compares with the old version's
+// usual time.
+type Latency struct {
+	// Timed counts all requests whose time was compared.
+	Timed uint64 `cbor:"1,keyasint,omitempty"`
+	// Late and VeryLate count those beyond the limits.
+	Late     uint64 `cbor:"2,keyasint,omitempty"`
+	VeryLate uint64 `cbor:"3,keyasint,omitempty"`
+}
+
+// Counts is what became of requests.
+type Counts struct {
+	Succeeded uint64 `cbor:"1,keyasint,omitempty"`
+	// Failed counts requests that the endpoint failed.
+	Failed uint64 `cbor:"2,keyasint,omitempty"`
+	// Lost counts losses of endpoints, not of requests: all requests that one
+	// host loses with one endpoint in one window count once.
+	Lost       uint64  `cbor:"3,keyasint,omitempty"`
+	FirstToken Latency `cbor:"4,keyasint"`
+	PerToken   Latency `cbor:"5,keyasint"`
+}
+
+// Results is how many results the counts hold.
+func (c Counts) Results() uint64 { return c.Succeeded + c.Failed + c.Lost }
+
+// merge is the pointwise maximum of two readings of the same counters.
+func (l Latency) merge(other Latency) Latency {
+	return Latency{
+		Timed:    max(l.Timed, other.Timed),
+		Late:     max(l.Late, other.Late),
+		VeryLate: max(l.VeryLate, other.VeryLate),
+	}
+}
+
+// plus adds the counts of different requests.
+func (l Latency) plus(other Latency) Latency {
+	return Latency{
+		Timed:    l.Timed + other.Timed,
+		Late:     l.Late + other.Late,
+		VeryLate: l.VeryLate + other.VeryLate,
+	}
+}
+
+// minus takes an earlier reading of the same counters off. A reading that is
+// not earlier gives zero.
+func (l Latency) minus(earlier Latency) Latency {
+	return Latency{
+		Timed:    difference(l.Timed, earlier.Timed),
+		Late:     difference(l.Late, earlier.Late),
+		VeryLate: difference(l.VeryLate, earlier.VeryLate),
+	}
+}
+
+func (c Counts) merge(other Counts) Counts {
+	return Counts{
+		Succeeded:  max(c.Succeeded, other.Succeeded),
+		Failed:     max(c.Failed, other.Failed),
+		Lost:       max(c.Lost, other.Lost),
+		FirstToken: c.FirstToken.merge(other.FirstToken),
+		PerToken:   c.PerToken.merge(other.PerToken),
+	}
+}
+
+func (c Counts) plus(other Counts) Counts {
+	return Counts{
+		Succeeded:  c.Succeeded + other.Succeeded,
+		Failed:     c.Failed + other.Failed,
+		Lost:       c.Lost + other.Lost,
+		FirstToken: c.FirstToken.plus(other.FirstToken),
+		PerToken:   c.PerToken.plus(other.PerToken),
+	}
+}
+
+func (c Counts) minus(earlier Counts) Counts {
+	return Counts{
+		Succeeded:  difference(c.Succeeded, earlier.Succeeded),
+		Failed:     difference(c.Failed, earlier.Failed),
+		Lost:       difference(c.Lost, earlier.Lost),
+		FirstToken: c.FirstToken.minus(earlier.FirstToken),
+		PerToken:   c.PerToken.minus(earlier.PerToken),
+	}
+}
+
+// difference is a-b, or zero if b is greater.
+func difference(a, b uint64) uint64 { return a - min(a, b) }
--- /dev/null
+++ b/internal/version/rollout/sequential.go
@@ -0,0 +1,79 @@
+package rollout
+
+import "math"
+
+// alternative is one rate of hits that a bad version may have, as a multiple
+// of the odds at the null rate, with its weight in the mixture.
+type alternative struct {
+	oddsFactor float64
+	weight     float64
+}
+
+// alternatives is the mixture of the sequential test. Rates above the null
+// rate only: then the likelihood ratio is a supermartingale for every version
+// at or below the null rate.
+var alternatives = []alternative{
+	{2, 0.05}, {4, 0.1}, {8, 0.1}, {16, 0.1}, {32, 0.1}, {64, 0.1}, {128, 0.1}, {512, 0.35},
+}
+
+// Sample counts hits in trials.
+type Sample struct {
+	Hits   uint64 `json:"hits"`
+	Trials uint64 `json:"trials"`
+}
+
+// Rate is the fraction of hits, zero without trials.
+func (s Sample) Rate() float64 {
+	if s.Trials == 0 {
+		return 0
+	}
+	return float64(s.Hits) / float64(s.Trials)
+}
+
+// logRatio is the logarithm of the likelihood ratio of the mixture against the
+// null rate. For a version whose rate is at most the null rate, the chance
+// that it ever exceeds x, over all times at which it is looked at, is at most
+// exp(-x).
+func logRatio(sample Sample, null float64) float64 {
+	hits := float64(sample.Hits)
+	misses := float64(sample.Trials) - hits
+	odds := null / (1 - null)
+	sum := math.Inf(-1)
+	for _, a := range alternatives {
+		raised := odds * a.oddsFactor
+		rate := raised / (1 + raised)
+		ratio := hits*math.Log(rate/null) + misses*math.Log((1-rate)/(1-null))
+		sum = logSum(sum, math.Log(a.weight)+ratio)
+	}
+	return sum
+}
+
+// logSum is the logarithm of the sum of two numbers given by their logarithms.
+func logSum(a, b float64) float64 {
+	high, low := math.Max(a, b), math.Min(a, b)
+	if math.IsInf(high, -1) {
+		return high
+	}
+	return high + math.Log1p(math.Exp(low-high))
+}
+
+// nullRate is the rate that a sound version may have, given what the old
+// version did over the same time and, as a prior, over the whole move. The
+// rate is an upper confidence bound and at least the floor.
+func nullRate(recent, whole Sample, floor float64) float64 {
+	prior := math.Max(whole.Rate(), floor)
+	trials := float64(recent.Trials) + priorTrials
+	rate := (float64(recent.Hits) + priorTrials*prior) / trials
+	bound := rate + confidenceDeviations*math.Sqrt(rate*(1-rate)/trials)
+	return math.Min(math.Max(bound, floor), maxNullRate)
+}
+
+// Parameters of nullRate.
+const (
+	// priorTrials is the weight of the whole move against the recent windows.
+	priorTrials = 50
+	// confidenceDeviations is the width of the confidence bound in standard
+	// deviations.
+	confidenceDeviations = 1
+	maxNullRate          = 0.9
+)
