--- a/internal/request/flow/finish.go
+++ b/internal/request/flow/finish.go
@@ -112,7 +112,7 @@
 			return witness.Final{Outcome: outcome.Unknown, Reason: outcome.ReasonReplyLost}
 		}
 		var err error
-		reply, err = d.runner.config.Endpoints.Resume(context.Background(), d.place.Address, d.request.Key.String(), d.offset)
+		reply, err = d.runner.resume(d.place.Address, d.request.Key.String(), d.offset)
 		if err != nil {
 			reply = nil
 			if errors.Is(err, engine.ErrUnknownKey) && d.offset > 0 {
--- a/internal/request/flow/run.go
+++ b/internal/request/flow/run.go
@@ -61,7 +61,7 @@
 		return nil, false
 	}
 	r.config.Events.Dispatched(request, place)
-	reply, err := r.config.Endpoints.Send(context.Background(), callOf(request, place.Address))
+	reply, err := r.send(callOf(request, place.Address))
 	switch {
 	case errors.Is(err, engine.ErrNotStarted):
 		return nil, !r.takeBack(request, own)
