--- a/internal/connection/mesh/client.go
+++ b/internal/connection/mesh/client.go
@@ -11,8 +11,9 @@
 	"github.com/rotisserie/eris"
 )
 
-// maxTries bounds how often a call moves to a new connection because the one
-// that it waited on ended before anything was written.
+// maxTries bounds how often a call moves to a new connection: because the one
+// that it waited on ended before anything was written, or could not be opened
+// by a dial that began before the call.
 const maxTries = 2
 
 // Client opens connections to other hosts on demand and calls their handlers.
@@ -98,9 +99,15 @@
 func (c *Client) send(ctx context.Context, address string, call frame) ([]byte, error) {
 	var err error
 	for range maxTries {
-		var link *link
-		if link, err = c.link(ctx, address); err != nil {
-			return nil, err
+		link, isOwn := c.link(address)
+		if link == nil {
+			return nil, eris.Wrap(ErrUnreachable, "client is closed")
+		}
+		if err = link.wait(ctx); err != nil {
+			if isOwn {
+				return nil, err
+			}
+			continue
 		}
 		var reply []byte
 		reply, err = link.call(ctx, call)
@@ -123,21 +130,22 @@
 	}
 }
 
-// link gives the connection to an address, once it is open.
-func (c *Client) link(ctx context.Context, address string) (*link, error) {
+// link gives the connection to an address, open or being opened, and whether
+// it is the first to want it. It gives nil if the client is closed.
+func (c *Client) link(address string) (current *link, isOwn bool) {
 	c.mutex.Lock()
+	defer c.mutex.Unlock()
 	if c.closed {
-		c.mutex.Unlock()
-		return nil, eris.Wrap(ErrUnreachable, "client is closed")
+		return nil, false
 	}
-	current := c.links[address]
-	if current == nil || current.isOver() {
-		current = newLink(address)
-		c.links[address] = current
-		go c.open(current)
+	current = c.links[address]
+	if current != nil && !current.isOver() {
+		return current, false
 	}
-	c.mutex.Unlock()
-	return current, current.wait(ctx)
+	current = newLink(address)
+	c.links[address] = current
+	go c.open(current)
+	return current, true
 }
 
 // open dials and greets the peer, then serves the connection until it ends.
--- a/internal/connection/mesh/mesh_test.go
+++ b/internal/connection/mesh/mesh_test.go
@@ -222,6 +222,35 @@
 	assert.NilError(t, a.client.Call(t.Context(), b.address, kindEcho, echo{}, nil))
 }
 
+// firstDialGate lets nothing pass the first time that it is asked, which is at
+// the first dial.
+type firstDialGate struct {
+	once  sync.Once
+	asked chan struct{}
+}
+
+func (g *firstDialGate) Passes(string, mesh.Direction) bool {
+	passes := true
+	g.once.Do(func() {
+		passes = false
+		close(g.asked)
+	})
+	return passes
+}
+
+// TestCallThatJoinsAFailingDial checks that a call does not fail because of a
+// dial that began before it.
+func TestCallThatJoinsAFailingDial(t *testing.T) {
+	gate := &firstDialGate{asked: make(chan struct{})}
+	a := start(t, "a", func(o *mesh.Options) { o.Gate = gate })
+	b := start(t, "b", nil)
+	first := make(chan error, 1)
+	go func() { first <- a.client.Call(t.Context(), b.address, kindEcho, echo{}, nil) }()
+	<-gate.asked
+	assert.NilError(t, a.client.Call(t.Context(), b.address, kindEcho, echo{}, nil))
+	assert.ErrorIs(t, <-first, mesh.ErrUnreachable)
+}
+
 func TestIdleConnectionsClose(t *testing.T) {
 	idle := func(o *mesh.Options) { o.IdleTimeout = time.Millisecond }
 	a, b := start(t, "a", idle), start(t, "b", nil)
--- a/internal/process/daemon/admin.go
+++ b/internal/process/daemon/admin.go
@@ -54,5 +54,5 @@
 }
 
 func (h *host) timelineService() *timeline.Service {
-	return &timeline.Service{Ring: h.ring, Caller: h.meshClient, Peers: h.otherHosts}
+	return &timeline.Service{Ring: h.ring, Caller: h.caller, Peers: h.otherHosts}
 }
--- a/internal/process/daemon/configuration.go
+++ b/internal/process/daemon/configuration.go
@@ -31,7 +31,7 @@
 		Host:    h.self.Host,
 		Keys:    keys,
 		Log:     h.log,
-		Caller:  h.meshClient,
+		Caller:  h.caller,
 		Peers:   h.peerAddresses,
 		Metrics: h.metrics,
 		Logger:  h.logger,
@@ -46,7 +46,7 @@
 func (h *host) makePlacement() error {
 	h.placer = placement.New(placement.Config{
 		Self:    h.self,
-		Caller:  h.meshClient,
+		Caller:  h.caller,
 		Metrics: h.metrics,
 	})
 	h.placer.Register(h.meshServer)
--- a/internal/process/daemon/host.go
+++ b/internal/process/daemon/host.go
@@ -43,8 +43,9 @@
 
 	listeners  listeners
 	meshServer *mesh.Server
-	meshClient *mesh.Client
 	members    *member.Driver
+	// caller reaches other hosts; a call that fails makes members probe.
+	caller mesh.Caller
 
 	log      platform.Log
 	follower *config.Follower
@@ -125,28 +126,6 @@
 	return nil
 }
 
-// makeMesh makes the connections to other hosts and the membership.
-func (h *host) makeMesh() error {
-	options := mesh.Options{Self: h.self, Clock: h.clock, Metrics: h.metrics}
-	memberOptions := member.Options{
-		Self:     h.self,
-		Seeds:    h.settings.Peers,
-		Clock:    h.clock,
-		Recorder: h.ring,
-		Metrics:  h.metrics,
-	}
-	if h.settings.TestGate {
-		options.Gate = h.gate
-		memberOptions.Gate = h.gate
-	}
-	h.meshServer = mesh.NewServer(options)
-	h.meshClient = mesh.NewClient(options)
-	timeline.Register(h.meshServer, h.ring)
-	driver, err := member.NewDriver(memberOptions)
-	h.members = driver
-	return err
-}
-
 // makeRequests makes what serves callers.
 func (h *host) makeRequests() error {
 	now := h.sessionClock.Now
@@ -157,7 +136,7 @@
 	})
 	h.register.HandleOn(h.meshServer, now)
 	h.sender = witness.NewSender(witness.SenderConfig{
-		Caller:          h.meshClient,
+		Caller:          h.caller,
 		Hosts:           h,
 		Local:           h.register,
 		Now:             now,
@@ -283,6 +262,7 @@
 // addActors adds all that runs to the group.
 func (h *host) addActors(group *run.Group) {
 	addRunActor(group, h.members.Run)
+	addRunActor(group, h.followHostList)
 	addRunActor(group, h.follower.Run)
 	addRunActor(group, h.followConfig)
 	addRunActor(group, h.placer.Run)
--- a/internal/process/member/core.go
+++ b/internal/process/member/core.go
@@ -21,7 +21,11 @@
 	expires time.Duration
 }
 
+// member gives what a View shows; zero for an entry without a record yet.
 func (e *entry) member() Member {
+	if e.record.State == 0 {
+		return Member{}
+	}
 	return Member{Host: e.record.Host, State: e.record.State, Leaving: e.record.Leaving}
 }
 
--- a/internal/process/member/core_test.go
+++ b/internal/process/member/core_test.go
@@ -27,6 +27,20 @@
 	return w
 }
 
+// TestFirstChangeHasNothingBefore checks that a host that was not known is not
+// reported as the successor of another one.
+func TestFirstChangeHasNothingBefore(t *testing.T) {
+	w := newNetwork(1)
+	joins := 0
+	w.changes = func(_ *node, change member.Change) {
+		joins++
+		assert.Equal(t, change.Before, member.Member{})
+	}
+	w.grow(3, nil)
+	w.mustConverge(t, settle)
+	assert.Equal(t, joins, 6)
+}
+
 // allBelieve reports whether all others believe the state of an incarnation.
 func (w *network) allBelieve(of identity.Incarnation, states ...member.State) bool {
 	for _, n := range w.nodes {
--- a/internal/process/timeline/remote.go
+++ b/internal/process/timeline/remote.go
@@ -57,7 +57,7 @@
 }
 
 // Collect merges this host's events and its peers'. Peers that do not answer
-// leave a gap.
+// leave a gap, and so do hosts that have died or left since this one started.
 func (s *Service) Collect(ctx context.Context, filter Filter) Merged {
 	ctx, cancel := context.WithTimeout(ctx, collectTimeout)
 	defer cancel()
@@ -82,7 +82,7 @@
 		})
 	}
 	group.Wait()
-	return Merge(parts, failures)
+	return Merge(parts, append(failures, s.Ring.gone(parts, failures)...))
 }
 
 // ask reads a peer's ring page by page.
--- a/internal/process/timeline/timeline_test.go
+++ b/internal/process/timeline/timeline_test.go
@@ -138,21 +138,25 @@
 		there.Record(timeline.Event{Kind: timeline.RequestDispatched, Request: fmt.Sprint(i)})
 		full.Record(timeline.Event{Kind: timeline.RequestDone, Request: fmt.Sprint(i)})
 	}
+	for _, name := range []string{"b", "d", "e", "e"} {
+		here.Record(timeline.Event{Kind: timeline.MemberDead, Peer: identity.Incarnation{Host: name, Number: 1}})
+	}
 	service := timeline.Service{Ring: here, Caller: calls, Peers: func() []identity.Host {
 		return []identity.Host{
 			{Incarnation: identity.Incarnation{Host: "b"}, MeshAddress: "b"},
 			{Incarnation: identity.Incarnation{Host: "c"}, MeshAddress: "c"},
-			{Incarnation: identity.Incarnation{Host: "d"}, MeshAddress: "d"},
+			{Incarnation: identity.Incarnation{Host: "d", Number: 1}, MeshAddress: "d"},
 		}
 	}}
 	merged := service.Collect(t.Context(), timeline.Filter{})
-	assert.Equal(t, len(merged.Events), 2*pages+2)
+	assert.Equal(t, len(merged.Events), 2*pages+2+4)
 	for i := 1; i < len(merged.Events); i++ {
 		assert.Assert(t, merged.Events[i-1].Stamp <= merged.Events[i].Stamp)
 	}
-	assert.Equal(t, len(merged.Gaps), 2)
+	assert.Equal(t, len(merged.Gaps), 3)
 	assert.Equal(t, merged.Gaps[0].Host.Host, "d")
-	assert.Equal(t, merged.Gaps[1].Dropped, uint64(pages-2))
+	assert.Equal(t, merged.Gaps[1].Host.Host, "e")
+	assert.Equal(t, merged.Gaps[2].Dropped, uint64(pages-2))
 }
 
 func TestPrint(t *testing.T) {
