Time line: bound the events of a merged view

330 full rings would have been some 1.3 GB in the host that is asked. Each host now gives the newest of an equal share of 65536 events; what is left out is a gap.

--- a/internal/process/timeline/merge.go
+++ b/internal/process/timeline/merge.go
@@ -12,7 +12,8 @@
 type Slice struct {
 	Host   identity.Incarnation `cbor:"1,keyasint"`
 	Events []Event              `cbor:"2,keyasint"`
-	// Dropped counts the oldest events, which the ring no longer has.
+	// Dropped counts the oldest events, which the ring no longer has or which
+	// were not wanted.
 	Dropped uint64 `cbor:"3,keyasint"`
 	// Next is the sequence number after which the next part begins.
 	Next uint64 `cbor:"4,keyasint"`
@@ -23,7 +24,7 @@
 // Gap tells what a merged time line lacks.
 type Gap struct {
 	Host identity.Incarnation `json:"host"`
-	// Dropped counts events that the host recorded and no longer has.
+	// Dropped counts the host's older events that are not in the time line.
 	Dropped uint64 `json:"dropped,omitempty"`
 	// Before is the stamp of the host's oldest event that is left, or zero.
 	Before hlc.Stamp `json:"before,omitempty"`
--- a/internal/process/timeline/remote.go
+++ b/internal/process/timeline/remote.go
@@ -27,12 +27,19 @@
 	collectTimeout = 5 * time.Second
 	// collectAtOnce bounds how many hosts are asked at the same time.
 	collectAtOnce = 16
+	// maxCollected bounds the events of a merged time line; each host gives the
+	// newest of an equal share.
+	maxCollected = 1 << 16
 )
 
-// Query asks for a part of a ring.
+// Query asks for a part of a ring: the first page of the newest events, or the
+// page after a sequence number.
 type Query struct {
 	Filter Filter `cbor:"1,keyasint"`
 	After  uint64 `cbor:"2,keyasint,omitempty"`
+	// Newest is how many events are wanted altogether. It counts if After is
+	// zero.
+	Newest int `cbor:"3,keyasint,omitempty"`
 }
 
 // Register lets other hosts query the ring.
@@ -42,10 +49,21 @@
 		if err := cbor.Unmarshal(body, &query); err != nil {
 			return nil, eris.Wrap(err, "decoding a time line query")
 		}
-		return ring.Slice(query.Filter, query.After, pageEvents), nil
+		return ring.answer(query, pageEvents), nil
 	})
 }
 
+// answer gives one page of at most limit events.
+func (r *Ring) answer(query Query, limit int) Slice {
+	if query.After > 0 || query.Newest <= 0 {
+		return r.Slice(query.Filter, query.After, limit)
+	}
+	before := r.Before(query.Filter, query.Newest)
+	slice := r.Slice(query.Filter, before, limit)
+	slice.Dropped = max(slice.Dropped, before)
+	return slice
+}
+
 // Service answers queries with the merged time line of all hosts.
 type Service struct {
 	// Ring is this host's own.
@@ -66,13 +84,15 @@
 		group    sync.WaitGroup
 		failures []Gap
 	)
-	parts := []Slice{s.Ring.Slice(filter, 0, len(s.Ring.slots))}
+	peers := s.Peers()
+	query := Query{Filter: filter, Newest: maxCollected / (len(peers) + 1)}
+	parts := []Slice{s.Ring.answer(query, query.Newest)}
 	turns := make(chan struct{}, collectAtOnce)
-	for _, peer := range s.Peers() {
+	for _, peer := range peers {
 		group.Go(func() {
 			turns <- struct{}{}
 			defer func() { <-turns }()
-			pages, err := s.ask(ctx, peer, filter)
+			pages, err := s.ask(ctx, peer, query)
 			mutex.Lock()
 			defer mutex.Unlock()
 			parts = append(parts, pages...)
@@ -86,9 +106,8 @@
 }
 
 // ask reads a peer's ring page by page.
-func (s *Service) ask(ctx context.Context, peer identity.Host, filter Filter) ([]Slice, error) {
+func (s *Service) ask(ctx context.Context, peer identity.Host, query Query) ([]Slice, error) {
 	var pages []Slice
-	query := Query{Filter: filter}
 	for {
 		var page Slice
 		if err := s.Caller.Call(ctx, peer.MeshAddress, KindQuery, query, &page); err != nil {
--- a/internal/process/timeline/ring.go
+++ b/internal/process/timeline/ring.go
@@ -39,14 +39,11 @@
 // after the sequence number on, at most limit.
 func (r *Ring) Slice(filter Filter, after uint64, limit int) Slice {
 	last := r.last.Load()
-	oldest := uint64(1)
-	if capacity := uint64(len(r.slots)); last > capacity {
-		oldest = last - capacity + 1
-	}
+	oldest := r.oldest(last)
 	slice := Slice{Host: r.self, Dropped: oldest - 1, Next: last}
 	for sequence := max(oldest, after+1); sequence <= last; sequence++ {
-		event := r.slots[sequence%uint64(len(r.slots))].Load()
-		if event == nil || event.Sequence != sequence || !filter.Matches(event) {
+		event := r.at(sequence)
+		if event == nil || !filter.Matches(event) {
 			continue
 		}
 		slice.Events = append(slice.Events, *event)
@@ -58,3 +55,39 @@
 	}
 	return slice
 }
+
+// Before gives the sequence number after which a number of events pass the
+// filter, or all if there are fewer.
+func (r *Ring) Before(filter Filter, newest int) uint64 {
+	last := r.last.Load()
+	oldest := r.oldest(last)
+	for sequence := last; sequence >= oldest; sequence-- {
+		event := r.at(sequence)
+		if event == nil || !filter.Matches(event) {
+			continue
+		}
+		if newest == 0 {
+			return sequence
+		}
+		newest--
+	}
+	return oldest - 1
+}
+
+// oldest is the sequence number of the oldest event that the ring still has.
+func (r *Ring) oldest(last uint64) uint64 {
+	if capacity := uint64(len(r.slots)); last > capacity {
+		return last - capacity + 1
+	}
+	return 1
+}
+
+// at gives the event with a sequence number, or nil if it is gone or not yet
+// written.
+func (r *Ring) at(sequence uint64) *Event {
+	event := r.slots[sequence%uint64(len(r.slots))].Load()
+	if event == nil || event.Sequence != sequence {
+		return nil
+	}
+	return event
+}
--- a/internal/process/timeline/timeline_test.go
+++ b/internal/process/timeline/timeline_test.go
@@ -99,6 +99,47 @@
 	assert.ErrorIs(t, err, timeline.ErrFilter)
 }
 
+func TestBefore(t *testing.T) {
+	ring := newRing("a", 8)
+	for i := range 12 {
+		ring.Record(timeline.Event{Request: fmt.Sprint(i % 2)})
+	}
+	cases := []struct {
+		filter timeline.Filter
+		newest int
+		want   uint64
+	}{
+		{timeline.Filter{}, 3, 9},
+		{timeline.Filter{}, 100, 4},
+		{timeline.Filter{Request: "1"}, 2, 8},
+		{timeline.Filter{Request: "none"}, 2, 4},
+	}
+	for _, c := range cases {
+		assert.Equal(t, ring.Before(c.filter, c.newest), c.want, "%+v", c)
+	}
+}
+
+func TestCollectIsBounded(t *testing.T) {
+	const perHost = 30_000
+	here := newRing("a", perHost)
+	calls := fakeMesh{}
+	var peers []identity.Host
+	for _, name := range []string{"b", "c", "d"} {
+		ring := newRing(name, perHost)
+		for range perHost {
+			ring.Record(timeline.Event{Kind: timeline.RequestReceived})
+		}
+		timeline.Register(register(func(_ mesh.Kind, h mesh.Handler) { calls[name] = h }), ring)
+		peers = append(peers, identity.Host{Incarnation: identity.Incarnation{Host: name, Number: 1}, MeshAddress: name})
+	}
+	service := timeline.Service{Ring: here, Caller: calls, Peers: func() []identity.Host { return peers }}
+	merged := service.Collect(t.Context(), timeline.Filter{})
+	assert.Equal(t, len(merged.Events), 3*(1<<14))
+	assert.Equal(t, len(merged.Gaps), 3)
+	assert.Equal(t, merged.Gaps[0].Dropped, uint64(perHost-1<<14))
+	assert.Equal(t, merged.Events[len(merged.Events)-1].Sequence, uint64(perHost))
+}
+
 // fakeMesh calls the handlers of hosts in the same process.
 type fakeMesh map[string]mesh.Handler
 
