Mesh: a short frame queue in place of one for all calls in flight

An idle connection held 117 KiB, both ends together, 64 KiB of them the two queues; it now holds 51 KiB (go test -run '^$' -bench Links -benchtime 1x ./internal/connection/mesh, 160 links). Calls a second do not change.

--- a/internal/connection/mesh/bench_test.go
+++ b/internal/connection/mesh/bench_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"runtime"
 	"slices"
 	"sync"
 	"testing"
@@ -24,6 +25,36 @@
 	}
 }
 
+// BenchmarkLinks measures what idle connections hold, both ends together.
+func BenchmarkLinks(b *testing.B) {
+	for _, count := range []int{10, 40, 160} {
+		b.Run(fmt.Sprintf("links=%d", count), func(b *testing.B) {
+			here := start(b, "a", nil)
+			var peers []*peer
+			for range count {
+				peers = append(peers, start(b, "b", nil))
+			}
+			for range b.N {
+				before := memoryBytes()
+				for _, there := range peers {
+					if err := here.client.Call(context.Background(), there.address, kindEcho, echo{}, &echo{}); err != nil {
+						b.Fatal(err)
+					}
+				}
+				b.ReportMetric((memoryBytes()-before)/float64(count)/1024, "KiB/link")
+			}
+		})
+	}
+}
+
+// memoryBytes is the memory in use by the heap and the stacks.
+func memoryBytes() float64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return float64(stats.HeapAlloc + stats.StackInuse)
+}
+
 // measure runs calls from several goroutines and reports their latencies.
 func measure(b *testing.B, callers int, call func() error) {
 	const warmUp = 100
--- a/internal/connection/mesh/link.go
+++ b/internal/connection/mesh/link.go
@@ -103,8 +103,10 @@
 	out := &outgoing{frame: call}
 	select {
 	case l.pipe.queue <- out:
-	default:
-		return nil, errBusy
+	case <-ctx.Done():
+		return nil, l.giveUp(out, ctx.Err().Error())
+	case <-l.pipe.done:
+		return nil, errNotWritten
 	}
 	select {
 	case reply := <-answer:
--- a/internal/connection/mesh/options.go
+++ b/internal/connection/mesh/options.go
@@ -29,6 +29,9 @@
 	batchBytes = 32 << 10
 	// frameOverheadBytes bounds what a frame adds to its body.
 	frameOverheadBytes = 1 << 10
+	// queuedFrames is how many frames may wait for the writer of a connection;
+	// their senders wait beyond that.
+	queuedFrames = 64
 	// sweepInterval is how often a client looks for idle and stalled links.
 	sweepInterval = time.Second
 )
--- a/internal/connection/mesh/pipe.go
+++ b/internal/connection/mesh/pipe.go
@@ -51,7 +51,7 @@
 		conn:     conn,
 		options:  options,
 		counters: counters,
-		queue:    make(chan *outgoing, options.MaxInFlight),
+		queue:    make(chan *outgoing, queuedFrames),
 		done:     make(chan struct{}),
 	}
 }
--- a/internal/process/member/bench_test.go
+++ b/internal/process/member/bench_test.go
@@ -35,6 +35,9 @@
 			for i := range b.N {
 				before := heapBytes()
 				w := benchNetwork(b, uint64(i), count)
+				// The news of a whole fleet's start takes as long as its size to
+				// run dry.
+				w.run(time.Duration(count) * time.Second)
 				held += (heapBytes() - before) / float64(count)
 				w.sentBytes, w.sentMessages = 0, 0
 				begin := time.Now()
