Mesh test: the blocking handler answers only when told

It answered when the call's timeout reached it, at the same moment at which the caller gave up, so that 'no answer in time' saw the answer in about half of the runs under the race detector on a busy machine.

--- a/internal/connection/mesh/mesh_test.go
+++ b/internal/connection/mesh/mesh_test.go
@@ -78,11 +78,11 @@
 	p.server.Handle(kindFail, func(context.Context, identity.Incarnation, cbor.RawMessage) (any, error) {
 		return nil, eris.New("no such thing")
 	})
-	p.server.Handle(kindBlock, func(ctx context.Context, _ identity.Incarnation, _ cbor.RawMessage) (any, error) {
+	p.server.Handle(kindBlock, func(context.Context, identity.Incarnation, cbor.RawMessage) (any, error) {
 		p.entered <- struct{}{}
 		select {
 		case <-p.release:
-		case <-ctx.Done():
+		case <-t.Context().Done():
 		}
 		return echo{}, nil
 	})
