--- a/internal/process/member/driver_test.go
+++ b/internal/process/member/driver_test.go
@@ -29,14 +29,14 @@
 }
 
 // freeAddress gives a loopback address whose UDP port was free just now.
-func freeAddress(t *testing.T) string {
+func freeAddress(t testing.TB) string {
 	conn, err := net.ListenPacket("udp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	defer conn.Close()
 	return conn.LocalAddr().String()
 }
 
-func run(t *testing.T, name string, number uint64, at string, seeds ...string) *host {
+func run(t testing.TB, name string, number uint64, at string, seeds ...string) *host {
 	h := &host{cuts: &mesh.Cuts{}, ended: make(chan error, 1)}
 	h.self = identity.Host{
 		Incarnation: identity.Incarnation{Host: name, Number: number}, MeshAddress: at, Address: at,
@@ -55,7 +55,7 @@
 }
 
 // sees waits until the host believes the state of a host name.
-func (h *host) sees(t *testing.T, name string, state member.State) {
+func (h *host) sees(t testing.TB, name string, state member.State) {
 	t.Helper()
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
 		if m, known := h.driver.View().ByName(name); known && m.State == state {
