--- /dev/null
+++ b/internal/connection/codec/codec.go
@@ -0,0 +1,48 @@
+// Package codec encodes what hosts send each other as CBOR, and bounds what is
+// decoded from others.
+package codec
+
+import "github.com/fxamacker/cbor/v2"
+
+// Limits bound what a decoder accepts.
+type Limits struct {
+	// NestedLevels is how deep arrays and maps may be nested.
+	NestedLevels int
+	// ArrayElements and MapPairs bound each array and map.
+	ArrayElements, MapPairs int
+}
+
+// Codec encodes and decodes CBOR. It is safe for concurrent use.
+type Codec struct {
+	encoder cbor.EncMode
+	decoder cbor.DecMode
+}
+
+// New makes a codec. It panics on limits that CBOR does not allow.
+func New(limits Limits) Codec {
+	encoder, err := cbor.EncOptions{}.EncMode()
+	if err != nil {
+		panic(err)
+	}
+	decoder, err := cbor.DecOptions{
+		MaxNestedLevels:  limits.NestedLevels,
+		MaxArrayElements: limits.ArrayElements,
+		MaxMapPairs:      limits.MapPairs,
+	}.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return Codec{encoder: encoder, decoder: decoder}
+}
+
+// Marshal encodes a value.
+func (c Codec) Marshal(value any) ([]byte, error) { return c.encoder.Marshal(value) }
+
+// Unmarshal decodes all of the bytes into a pointer.
+func (c Codec) Unmarshal(encoded []byte, into any) error { return c.decoder.Unmarshal(encoded, into) }
+
+// UnmarshalFirst decodes the first value of the bytes into a pointer and gives
+// the rest.
+func (c Codec) UnmarshalFirst(encoded []byte, into any) ([]byte, error) {
+	return c.decoder.UnmarshalFirst(encoded, into)
+}
--- a/internal/connection/mesh/client.go
+++ b/internal/connection/mesh/client.go
@@ -75,7 +75,7 @@
 }
 
 func (c *Client) exchange(ctx context.Context, address string, kind Kind, request, response any) error {
-	body, err := encoder.Marshal(request)
+	body, err := wire.Marshal(request)
 	if err != nil {
 		return eris.Wrapf(ErrUnreachable, "encoding %s: %v", kind, err)
 	}
@@ -89,7 +89,7 @@
 	if response == nil {
 		return nil
 	}
-	if err := decoder.Unmarshal(reply, response); err != nil {
+	if err := wire.Unmarshal(reply, response); err != nil {
 		return eris.Wrapf(ErrLost, "decoding the reply to %s: %v", kind, err)
 	}
 	return nil
--- a/internal/connection/mesh/frame.go
+++ b/internal/connection/mesh/frame.go
@@ -4,6 +4,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/rotisserie/eris"
 
+	"mustarddoor/internal/connection/codec"
 	"mustarddoor/internal/process/hlc"
 	"mustarddoor/internal/process/identity"
 )
@@ -68,33 +69,17 @@
 	return h.Version >= OldestVersion && ProtocolVersion >= h.Oldest
 }
 
-var (
-	encoder = mustEncMode(cbor.EncOptions{}.EncMode())
-	decoder = mustDecMode(cbor.DecOptions{
-		MaxNestedLevels:  maxNestedLevels,
-		MaxArrayElements: maxArrayElements,
-		MaxMapPairs:      maxMapPairs,
-	}.DecMode())
-)
-
-func mustEncMode(mode cbor.EncMode, err error) cbor.EncMode {
-	if err != nil {
-		panic(err)
-	}
-	return mode
-}
-
-func mustDecMode(mode cbor.DecMode, err error) cbor.DecMode {
-	if err != nil {
-		panic(err)
-	}
-	return mode
-}
+// wire is the codec of frames and bodies.
+var wire = codec.New(codec.Limits{
+	NestedLevels:  maxNestedLevels,
+	ArrayElements: maxArrayElements,
+	MapPairs:      maxMapPairs,
+})
 
 // splitFrame decodes the first frame of a message and gives the rest.
 func splitFrame(message []byte) (frame, []byte, error) {
 	var f frame
-	rest, err := decoder.UnmarshalFirst(message, &f)
+	rest, err := wire.UnmarshalFirst(message, &f)
 	if err != nil {
 		return frame{}, nil, eris.Wrap(errFrame, err.Error())
 	}
--- a/internal/connection/mesh/frame_test.go
+++ b/internal/connection/mesh/frame_test.go
@@ -7,7 +7,7 @@
 )
 
 func FuzzSplitFrame(f *testing.F) {
-	call, err := encoder.Marshal(frame{Type: frameCall, ID: 7, Stamp: 9, Kind: "a.b", Body: []byte{0xa0}, TimeoutMillis: 5})
+	call, err := wire.Marshal(frame{Type: frameCall, ID: 7, Stamp: 9, Kind: "a.b", Body: []byte{0xa0}, TimeoutMillis: 5})
 	assert.NilError(f, err)
 	f.Add(call)
 	f.Add(append(call, call...))
@@ -20,7 +20,7 @@
 				return
 			}
 			assert.Assert(t, len(rest) < len(message))
-			again, err := encoder.Marshal(first)
+			again, err := wire.Marshal(first)
 			assert.NilError(t, err)
 			same, _, err := splitFrame(again)
 			assert.NilError(t, err)
--- a/internal/connection/mesh/pipe.go
+++ b/internal/connection/mesh/pipe.go
@@ -66,7 +66,7 @@
 
 // greet sends this host's hello.
 func (p *pipe) greet(ctx context.Context) error {
-	body, err := encoder.Marshal(p.options.hello())
+	body, err := wire.Marshal(p.options.hello())
 	if err != nil {
 		return eris.Wrap(err, "encoding hello")
 	}
@@ -88,7 +88,7 @@
 		return err
 	}
 	var greeting hello
-	if err := decoder.Unmarshal(first.Body, &greeting); err != nil || first.Type != frameHello {
+	if err := wire.Unmarshal(first.Body, &greeting); err != nil || first.Type != frameHello {
 		return eris.Wrap(errFrame, "no hello")
 	}
 	if !greeting.speaks() {
@@ -155,7 +155,7 @@
 
 func (p *pipe) encode(batch []byte, f frame) ([]byte, error) {
 	f.Stamp = p.options.Clock.Now()
-	encoded, err := encoder.Marshal(f)
+	encoded, err := wire.Marshal(f)
 	if err != nil {
 		return nil, eris.Wrap(err, "encoding frame")
 	}
--- a/internal/connection/mesh/server.go
+++ b/internal/connection/mesh/server.go
@@ -171,7 +171,7 @@
 func (s *session) peer() identity.Incarnation { return s.pipe.peer.Incarnation }
 
 func (s *session) reply(call frame, result any) {
-	body, err := encoder.Marshal(result)
+	body, err := wire.Marshal(result)
 	if err != nil {
 		s.reject(call, reasonEncoding)
 		return
--- a/internal/process/member/message.go
+++ b/internal/process/member/message.go
@@ -1,9 +1,9 @@
 package member
 
 import (
-	"github.com/fxamacker/cbor/v2"
 	"github.com/rotisserie/eris"
 
+	"mustarddoor/internal/connection/codec"
 	"mustarddoor/internal/process/hlc"
 	"mustarddoor/internal/process/identity"
 )
@@ -73,39 +73,23 @@
 	Digest uint64 `cbor:"2,keyasint"`
 }
 
-var (
-	encoder = mustEncMode(cbor.EncOptions{}.EncMode())
-	decoder = mustDecMode(cbor.DecOptions{
-		MaxNestedLevels:  maxNestedLevels,
-		MaxArrayElements: maxArrayElements,
-		MaxMapPairs:      maxMapPairs,
-	}.DecMode())
-)
-
-func mustEncMode(mode cbor.EncMode, err error) cbor.EncMode {
-	if err != nil {
-		panic(err)
-	}
-	return mode
-}
-
-func mustDecMode(mode cbor.DecMode, err error) cbor.DecMode {
-	if err != nil {
-		panic(err)
-	}
-	return mode
-}
+// wire is the codec of messages.
+var wire = codec.New(codec.Limits{
+	NestedLevels:  maxNestedLevels,
+	ArrayElements: maxArrayElements,
+	MapPairs:      maxMapPairs,
+})
 
 // Encode gives the message as CBOR.
 func (m Message) Encode() ([]byte, error) {
-	encoded, err := encoder.Marshal(m)
+	encoded, err := wire.Marshal(m)
 	return encoded, eris.Wrap(err, "encoding a membership message")
 }
 
 // Decode is the inverse of Message.Encode. It fails with ErrMessage.
 func Decode(datagram []byte) (Message, error) {
 	var message Message
-	if err := decoder.Unmarshal(datagram, &message); err != nil {
+	if err := wire.Unmarshal(datagram, &message); err != nil {
 		return Message{}, eris.Wrap(ErrMessage, err.Error())
 	}
 	if message.From.IsZero() {
@@ -116,7 +100,7 @@
 
 // sizeOf is the encoded size of a part of a message, in bytes.
 func sizeOf(part any) int {
-	encoded, err := encoder.Marshal(part)
+	encoded, err := wire.Marshal(part)
 	if err != nil {
 		return maxDatagramBytes
 	}
