Configuration stream: tests of records, merges, starts, outages, gaps

The drawn test of convergence found two faults, both mended here: - a restart that stood twice in the log was refused by hosts that had read the first copy and accepted by those that had not. A pull now names the sender's version in force. A submitted restart that closed a gap had no outcome for its operator; TestGap failed for it first.

--- a/internal/version/config/apply.go
+++ b/internal/version/config/apply.go
@@ -38,6 +38,25 @@
 	return next.run(next.dispatch)
 }
 
+// Adopt goes on from a record that does not need those before it: a snapshot
+// that reaches to first, the oldest offset that the log has, or a bundle that
+// restarts the stream. Any other record is skipped.
+func (s State) Adopt(entry platform.Record, first uint64, keys *Keyring) (State, Outcome) {
+	record, err := Open(entry.Data, keys)
+	if err != nil {
+		return s, skipped(entry)
+	}
+	if record.Kind == KindPublish {
+		return s.Apply(entry, keys)
+	}
+	snapshot, _, ok := readSnapshot(record)
+	if !ok || snapshot.Log.Offset+1 < first || snapshot.Log.Offset >= entry.Offset {
+		return s, skipped(entry)
+	}
+	outcome := describe(record, accepted("state at offset %d", snapshot.Log.Offset))
+	return Merge(s, snapshot).clone(), outcome
+}
+
 func skipped(entry platform.Record) Outcome {
 	return Outcome{Result: ResultSkipped, Offset: entry.Offset, ID: entry.ID}
 }
@@ -209,17 +228,18 @@
 	return outcome
 }
 
-// isRestart reports whether the record restarts the stream.
+// isRestart reports whether the record restarts the stream. The answer does
+// not depend on the state, so that hosts with and without the records before it
+// agree.
 func (t *step) isRestart() bool {
 	if t.record.Kind != KindPublish || t.record.Role != RoleOperator || t.record.Schema > RecordSchema {
 		return false
 	}
 	var body PublishBody
-	if err := decoding.Unmarshal(t.record.Body, &body); err != nil || !body.Restart {
+	if err := decoding.Unmarshal(t.record.Body, &body); err != nil || body.RestartAt == 0 {
 		return false
 	}
-	log := t.state.Log
-	if t.record.Sequence <= max(log.SequenceFloor, log.Sequences[t.record.Signer]) {
+	if t.entry.Offset < body.RestartAt || t.entry.Offset-body.RestartAt >= RestartWindow {
 		return false
 	}
 	_, err := readBundle(body.Schema, body.Name, body.Digest, body.Content)
--- a/internal/version/config/cell.go
+++ b/internal/version/config/cell.go
@@ -91,18 +91,25 @@
 // apply applies records of the log in their order.
 func (f *Follower) apply(entries []platform.Record) {
 	for _, entry := range entries {
-		f.mu.Lock()
-		var outcome Outcome
-		changes := f.updateLocked(func(s *State) { *s, outcome = s.Apply(entry, f.options.Keys) })
-		f.settle(outcome)
-		f.mu.Unlock()
-		if outcome.Result == ResultRefused || outcome.Result == ResultUnknown {
-			changes = append(changes, Change{Kind: ChangeRefused, Outcome: outcome})
-		}
-		f.observe(changes)
+		f.step(func(s State) (State, Outcome) { return s.Apply(entry, f.options.Keys) })
 	}
 }
 
+// step takes in one record of the log and tells its outcome to all who wait
+// for it.
+func (f *Follower) step(take func(State) (State, Outcome)) Outcome {
+	f.mu.Lock()
+	var outcome Outcome
+	changes := f.updateLocked(func(s *State) { *s, outcome = take(*s) })
+	f.settle(outcome)
+	f.mu.Unlock()
+	if outcome.Result == ResultRefused || outcome.Result == ResultUnknown {
+		changes = append(changes, Change{Kind: ChangeRefused, Outcome: outcome})
+	}
+	f.observe(changes)
+	return outcome
+}
+
 // settle counts an outcome and hands it to those who wait for it.
 func (f *Follower) settle(outcome Outcome) {
 	if outcome.Result == ResultSkipped {
--- /dev/null
+++ b/internal/version/config/follower_test.go
@@ -0,0 +1,294 @@
+package config
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+	is "gotest.tools/v3/assert/cmp"
+
+	"mustarddoor/internal/connection/platform"
+)
+
+// run lets followers run until the test function returns.
+func run(t *testing.T, followers []*Follower, test func(ctx context.Context)) {
+	ctx, cancel := context.WithCancel(t.Context())
+	for _, f := range followers {
+		go func() { _ = f.Run(ctx) }()
+	}
+	test(ctx)
+	cancel()
+	synctest.Wait()
+}
+
+// settle lets virtual time pass until everything at hand is done.
+func settle(d time.Duration) {
+	time.Sleep(d)
+	synctest.Wait()
+}
+
+// A host starts with the log up, out, slow or trimmed, with peers that have the
+// configuration and without.
+func TestStart(t *testing.T) {
+	cases := []struct {
+		name   string
+		log    func(l *memoryLog)
+		peers  bool
+		ready  bool
+		reason string
+	}{
+		{"log up", func(*memoryLog) {}, false, true, ""},
+		{"log up, peers", func(*memoryLog) {}, true, true, ""},
+		{"log out", func(l *memoryLog) { l.down = true }, false, false, "log service has been unavailable"},
+		{"log out, peers", func(l *memoryLog) { l.down = true }, true, true, ""},
+		{"log slow", func(l *memoryLog) { l.slow = 2 * time.Second }, false, true, ""},
+		{"log slow, peers", func(l *memoryLog) { l.slow = 2 * time.Second }, true, true, ""},
+		{"log slower than patience", func(l *memoryLog) { l.slow, l.down = time.Hour, true }, false, false, "reading the log: at offset 0"},
+		{"log trimmed", func(l *memoryLog) { l.first = 3 }, false, false, "records 1 to 2 are gone"},
+		{"log trimmed, peers", func(l *memoryLog) { l.first = 3 }, true, true, ""},
+		{"log trimmed whole", func(l *memoryLog) { l.first = 4 }, false, false, "records 1 to 3 are gone"},
+		{"log empty", func(l *memoryLog) { l.records = nil }, false, false, "no bundle has been rolled"},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newCast(t)
+				log, n := newMemoryLog(), newNetwork()
+				entries := c.rollOut(0, testBundle("first", false))
+				log.put(entries...)
+				if test.peers {
+					newTestFollower("host-9", c, newMemoryLog(), n).apply(entries)
+				}
+				test.log(log)
+				f := newTestFollower("host-1", c, log, n)
+				run(t, []*Follower{f}, func(context.Context) {
+					settle(20 * time.Second)
+					ready, reason := f.Ready()
+					assert.Equal(t, ready, test.ready, reason)
+					assert.Assert(t, is.Contains(reason, test.reason))
+					assert.Equal(t, f.Current().Bundle != nil, test.ready)
+				})
+			})
+		})
+	}
+}
+
+// Of two operators who race through two hosts, one is told that it was first
+// and the other that it was not.
+func TestOperatorsRaceThroughTwoHosts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCast(t)
+		log, n := newMemoryLog(), newNetwork()
+		hosts := []*Follower{newTestFollower("host-1", c, log, n), newTestFollower("host-2", c, log, n)}
+		run(t, hosts, func(ctx context.Context) {
+			settle(time.Second)
+			outcomes := make(chan Outcome, 2)
+			for i, signer := range []*Signer{c.alma, c.berta} {
+				record := signer.Publish(Draft{Bundle: testBundle("of-"+signer.Name(), false)}, 1)
+				go func() { outcomes <- NewOperator(hosts[i]).Submit(ctx, record.Raw) }()
+			}
+			a, b := <-outcomes, <-outcomes
+			if a.Result != ResultAccepted {
+				a, b = b, a
+			}
+			assert.Equal(t, a.Result, ResultAccepted)
+			assert.Equal(t, b.Result, ResultLostRace)
+			assert.Equal(t, b.Winner.Publisher, a.Signer)
+		})
+	})
+}
+
+// A record whose reply was lost, and which is then submitted again through
+// another host, takes effect once and has one outcome.
+func TestLostReplyIsNotDoubled(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCast(t)
+		log, n := newMemoryLog(), newNetwork()
+		hosts := []*Follower{newTestFollower("host-1", c, log, n), newTestFollower("host-2", c, log, n)}
+		run(t, hosts, func(ctx context.Context) {
+			settle(time.Second)
+			log.set(func() { log.lose = 1 })
+			record := c.alma.Publish(Draft{Bundle: testBundle("first", false)}, 1)
+			first := NewOperator(hosts[0]).Submit(ctx, record.Raw)
+			assert.Equal(t, first.Result, ResultUncertain)
+			settle(time.Second)
+			second := NewOperator(hosts[1]).Submit(ctx, record.Raw)
+			assert.Equal(t, second.Result, ResultAccepted)
+			assert.Equal(t, log.kinds(KindPublish), 1)
+		})
+	})
+}
+
+func TestSubmitRefuses(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCast(t)
+		log := newMemoryLog()
+		f := newTestFollower("host-1", c, log, newNetwork())
+		log.put(c.rollOut(0, testBundle("first", false))...)
+		run(t, []*Follower{f}, func(ctx context.Context) {
+			settle(time.Second)
+			operator := NewOperator(f)
+			far := Stamp{Millis: time.Now().Add(time.Hour).UnixMilli()}
+			cases := []struct {
+				record Record
+				reason Reason
+			}{
+				{Record{Raw: []byte("x")}, ReasonSyntax},
+				{c.stranger.Roll(1, "", 1), ReasonSigner},
+				{c.host.Roll(1, "", 1), ReasonRole},
+				{c.alma.Mark("nowhere", true, "", operator.Status().Stamp, 1), ReasonDomain},
+				{c.alma.Mark("a", true, "", far, 1), ReasonStamp},
+				{c.alma.Mark("a", true, strings.Repeat("x", MaxReasonBytes+1), operator.Status().Stamp, 1), ReasonSyntax},
+				{c.alma.Publish(Draft{Bundle: testBundle("x", false)}, 1), ReasonReplay},
+			}
+			for _, test := range cases {
+				outcome := operator.Submit(ctx, test.record.Raw)
+				assert.Equal(t, outcome.Result, ResultRefused, "%+v", outcome)
+				assert.Equal(t, outcome.Reason, test.reason)
+			}
+			assert.Equal(t, len(operator.Status().Refused), len(cases))
+		})
+	})
+}
+
+// A mark that is posted while the log is out is in force on all hosts soon and
+// gets to the log once, by whichever host, when the log is back.
+func TestMarkDuringOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCast(t)
+		log, n := newMemoryLog(), newNetwork()
+		log.put(c.rollOut(0, testBundle("first", false))...)
+		hosts := []*Follower{}
+		for i := range 5 {
+			hosts = append(hosts, newTestFollower(fmt.Sprintf("host-%d", i), c, log, n))
+		}
+		run(t, hosts, func(ctx context.Context) {
+			settle(time.Second)
+			log.set(func() { log.down = true })
+			operator := NewOperator(hosts[0])
+			mark := c.alma.Mark("a", true, "frost", operator.Status().Stamp, c.next())
+			assert.Equal(t, operator.Submit(ctx, mark.Raw).Result, ResultAccepted)
+			settle(time.Second)
+			for _, f := range hosts {
+				assert.Assert(t, f.Current().IsOut("a"), f.options.Host)
+			}
+			assert.Equal(t, operator.Status().Domains[0].Logged, false)
+			settle(time.Minute)
+			log.set(func() { log.down = false })
+			settle(time.Minute)
+			assert.Equal(t, log.kinds(KindMark), 1)
+			assert.Equal(t, operator.Status().Domains[0].Logged, true)
+		})
+	})
+}
+
+// A verdict spreads by the mesh and stands in the log after a lost reply once.
+func TestVerdictReachesLogOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCast(t)
+		log, n := newMemoryLog(), newNetwork()
+		log.put(c.rollOut(0, testBundle("first", true))...)
+		hosts := []*Follower{newTestFollower("host-1", c, log, n), newTestFollower("host-2", c, log, n)}
+		run(t, hosts, func(context.Context) {
+			settle(time.Second)
+			log.set(func() { log.lose = 1 })
+			move, found := hosts[0].Current().Move("voz")
+			assert.Assert(t, found)
+			hosts[0].RaiseMove(move.ID, MoveState{Stage: 4, Verdict: VerdictBad, Reason: "errors"})
+			settle(time.Minute)
+			move, _ = hosts[1].Current().Move("voz")
+			assert.DeepEqual(t, move.State, MoveState{Stage: 4, Verdict: VerdictBad, Reason: "errors"})
+			assert.Equal(t, log.kinds(KindVerdict), 1)
+		})
+	})
+}
+
+// Over many retention times, snapshots keep the configuration in the log: one
+// host at a time appends them, and a host that starts later needs no peer.
+func TestSnapshotsOutliveRetention(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCast(t)
+		log, n := newMemoryLog(), newNetwork()
+		log.retention = 10 * time.Minute
+		log.put(c.rollOut(0, testBundle("first", false))...)
+		hosts := []*Follower{}
+		for i := range 9 {
+			hosts = append(hosts, newTestFollower(fmt.Sprintf("host-%d", i), c, log, n))
+			hosts[i].options.LogRetention = log.retention
+		}
+		run(t, hosts, func(context.Context) {
+			settle(2 * time.Hour)
+			assert.Assert(t, log.kinds(KindSnapshot) >= 12, "%d", log.kinds(KindSnapshot))
+			assert.Assert(t, log.kinds(KindSnapshot) <= 36, "%d", log.kinds(KindSnapshot))
+		})
+		late := newTestFollower("late", c, log, newNetwork())
+		run(t, []*Follower{late}, func(context.Context) {
+			settle(time.Minute)
+			ready, reason := late.Ready()
+			assert.Assert(t, ready, reason)
+			assert.Equal(t, late.Current().Version.Name, "first")
+		})
+	})
+}
+
+// A host that slept while the log trimmed what it had not read goes on by a
+// snapshot, by a peer, or by an operator's restart, and says so until then.
+func TestGap(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCast(t)
+		log := newMemoryLog()
+		log.put(c.rollOut(0, testBundle("first", false))...)
+		f := newTestFollower("host-1", c, log, newNetwork())
+		run(t, []*Follower{f}, func(ctx context.Context) {
+			settle(time.Second)
+			log.set(func() { log.down = true })
+			settle(time.Minute)
+			log.set(func() { log.down = false })
+			log.put(c.rollOut(1, testBundle("second", false))...)
+			log.set(func() { log.first = 6 })
+			settle(time.Minute)
+			operator := NewOperator(f)
+			status := operator.Status()
+			assert.Equal(t, status.Log.GapTo, uint64(5))
+			assert.Equal(t, status.Serving.Name, "first")
+			assert.Equal(t, status.Ready, true)
+			third := testBundle("third", false)
+			sequence := NextSequence(0, time.Now())
+			draft := Draft{Bundle: third, RestartAt: status.Log.Next}
+			outcome := operator.Submit(ctx, c.alma.Publish(draft, sequence).Raw)
+			assert.Equal(t, outcome.Result, ResultAccepted, "%+v", outcome)
+			digest := string(third.Digest())
+			operator.Submit(ctx, c.berta.Approve(outcome.Offset, digest, sequence+1).Raw)
+			operator.Submit(ctx, c.alma.Roll(outcome.Offset, digest, sequence+2).Raw)
+			assert.Equal(t, f.Current().Version.Name, "third")
+			assert.Equal(t, operator.Status().Log.GapTo, uint64(0))
+		})
+	})
+}
+
+func TestSubscribeHoldsLastView(t *testing.T) {
+	c := newCast(t)
+	f := newTestFollower("host-1", c, newMemoryLog(), newNetwork())
+	views, cancel := f.Subscribe()
+	f.apply(c.rollOut(0, testBundle("first", false)))
+	f.apply([]platform.Record{c.entry(c.alma.Mark("a", true, "", c.stamp("h"), c.next()))})
+	assert.Assert(t, (<-views).IsOut("a"))
+	cancel()
+	f.apply([]platform.Record{c.entry(c.alma.Mark("a", false, "", c.stamp("h"), c.next()))})
+	assert.Equal(t, len(views), 0)
+}
+
+func TestPeersWordIsChecked(t *testing.T) {
+	c := newCast(t)
+	f := newTestFollower("host-1", c, newMemoryLog(), newNetwork())
+	f.mergeDelta(delta{Marks: [][]byte{c.stranger.Mark("a", true, "", Stamp{}, 1).Raw, []byte("x")}})
+	f.mergeSnapshot(State{Log: LogState{Offset: 5}}.encodeSnapshot(c.alma, 1).Raw)
+	f.mergeSnapshot([]byte("x"))
+	assert.Equal(t, f.currentState().Log.Offset, uint64(0))
+	assert.Equal(t, len(f.currentState().Marks), 0)
+	assert.Equal(t, len(f.outcomes.refused), 4)
+}
--- a/internal/version/config/operations.go
+++ b/internal/version/config/operations.go
@@ -11,20 +11,21 @@
 	// Base is the version that the bundle was written from: the newest one.
 	Base   uint64
 	Bundle *bundle.Bundle
-	// Restart takes effect whatever Base is; see PublishBody.Restart.
-	Restart bool
+	// RestartAt, unless zero, is the log's next offset, and the bundle takes
+	// effect whatever Base is; see PublishBody.RestartAt.
+	RestartAt uint64
 }
 
 // Publish signs a bundle. The result goes to Operator.Submit of any host.
 func (s *Signer) Publish(draft Draft, sequence uint64) Record {
 	canonical := draft.Bundle.Canonical()
 	return s.sign(KindPublish, sequence, PublishBody{
-		Base:    draft.Base,
-		Schema:  draft.Bundle.Schema,
-		Name:    draft.Bundle.Name,
-		Digest:  string(bundle.DigestOf(canonical)),
-		Content: pack(canonical),
-		Restart: draft.Restart,
+		Base:      draft.Base,
+		Schema:    draft.Bundle.Schema,
+		Name:      draft.Bundle.Name,
+		Digest:    string(bundle.DigestOf(canonical)),
+		Content:   pack(canonical),
+		RestartAt: draft.RestartAt,
 	})
 }
 
--- a/internal/version/config/peers.go
+++ b/internal/version/config/peers.go
@@ -43,6 +43,27 @@
 	Joins uint64 `cbor:"2,keyasint"`
 	// NeedsState tells that the sender cannot go on by the log alone.
 	NeedsState bool `cbor:"3,keyasint"`
+	// InForce is the sender's version in force.
+	InForce uint64 `cbor:"4,keyasint"`
+}
+
+// pullRequest asks for what is newer than the state.
+func (s State) pullRequest(needsState bool) pullRequest {
+	return pullRequest{
+		Offset:     s.Log.Offset,
+		Joins:      s.joinDigest(),
+		NeedsState: needsState,
+		InForce:    s.InForce.offset(),
+	}
+}
+
+// hasNewsFor reports whether the sender of a request should get the whole
+// state.
+func (s State) hasNewsFor(request pullRequest) bool {
+	if s.InForce.offset() > request.InForce {
+		return true
+	}
+	return request.NeedsState && s.Log.Offset > request.Offset
 }
 
 // pullReply is what the receiver has.
@@ -86,7 +107,7 @@
 	}
 	state := f.currentState()
 	reply := pullReply{}
-	if request.NeedsState && state.Log.Offset > request.Offset {
+	if state.hasNewsFor(request) {
 		signer := f.options.Keys.host(f.options.Host)
 		reply.Snapshot = state.encodeSnapshot(signer, f.nextSequence()).Raw
 	} else if state.joinDigest() != request.Joins {
@@ -231,8 +252,7 @@
 func (f *Follower) pullState(ctx context.Context, peer string, needsState bool) error {
 	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
 	defer cancel()
-	state := f.currentState()
-	request := pullRequest{Offset: state.Log.Offset, Joins: state.joinDigest(), NeedsState: needsState}
+	request := f.currentState().pullRequest(needsState)
 	var reply pullReply
 	if err := f.options.Caller.Call(ctx, peer, kindPull, request, &reply); err != nil {
 		f.metrics.pullErrors.Inc(1)
--- a/internal/version/config/reader.go
+++ b/internal/version/config/reader.go
@@ -123,24 +123,13 @@
 	return gapPause
 }
 
-// adopt goes on from a record that does not need those before it: a snapshot
-// that reaches to the oldest offset in the log, or a restart. It reports
-// whether the record was one.
+// adopt takes a record in if it closes the gap before first, and reports
+// whether it does.
 func (f *Follower) adopt(entry platform.Record, first uint64) bool {
-	record, err := Open(entry.Data, f.options.Keys)
-	if err != nil {
-		return false
-	}
-	if record.Kind == KindPublish {
-		before := f.currentState().Log.Offset
-		f.apply([]platform.Record{entry})
-		return f.currentState().Log.Offset != before
-	}
-	snapshot, _, ok := readSnapshot(record)
-	if !ok || snapshot.Log.Offset+1 < first || snapshot.Log.Offset >= entry.Offset {
+	outcome := f.step(func(s State) (State, Outcome) { return s.Adopt(entry, first, f.options.Keys) })
+	if outcome.Result == ResultSkipped {
 		return false
 	}
-	f.merge(snapshot)
 	f.metrics.adopted.Inc(1)
 	return true
 }
--- a/internal/version/config/record.go
+++ b/internal/version/config/record.go
@@ -18,6 +18,10 @@
 // signaturePrefix separates signatures over records from other uses of a key.
 const signaturePrefix = "mustarddoor config record v1\n"
 
+// RestartWindow is how many log offsets a restart may be appended at. It bounds
+// the time in which a copy of the record has an effect.
+const RestartWindow = 256
+
 const recordIDBytes = 16
 
 // Errors of opening a record.
@@ -94,9 +98,10 @@
 	Digest string `cbor:"4,keyasint"`
 	// Content is the bundle's canonical content, compressed.
 	Content []byte `cbor:"5,keyasint"`
-	// Restart accepts the bundle whatever its base is. It is for a log that
+	// RestartAt, unless zero, accepts the bundle whatever its base is, at log
+	// offsets from RestartAt up to RestartWindow further. It is for a log that
 	// has lost records which no host has read.
-	Restart bool `cbor:"6,keyasint,omitempty"`
+	RestartAt uint64 `cbor:"6,keyasint,omitempty"`
 }
 
 // ApproveBody approves a version.
--- a/internal/version/config/status.go
+++ b/internal/version/config/status.go
@@ -44,6 +44,8 @@
 // LogStatus is what a host knows of the log service.
 type LogStatus struct {
 	Available bool `json:"available"`
+	// Next is the highest next offset that the log has told.
+	Next uint64 `json:"next"`
 	// DownSinceMillis is when it became unavailable, Unix milliseconds.
 	DownSinceMillis int64  `json:"down_since_ms,omitempty"`
 	Error           string `json:"error,omitempty"`
@@ -107,6 +109,7 @@
 func (h health) status() LogStatus {
 	status := LogStatus{
 		Available: !h.isLogDown(),
+		Next:      h.logTail,
 		Error:     h.logError,
 		GapFrom:   h.gapFrom,
 		GapTo:     h.gapTo,
--- /dev/null
+++ b/internal/version/config/support_test.go
@@ -0,0 +1,134 @@
+package config
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/google/go-cmp/cmp/cmpopts"
+	"gotest.tools/v3/assert"
+
+	"mustarddoor/internal/connection/platform"
+	"mustarddoor/internal/version/bundle"
+)
+
+const testSecret = "a secret of the test fleet"
+
+// cast holds the signers of the tests.
+type cast struct {
+	keys       *Keyring
+	alma       *Signer
+	berta      *Signer
+	stranger   *Signer
+	host       *Signer
+	sequence   uint64
+	lastStamp  Stamp
+	lastOffset uint64
+}
+
+func newCast(t testing.TB) *cast {
+	c := &cast{}
+	operators := map[string]string{}
+	signers := map[string]*Signer{}
+	for _, name := range []string{"alma", "berta", "stranger"} {
+		pair, err := GenerateKey()
+		assert.NilError(t, err)
+		operators[name] = pair.Public
+		signers[name], err = NewOperatorSigner(name, pair.Private)
+		assert.NilError(t, err)
+	}
+	delete(operators, "stranger")
+	keys, err := NewKeyring(operators, testSecret)
+	assert.NilError(t, err)
+	c.keys = keys
+	c.alma, c.berta, c.stranger = signers["alma"], signers["berta"], signers["stranger"]
+	c.host = keys.host("host-1")
+	return c
+}
+
+func (c *cast) next() uint64 {
+	c.sequence++
+	return c.sequence
+}
+
+// stamp gives a later stamp than any before.
+func (c *cast) stamp(host string) Stamp {
+	c.lastStamp = c.lastStamp.next(0, host)
+	return c.lastStamp
+}
+
+// entry puts a record into the log after those before.
+func (c *cast) entry(record Record) platform.Record {
+	c.lastOffset++
+	return platform.Record{
+		Offset:         c.lastOffset,
+		ID:             record.ID,
+		Data:           record.Raw,
+		AppendedMillis: 1000 * int64(c.lastOffset),
+	}
+}
+
+// testBundle gives a bundle with a move if it is asked for.
+func testBundle(name string, moving bool) *bundle.Bundle {
+	b := sizedBundle(name, 1, 2)
+	if moving {
+		b.Endpoints[1].Version = "v2"
+		b.Moves = []bundle.Move{{Service: "voz", From: "v1", To: "v2", CompleteSeconds: 60}}
+	}
+	return b
+}
+
+// sizedBundle gives a bundle of a size.
+func sizedBundle(name string, teams, endpoints int) *bundle.Bundle {
+	b := &bundle.Bundle{
+		Schema:               bundle.SchemaVersion,
+		Name:                 name,
+		Domains:              []bundle.Domain{{Name: "a", Region: "r"}, {Name: "b", Region: "r"}},
+		Tiers:                []bundle.Tier{{Name: "quick", Rank: 1, FirstTokenMillis: 500}},
+		Services:             []bundle.Service{{Name: "voz", Kind: bundle.KindEngine}},
+		Routes:               []bundle.Route{{Name: "frost", Service: "voz", Tier: "quick"}},
+		WeightLoadsPerMinute: 60,
+		RetentionSeconds:     60,
+		EntryKeepSeconds:     5,
+	}
+	for i := range teams {
+		b.Teams = append(b.Teams, bundle.Team{Name: fmt.Sprintf("team-%d", i), Weight: 1 + i%7, QueueRequests: 100, QueueBytes: 1 << 20})
+	}
+	for i := range endpoints {
+		b.Endpoints = append(b.Endpoints, bundle.Endpoint{
+			Name:      fmt.Sprintf("voz-%d", i),
+			Service:   "voz",
+			Version:   "v1",
+			Address:   fmt.Sprintf("127.0.%d.%d:8000", i/200, 1+i%200),
+			Domain:    b.Domains[i%2].Name,
+			ColdSlots: 1,
+			MaxSlots:  16,
+		})
+	}
+	return b
+}
+
+// rollOut publishes, approves and rolls a bundle.
+func (c *cast) rollOut(base uint64, b *bundle.Bundle) []platform.Record {
+	publish := c.entry(c.alma.Publish(Draft{Base: base, Bundle: b}, c.next()))
+	digest := string(b.Digest())
+	return []platform.Record{
+		publish,
+		c.entry(c.berta.Approve(publish.Offset, digest, c.next())),
+		c.entry(c.alma.Roll(publish.Offset, digest, c.next())),
+	}
+}
+
+// applyAll applies records in their order.
+func applyAll(state State, keys *Keyring, entries ...platform.Record) State {
+	for _, entry := range entries {
+		state, _ = state.Apply(entry, keys)
+	}
+	return state
+}
+
+// encode gives the state's canonical bytes.
+func (s State) encode() string { return string(mustEncode(s.wire())) }
+
+// ignoreBundles leaves decoded bundles out of comparisons: they follow from the
+// content.
+var ignoreBundles = cmpopts.IgnoreUnexported(Version{})
