--- /dev/null
+++ b/internal/process/home/follow.go
@@ -0,0 +1,192 @@
+package home
+
+import (
+	"context"
+	"time"
+
+	"mustarddoor/internal/connection/platform"
+)
+
+// Times of reading the stream.
+const (
+	longPoll    = 10 * time.Second
+	emptyPause  = 50 * time.Millisecond
+	readBackoff = 500 * time.Millisecond
+)
+
+// follow reads the stream until the context ends.
+func (m *Manager) follow(ctx context.Context) error {
+	wait := time.Duration(0)
+	for ctx.Err() == nil {
+		page, err := m.options.Log.Read(ctx, platform.Range{
+			Stream: platform.StreamHomes,
+			From:   m.offset() + 1,
+			Max:    platform.MaxPageRecords,
+			Wait:   wait,
+		})
+		switch {
+		case err != nil:
+			m.readFailed()
+			wait = 0
+			pause(ctx, readBackoff)
+		case page.Trimmed:
+			m.skip(page.FirstOffset)
+			wait = 0
+		default:
+			wait = m.take(ctx, page)
+		}
+	}
+	return nil
+}
+
+func (m *Manager) offset() uint64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.table.Offset
+}
+
+// readFailed notes that this host may not know the newest records.
+func (m *Manager) readFailed() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.reading.atTail = false
+}
+
+// skip goes on after records that are gone. Whoever claimed or renewed in them
+// may hold a lease from now on at the latest.
+func (m *Manager) skip(first uint64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.metrics.gaps.Inc(1)
+	m.reading = readingState{unseenSince: time.Now()}
+	m.table.Touch(time.Now())
+	m.table.Offset = first - 1
+}
+
+// take applies a page and returns how long the next read may wait.
+func (m *Manager) take(ctx context.Context, page platform.Page) time.Duration {
+	for _, entry := range page.Records {
+		m.apply(entry)
+	}
+	isTail := m.offset()+1 >= page.NextOffset
+	m.mu.Lock()
+	wasTail := m.reading.atTail
+	m.reading.atTail = isTail
+	m.mu.Unlock()
+	if !isTail {
+		return 0
+	}
+	if !wasTail {
+		m.wake()
+	}
+	if len(page.Records) == 0 {
+		pause(ctx, emptyPause)
+	}
+	return longPoll
+}
+
+// apply applies one record of the stream.
+func (m *Manager) apply(entry platform.Record) {
+	record, err := m.options.Sealer.Decode(entry.Data)
+	if err != nil {
+		m.metrics.refused.Inc(1)
+		m.mu.Lock()
+		m.table.Offset = entry.Offset
+		m.mu.Unlock()
+		return
+	}
+	m.mu.Lock()
+	applied := m.table.Apply(entry.Offset, record, time.Now())
+	isOwn := record.Host.Incarnation == m.options.Self.Incarnation
+	if isOwn {
+		m.confirm(entry.ID, record, applied)
+	}
+	m.dropLost(applied.Changed)
+	if record.Load != nil {
+		m.giveTurn(entry, *record.Load)
+	}
+	if isOwn || len(applied.Changed) > 0 || len(applied.Fitness) > 0 {
+		m.publish()
+	}
+	changes := m.changesOf(append(applied.Changed, applied.Fitness...))
+	m.metrics.held.Update(int64(len(m.leases)))
+	m.mu.Unlock()
+	for _, change := range changes {
+		m.options.Observe(change)
+	}
+	if len(applied.Changed) > 0 {
+		m.wake()
+	}
+}
+
+// confirm extends this host's leases by a record of its own that stands. They
+// count from before the record was sent.
+func (m *Manager) confirm(id string, record Record, applied Applied) {
+	m.metrics.lost.Inc(int64(len(applied.Lost)))
+	sent, found := m.sent[id]
+	if !found {
+		return
+	}
+	delete(m.sent, id)
+	hold := time.Duration(record.LeaseMillis) * time.Millisecond
+	until := sent.Add(hold - driftMargin(hold))
+	for _, endpoint := range append(applied.Changed, applied.Renewed...) {
+		entry, _ := m.table.Entry(endpoint)
+		if entry.Free {
+			continue
+		}
+		lease := m.leases[endpoint]
+		if lease.Fence != entry.Fence {
+			lease = Lease{Fence: entry.Fence, Since: time.Now()}
+		}
+		lease.Until = until
+		m.leases[endpoint] = lease
+	}
+}
+
+// dropLost drops this host's leases on endpoints that have another home now.
+func (m *Manager) dropLost(changed []string) {
+	for _, endpoint := range changed {
+		entry, _ := m.table.Entry(endpoint)
+		if entry.Free || entry.Holder.Incarnation != m.options.Self.Incarnation {
+			delete(m.leases, endpoint)
+			delete(m.unfit, endpoint)
+		}
+	}
+}
+
+// giveTurn counts a turn at the weight store and tells this host's own one to
+// who waits for it.
+func (m *Manager) giveTurn(entry platform.Record, turn LoadTurn) {
+	wait := m.pace.Turn(entry.AppendedMillis, turn)
+	if waiter, found := m.turns[entry.ID]; found {
+		waiter <- wait
+		delete(m.turns, entry.ID)
+	}
+}
+
+// changesOf describes the homes of endpoints.
+func (m *Manager) changesOf(endpoints []string) []Change {
+	changes := []Change{}
+	for _, endpoint := range endpoints {
+		entry, _ := m.table.Entry(endpoint)
+		changes = append(changes, Change{
+			Endpoint: endpoint,
+			Holder:   entry.Holder.Incarnation,
+			Fence:    entry.Fence,
+			Free:     entry.Free,
+			Unfit:    entry.Unfit,
+		})
+	}
+	return changes
+}
+
+// pause waits or until the context ends.
+func pause(ctx context.Context, wait time.Duration) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/internal/process/home/manager.go
@@ -0,0 +1,303 @@
+package home
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	metrics "github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
+
+	"mustarddoor/internal/connection/platform"
+	"mustarddoor/internal/process/identity"
+	"mustarddoor/internal/process/placement"
+	"mustarddoor/internal/version/bundle"
+)
+
+// Options are what a Manager needs.
+type Options struct {
+	Self   identity.Host
+	Log    platform.Log
+	Sealer *Sealer
+	// Members gives the live hosts, with this one.
+	Members func() []Member
+	Metrics metrics.Registry
+	Logger  logrus.FieldLogger
+	// Observe is told of every change of a home; nil if nobody listens. It must
+	// not block.
+	Observe func(Change)
+}
+
+// Change is a change of an endpoint's home or fitness.
+type Change struct {
+	Endpoint string
+	Holder   identity.Incarnation
+	Fence    uint64
+	// Free tells that the endpoint has no home now.
+	Free bool
+	// Unfit tells that it does not run what the bundle wants.
+	Unfit bool
+}
+
+// Lease is a lease that this host holds.
+type Lease struct {
+	Fence uint64
+	// Until is when it lapses, on the monotonic clock.
+	Until time.Time
+	// Since is when this host learned that its claim stands.
+	Since time.Time
+}
+
+// Manager claims, renews and gives back homes and tells who has which. It is
+// safe for concurrent use.
+type Manager struct {
+	options Options
+	metrics managerMetrics
+	homes   atomic.Pointer[homes]
+
+	mu        sync.Mutex
+	table     *Table
+	pace      Pace
+	leases    map[string]Lease
+	unfit     map[string]bool
+	endpoints []string
+	leaving   bool
+	reading   readingState
+	members   membersState
+	// sent holds when this host sent its recent records, by id.
+	sent      map[string]time.Time
+	turns     map[string]chan time.Duration
+	renewedAt time.Time
+	// written is the offset of this host's last record; no plan is made before
+	// it was read back.
+	written uint64
+
+	// work is signalled when the plan may have changed.
+	work chan struct{}
+}
+
+// homes is what readers see: never changed, replaced as a whole.
+type homes struct {
+	byEndpoint map[string]placement.Home
+	unfit      []string
+}
+
+// readingState is how far this host follows the stream.
+type readingState struct {
+	// atTail tells that the last read worked and reached the tail.
+	atTail bool
+	// unseenSince is Snapshot.UnseenSince.
+	unseenSince time.Time
+}
+
+// membersState is the set of hosts and when it last changed.
+type membersState struct {
+	members []Member
+	names   string
+	since   time.Time
+}
+
+var _ placement.Homes = (*Manager)(nil)
+
+// NewManager gives a manager that knows no homes yet.
+func NewManager(options Options) *Manager {
+	if options.Observe == nil {
+		options.Observe = func(Change) {}
+	}
+	m := &Manager{
+		options: options,
+		metrics: newManagerMetrics(options.Metrics),
+		table:   NewTable(),
+		leases:  map[string]Lease{},
+		unfit:   map[string]bool{},
+		sent:    map[string]time.Time{},
+		turns:   map[string]chan time.Duration{},
+		work:    make(chan struct{}, 1),
+	}
+	m.homes.Store(&homes{})
+	return m
+}
+
+// Run follows the stream and keeps this host's homes until the context ends.
+func (m *Manager) Run(ctx context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return m.follow(ctx) })
+	group.Go(func() error { return m.keep(ctx) })
+	return group.Wait()
+}
+
+// Update takes the endpoints of a new configuration; nil is ignored.
+func (m *Manager) Update(b *bundle.Bundle) {
+	if b == nil {
+		return
+	}
+	names := []string{}
+	for _, endpoint := range b.Endpoints {
+		names = append(names, endpoint.Name)
+	}
+	m.mu.Lock()
+	m.endpoints = names
+	m.mu.Unlock()
+	m.wake()
+}
+
+// Home gives the endpoint's home, or false if it has none. It implements
+// placement.Homes and never blocks. For an endpoint whose home this host is,
+// LeaseUntil may lie in the past: the host may not act as home then.
+func (m *Manager) Home(endpoint string) (placement.Home, bool) {
+	home, found := m.homes.Load().byEndpoint[endpoint]
+	return home, found
+}
+
+// Unfit lists the endpoints that do not run what the bundle wants yet, as their
+// homes see them. They should get no new requests.
+func (m *Manager) Unfit() []string { return m.homes.Load().unfit }
+
+// Lease gives the lease that this host holds on an endpoint, or false if it
+// holds none that is valid now. A holder asks again right before it acts.
+func (m *Manager) Lease(endpoint string) (Lease, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	lease, found := m.leases[endpoint]
+	return lease, found && time.Now().Before(lease.Until)
+}
+
+// Held lists the endpoints on which this host holds a lease that is valid now.
+func (m *Manager) Held() []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	names := []string{}
+	for endpoint, lease := range m.leases {
+		if time.Now().Before(lease.Until) {
+			names = append(names, endpoint)
+		}
+	}
+	return names
+}
+
+// SetUnfit tells all hosts whether an endpoint, whose home this host is, runs
+// what the bundle wants.
+func (m *Manager) SetUnfit(endpoint string, unfit bool) {
+	m.mu.Lock()
+	changed := m.unfit[endpoint] != unfit
+	m.unfit[endpoint] = unfit
+	if !unfit {
+		delete(m.unfit, endpoint)
+	}
+	if changed {
+		m.renewedAt = time.Time{}
+	}
+	m.mu.Unlock()
+	if changed {
+		m.wake()
+	}
+}
+
+// Leave gives back all homes and waits until the log has taken it, or until the
+// context ends. The host must not act as home any more.
+func (m *Manager) Leave(ctx context.Context) {
+	m.mu.Lock()
+	m.leaving = true
+	m.mu.Unlock()
+	m.wake()
+	ticker := time.NewTicker(leavePoll)
+	defer ticker.Stop()
+	for m.holdsAny() {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// holdsAny reports whether the stream names this host as a home.
+func (m *Manager) holdsAny() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, entry := range m.table.entries {
+		if !entry.Free && entry.Holder.Incarnation == m.options.Self.Incarnation {
+			return true
+		}
+	}
+	return false
+}
+
+func (m *Manager) wake() {
+	select {
+	case m.work <- struct{}{}:
+	default:
+	}
+}
+
+// publish makes what readers see. The lock is held.
+func (m *Manager) publish() {
+	next := &homes{byEndpoint: make(map[string]placement.Home, len(m.table.entries))}
+	for endpoint, entry := range m.table.entries {
+		if entry.Unfit {
+			next.unfit = append(next.unfit, endpoint)
+		}
+		if !entry.Free {
+			next.byEndpoint[endpoint] = m.homeOf(endpoint, entry)
+		}
+	}
+	m.homes.Store(next)
+}
+
+// homeOf describes an endpoint's home.
+func (m *Manager) homeOf(endpoint string, entry Entry) placement.Home {
+	home := placement.Home{
+		Host:        entry.Holder.Incarnation,
+		MeshAddress: entry.Holder.MeshAddress,
+		Fence:       entry.Fence,
+	}
+	if entry.Holder.Incarnation != m.options.Self.Incarnation {
+		return home
+	}
+	home.LeaseUntil = entry.Seen
+	if lease, found := m.leases[endpoint]; found {
+		home.LeaseUntil = lease.Until
+	}
+	return home
+}
+
+const (
+	leavePoll     = 20 * time.Millisecond
+	recordIDBytes = 12
+)
+
+func newRecordID() string {
+	id := make([]byte, recordIDBytes)
+	if _, err := rand.Read(id); err != nil {
+		panic(err)
+	}
+	return hex.EncodeToString(id)
+}
+
+// managerMetrics are a manager's counters.
+type managerMetrics struct {
+	held       metrics.Gauge
+	lost       metrics.Counter
+	appended   metrics.Counter
+	appendFail metrics.Counter
+	refused    metrics.Counter
+	gaps       metrics.Counter
+}
+
+func newManagerMetrics(registry metrics.Registry) managerMetrics {
+	if registry == nil {
+		registry = metrics.NewRegistry()
+	}
+	return managerMetrics{
+		held:       metrics.GetOrRegisterGauge("homes.held", registry),
+		lost:       metrics.GetOrRegisterCounter("homes.claims_lost", registry),
+		appended:   metrics.GetOrRegisterCounter("homes.appended", registry),
+		appendFail: metrics.GetOrRegisterCounter("homes.append_errors", registry),
+		refused:    metrics.GetOrRegisterCounter("homes.records_refused", registry),
+		gaps:       metrics.GetOrRegisterCounter("homes.gaps", registry),
+	}
+}
--- a/internal/version/bundle/bundle.go
+++ b/internal/version/bundle/bundle.go
@@ -97,6 +97,10 @@
 	Service string `json:"service"`
 	// Version is the endpoint version that runs there.
 	Version string `json:"version"`
+	// Model and Role are what an engine is ordered to run besides its version;
+	// empty leaves them as they are. Role is "both", "prefill" or "decode".
+	Model string `json:"model,omitempty"`
+	Role  string `json:"role,omitempty"`
 	// Address is IP:port.
 	Address string `json:"address"`
 	Domain  string `json:"domain"`
