--- /dev/null
+++ b/internal/process/home/fakes_test.go
@@ -0,0 +1,166 @@
+package home
+
+import (
+	"context"
+	"flag"
+	"os"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rotisserie/eris"
+	logtest "github.com/sirupsen/logrus/hooks/test"
+
+	"mustarddoor/internal/connection/engine"
+	"mustarddoor/internal/connection/platform"
+	"mustarddoor/internal/process/identity"
+)
+
+// TestMain fixes the seed of drawn tests.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	for name, value := range map[string]string{"rapid.seed": "20261204", "rapid.nofailfile": "true"} {
+		if set := flag.Lookup(name); set.Value.String() == set.DefValue {
+			_ = flag.Set(name, value)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+// memoryLog is a stream in memory that can be down.
+type memoryLog struct {
+	mu      sync.Mutex
+	records []platform.Record
+	down    bool
+	changed chan struct{}
+}
+
+func newMemoryLog() *memoryLog { return &memoryLog{changed: make(chan struct{})} }
+
+func (l *memoryLog) setDown(down bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.down = down
+	l.wake()
+}
+
+func (l *memoryLog) wake() {
+	close(l.changed)
+	l.changed = make(chan struct{})
+}
+
+func (l *memoryLog) Append(_ context.Context, batch platform.Batch) (uint64, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.down {
+		return 0, platform.ErrUnavailable
+	}
+	offset := uint64(len(l.records)) + 1
+	for i, record := range batch.Records {
+		l.records = append(l.records, platform.Record{
+			Offset: offset + uint64(i), ID: record.ID, Data: record.Data, AppendedMillis: time.Now().UnixMilli(),
+		})
+	}
+	l.wake()
+	return offset, nil
+}
+
+func (l *memoryLog) Read(ctx context.Context, part platform.Range) (platform.Page, error) {
+	deadline := time.Now().Add(part.Wait)
+	for {
+		page, changed, err := l.readOnce(part)
+		if err != nil || len(page.Records) > 0 || !time.Now().Before(deadline) {
+			return page, err
+		}
+		timer := time.NewTimer(time.Until(deadline))
+		select {
+		case <-ctx.Done():
+			return platform.Page{}, platform.ErrUnavailable
+		case <-changed:
+		case <-timer.C:
+		}
+	}
+}
+
+func (l *memoryLog) readOnce(part platform.Range) (platform.Page, chan struct{}, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.down {
+		return platform.Page{}, nil, platform.ErrUnavailable
+	}
+	from := min(part.From-1, uint64(len(l.records)))
+	records := slices.Clone(l.records[from:])
+	return platform.Page{Records: records, FirstOffset: 1, NextOffset: uint64(len(l.records)) + 1}, l.changed, nil
+}
+
+// hosts is the set of live hosts that all managers see.
+type hosts struct {
+	mu   sync.Mutex
+	list []Member
+}
+
+func (h *hosts) get() []Member {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return slices.Clone(h.list)
+}
+
+func (h *hosts) set(list []Member) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.list = list
+}
+
+func newTestManager(self identity.Host, log platform.Log, live *hosts) *Manager {
+	logger, _ := logtest.NewNullLogger()
+	return NewManager(Options{
+		Self: self, Log: log, Sealer: NewSealer("a secret of the test fleet"), Members: live.get, Logger: logger,
+	})
+}
+
+// errReplyLost is what a fake engine's order fails with after its effect.
+var errReplyLost = eris.New("reply lost")
+
+// fakeEngine is one engine that takes orders.
+type fakeEngine struct {
+	mu     sync.Mutex
+	state  engine.State
+	orders []engine.Order
+	// given holds when the orders arrived.
+	given []time.Time
+	// lose makes the next orders' replies get lost; ignore makes them have no
+	// effect.
+	lose, ignore int
+}
+
+func (e *fakeEngine) State(context.Context, string) (engine.State, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.state, nil
+}
+
+func (e *fakeEngine) Load(context.Context, string) (engine.Load, error) { return engine.Load{}, nil }
+
+func (e *fakeEngine) Order(_ context.Context, _ string, order engine.Order) (engine.State, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.orders = append(e.orders, order)
+	e.given = append(e.given, time.Now())
+	if e.ignore > 0 {
+		e.ignore--
+		return engine.State{}, errReplyLost
+	}
+	e.state.Version = order.Value
+	if e.lose > 0 {
+		e.lose--
+		return engine.State{}, errReplyLost
+	}
+	return e.state, nil
+}
+
+func (e *fakeEngine) count() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.orders)
+}
--- a/internal/process/home/follow.go
+++ b/internal/process/home/follow.go
@@ -128,22 +128,30 @@
 		return
 	}
 	delete(m.sent, id)
-	hold := time.Duration(record.LeaseMillis) * time.Millisecond
-	until := sent.Add(hold - driftMargin(hold))
+	until := heldUntil(sent, time.Duration(record.LeaseMillis)*time.Millisecond)
 	for _, endpoint := range append(applied.Changed, applied.Renewed...) {
 		entry, _ := m.table.Entry(endpoint)
-		if entry.Free {
+		if entry.Free || m.released[endpoint] == entry.Fence {
 			continue
 		}
 		lease := m.leases[endpoint]
 		if lease.Fence != entry.Fence {
 			lease = Lease{Fence: entry.Fence, Since: time.Now()}
+			m.inheritFitness(endpoint, entry)
 		}
 		lease.Until = until
 		m.leases[endpoint] = lease
 	}
 }
 
+// inheritFitness keeps an endpoint out of service that its last home had taken
+// out.
+func (m *Manager) inheritFitness(endpoint string, entry Entry) {
+	if entry.Unfit {
+		m.unfit[endpoint] = true
+	}
+}
+
 // dropLost drops this host's leases on endpoints that have another home now.
 func (m *Manager) dropLost(changed []string) {
 	for _, endpoint := range changed {
@@ -151,6 +159,7 @@
 		if entry.Free || entry.Holder.Incarnation != m.options.Self.Incarnation {
 			delete(m.leases, endpoint)
 			delete(m.unfit, endpoint)
+			delete(m.released, endpoint)
 		}
 	}
 }
--- a/internal/process/home/keep.go
+++ b/internal/process/home/keep.go
@@ -84,6 +84,7 @@
 		Table:        m.table,
 		UnseenSince:  m.reading.unseenSince,
 		Lease:        LeaseFor(len(m.members.members)),
+		Released:     m.released,
 		Now:          now,
 	}
 }
@@ -139,6 +140,7 @@
 func (m *Manager) stopUse(released []Held) {
 	for _, held := range released {
 		delete(m.leases, held.Endpoint)
+		m.released[held.Endpoint] = held.Fence
 	}
 	if len(released) > 0 {
 		m.publish()
--- a/internal/process/home/manager.go
+++ b/internal/process/home/manager.go
@@ -63,6 +63,7 @@
 	table     *Table
 	pace      Pace
 	leases    map[string]Lease
+	released  map[string]uint64
 	unfit     map[string]bool
 	endpoints []string
 	leaving   bool
@@ -109,14 +110,15 @@
 		options.Observe = func(Change) {}
 	}
 	m := &Manager{
-		options: options,
-		metrics: newManagerMetrics(options.Metrics),
-		table:   NewTable(),
-		leases:  map[string]Lease{},
-		unfit:   map[string]bool{},
-		sent:    map[string]time.Time{},
-		turns:   map[string]chan time.Duration{},
-		work:    make(chan struct{}, 1),
+		options:  options,
+		metrics:  newManagerMetrics(options.Metrics),
+		table:    NewTable(),
+		leases:   map[string]Lease{},
+		released: map[string]uint64{},
+		unfit:    map[string]bool{},
+		sent:     map[string]time.Time{},
+		turns:    map[string]chan time.Duration{},
+		work:     make(chan struct{}, 1),
 	}
 	m.homes.Store(&homes{})
 	return m
--- /dev/null
+++ b/internal/process/home/manager_test.go
@@ -0,0 +1,240 @@
+package home
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"mustarddoor/internal/connection/engine"
+	"mustarddoor/internal/version/bundle"
+)
+
+// fleet runs managers of hosts on one log in virtual time.
+type fleet struct {
+	log      *memoryLog
+	live     *hosts
+	managers []*Manager
+	cancels  []context.CancelFunc
+	bundle   *bundle.Bundle
+}
+
+func startFleet(t *testing.T, count, endpoints int) *fleet {
+	f := &fleet{log: newMemoryLog(), live: &hosts{list: members(count)}, bundle: &bundle.Bundle{
+		Services:             []bundle.Service{{Name: "s", Kind: bundle.KindEngine}},
+		WeightLoadsPerMinute: 60,
+	}}
+	for _, name := range endpointNames(endpoints) {
+		f.bundle.Endpoints = append(f.bundle.Endpoints, bundle.Endpoint{Name: name, Service: "s", Version: "v1"})
+	}
+	for _, member := range f.live.get() {
+		f.add(t, newTestManager(member.Host, f.log, f.live))
+	}
+	return f
+}
+
+func (f *fleet) add(t *testing.T, m *Manager) {
+	ctx, cancel := context.WithCancel(t.Context())
+	f.managers = append(f.managers, m)
+	f.cancels = append(f.cancels, cancel)
+	m.Update(f.bundle)
+	go func() { _ = m.Run(ctx) }()
+}
+
+func (f *fleet) stop() {
+	for _, cancel := range f.cancels {
+		cancel()
+	}
+	synctest.Wait()
+}
+
+// holdersOf gives the hosts that take themselves for an endpoint's home.
+func (f *fleet) holdersOf(endpoint string) []*Manager {
+	holders := []*Manager{}
+	for _, m := range f.managers {
+		if _, held := m.Lease(endpoint); held {
+			holders = append(holders, m)
+		}
+	}
+	return holders
+}
+
+// settle lets virtual time pass.
+func settle(d time.Duration) {
+	time.Sleep(d)
+	synctest.Wait()
+}
+
+// Every endpoint has one home, and all hosts agree on which and under which
+// fencing number.
+func TestManagersAgree(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := startFleet(t, 5, 40)
+		defer f.stop()
+		settle(time.Minute)
+		for _, endpoint := range endpointNames(40) {
+			holders := f.holdersOf(endpoint)
+			assert.Equal(t, len(holders), 1)
+			lease, _ := holders[0].Lease(endpoint)
+			for _, m := range f.managers {
+				home, found := m.Home(endpoint)
+				assert.Assert(t, found)
+				assert.Equal(t, home.Host, holders[0].options.Self.Incarnation)
+				assert.Equal(t, home.Fence, lease.Fence)
+			}
+		}
+	})
+}
+
+// A dead host's homes move with a higher fencing number once its leases have
+// lapsed, and not while the log is out.
+func TestHomesMoveFromDeadHost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := startFleet(t, 3, 12)
+		defer f.stop()
+		settle(time.Minute)
+		before := map[string]uint64{}
+		for _, endpoint := range f.managers[0].Held() {
+			lease, _ := f.managers[0].Lease(endpoint)
+			before[endpoint] = lease.Fence
+		}
+		assert.Assert(t, len(before) > 0)
+		f.log.setDown(true)
+		f.cancels[0]()
+		f.live.set(f.live.get()[1:])
+		settle(5 * time.Minute)
+		for endpoint, fence := range before {
+			home, _ := f.managers[1].Home(endpoint)
+			assert.Equal(t, home.Fence, fence)
+			assert.Equal(t, len(f.holdersOf(endpoint)), 0)
+		}
+		f.log.setDown(false)
+		settle(time.Minute)
+		for endpoint, fence := range before {
+			holders := f.holdersOf(endpoint)
+			assert.Equal(t, len(holders), 1)
+			lease, _ := holders[0].Lease(endpoint)
+			assert.Assert(t, lease.Fence > fence)
+		}
+	})
+}
+
+// A host that leaves hands its homes over without waiting for its leases.
+func TestLeave(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := startFleet(t, 3, 12)
+		defer f.stop()
+		settle(time.Minute)
+		list := f.live.get()
+		list[0].Leaving = true
+		f.live.set(list)
+		f.managers[0].Leave(t.Context())
+		settle(minLease / 2)
+		assert.Equal(t, len(f.managers[0].Held()), 0)
+		for _, endpoint := range endpointNames(12) {
+			assert.Equal(t, len(f.holdersOf(endpoint)), 1)
+		}
+	})
+}
+
+// Turns at the weight store keep the fleet's pace, whichever host asks.
+func TestTurnsKeepFleetPace(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := startFleet(t, 3, 3)
+		defer f.stop()
+		settle(10 * time.Second)
+		given := make(chan time.Time, 12)
+		for _, m := range f.managers {
+			for range 4 {
+				go func() {
+					assert.Check(t, m.Turn(t.Context(), 30))
+					given <- time.Now()
+				}()
+			}
+		}
+		settle(time.Minute)
+		assert.Equal(t, len(given), 12)
+		last := <-given
+		for range 11 {
+			next := <-given
+			assert.Assert(t, next.Sub(last) >= 2*time.Second, "%v", next.Sub(last))
+			last = next
+		}
+	})
+}
+
+// startOrders runs the orders of all hosts against one engine.
+func startOrders(t *testing.T, f *fleet, e *fakeEngine) {
+	for _, m := range f.managers {
+		ctx, cancel := context.WithCancel(t.Context())
+		f.cancels = append(f.cancels, cancel)
+		orders := NewOrders(OrdersOptions{Manager: m, Engines: e, Bundle: func() *bundle.Bundle { return f.bundle }})
+		go func() { _ = orders.Run(ctx) }()
+	}
+}
+
+// An order whose reply is lost is not given again if it took effect, and is
+// given again if it did not.
+func TestOrdersReadBack(t *testing.T) {
+	cases := []struct {
+		name   string
+		engine *fakeEngine
+		orders int
+	}{
+		{"sound", &fakeEngine{}, 1},
+		{"runs the version already", &fakeEngine{state: engine.State{Version: "v1"}}, 0},
+		{"reply lost", &fakeEngine{lose: 1}, 1},
+		{"order lost", &fakeEngine{ignore: 2}, 3},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := startFleet(t, 3, 1)
+				defer f.stop()
+				c.engine.state.Ready = true
+				startOrders(t, f, c.engine)
+				settle(time.Minute)
+				assert.Equal(t, c.engine.count(), c.orders)
+				for _, m := range f.managers {
+					assert.Equal(t, len(m.Unfit()), 0)
+				}
+			})
+		})
+	}
+}
+
+// While an endpoint is brought to another version, all hosts know that it is
+// unfit; and a new home gives an endpoint that ignores fencing numbers no order
+// before those of the old home have ended.
+func TestOrdersOfNewHome(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := startFleet(t, 3, 1)
+		defer f.stop()
+		e := &fakeEngine{ignore: 1000, state: engine.State{Ready: true}}
+		startOrders(t, f, e)
+		settle(time.Minute)
+		for _, m := range f.managers {
+			assert.DeepEqual(t, m.Unfit(), endpointNames(1))
+		}
+		old := f.holdersOf("endpoint-0")[0]
+		for i, m := range f.managers {
+			if m == old {
+				f.cancels[i]()
+			}
+		}
+		oldLease, _ := old.Lease("endpoint-0")
+		settle(time.Minute)
+		lease, held := f.holdersOf("endpoint-0")[0].Lease("endpoint-0")
+		assert.Assert(t, held)
+		for i, order := range e.orders {
+			if order.Fence == oldLease.Fence {
+				assert.Assert(t, e.given[i].Before(oldLease.Until))
+				continue
+			}
+			assert.Equal(t, order.Fence, lease.Fence)
+			assert.Assert(t, e.given[i].After(oldLease.Until.Add(orderTimeout)))
+		}
+	})
+}
--- a/internal/process/home/plan.go
+++ b/internal/process/home/plan.go
@@ -52,7 +52,11 @@
 	// Zero means that it has read the stream from its beginning.
 	UnseenSince time.Time
 	Lease       time.Duration
-	Now         time.Time
+	// Released holds, by endpoint, the fencing number of the lease that this
+	// host has tried to give back. Such a lease is never used again, since the
+	// release may take effect at any time.
+	Released map[string]uint64
+	Now      time.Time
 }
 
 // Actions are what a host writes to the stream next.
@@ -103,7 +107,7 @@
 	entry, found := p.snapshot.Table.Entry(endpoint)
 	held := Held{Endpoint: endpoint, Fence: entry.Fence}
 	switch {
-	case found && p.isMine(entry) && p.snapshot.Leaving:
+	case found && p.isMine(entry) && (p.snapshot.Leaving || p.snapshot.Released[endpoint] == entry.Fence):
 		p.actions.Release = append(p.actions.Release, held)
 	case found && p.isMine(entry):
 		p.actions.Renew = append(p.actions.Renew, held)
--- a/internal/process/home/table.go
+++ b/internal/process/home/table.go
@@ -36,6 +36,12 @@
 	return e.Seen.Add(e.Lease + driftMargin(e.Lease))
 }
 
+// heldUntil is until when the holder may act on a lease that it sent a claim or
+// renewal for at a time.
+func heldUntil(sent time.Time, lease time.Duration) time.Time {
+	return sent.Add(lease - driftMargin(lease))
+}
+
 // driftMargin covers clocks that run at different speeds.
 func driftMargin(lease time.Duration) time.Duration { return lease / driftDivisor }
 
