--- a/internal/process/daemon/configuration.go
+++ b/internal/process/daemon/configuration.go
@@ -36,6 +36,8 @@
 		Metrics: h.metrics,
 		Logger:  h.logger,
 		Observe: h.observeConfig,
+
+		LogRetention: h.settings.Platform.LogRetention(),
 	})
 	h.follower.Register(h.meshServer)
 	h.operator = config.NewOperator(h.follower)
@@ -46,6 +48,7 @@
 func (h *host) makePlacement() error {
 	h.placer = placement.New(placement.Config{
 		Self:    h.self,
+		Homes:   h.homes,
 		Caller:  h.meshClient,
 		Metrics: h.metrics,
 	})
@@ -64,6 +67,8 @@
 			return nil
 		case view := <-views:
 			h.apply(view)
+		case <-h.reapply:
+			h.apply(h.follower.Current())
 		}
 	}
 }
@@ -85,6 +90,7 @@
 			"version": view.Version.Version,
 		}).Info("bundle is in force")
 	}
+	h.homes.Update(view.Bundle)
 	h.placer.Update(h.placementView(view))
 }
 
@@ -94,12 +100,25 @@
 		out = append(out, name)
 	}
 	hosts := append(h.Live(), h.self)
-	return placement.View{Bundle: view.Bundle, DomainsOut: out, Hosts: hosts}
+	return placement.View{
+		Bundle:       view.Bundle,
+		DomainsOut:   out,
+		EndpointsOut: h.homes.Unfit(),
+		Hosts:        hosts,
+	}
 }
 
 // observeConfig puts changes of the configuration on the time line.
 func (h *host) observeConfig(change config.Change) {
 	switch change.Kind {
+	case config.ChangeLog:
+		kind := timeline.LogBack
+		if change.LogOut {
+			kind = timeline.LogOut
+		}
+		h.ring.Record(timeline.Event{Kind: kind})
+	case config.ChangeReady:
+		h.ring.Record(timeline.Event{Kind: timeline.HostReady})
 	case config.ChangeDomain:
 		kind := timeline.DomainIn
 		if change.Mark.Out {
--- a/internal/process/daemon/host.go
+++ b/internal/process/daemon/host.go
@@ -17,6 +17,7 @@
 	"mustarddoor/internal/connection/mesh"
 	"mustarddoor/internal/connection/platform"
 	"mustarddoor/internal/process/hlc"
+	"mustarddoor/internal/process/home"
 	"mustarddoor/internal/process/identity"
 	"mustarddoor/internal/process/member"
 	"mustarddoor/internal/process/placement"
@@ -52,7 +53,11 @@
 	index    atomic.Pointer[bundle.Index]
 
 	endpoints *engine.Client
+	homes     *home.Manager
+	orders    *home.Orders
 	placer    *placement.Placer
+	// reapply is signalled when placement should look at the homes again.
+	reapply chan struct{}
 
 	sessionClock *session.Clock
 	register     *witness.Register
@@ -84,9 +89,10 @@
 		gate:         &mesh.Cuts{},
 		endpoints:    engine.NewClient(),
 		sessionClock: session.NewClock(),
+		reapply:      make(chan struct{}, 1),
 	}
 	h.ring = timeline.NewRing(h.self.Incarnation, h.clock, loaded.Limits.TimelineEvents)
-	steps := []func() error{h.listen, h.makeMesh, h.makeConfig, h.makePlacement, h.makeRequests}
+	steps := []func() error{h.listen, h.makeMesh, h.makeConfig, h.makeHomes, h.makePlacement, h.makeRequests}
 	for _, step := range steps {
 		if err := step(); err != nil {
 			return nil, err
@@ -285,6 +291,8 @@
 	addRunActor(group, h.members.Run)
 	addRunActor(group, h.follower.Run)
 	addRunActor(group, h.followConfig)
+	addRunActor(group, h.homes.Run)
+	addRunActor(group, h.orders.Run)
 	addRunActor(group, h.placer.Run)
 	addRunActor(group, h.sender.Run)
 	addRunActor(group, h.journal.Run)
--- a/internal/process/daemon/operator.go
+++ b/internal/process/daemon/operator.go
@@ -26,6 +26,8 @@
 	Ready  bool          `json:"ready"`
 	Reason string        `json:"reason,omitempty"`
 	Config config.Status `json:"config"`
+	// Homes are the homes of the endpoints in force.
+	Homes []HomeStatus `json:"homes"`
 	// Members are the hosts that this one knows.
 	Members []MemberStatus `json:"members"`
 }
@@ -59,6 +61,7 @@
 		Ready:   reason == "",
 		Reason:  reason,
 		Config:  h.operator.Status(),
+		Homes:   h.homeStatuses(),
 		Members: memberStatuses(h.members.View()),
 	})
 }
--- a/internal/process/daemon/stop.go
+++ b/internal/process/daemon/stop.go
@@ -23,6 +23,7 @@
 	bounded, cancel := context.WithTimeout(ctx, h.settings.Limits.StopTimeout())
 	defer cancel()
 	h.drain(bounded)
+	h.homes.Leave(bounded)
 	h.sender.Flush(bounded)
 	h.journal.Flush(bounded)
 	h.members.Depart(bounded)
--- a/internal/process/settings/settings.go
+++ b/internal/process/settings/settings.go
@@ -58,6 +58,14 @@
 	Log string `json:"log"`
 	// HostList is empty if the platform has none.
 	HostList string `json:"host_list"`
+	// LogRetentionSeconds is how long the log keeps records; zero means
+	// config.DefaultLogRetention.
+	LogRetentionSeconds int `json:"log_retention_seconds"`
+}
+
+// LogRetention is how long the log keeps records; zero means the default.
+func (p Platform) LogRetention() time.Duration {
+	return time.Duration(p.LogRetentionSeconds) * time.Second
 }
 
 // Log says how log lines are written.
--- a/internal/version/config/follower.go
+++ b/internal/version/config/follower.go
@@ -61,8 +61,8 @@
 	Move MoveView
 	// Outcome is the outcome, for ChangeRefused.
 	Outcome Outcome
-	// Text says more, for people.
-	Text string
+	// LogOut tells whether the log is unavailable, for ChangeLog.
+	LogOut bool
 }
 
 // Follower keeps a host's state of the configuration up to date. It is safe
--- a/internal/version/config/health.go
+++ b/internal/version/config/health.go
@@ -85,7 +85,7 @@
 	f.metrics.logErrors.Inc(1)
 	if !wasDown {
 		f.options.Logger.WithError(err).Warn("log service is unavailable")
-		f.options.Observe(Change{Kind: ChangeLog, Text: "unavailable"})
+		f.options.Observe(Change{Kind: ChangeLog, LogOut: true})
 	}
 }
 
@@ -103,7 +103,7 @@
 	f.mu.Unlock()
 	if wasDown {
 		f.options.Logger.Info("log service is available again")
-		f.options.Observe(Change{Kind: ChangeLog, Text: "available"})
+		f.options.Observe(Change{Kind: ChangeLog})
 		signal(f.work)
 	}
 }
