--- a/internal/command/publish.go
+++ b/internal/command/publish.go
@@ -9,8 +9,9 @@
 // publishVerb offers a bundle to the fleet.
 type publishVerb struct {
 	operatorOptions
-	Base uint64 `long:"base" description:"version that the bundle was written from; the newest if not given"`
-	Args struct {
+	Base    uint64 `long:"base" description:"version that the bundle was written from; the newest if not given"`
+	Restart bool   `long:"restart" description:"take effect although the log has lost records that no host has read"`
+	Args    struct {
 		File string `positional-arg-name:"BUNDLE" description:"bundle file, JSON"`
 	} `positional-args:"yes" required:"yes"`
 	out io.Writer
@@ -41,5 +42,9 @@
 	if base == 0 && status.Config.Head != nil {
 		base = status.Config.Head.Version
 	}
-	return v.submit(v.out, signer.Publish(config.Draft{Base: base, Bundle: loaded}, v.sequence(status)))
+	draft := config.Draft{Base: base, Bundle: loaded}
+	if v.Restart {
+		draft.RestartAt = status.Config.Log.Next
+	}
+	return v.submit(v.out, signer.Publish(draft, v.sequence(status)))
 }
--- a/internal/command/status.go
+++ b/internal/command/status.go
@@ -49,7 +49,7 @@
 	t.add("host", status.Host.Incarnation.String(), readiness(status), status.Reason)
 	t.add(versionRow("in force", status.Config.InForce)...)
 	t.add(versionRow("newest", status.Config.Head)...)
-	t.add("log", "", availability(status.Config.Log), status.Config.Log.Error)
+	t.add("log", "", availability(status.Config.Log), logDetail(status.Config.Log))
 	for _, domain := range status.Config.Domains {
 		t.add("domain", domain.Domain, mark(domain), domain.Operator+": "+domain.Reason)
 	}
@@ -58,6 +58,9 @@
 		state := fmt.Sprintf("%s, stage %d", move.State.Verdict, move.State.Stage)
 		t.add("move", name, state, move.State.Reason)
 	}
+	for _, home := range status.Homes {
+		t.add("home", home.Endpoint, home.Home, homeDetail(home))
+	}
 	for _, member := range status.Members {
 		t.add("member", member.Incarnation.String(), memberState(member), member.Domain)
 	}
@@ -89,6 +92,29 @@
 	return "out"
 }
 
+// logDetail says what is wrong with the log.
+func logDetail(log config.LogStatus) string {
+	switch {
+	case log.GapTo != 0:
+		return fmt.Sprintf("records %d to %d are gone unread; publish with --restart if no peer has them", log.GapFrom, log.GapTo)
+	case log.Short:
+		return "it ends before what was read"
+	default:
+		return log.Error
+	}
+}
+
+func homeDetail(home daemon.HomeStatus) string {
+	detail := fmt.Sprintf("fence %d", home.Fence)
+	if home.Held {
+		detail += ", held by this host"
+	}
+	if home.Unfit {
+		detail += ", not fit yet"
+	}
+	return detail
+}
+
 func mark(domain config.DomainStatus) string {
 	if domain.Out {
 		return "out"
