--- /dev/null
+++ b/internal/process/home/bench_test.go
@@ -0,0 +1,82 @@
+package home
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"mustarddoor/internal/process/identity"
+)
+
+// fleetSize is a number of hosts and of endpoints.
+type fleetSize struct {
+	hosts, endpoints int
+}
+
+var fleetSizes = []fleetSize{{3, 23}, {9, 23}, {30, 130}, {100, 425}, {330, 1400}}
+
+func (s fleetSize) String() string {
+	return fmt.Sprintf("hosts=%d/endpoints=%d", s.hosts, s.endpoints)
+}
+
+// settledTable gives a table in which every endpoint has a home.
+func settledTable(s fleetSize) (*Table, []Member, []string) {
+	list, names := members(s.hosts), endpointNames(s.endpoints)
+	table := NewTable()
+	for i, name := range names {
+		host := list[i%len(list)].Host
+		table.Apply(table.Offset+1, Record{
+			Host: host, LeaseMillis: LeaseFor(s.hosts).Milliseconds(), ReadTo: table.Offset, Claim: []string{name},
+		}, start)
+	}
+	return table, list, names
+}
+
+// BenchmarkPlan measures one plan of a host in a settled fleet, which it makes
+// every planInterval.
+func BenchmarkPlan(b *testing.B) {
+	for _, s := range fleetSizes {
+		b.Run(s.String(), func(b *testing.B) {
+			table, list, names := settledTable(s)
+			snapshot := Snapshot{
+				Self: list[0].Host, Members: list, Endpoints: names, Table: table, Lease: LeaseFor(s.hosts),
+				Now: start.Add(time.Second), MembersSince: start.Add(-time.Hour),
+			}
+			for b.Loop() {
+				Plan(snapshot)
+			}
+			perPlan := b.Elapsed().Seconds() / float64(b.N)
+			b.ReportMetric(100*perPlan/planInterval.Seconds(), "%core")
+		})
+	}
+}
+
+// BenchmarkRenewal measures what renewals cost: the appends and the bytes that
+// every host reads a second, and the processor time for them.
+func BenchmarkRenewal(b *testing.B) {
+	for _, s := range fleetSizes {
+		b.Run(s.String(), func(b *testing.B) {
+			table, list, names := settledTable(s)
+			sealer := NewSealer("a secret of the test fleet")
+			record := Record{Host: identity.Host{Incarnation: list[0].Host.Incarnation, MeshAddress: "127.0.0.1:7001"}, LeaseMillis: LeaseFor(s.hosts).Milliseconds()}
+			for i := 0; i < len(names); i += len(list) {
+				entry, _ := table.Entry(names[i])
+				record.Renew = append(record.Renew, Held{Endpoint: names[i], Fence: entry.Fence})
+			}
+			data := sealer.Encode(record)
+			for b.Loop() {
+				decoded, err := sealer.Decode(data)
+				if err != nil {
+					b.Fatal(err)
+				}
+				table.Apply(table.Offset+1, decoded, start)
+			}
+			perSecond := float64(s.hosts) * renewalsPerLease / LeaseFor(s.hosts).Seconds()
+			perRecord := b.Elapsed().Seconds() / float64(b.N)
+			b.ReportMetric(perSecond, "appends/s")
+			b.ReportMetric(perSecond*float64(len(data)), "bytes/s")
+			b.ReportMetric(100*perSecond*perRecord, "%core")
+			b.ReportMetric(LeaseFor(s.hosts).Seconds(), "lease-s")
+		})
+	}
+}
--- a/internal/process/home/keep.go
+++ b/internal/process/home/keep.go
@@ -62,7 +62,7 @@
 	}
 	m.stopUse(actions.Release)
 	return Record{
-		Host:        m.options.Self,
+		Host:        m.signature(),
 		LeaseMillis: snapshot.Lease.Milliseconds(),
 		ReadTo:      m.table.Offset,
 		Claim:       actions.Claim,
@@ -71,6 +71,11 @@
 	}, true
 }
 
+// signature is what records say of this host; it stands in every one of them.
+func (m *Manager) signature() identity.Host {
+	return identity.Host{Incarnation: m.options.Self.Incarnation, MeshAddress: m.options.Self.MeshAddress}
+}
+
 // snapshot gives what a plan depends on. The lock is held.
 func (m *Manager) snapshot() Snapshot {
 	now := time.Now()
@@ -202,7 +207,7 @@
 	}
 	defer m.endTurn(id)
 	record := Record{
-		Host:        m.options.Self,
+		Host:        m.signature(),
 		LeaseMillis: minLease.Milliseconds(),
 		Load:        &LoadTurn{PerMinute: perMinute},
 	}
--- a/internal/process/home/record.go
+++ b/internal/process/home/record.go
@@ -28,8 +28,9 @@
 
 // Record is what one host says of its homes, in one append.
 type Record struct {
-	Schema int           `cbor:"1,keyasint"`
-	Host   identity.Host `cbor:"2,keyasint"`
+	Schema int `cbor:"1,keyasint"`
+	// Host names the process and its mesh address.
+	Host identity.Host `cbor:"2,keyasint"`
 	// LeaseMillis is how long the claims and renewals hold.
 	LeaseMillis int64 `cbor:"3,keyasint"`
 	// ReadTo is the offset up to which the host had read when it claimed.
--- a/internal/version/config/apply_test.go
+++ b/internal/version/config/apply_test.go
@@ -153,6 +153,22 @@
 	assert.Equal(t, outcome.Reason, ReasonReplay)
 }
 
+func TestKeyringRefuses(t *testing.T) {
+	cases := []struct {
+		name, operator, key, secret string
+	}{
+		{"no secret", "alma", "", ""},
+		{"short secret", "alma", "", "0123456789abcde"},
+		{"no key", "alma", "", testSecret},
+		{"short key", "alma", "AAAA", testSecret},
+		{"name of a file", "a/b", "AAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAA=", testSecret},
+	}
+	for _, c := range cases {
+		_, err := NewKeyring(map[string]string{c.operator: c.key}, c.secret)
+		assert.ErrorIs(t, err, ErrKey, c.name)
+	}
+}
+
 func FuzzApply(f *testing.F) {
 	c := newCast(f)
 	f.Add(c.alma.Publish(Draft{Bundle: testBundle("first", true)}, 1).Raw)
--- a/internal/version/config/keys.go
+++ b/internal/version/config/keys.go
@@ -11,9 +11,13 @@
 	"mustarddoor/internal/process/identity"
 )
 
-// ErrKey is returned for a text that is not an ed25519 key in base64.
+// ErrKey is returned for a text that is not an ed25519 key in base64, and for a
+// fleet secret that is too short.
 var ErrKey = eris.New("not an ed25519 key")
 
+// MinSecretBytes is the least length of a fleet secret.
+const MinSecretBytes = 16
+
 // fleetKeyPrefix separates the fleet key from other uses of the fleet secret.
 const fleetKeyPrefix = "mustarddoor fleet key v1\n"
 
@@ -27,6 +31,9 @@
 // NewKeyring makes a keyring from operators' public keys in base64, by name,
 // and the secret that all hosts of the fleet share. It fails with ErrKey.
 func NewKeyring(operators map[string]string, fleetSecret string) (*Keyring, error) {
+	if len(fleetSecret) < MinSecretBytes {
+		return nil, eris.Wrapf(ErrKey, "fleet secret of less than %d bytes", MinSecretBytes)
+	}
 	keys := &Keyring{operators: map[string]ed25519.PublicKey{}, fleet: FleetKey(fleetSecret)}
 	for name, text := range operators {
 		key, err := base64.StdEncoding.DecodeString(text)
