--- a/internal/process/home/follow.go
+++ b/internal/process/home/follow.go
@@ -124,7 +124,7 @@
 func (m *Manager) confirm(id string, record Record, applied Applied) {
 	m.metrics.lost.Inc(int64(len(applied.Lost)))
 	sent, found := m.sent[id]
-	if !found {
+	if !found || m.leaving {
 		return
 	}
 	delete(m.sent, id)
--- a/internal/process/home/keep.go
+++ b/internal/process/home/keep.go
@@ -14,7 +14,7 @@
 
 // Times and bounds of keeping homes.
 const (
-	planInterval = 500 * time.Millisecond
+	planInterval = 250 * time.Millisecond
 	maxSent      = 64
 	maxTurns     = 64
 )
--- a/internal/process/home/manager.go
+++ b/internal/process/home/manager.go
@@ -199,13 +199,16 @@
 	}
 }
 
-// Leave gives back all homes and waits until the log has taken it, or until the
-// context ends. The host must not act as home any more.
+// Leave ends the use of all homes and gives them back. It waits until the log
+// has taken that, but not for a log that is out: the leases then lapse.
 func (m *Manager) Leave(ctx context.Context) {
 	m.mu.Lock()
 	m.leaving = true
 	m.mu.Unlock()
 	m.wake()
+	defer m.endLeases()
+	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
+	defer cancel()
 	ticker := time.NewTicker(leavePoll)
 	defer ticker.Stop()
 	for m.holdsAny() {
@@ -217,6 +220,14 @@
 	}
 }
 
+// endLeases drops all leases of this host.
+func (m *Manager) endLeases() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.leases = map[string]Lease{}
+	m.publish()
+}
+
 // holdsAny reports whether the stream names this host as a home.
 func (m *Manager) holdsAny() bool {
 	m.mu.Lock()
@@ -268,7 +279,9 @@
 }
 
 const (
-	leavePoll     = 20 * time.Millisecond
+	leavePoll = 20 * time.Millisecond
+	// leaveTimeout bounds how long a planned stop waits for the log.
+	leaveTimeout  = 2 * time.Second
 	recordIDBytes = 12
 )
 
--- a/internal/process/home/manager_test.go
+++ b/internal/process/home/manager_test.go
@@ -139,6 +139,21 @@
 	})
 }
 
+// A planned stop does not wait for a log that is out.
+func TestLeaveWithoutLog(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := startFleet(t, 3, 12)
+		defer f.stop()
+		settle(time.Minute)
+		f.log.setDown(true)
+		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+		defer cancel()
+		f.managers[0].Leave(ctx)
+		assert.NilError(t, ctx.Err())
+		assert.Equal(t, len(f.managers[0].Held()), 0)
+	})
+}
+
 // Turns at the weight store keep the fleet's pace, whichever host asks.
 func TestTurnsKeepFleetPace(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/process/home/plan.go
+++ b/internal/process/home/plan.go
@@ -22,7 +22,7 @@
 	imbalance = 1.25
 	// joinDelay is how long a host waits for news of other hosts before it
 	// claims endpoints that never had a home.
-	joinDelay = time.Second
+	joinDelay = 500 * time.Millisecond
 	// A host gives up what it has too much of in about releaseSteps steps of at
 	// least minReleases homes each.
 	releaseSteps = 8
