--- a/internal/process/daemon/host.go
+++ b/internal/process/daemon/host.go
@@ -17,6 +17,7 @@
 	"mustarddoor/internal/connection/mesh"
 	"mustarddoor/internal/connection/platform"
 	"mustarddoor/internal/process/hlc"
+	"mustarddoor/internal/process/home"
 	"mustarddoor/internal/process/identity"
 	"mustarddoor/internal/process/member"
 	"mustarddoor/internal/process/placement"
@@ -53,7 +54,11 @@
 	index    atomic.Pointer[bundle.Index]
 
 	endpoints *engine.Client
+	homes     *home.Manager
+	orders    *home.Orders
 	placer    *placement.Placer
+	// reapply is signalled when placement should look at the homes again.
+	reapply chan struct{}
 
 	sessionClock *session.Clock
 	register     *witness.Register
@@ -85,9 +90,10 @@
 		gate:         &mesh.Cuts{},
 		endpoints:    engine.NewClient(),
 		sessionClock: session.NewClock(),
+		reapply:      make(chan struct{}, 1),
 	}
 	h.ring = timeline.NewRing(h.self.Incarnation, h.clock, loaded.Limits.TimelineEvents)
-	steps := []func() error{h.listen, h.makeMesh, h.makeConfig, h.makePlacement, h.makeRequests}
+	steps := []func() error{h.listen, h.makeMesh, h.makeConfig, h.makeHomes, h.makePlacement, h.makeRequests}
 	for _, step := range steps {
 		if err := step(); err != nil {
 			return nil, err
@@ -265,6 +271,8 @@
 	addRunActor(group, h.followHostList)
 	addRunActor(group, h.follower.Run)
 	addRunActor(group, h.followConfig)
+	addRunActor(group, h.homes.Run)
+	addRunActor(group, h.orders.Run)
 	addRunActor(group, h.placer.Run)
 	addRunActor(group, h.sender.Run)
 	addRunActor(group, h.journal.Run)
