Retries at other hosts: relay, witness, log, endpoint; client with resume

Cause: a host that does not own a key refused it as unknown. It now asks the owner, then the witness, then the log, and resumes at the endpoint.

A look-up of an unseen key at its owner said 'not run' without closing the key, so a copy that came later could still run; it is closed now. A caller whose connection broke has 3 s to come back before its request is cancelled. The request verb uses the client and takes several addresses.

--- /dev/null
+++ b/client/entry.go
@@ -0,0 +1,101 @@
+package client
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// Entry tells which hosts to use.
+type Entry struct {
+	// Addresses are IP:port, best first.
+	Addresses []string `json:"addresses"`
+	// KeepMillis is how long the entry may be kept, in milliseconds.
+	KeepMillis int64 `json:"keep_ms"`
+	// Session is the first part of request keys.
+	Session string `json:"session"`
+}
+
+// entryCache keeps an entry for its time.
+type entryCache struct {
+	mu    sync.Mutex
+	entry Entry
+	until time.Time
+}
+
+func (c *entryCache) get() (Entry, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.entry, time.Now().Before(c.until)
+}
+
+func (c *entryCache) put(entry Entry) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.entry = entry
+	c.until = time.Now().Add(time.Duration(entry.KeepMillis) * time.Millisecond)
+}
+
+func (c *entryCache) forget() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.until = time.Time{}
+}
+
+// Entry returns the entry that is kept or asks the given start hosts for one.
+// It fails with ErrNoHost.
+func (c *Client) Entry(ctx context.Context) (Entry, error) {
+	return c.entry(ctx, nil)
+}
+
+// entry asks the preferred hosts first.
+func (c *Client) entry(ctx context.Context, preferred []string) (Entry, error) {
+	if kept, ok := c.entries.get(); ok {
+		return kept, nil
+	}
+	known, _ := c.entries.get()
+	hosts := append(append([]string{}, preferred...), known.Addresses...)
+	hosts = append(hosts, c.options.Hosts...)
+	var last error
+	for _, host := range hosts {
+		entry, err := c.ask(ctx, host)
+		if err == nil {
+			c.entries.put(entry)
+			return entry, nil
+		}
+		last = err
+	}
+	return Entry{}, eris.Wrapf(ErrNoHost, "%v", last)
+}
+
+// entryTimeout bounds how long one host may take to answer for its entry.
+const entryTimeout = 2 * time.Second
+
+func (c *Client) ask(ctx context.Context, host string) (Entry, error) {
+	ctx, cancel := context.WithTimeout(ctx, entryTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+host+pathEntry, nil)
+	if err != nil {
+		return Entry{}, err
+	}
+	resp, err := c.options.HTTP.Do(req)
+	if err != nil {
+		return Entry{}, err
+	}
+	defer resp.Body.Close()
+	if refusal := refusalOf(resp); refusal != nil {
+		return Entry{}, refusal
+	}
+	var entry Entry
+	if err := json.NewDecoder(resp.Body).Decode(&entry); err != nil {
+		return Entry{}, err
+	}
+	if len(entry.Addresses) == 0 || entry.Session == "" {
+		return Entry{}, eris.New("entry names no host")
+	}
+	return entry, nil
+}
--- /dev/null
+++ b/client/refusal.go
@@ -0,0 +1,82 @@
+package client
+
+import (
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+)
+
+// Outcome is what became of a refused request.
+type Outcome string
+
+// The outcomes of refused requests.
+const (
+	// NotRun: the request was not run and never will be under its key.
+	NotRun Outcome = "not_run"
+	// Unknown: the request may have run.
+	Unknown Outcome = "unknown"
+	// Failed: the request was run and did not succeed.
+	Failed Outcome = "failed"
+)
+
+// Refusal is the error of a request that a host refused.
+type Refusal struct {
+	Outcome Outcome `json:"outcome"`
+	Reason  string  `json:"reason"`
+	// RetryAfterMillis is how long to wait before the next try.
+	RetryAfterMillis int64 `json:"retry_after_ms"`
+	// Addresses are hosts to try next, as IP:port.
+	Addresses []string `json:"addresses"`
+	// Detail explains the reason to a person; it may be empty.
+	Detail string `json:"detail,omitempty"`
+	// Status is the HTTP status.
+	Status int `json:"-"`
+}
+
+// Error implements error.
+func (r *Refusal) Error() string {
+	text := "request refused: " + string(r.Outcome) + ": " + r.Reason
+	if r.Detail != "" {
+		text += ": " + r.Detail
+	}
+	return text
+}
+
+// isNotRun reports whether the error says that the request was not run.
+func isNotRun(err error) bool {
+	var refusal *Refusal
+	return errors.As(err, &refusal) && refusal.Outcome == NotRun
+}
+
+// RetryAfter is how long to wait before the next try.
+func (r *Refusal) RetryAfter() time.Duration {
+	return time.Duration(r.RetryAfterMillis) * time.Millisecond
+}
+
+// maxRefusalBytes bounds the JSON of a refusal.
+const maxRefusalBytes = 64 << 10
+
+// refusalOf reads a refusal and closes the response. It returns nil, and
+// leaves the response open, if the response is an answer. An error status
+// without the JSON of a refusal is an answer of the endpoint.
+func refusalOf(resp *http.Response) *Refusal {
+	if resp.StatusCode < http.StatusBadRequest {
+		return nil
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxRefusalBytes))
+	refusal := &Refusal{}
+	isRefusal := err == nil && json.Unmarshal(body, refusal) == nil && refusal.isKnown()
+	if !isRefusal {
+		resp.Body = rest(body, resp.Body)
+		return nil
+	}
+	resp.Body.Close()
+	refusal.Status = resp.StatusCode
+	return refusal
+}
+
+func (r *Refusal) isKnown() bool {
+	return r.Outcome == NotRun || r.Outcome == Unknown || r.Outcome == Failed
+}
--- a/internal/command/request.go
+++ b/internal/command/request.go
@@ -1,31 +1,33 @@
 package command
 
 import (
-	"bytes"
+	"context"
 	"encoding/json"
+	"errors"
 	"io"
 	"net/http"
 
 	"github.com/rotisserie/eris"
 
+	"mustarddoor/client"
 	"mustarddoor/internal/connection/caller"
-	"mustarddoor/internal/request/outcome"
 )
 
 // requestVerb sends one request as a caller does.
 type requestVerb struct {
-	Address   string `long:"address" value-name:"IP:PORT" required:"yes" description:"caller address of any host"`
-	Team      string `long:"team" required:"yes" description:"the caller's team"`
-	Service   string `long:"service" required:"yes" description:"model or plain service"`
-	Route     string `long:"route" description:"route of the request; the service's first if not given"`
-	Key       string `long:"key" description:"request key; the host makes one if not given"`
-	Prompt    string `long:"prompt" description:"prompt, for a model"`
-	MaxTokens int    `long:"max-tokens" description:"longest answer in tokens, for a model"`
-	Path      string `long:"path" description:"path, for a plain service"`
-	Method    string `long:"method" default:"POST" description:"method, for a plain service"`
-	Body      string `long:"body" description:"body, for a plain service"`
-	Raw       bool   `long:"raw" description:"print the answer's bytes as they come"`
-	ShowKey   bool   `long:"show-key" description:"print the request key before the answer"`
+	Addresses []string `long:"address" value-name:"IP:PORT" required:"yes" description:"caller address of any host; may be given again"`
+	Team      string   `long:"team" required:"yes" description:"the caller's team"`
+	Service   string   `long:"service" required:"yes" description:"model or plain service"`
+	Route     string   `long:"route" description:"route of the request; the service's first if not given"`
+	Part      string   `long:"part" description:"caller's part of the request key; random if not given"`
+	Key       string   `long:"key" description:"whole request key of an earlier try"`
+	Prompt    string   `long:"prompt" description:"prompt, for a model"`
+	MaxTokens int      `long:"max-tokens" description:"longest answer in tokens, for a model"`
+	Path      string   `long:"path" description:"path, for a plain service"`
+	Method    string   `long:"method" default:"POST" description:"method, for a plain service"`
+	Body      string   `long:"body" description:"body, for a plain service"`
+	Raw       bool     `long:"raw" description:"print the answer's bytes as they come"`
+	ShowKey   bool     `long:"show-key" description:"print the request key before the answer"`
 	out       io.Writer
 }
 
@@ -50,76 +52,76 @@
 
 // Execute implements flags.Commander.
 func (v *requestVerb) Execute([]string) error {
-	req, err := v.request()
+	request, err := v.request()
 	if err != nil {
 		return eris.Wrap(ErrUsage, err.Error())
 	}
-	resp, err := http.DefaultClient.Do(req)
+	fleet := client.New(client.Options{Hosts: v.Addresses, Team: v.Team})
+	answer, err := fleet.Do(context.Background(), request)
 	if err != nil {
-		return eris.Wrap(ErrUnreachable, err.Error())
-	}
-	defer resp.Body.Close()
-	if resp.StatusCode >= http.StatusBadRequest {
-		return refusalError(resp)
+		return requestError(err)
 	}
+	defer answer.Close()
 	if v.ShowKey {
-		if _, err := io.WriteString(v.out, resp.Header.Get(caller.HeaderKey)+"\n"); err != nil {
+		if _, err := io.WriteString(v.out, answer.Key()+"\n"); err != nil {
 			return err
 		}
 	}
-	return v.printAnswer(resp.Body)
+	if answer.Status >= http.StatusBadRequest {
+		return v.errorAnswer(answer)
+	}
+	return v.printAnswer(answer)
 }
 
-func (v *requestVerb) request() (*http.Request, error) {
-	method, path, body := http.MethodPost, caller.PathChat, []byte(nil)
-	if v.Path != "" {
-		method, path, body = v.Method, caller.PathServices+v.Service+v.Path, []byte(v.Body)
-	} else {
-		encoded, err := json.Marshal(chatBody{
-			Model:     v.Service,
-			Messages:  []chatMessage{{Role: "user", Content: v.Prompt}},
-			MaxTokens: v.MaxTokens,
-			Stream:    true,
-		})
-		if err != nil {
-			return nil, err
-		}
-		body = encoded
-	}
-	req, err := http.NewRequest(method, "http://"+v.Address+path, bytes.NewReader(body))
+// errorAnswer turns an endpoint's error status into an error.
+func (v *requestVerb) errorAnswer(answer *client.Answer) error {
+	body, err := io.ReadAll(answer)
 	if err != nil {
-		return nil, err
+		return requestError(err)
 	}
-	req.Header.Set("Content-Type", "application/json")
-	req.Header.Set(caller.HeaderTeam, v.Team)
-	setIfGiven(req.Header, caller.HeaderRoute, v.Route)
-	setIfGiven(req.Header, caller.HeaderIdempotencyKey, v.Key)
-	return req, nil
+	return eris.Wrapf(ErrFailed, "status %d: %s", answer.Status, body)
 }
 
-func setIfGiven(header http.Header, name, value string) {
-	if value != "" {
-		header.Set(name, value)
+func (v *requestVerb) request() (client.Request, error) {
+	if v.Path != "" {
+		return client.Request{
+			Method: v.Method,
+			Path:   caller.PathServices + v.Service + v.Path,
+			Route:  v.Route,
+			Body:   []byte(v.Body),
+			Part:   v.Part,
+			Key:    v.Key,
+		}, nil
 	}
+	body, err := json.Marshal(chatBody{
+		Model:     v.Service,
+		Messages:  []chatMessage{{Role: "user", Content: v.Prompt}},
+		MaxTokens: v.MaxTokens,
+		Stream:    true,
+	})
+	return client.Request{Path: caller.PathChat, Route: v.Route, Body: body, Part: v.Part, Key: v.Key}, err
 }
 
-// refusalError turns a refusal into the error that decides the exit code.
-func refusalError(resp *http.Response) error {
-	body, err := io.ReadAll(resp.Body)
-	if err != nil {
+// requestError turns a refusal or a lost request into the error that decides
+// the exit code.
+func requestError(err error) error {
+	var refusal *client.Refusal
+	switch {
+	case errors.Is(err, client.ErrNoHost):
+		return eris.Wrap(ErrUnreachable, err.Error())
+	case !errors.As(err, &refusal):
 		return eris.Wrap(ErrUnknown, err.Error())
 	}
-	refusal, err := outcome.ParseRefusal(body)
-	if err != nil {
-		return eris.Wrapf(ErrFailed, "%s: %s", resp.Status, body)
+	text, marshalErr := json.Marshal(refusal)
+	if marshalErr != nil {
+		return marshalErr
 	}
-	text := string(bytes.TrimSpace(body))
 	switch refusal.Outcome {
-	case outcome.NotRun:
-		return eris.Wrap(ErrRefused, text)
-	case outcome.Unknown:
-		return eris.Wrap(ErrUnknown, text)
+	case client.NotRun:
+		return eris.Wrap(ErrRefused, string(text))
+	case client.Unknown:
+		return eris.Wrap(ErrUnknown, string(text))
 	default:
-		return eris.Wrap(ErrFailed, text)
+		return eris.Wrap(ErrFailed, string(text))
 	}
 }
--- /dev/null
+++ b/internal/process/daemon/forward.go
@@ -0,0 +1,20 @@
+package daemon
+
+import (
+	"mustarddoor/internal/request/flow"
+	"mustarddoor/internal/request/journal"
+)
+
+// makeForwarder makes what answers requests that another host owns.
+func (h *host) makeForwarder() flow.Forwarder {
+	return flow.NewResumer(flow.ForwardConfig{
+		Self:       h.self.Incarnation,
+		Caller:     h.meshClient,
+		Hosts:      h,
+		Endpoints:  h.endpoints,
+		Log:        journal.NewReader(h.log),
+		Index:      h.index.Load,
+		OtherHosts: h.requests.otherAddresses,
+		Metrics:    h.metrics,
+	})
+}
--- a/internal/process/daemon/host.go
+++ b/internal/process/daemon/host.go
@@ -197,6 +197,7 @@
 		Registry:   h.registry,
 		Placer:     &rotatingPlacer{index: h.index.Load},
 		Endpoints:  h.endpoints,
+		Forwarder:  h.makeForwarder(),
 		Events:     flow.Events{Recorder: h.ring},
 		OtherHosts: h.requests.otherAddresses,
 		Metrics:    h.metrics,
--- a/internal/request/flow/copy.go
+++ b/internal/request/flow/copy.go
@@ -17,8 +17,8 @@
 // answer.
 const writeTimeout = 30 * time.Second
 
-// copyAnswer writes an answer to one caller from offset on.
-func (r *Runner) copyAnswer(ctx context.Context, own *owner.Request, offset int64, w http.ResponseWriter) {
+// copyAnswer writes an answer to one caller from the request's offset on.
+func (r *Runner) copyAnswer(ctx context.Context, own *owner.Request, request *Request, w http.ResponseWriter) {
 	answer := own.Answer()
 	head, begun, err := answer.Head(ctx)
 	if err != nil {
@@ -29,6 +29,8 @@
 		return
 	}
 	out := newAnswerWriter(w, head)
+	out.isRelayed = request.IsRelayed
+	offset := request.Offset
 	for {
 		part, err := answer.ReadAt(ctx, offset)
 		switch {
@@ -83,6 +85,9 @@
 	w          http.ResponseWriter
 	controller *http.ResponseController
 	isStream   bool
+	// isRelayed is set if another host reads the answer for the caller. It is
+	// to see an answer that is cut as a broken connection.
+	isRelayed bool
 }
 
 func newAnswerWriter(w http.ResponseWriter, head owner.Head) *answerWriter {
@@ -135,7 +140,7 @@
 // abort tells the caller that the answer is cut: by a last event in an event
 // stream, else by breaking the connection off before the answer's end.
 func (a *answerWriter) abort(refusal outcome.Refusal) {
-	if !a.isStream {
+	if !a.isStream || a.isRelayed {
 		panic(http.ErrAbortHandler)
 	}
 	body, err := json.Marshal(refusal)
--- /dev/null
+++ b/internal/request/flow/fetch.go
@@ -0,0 +1,83 @@
+package flow
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+
+	"mustarddoor/internal/connection/engine"
+	"mustarddoor/internal/request/owner"
+	"mustarddoor/internal/request/resume"
+	"mustarddoor/internal/request/witness"
+)
+
+// resumeStream copies an engine's event stream to the caller, from the offset
+// on. It fetches the last bytes before the offset again, so that it sees the
+// stream's end even if the caller lacks nothing.
+func (t *retry) resumeStream(ctx context.Context, intent witness.Intent) resume.Ending {
+	overlap := min(t.offset, int64(len(streamEnd)))
+	reply, err := t.config.Endpoints.Resume(ctx, intent.Address, t.key.String(), t.offset-overlap)
+	if errors.Is(err, engine.ErrUnknownKey) {
+		return resume.NoSuchKey
+	}
+	if err != nil {
+		return resume.Broken
+	}
+	defer reply.Body.Close()
+	if reply.Status != http.StatusOK {
+		return resume.Broken
+	}
+	tail := make([]byte, overlap)
+	if _, err := io.ReadFull(reply.Body, tail); err != nil {
+		return resume.Broken
+	}
+	t.begin(owner.Head{Status: reply.Status, ContentType: reply.ContentType})
+	watched := &tailReader{from: reply.Body, tail: tail}
+	err = t.copy(watched)
+	if err == nil && !bytes.Equal(watched.tail, streamEnd) {
+		return resume.Broken
+	}
+	return t.endingOf(err)
+}
+
+// tailReader keeps the last bytes that were read, as many as streamEnd has.
+type tailReader struct {
+	from io.Reader
+	tail []byte
+}
+
+// Read implements io.Reader.
+func (r *tailReader) Read(buffer []byte) (int, error) {
+	count, err := r.from.Read(buffer)
+	r.tail = append(r.tail, buffer[:count]...)
+	if excess := len(r.tail) - len(streamEnd); excess > 0 {
+		r.tail = append(r.tail[:0], r.tail[excess:]...)
+	}
+	return count, err
+}
+
+// lookUp asks a plain service for the outcome of a call and answers with it.
+func (t *retry) lookUp(ctx context.Context, intent witness.Intent) resume.Ending {
+	service := t.service(intent.Service)
+	if service == nil || t.out != nil {
+		return resume.Broken
+	}
+	ctx, cancel := context.WithTimeout(ctx, lookupTimeout)
+	defer cancel()
+	path := LookupPath(service.LookupPath, t.key.String())
+	reply, err := t.config.Endpoints.Send(ctx, engine.Call{Address: intent.Address, Method: http.MethodGet, Path: path})
+	if err != nil {
+		return resume.Broken
+	}
+	defer reply.Body.Close()
+	if reply.Status != http.StatusOK {
+		return resume.NoSuchKey
+	}
+	t.begin(owner.Head{Status: reply.Status, ContentType: reply.ContentType})
+	if t.copy(reply.Body) != nil {
+		panic(http.ErrAbortHandler)
+	}
+	return resume.Whole
+}
--- a/internal/request/flow/readers.go
+++ b/internal/request/flow/readers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"mustarddoor/internal/request/key"
 )
@@ -16,11 +17,13 @@
 
 // readers are the callers of one request.
 type readers struct {
-	table  *readerTable
-	key    key.Key
-	count  int
-	ctx    context.Context
-	cancel context.CancelFunc
+	table *readerTable
+	key   key.Key
+	count int
+	// generation counts how often the last caller has left.
+	generation uint64
+	ctx        context.Context
+	cancel     context.CancelFunc
 }
 
 func newReaderTable() *readerTable {
@@ -41,12 +44,29 @@
 	return entry
 }
 
-// leave removes a caller. After the last one the request's context ends.
+// returnTime is how long a request goes on after its last caller has left, so
+// that a caller whose connection broke can come back, also through another
+// host.
+const returnTime = 3 * time.Second
+
+// leave removes a caller. Some time after the last one has left the request's
+// context ends.
 func (e *readers) leave() {
 	e.table.mu.Lock()
 	defer e.table.mu.Unlock()
 	e.count--
 	if e.count == 0 {
+		e.generation++
+		generation := e.generation
+		time.AfterFunc(returnTime, func() { e.expire(generation) })
+	}
+}
+
+// expire ends the request's context unless a caller has come since.
+func (e *readers) expire(generation uint64) {
+	e.table.mu.Lock()
+	defer e.table.mu.Unlock()
+	if e.count == 0 && e.generation == generation {
 		delete(e.table.entries, e.key)
 		e.cancel()
 	}
--- a/internal/request/flow/runner.go
+++ b/internal/request/flow/runner.go
@@ -96,7 +96,7 @@
 		r.config.Events.Received(request)
 		go r.run(reader.gone(request.Route.KeepAnswer), request, own)
 	}
-	r.copyAnswer(ctx, own, request.Offset, w)
+	r.copyAnswer(ctx, own, request, w)
 }
 
 // Resume answers with an earlier request's answer from the request's offset
@@ -108,25 +108,31 @@
 	}
 	own := r.config.Registry.Find(request.Key)
 	if own == nil {
-		r.refuse(w, r.absent(request.Key))
+		r.refuse(w, r.closeAbsent(request.Key))
 		return
 	}
 	reader := r.running.join(request.Key)
 	defer reader.leave()
 	w.Header().Set(headerState, own.State().String())
-	r.copyAnswer(ctx, own, request.Offset, w)
+	r.copyAnswer(ctx, own, request, w)
 }
 
 // headerState tells the state of a request that is looked up.
 const headerState = "Mustarddoor-State"
 
-// absent tells what can be said of a key that this host owns and does not
-// hold.
-func (r *Runner) absent(k key.Key) outcome.Refusal {
-	if r.config.Registry.Locate(k, false).Expired {
+// closeAbsent tells what can be said of a key that this host owns and does not
+// hold. If it has not come yet it is closed, so that "not run" stays true.
+func (r *Runner) closeAbsent(k key.Key) outcome.Refusal {
+	located := r.config.Registry.Locate(k, true)
+	switch {
+	case located.Expired:
 		return outcome.Refuse(outcome.Unknown, outcome.ReasonExpired)
+	case located.State == owner.StateRefused:
+		return outcome.Refuse(located.Final.Outcome, located.Final.Reason)
+	default:
+		// It came between the two looks.
+		return outcome.Refuse(outcome.Unknown, outcome.ReasonNotReceived).WithRetryAfter(time.Second)
 	}
-	return outcome.Refuse(outcome.NotRun, outcome.ReasonNotReceived)
 }
 
 func (r *Runner) forward(ctx context.Context, request *Request, w http.ResponseWriter) {
--- a/internal/request/journal/journal.go
+++ b/internal/request/journal/journal.go
@@ -20,11 +20,11 @@
 	Append(ctx context.Context, stream string, records []platform.AppendRecord) (uint64, error)
 }
 
-// Source reads a stream of the log service.
+// Source reads streams of the log service; platform.Log is one.
 type Source interface {
-	// Read returns up to limit records from the offset on, or none at the tail.
-	// If the offset was trimmed away, the records start at FirstOffset.
-	Read(ctx context.Context, stream string, from uint64, limit int) (platform.ReadResponse, error)
+	// Read reads a part of a stream. A page is empty at the tail and, with
+	// Trimmed set, where the log no longer has the record wanted.
+	Read(ctx context.Context, part platform.Range) (platform.Page, error)
 }
 
 // Entry is what the log keeps of one request.
--- a/internal/request/journal/reader.go
+++ b/internal/request/journal/reader.go
@@ -52,23 +52,26 @@
 // extend indexes the log up to its tail.
 func (r *Reader) extend(ctx context.Context) error {
 	for {
-		part, err := r.source.Read(ctx, platform.StreamRequests, r.next, readLimit)
+		page, err := r.read(ctx, r.next, readLimit)
 		if err != nil {
 			return err
 		}
-		for _, record := range part.Records {
+		for _, record := range page.Records {
 			r.index(record)
 		}
-		r.next = max(r.next, part.FirstOffset)
-		if r.next >= part.NextOffset {
-			return nil
-		}
-		if len(part.Records) == 0 {
+		switch {
+		case page.Trimmed:
+			r.next = max(r.next+1, page.FirstOffset)
+		case len(page.Records) == 0:
 			return nil
 		}
 	}
 }
 
+func (r *Reader) read(ctx context.Context, from uint64, limit int) (platform.Page, error) {
+	return r.source.Read(ctx, platform.Range{Stream: platform.StreamRequests, From: from, Max: limit})
+}
+
 // index notes the keys of one log record. A record of another form is skipped.
 func (r *Reader) index(record platform.Record) {
 	r.next = record.Offset + 1
@@ -95,7 +98,7 @@
 
 // fetch reads the key's entry from the log record at the offset.
 func (r *Reader) fetch(ctx context.Context, k key.Key, offset uint64) (witness.Record, bool, error) {
-	part, err := r.source.Read(ctx, platform.StreamRequests, offset, 1)
+	part, err := r.read(ctx, offset, 1)
 	if err != nil {
 		return witness.Record{}, false, err
 	}
--- a/internal/request/resume/decision.go
+++ b/internal/request/resume/decision.go
@@ -4,7 +4,7 @@
 // It asks the owner first, then the witness, then the log. It follows a
 // request that may have run to its endpoint and never dispatches anything.
 //
-// Machine holds the decisions, Runner carries them out.
+// Machine holds the decisions; flow.Resumer carries them out.
 package resume
 
 import (
@@ -71,8 +71,10 @@
 	Whole Ending = iota + 1
 	// NoSuchKey: the other side answered and does not know the key.
 	NoSuchKey
-	// Broken: the connection failed or nothing came in time.
+	// Broken: the connection failed.
 	Broken
+	// Silent: the owner answers no more.
+	Silent
 )
 
 // Service tells how requests to a service can be resumed.
--- a/internal/request/resume/machine.go
+++ b/internal/request/resume/machine.go
@@ -83,6 +83,8 @@
 		return m.refuse(outcome.Unknown, outcome.ReasonExpired)
 	case reply.State == owner.StateRefused:
 		return m.refuse(reply.Final.Outcome, reply.Final.Reason)
+	case reply.State == owner.StateFailed && m.relays > 0:
+		return m.refuse(reply.Final.Outcome, reply.Final.Reason)
 	case m.relays >= maxRelays:
 		return m.OwnerLost()
 	default:
@@ -100,14 +102,14 @@
 }
 
 // RelayEnded notes how far the owner's answer was given to the caller and how
-// it ended: Broken if the connection failed or the owner answers no probes,
-// NoSuchKey if the owner no longer has the bytes.
+// it ended: Broken if the connection failed, Silent if the owner answers no
+// probes, NoSuchKey if the owner no longer has the bytes.
 func (m *Machine) RelayEnded(offset int64, ending Ending) Decision {
 	m.advance(offset)
 	switch ending {
 	case Whole:
 		return Decision{Action: Stop}
-	case NoSuchKey:
+	case NoSuchKey, Silent:
 		return m.OwnerLost()
 	default:
 		return Decision{Action: AskOwner}
