--- a/internal/command/request.go
+++ b/internal/command/request.go
@@ -26,6 +26,7 @@
 	Path      string   `long:"path" description:"path, for a plain service"`
 	Method    string   `long:"method" default:"POST" description:"method, for a plain service"`
 	Body      string   `long:"body" description:"body, for a plain service"`
+	Tries     int      `long:"tries" description:"how often to try in a row without progress; 0 for the default"`
 	Raw       bool     `long:"raw" description:"print the answer's bytes as they come"`
 	ShowKey   bool     `long:"show-key" description:"print the request key before the answer"`
 	out       io.Writer
@@ -56,7 +57,7 @@
 	if err != nil {
 		return eris.Wrap(ErrUsage, err.Error())
 	}
-	fleet := client.New(client.Options{Hosts: v.Addresses, Team: v.Team})
+	fleet := client.New(client.Options{Hosts: v.Addresses, Team: v.Team, Tries: v.Tries})
 	answer, err := fleet.Do(context.Background(), request)
 	if err != nil {
 		return requestError(err)
--- /dev/null
+++ b/scenario/request_test.go
@@ -0,0 +1,83 @@
+package scenario
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"mustarddoor/internal/connection/caller"
+	"mustarddoor/internal/request/key"
+	"mustarddoor/internal/standin/executions"
+)
+
+// endpointAddresses are the last bytes of the standard fleet's endpoints.
+var endpointAddresses = []int{21, 22, 31}
+
+// cmdSession runs "session VAR ADDRESS": it asks a host for its entry and sets
+// VAR to the session, VAR_OWNER and VAR_WITNESS to the hosts that it names,
+// VAR_THIRD to the host that it does not name, and VAR_WITNESS_ADMIN and
+// VAR_THIRD_ADDRESS to their admin and caller addresses.
+func cmdSession(ts *testscript.TestScript, _ bool, args []string) {
+	if len(args) != 2 {
+		ts.Fatalf("usage: session VAR ADDRESS")
+	}
+	resp, err := http.Get("http://" + args[1] + caller.PathEntry)
+	ts.Check(err)
+	defer resp.Body.Close()
+	var entry caller.Entry
+	ts.Check(json.NewDecoder(resp.Body).Decode(&entry))
+	session, err := key.ParseSession(entry.Session)
+	ts.Check(err)
+	ts.Setenv(args[0], entry.Session)
+	ts.Setenv(args[0]+"_OWNER", session.Owner.Host)
+	ts.Setenv(args[0]+"_WITNESS", session.Witness.Host)
+	for i := 1; i <= hostCount; i++ {
+		name := "host-" + strconv.Itoa(i)
+		if name == session.Witness.Host {
+			ts.Setenv(args[0]+"_WITNESS_ADMIN", ts.Getenv("NET")+"."+strconv.Itoa(i)+":7002")
+		}
+		if name != session.Owner.Host && name != session.Witness.Host {
+			ts.Setenv(args[0]+"_THIRD", name)
+			ts.Setenv(args[0]+"_THIRD_ADDRESS", ts.Getenv("NET")+"."+strconv.Itoa(i)+":7000")
+		}
+	}
+}
+
+// cmdRan runs "ran COUNT KEY": it fails unless the endpoints of the standard
+// fleet have run the request so often in all.
+func cmdRan(ts *testscript.TestScript, _ bool, args []string) {
+	if len(args) != 2 {
+		ts.Fatalf("usage: ran COUNT KEY")
+	}
+	if got := strconv.Itoa(executionsOf(ts)[args[1]]); got != args[0] {
+		ts.Fatalf("%s ran %s times, not %s", args[1], got, args[0])
+	}
+}
+
+// cmdStarted runs "started KEY": it waits until an endpoint runs the request.
+func cmdStarted(ts *testscript.TestScript, _ bool, args []string) {
+	if len(args) != 1 {
+		ts.Fatalf("usage: started KEY")
+	}
+	await(ts, "the start of "+args[0], func() bool { return executionsOf(ts)[args[0]] > 0 })
+}
+
+// executionsOf counts the executions at all endpoints by key.
+func executionsOf(ts *testscript.TestScript) map[string]int {
+	counts := map[string]int{}
+	for _, last := range endpointAddresses {
+		resp, err := http.Get("http://" + ts.Getenv("NET") + "." + strconv.Itoa(last) + ":8000" + executions.Path)
+		ts.Check(err)
+		var list []executions.Execution
+		err = json.NewDecoder(resp.Body).Decode(&list)
+		resp.Body.Close()
+		ts.Check(err)
+		for _, execution := range list {
+			counts[strings.TrimSpace(execution.Key)] += execution.Count
+		}
+	}
+	return counts
+}
--- a/scenario/scenario_test.go
+++ b/scenario/scenario_test.go
@@ -46,6 +46,7 @@
 			env.Setenv("GORACE", raceOptions)
 			processes := newProcessTable(env.WorkDir)
 			env.Values[processesKey{}] = processes
+			env.Values[loadKey{}] = &loadBox{}
 			env.Defer(processes.killAll)
 			return nil
 		},
@@ -56,6 +57,10 @@
 			"stopped":    cmdStopped,
 			"eventually": cmdEventually,
 			"fetch":      cmdFetch,
+			"load":       cmdLoad,
+			"session":    cmdSession,
+			"ran":        cmdRan,
+			"started":    cmdStarted,
 		},
 		RequireExplicitExec: true,
 	})
