--- /dev/null
+++ b/internal/version/rollout/bench_test.go
@@ -0,0 +1,83 @@
+package rollout
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+)
+
+// Size of BenchmarkVersionMove.
+const (
+	moveSeeds    = 10
+	moveComplete = 300 * time.Second
+	movesAtOnce  = 4
+)
+
+// BenchmarkVersionMove plays version moves in virtual time. Shares and times
+// are the worst of all seeds, and the medians under names of their own:
+//   - completed-in-time and taken-back are fractions of the seeds,
+//   - bad-share is what the new version got from its first faulty request to
+//     its end, as a part of the service's requests from the roll on,
+//   - momentary-share is the same as a part of the requests of that time only,
+//   - seconds-to-stop is from the first faulty request to the last request
+//     that the new version got on any host.
+func BenchmarkVersionMove(b *testing.B) {
+	for _, kase := range fakeCases {
+		for _, fleet := range fakeFleets {
+			b.Run(kase.name+"/"+fleet.name, func(b *testing.B) {
+				for range b.N {
+					reportMoves(b, fleet, kase)
+				}
+			})
+		}
+	}
+}
+
+func reportMoves(b *testing.B, fleet fakeFleet, kase fakeCase) {
+	completed, takenBack := 0.0, 0.0
+	var shares, momentary, stops []float64
+	for _, r := range playMoves(fleet, kase) {
+		if r.completed {
+			completed++
+		}
+		if r.takenBack {
+			takenBack++
+		}
+		shares = append(shares, float64(r.toNewBad)/float64(r.requests))
+		momentary = append(momentary, float64(r.toNewBad)/float64(max(r.requestsBad, 1)))
+		stops = append(stops, (r.lastToNew - r.badStart).Seconds())
+	}
+	if !kase.bad {
+		b.ReportMetric(completed/moveSeeds, "completed-in-time")
+		b.ReportMetric(takenBack/moveSeeds, "false-taken-back")
+		return
+	}
+	b.ReportMetric(takenBack/moveSeeds, "taken-back")
+	reportWorst(b, shares, "bad-share")
+	reportWorst(b, momentary, "momentary-share")
+	reportWorst(b, stops, "seconds-to-stop")
+}
+
+// playMoves plays one move for each seed, a few at a time.
+func playMoves(fleet fakeFleet, kase fakeCase) []fakeResult {
+	results := make([]fakeResult, moveSeeds)
+	var players errgroup.Group
+	players.SetLimit(movesAtOnce)
+	for seed := range results {
+		players.Go(func() error {
+			results[seed] = newFake(fleet, kase, moveComplete, uint64(seed)+1).run()
+			return nil
+		})
+	}
+	_ = players.Wait()
+	return results
+}
+
+// reportWorst reports the greatest figure and the median.
+func reportWorst(b *testing.B, figures []float64, unit string) {
+	slices.Sort(figures)
+	b.ReportMetric(figures[len(figures)-1], unit)
+	b.ReportMetric(figures[len(figures)/2], unit+"-median")
+}
--- a/internal/version/rollout/decide.go
+++ b/internal/version/rollout/decide.go
@@ -64,7 +64,7 @@
 
 // measures are the sequential tests of each route.
 var measures = []measure{
-	{MeasureFailed, 0.01, func(c Counts) Sample { return Sample{c.Failed, c.Succeeded + c.Failed} }},
+	{MeasureFailed, 0.003, func(c Counts) Sample { return Sample{c.Failed, c.Succeeded + c.Failed} }},
 	{MeasureLost, 0.25, func(c Counts) Sample { return Sample{c.Lost, c.Succeeded + c.Failed + c.Lost} }},
 	{MeasureLateFirstToken, 0.10, func(c Counts) Sample { return Sample{c.FirstToken.Late, c.FirstToken.Timed} }},
 	{MeasureVeryLateFirstToken, 0.03, func(c Counts) Sample { return Sample{c.FirstToken.VeryLate, c.FirstToken.Timed} }},
@@ -78,10 +78,10 @@
 	if in.Stage.IsFinal() {
 		return d
 	}
-	worst, excess := compareAll(in)
-	d.Worst = worst
+	c := newComparer(in)
+	d.Worst = c.worst
 	d.Results = resultsAtStage(in)
-	if excess > 0 {
+	if c.excess > 0 {
 		d.Action, d.Cause, d.Stage = ActionTakeBack, CauseWorse, StageBad
 		return d
 	}
@@ -127,44 +127,66 @@
 	return sum
 }
 
-// compareAll runs all tests and returns the comparison that speaks most
-// against the new version and by how much it exceeds its threshold; a negative
-// excess is no verdict.
-func compareAll(in Input) (Comparison, float64) {
-	worst := Comparison{LogRatio: math.Inf(-1)}
-	excess := math.Inf(-1)
-	tests := float64(len(in.Evidence.Routes()) * len(measures))
-	for _, route := range in.Evidence.Routes() {
-		newArm, oldArm := Arm{New: true, Route: route}, Arm{Route: route}
-		whole := span{fresh: in.Evidence.Total(newArm), old: in.Evidence.Total(oldArm)}
-		threshold := -math.Log(falseVerdicts * wholeMoveShare / tests)
-		worst, excess = whole.compare(route, whole.old, threshold, worst, excess)
-		threshold = -math.Log(falseVerdicts * (1 - wholeMoveShare) / tests / windowsInMove)
-		for back := uint64(1); back <= recentWindows && back <= in.Window; back *= 2 {
-			start := in.Window - back
-			recent := span{fresh: in.Evidence.After(newArm, start), old: in.Evidence.After(oldArm, start)}
-			worst, excess = recent.compare(route, whole.old, threshold, worst, excess)
-		}
-	}
-	return worst, excess
+// comparer runs the tests and keeps the comparison that speaks most against
+// the new version.
+type comparer struct {
+	in Input
+	// tests is the number of tests over one span of time.
+	tests float64
+	worst Comparison
+	// excess is by how much the worst comparison exceeds its threshold; a
+	// negative excess is no verdict.
+	excess float64
 }
 
-// span is what both versions did on one route over the same windows.
+// span is what both versions did on one route, or on all, over the same time.
 type span struct{ fresh, old Counts }
 
-// compare runs the tests over one span and returns the worse of them and the
-// worst one before.
-func (s span) compare(route string, whole Counts, threshold float64, worst Comparison, excess float64) (Comparison, float64) {
+// plus adds what they did on another route.
+func (s span) plus(other span) span {
+	return span{fresh: s.fresh.plus(other.fresh), old: s.old.plus(other.old)}
+}
+
+// newComparer runs all tests over the whole move and over recent windows.
+func newComparer(in Input) *comparer {
+	c := &comparer{in: in, worst: Comparison{LogRatio: math.Inf(-1)}, excess: math.Inf(-1)}
+	c.tests = float64((len(in.Evidence.Routes()) + 1) * len(measures))
+	c.compare(in.Evidence.Total, -math.Log(falseVerdicts*wholeMoveShare/c.tests))
+	threshold := -math.Log(falseVerdicts * (1 - wholeMoveShare) / c.tests / windowsInMove)
+	for back := uint64(1); back <= recentWindows && back <= in.Window; back *= 2 {
+		recent := func(arm Arm) Counts { return in.Evidence.After(arm, in.Window-back) }
+		c.compare(recent, threshold)
+	}
+	return c
+}
+
+// compare runs the tests over one span of time, for each route and for all.
+func (c *comparer) compare(counts func(Arm) Counts, threshold float64) {
+	all, allWhole := span{}, Counts{}
+	for _, route := range c.in.Evidence.Routes() {
+		fresh := counts(Arm{New: true, Route: route})
+		if fresh == (Counts{}) {
+			continue
+		}
+		s := span{fresh: fresh, old: counts(Arm{Route: route})}
+		whole := c.in.Evidence.Total(Arm{Route: route})
+		c.test(route, s, whole, threshold)
+		all, allWhole = all.plus(s), allWhole.plus(whole)
+	}
+	c.test(AllRoutes, all, allWhole, threshold)
+}
+
+// test runs the tests over one span of time on one route, or on all.
+func (c *comparer) test(route string, s span, whole Counts, threshold float64) {
 	for _, m := range measures {
-		c := Comparison{Route: route, Measure: m.name, New: m.sample(s.fresh), Old: m.sample(s.old)}
-		if c.New.Hits == 0 {
+		one := Comparison{Route: route, Measure: m.name, New: m.sample(s.fresh), Old: m.sample(s.old)}
+		one.Null = nullRate(one.Old, m.sample(whole), m.floor)
+		if one.New.Rate() <= one.Null {
 			continue
 		}
-		c.Null = nullRate(c.Old, m.sample(whole), m.floor)
-		c.LogRatio = logRatio(c.New, c.Null)
-		if c.LogRatio-threshold > excess {
-			worst, excess = c, c.LogRatio-threshold
+		one.LogRatio = logRatio(one.New, one.Null)
+		if one.LogRatio-threshold > c.excess {
+			c.worst, c.excess = one, one.LogRatio-threshold
 		}
 	}
-	return worst, excess
 }
--- a/internal/version/rollout/evidence.go
+++ b/internal/version/rollout/evidence.go
@@ -131,6 +131,14 @@
 	return sum
 }
 
+// last is the newest reading of one host's counters of an arm.
+func (e *Evidence) last(arm Arm, host identity.Incarnation) Counts {
+	if known := e.tracks[arm][host]; known != nil {
+		return known.last()
+	}
+	return Counts{}
+}
+
 // FirstToken is the histogram of an arm's paces to the first token.
 func (e *Evidence) FirstToken(arm Arm) *Histogram {
 	return e.histogram(arm, func(t *track) *Histogram { return &t.firstToken })
--- a/internal/version/rollout/observe.go
+++ b/internal/version/rollout/observe.go
@@ -90,42 +90,36 @@
 	return time.Duration(t.late*factor*float64(t.expected)) + time.Microsecond
 }
 
-// reach counts what is known after a time without an end. It reports whether
-// the request has just become late.
-func (t *timing) reach(elapsed time.Duration) bool {
+// reach counts what is known after a time without an end.
+func (t *timing) reach(elapsed time.Duration) {
 	pace := t.pace(elapsed)
 	if t.late <= 0 || pace <= t.late || t.marks.Load()&markEnded != 0 {
-		return false
+		return
 	}
 	t.mark(markTimed, &t.counter.timed)
-	isNews := t.mark(markLate, &t.counter.late)
+	t.mark(markLate, &t.counter.late)
 	if pace > t.late*veryLateFactor/lateFactor {
-		isNews = t.mark(markVeryLate, &t.counter.veryLate) || isNews
+		t.mark(markVeryLate, &t.counter.veryLate)
 	}
-	return isNews
 }
 
-// end counts the whole time, once. It reports whether the request has just
-// become late.
-func (t *timing) end(elapsed time.Duration) bool {
-	isNews := t.reach(elapsed)
+// end counts the whole time, once.
+func (t *timing) end(elapsed time.Duration) {
+	t.reach(elapsed)
 	if t.marks.Or(markEnded)&markEnded != 0 {
-		return false
+		return
 	}
 	if t.late > 0 {
 		t.mark(markTimed, &t.counter.timed)
 	}
 	t.counter.buckets[bucketOf(t.pace(elapsed))].Add(1)
-	return isNews
 }
 
-// mark counts once and reports whether it did.
-func (t *timing) mark(bit uint32, counter *atomic.Uint64) bool {
-	if t.marks.Or(bit)&bit != 0 {
-		return false
+// mark counts once.
+func (t *timing) mark(bit uint32, counter *atomic.Uint64) {
+	if t.marks.Or(bit)&bit == 0 {
+		counter.Add(1)
 	}
-	counter.Add(1)
-	return true
 }
 
 // Watch follows one dispatched request. Its methods do nothing on a nil Watch,
@@ -157,7 +151,7 @@
 	if w.request.Cold {
 		return
 	}
-	w.news(w.firstToken.end(elapsed))
+	w.firstToken.end(elapsed)
 	if w.perTokenExpected > 0 {
 		w.perToken.expected = tokensTimed * w.perTokenExpected
 		w.startTimers(&w.perToken)
@@ -178,7 +172,7 @@
 	}
 	w.stop()
 	w.perToken.expected = time.Duration(count-1) * w.perTokenExpected
-	w.news(w.perToken.end(elapsed - w.firstAt))
+	w.perToken.end(elapsed - w.firstAt)
 }
 
 // End tells how the request ended, how many tokens came in all and how long
@@ -197,11 +191,11 @@
 		w.arm.succeeded.Add(1)
 	case ResultFailed:
 		w.arm.failed.Add(1)
-		w.news(true)
+		w.news()
 	case ResultLost:
 		if w.judge.isFirstLoss(w.move, w.request.Endpoint) {
 			w.arm.lost.Add(1)
-			w.news(true)
+			w.news()
 		}
 	}
 }
@@ -213,7 +207,7 @@
 	}
 	for _, factor := range []float64{1, veryLateFactor / lateFactor} {
 		due := t.due(factor)
-		w.stopTimers = append(w.stopTimers, w.judge.config.AfterFunc(due, func() { w.news(t.reach(due)) }))
+		w.stopTimers = append(w.stopTimers, w.judge.config.AfterFunc(due, func() { t.reach(due) }))
 	}
 }
 
@@ -225,9 +219,9 @@
 	w.stopTimers = w.stopTimers[:0]
 }
 
-// news wakes the judge if something speaks against the new version.
-func (w *Watch) news(isNews bool) {
-	if isNews && w.isNew {
+// news wakes the judge after a failure of the new version.
+func (w *Watch) news() {
+	if w.isNew {
 		w.move.hasNews.Store(true)
 		w.judge.wake()
 	}
--- a/internal/version/rollout/reason.go
+++ b/internal/version/rollout/reason.go
@@ -52,6 +52,9 @@
 	MeasureVerySlowTokens     Measure = "very slow answers"
 )
 
+// AllRoutes stands in a Comparison for all routes together.
+const AllRoutes = "(all)"
+
 // Comparison is one sequential test's view of the new version.
 type Comparison struct {
 	Route   string  `json:"route"`
--- a/internal/version/rollout/sequential.go
+++ b/internal/version/rollout/sequential.go
@@ -13,7 +13,7 @@
 // rate only: then the likelihood ratio is a supermartingale for every version
 // at or below the null rate.
 var alternatives = []alternative{
-	{2, 0.05}, {4, 0.1}, {8, 0.1}, {16, 0.1}, {32, 0.1}, {64, 0.1}, {128, 0.1}, {512, 0.35},
+	{2, 0.05}, {4, 0.1}, {8, 0.1}, {16, 0.1}, {32, 0.1}, {64, 0.1}, {128, 0.1}, {512, 0.15}, {8192, 0.2},
 }
 
 // Sample counts hits in trials.
--- a/internal/version/rollout/step.go
+++ b/internal/version/rollout/step.go
@@ -187,13 +187,24 @@
 		if m == nil || m.move.MoveID != delta.Move {
 			continue
 		}
+		isNews := false
 		for _, cell := range delta.Cells {
 			cell.Host = from
+			isNews = m.isNews(cell) || isNews
 			j.merge(m, cell)
 		}
 		j.adopt(m, delta.Stage, delta.Reason, now)
+		if isNews {
+			j.wake()
+		}
 	}
-	j.wake()
+}
+
+// isNews reports whether a cell counts failures of the new version that this
+// host does not know.
+func (m *moveState) isNews(cell Cell) bool {
+	known := m.evidence.last(cell.Arm, cell.Host)
+	return cell.Arm.New && (cell.Counts.Failed > known.Failed || cell.Counts.Lost > known.Lost)
 }
 
 // HandleEvidence is the mesh handler of KindEvidence.
