--- /dev/null
+++ b/internal/version/rollout/laws_test.go
@@ -0,0 +1,162 @@
+package rollout
+
+import (
+	"math"
+	"slices"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"mustarddoor/internal/process/identity"
+)
+
+func TestStageIsJoin(t *testing.T) {
+	order := []Stage{0, 1, lastRung, StageDone, StageBad}
+	for low := range order {
+		for high := low; high < len(order); high++ {
+			assert.Equal(t, order[low].Merge(order[high]), order[high])
+			assert.Equal(t, order[high].Merge(order[low]), order[high])
+		}
+	}
+	assert.Equal(t, StageBad.Share(), Fraction(0))
+	assert.Equal(t, StageDone.Share(), fractionUnit)
+}
+
+func TestLadderRises(t *testing.T) {
+	for stage := Stage(0); stage < lastRung; stage++ {
+		next, due := stage.next()
+		assert.Assert(t, next.Share() > stage.Share())
+		assert.Assert(t, due > ladder[stage].due)
+	}
+	assert.Assert(t, Stage(0).Share().Float() <= 0.02)
+	assert.Assert(t, dueDone > ladder[lastRung].due)
+}
+
+// TestDiffuserIsExact checks that the picks never differ by more than one from
+// the sum of the fractions, also when the fraction changes.
+func TestDiffuserIsExact(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		phase := Fraction(rapid.Uint64Range(0, uint64(fractionUnit)-1).Draw(t, "phase"))
+		d := newDiffuser(phase)
+		picks, sum := 0.0, 0.0
+		for range rapid.IntRange(1, 5).Draw(t, "stages") {
+			fraction := Fraction(rapid.Uint64Range(0, uint64(fractionUnit)).Draw(t, "fraction"))
+			for range rapid.IntRange(0, 300).Draw(t, "events") {
+				sum += fraction.Float()
+				if d.pick(fraction) {
+					picks++
+				}
+				assert.Assert(t, math.Abs(picks-sum) <= 1, "%v picks, sum %v", picks, sum)
+			}
+		}
+	})
+}
+
+// drawCells draws readings of counters that only grow.
+func drawCells(t *rapid.T) []Cell {
+	var cells []Cell
+	for host := range rapid.IntRange(1, 3).Draw(t, "hosts") {
+		for _, arm := range []Arm{{New: true, Route: "a"}, {Route: "a"}, {Route: "b"}} {
+			window, counts := uint64(0), Counts{}
+			for range rapid.IntRange(0, 60).Draw(t, "readings") {
+				window += rapid.Uint64Range(0, 3).Draw(t, "gap")
+				counts.Succeeded += rapid.Uint64Range(0, 9).Draw(t, "succeeded")
+				counts.Failed += rapid.Uint64Range(0, 2).Draw(t, "failed")
+				counts.FirstToken.Late += rapid.Uint64Range(0, 2).Draw(t, "late")
+				histogram := &Histogram{}
+				histogram.Buckets[3] = counts.Succeeded
+				cells = append(cells, Cell{
+					Host:       identity.Incarnation{Host: "host", Number: uint64(host)},
+					Arm:        arm,
+					Window:     window,
+					Counts:     counts,
+					FirstToken: histogram,
+				})
+			}
+		}
+	}
+	return cells
+}
+
+func mergeAll(t *rapid.T, cells []Cell) *Evidence {
+	e := NewEvidence()
+	for _, cell := range cells {
+		assert.NilError(t, e.Merge(cell))
+	}
+	return e
+}
+
+// TestEvidenceIsJoin checks that order and repetition of cells do not matter.
+func TestEvidenceIsJoin(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		cells := drawCells(t)
+		want := mergeAll(t, cells)
+		again := slices.Concat(rapid.Permutation(cells).Draw(t, "order"), cells[:len(cells)/2])
+		got := mergeAll(t, again)
+		assert.DeepEqual(t, got.Routes(), want.Routes())
+		for _, arm := range []Arm{{New: true, Route: "a"}, {Route: "a"}, {Route: "b"}} {
+			assert.Equal(t, got.Total(arm), want.Total(arm))
+			assert.DeepEqual(t, got.FirstToken(arm), want.FirstToken(arm))
+			for window := range uint64(100) {
+				assert.Equal(t, got.After(arm, window), want.After(arm, window))
+			}
+		}
+	})
+}
+
+func TestEvidenceCountsRecentWindows(t *testing.T) {
+	e := NewEvidence()
+	arm := Arm{New: true, Route: "a"}
+	for window := uint64(1); window <= 100; window++ {
+		cell := Cell{Host: testHost, Arm: arm, Window: window, Counts: Counts{Succeeded: 10 * window}}
+		assert.NilError(t, e.Merge(cell))
+	}
+	assert.Equal(t, e.Total(arm).Succeeded, uint64(1000))
+	assert.Equal(t, e.After(arm, 99).Succeeded, uint64(10))
+	assert.Equal(t, e.After(arm, 100-recentWindows).Succeeded, uint64(10*recentWindows))
+	assert.Equal(t, e.After(arm, 1).Succeeded, uint64(10*recentWindows))
+}
+
+func TestEvidenceIsBounded(t *testing.T) {
+	e := NewEvidence()
+	for number := range uint64(maxHosts) {
+		cell := Cell{Host: identity.Incarnation{Host: "h", Number: number}, Arm: Arm{Route: "a"}}
+		assert.NilError(t, e.Merge(cell))
+	}
+	cell := Cell{Host: identity.Incarnation{Host: "h", Number: maxHosts}, Arm: Arm{Route: "a"}}
+	assert.ErrorIs(t, e.Merge(cell), ErrFull)
+	for number := range maxRoutes {
+		arm := Arm{Route: string(rune('a' + number))}
+		assert.NilError(t, e.Merge(Cell{Host: identity.Incarnation{Host: "h"}, Arm: arm}))
+	}
+	assert.ErrorIs(t, e.Merge(Cell{Host: identity.Incarnation{Host: "h"}, Arm: Arm{Route: "one more"}}), ErrFull)
+}
+
+// TestLogRatioIsSupermartingale checks that one more trial at an allowed rate
+// does not raise the likelihood ratio on average.
+func TestLogRatioIsSupermartingale(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		trials := rapid.Uint64Range(0, 2000).Draw(t, "trials")
+		sample := Sample{Hits: rapid.Uint64Range(0, trials).Draw(t, "hits"), Trials: trials}
+		null := rapid.Float64Range(0.001, 0.9).Draw(t, "null")
+		rate := null * rapid.Float64Range(0, 1).Draw(t, "part")
+		hit := math.Exp(logRatio(Sample{sample.Hits + 1, trials + 1}, null) - logRatio(sample, null))
+		miss := math.Exp(logRatio(Sample{sample.Hits, trials + 1}, null) - logRatio(sample, null))
+		assert.Assert(t, rate*hit+(1-rate)*miss <= 1+1e-9)
+	})
+}
+
+func TestHistogramQuantile(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		h := &Histogram{}
+		paces := rapid.SliceOfN(rapid.Float64Range(0.07, 200), 1, 200).Draw(t, "paces")
+		for _, pace := range paces {
+			h.Buckets[bucketOf(pace)]++
+		}
+		slices.Sort(paces)
+		want := paces[int(math.Ceil(0.9*float64(len(paces))))-1]
+		got := h.Quantile(0.9)
+		assert.Assert(t, got >= want*(1-1e-9) && got <= want*math.Exp2(1.0/bucketsPerOctave)*(1+1e-9))
+	})
+}
