Rollout: late limits as soon as the old version has enough timings

Cause: limits were set only at the two-second refresh, and requests before the first limits were never timed.

--- a/internal/version/rollout/step.go
+++ b/internal/version/rollout/step.go
@@ -92,8 +92,8 @@
 	}
 	if refresh {
 		m.refreshedAt = now
-		m.setLimits()
 	}
+	m.setLimits(refresh)
 	return cells
 }
 
@@ -118,12 +118,17 @@
 	return cells
 }
 
-// setLimits renews the times from which requests are late.
-func (m *moveState) setLimits() {
+// setLimits sets the times from which requests are late; renew sets also those
+// that are set already.
+func (m *moveState) setLimits(renew bool) {
 	for name, route := range *m.routes.Load() {
 		old := Arm{Route: name}
-		route.firstToken.store(lateLimit(m.evidence.FirstToken(old)))
-		route.perToken.store(lateLimit(m.evidence.PerToken(old)))
+		if renew || route.firstToken.load() == 0 {
+			route.firstToken.store(lateLimit(m.evidence.FirstToken(old)))
+		}
+		if renew || route.perToken.load() == 0 {
+			route.perToken.store(lateLimit(m.evidence.PerToken(old)))
+		}
 	}
 }
 
