Rollout: lower floors of the latency tests

Cause: floors of 0.10 and 0.03 made each late request weak evidence, although the old version's own rate over the same windows already covers shared trouble. Now 0.03 and 0.01.

--- a/internal/version/rollout/decide.go
+++ b/internal/version/rollout/decide.go
@@ -66,10 +66,10 @@
 var measures = []measure{
 	{MeasureFailed, 0.003, func(c Counts) Sample { return Sample{c.Failed, c.Succeeded + c.Failed} }},
 	{MeasureLost, 0.25, func(c Counts) Sample { return Sample{c.Lost, c.Succeeded + c.Failed + c.Lost} }},
-	{MeasureLateFirstToken, 0.10, func(c Counts) Sample { return Sample{c.FirstToken.Late, c.FirstToken.Timed} }},
-	{MeasureVeryLateFirstToken, 0.03, func(c Counts) Sample { return Sample{c.FirstToken.VeryLate, c.FirstToken.Timed} }},
-	{MeasureSlowTokens, 0.10, func(c Counts) Sample { return Sample{c.PerToken.Late, c.PerToken.Timed} }},
-	{MeasureVerySlowTokens, 0.03, func(c Counts) Sample { return Sample{c.PerToken.VeryLate, c.PerToken.Timed} }},
+	{MeasureLateFirstToken, 0.03, func(c Counts) Sample { return Sample{c.FirstToken.Late, c.FirstToken.Timed} }},
+	{MeasureVeryLateFirstToken, 0.01, func(c Counts) Sample { return Sample{c.FirstToken.VeryLate, c.FirstToken.Timed} }},
+	{MeasureSlowTokens, 0.03, func(c Counts) Sample { return Sample{c.PerToken.Late, c.PerToken.Timed} }},
+	{MeasureVerySlowTokens, 0.01, func(c Counts) Sample { return Sample{c.PerToken.VeryLate, c.PerToken.Timed} }},
 }
 
 // Decide judges a move.
