--- a/internal/version/rollout/fake_test.go
+++ b/internal/version/rollout/fake_test.go
@@ -46,7 +46,8 @@
 	fakeMeshDelay     = 3 * time.Millisecond
 	fakeMeshLoss      = 0.01
 	// fakeColdLag is how late the hosts learn of a cold turn.
-	fakeColdLag = 500 * time.Millisecond
+	fakeColdLag   = 500 * time.Millisecond
+	fakeStallTime = time.Second
 )
 
 // fakeCase is how the new version behaves.
@@ -60,6 +61,10 @@
 	laterPart  float64
 	minRunning int
 	route      int
+	// stalls is the mean time between stalls of any endpoint; zero for none.
+	stalls time.Duration
+	// extraLoad is added to the usual load, as a part of it.
+	extraLoad float64
 }
 
 const anyRoute = -1
@@ -67,6 +72,8 @@
 var fakeCases = []fakeCase{
 	{name: "good", route: anyRoute},
 	{name: "good-but-cold", cold: true, route: anyRoute},
+	{name: "good-with-stalls", route: anyRoute, stalls: 2 * time.Second},
+	{name: "good-at-high-load", route: anyRoute, extraLoad: 0.6},
 	{name: "bad-at-once", bad: true, errorRate: 1, route: anyRoute},
 	{name: "bad-later", bad: true, errorRate: 1, laterPart: 0.6, route: anyRoute},
 	{name: "bad-only-under-load", bad: true, errorRate: 1, minRunning: fakeSlots / 2, route: anyRoute},
@@ -81,6 +88,8 @@
 	running   int
 	coldUntil time.Duration
 	coldKnown time.Duration
+	// stalledUntil is until when requests that start there take long.
+	stalledUntil time.Duration
 }
 
 // fakeResult is what one run showed.
@@ -162,6 +171,9 @@
 	if kase.cold {
 		f.after(complete/2, func() { f.turnCold(f.endpoints[1]) })
 	}
+	if kase.stalls > 0 {
+		f.after(0, f.stall)
+	}
 	f.after(0, f.arrive)
 	return f
 }
@@ -247,12 +259,18 @@
 	e.coldKnown = f.now + fakeColdLag
 }
 
+// stall makes some endpoint of either version stall.
+func (f *fake) stall() {
+	f.endpoints[f.random.IntN(len(f.endpoints))].stalledUntil = f.now + fakeStallTime
+	f.after(time.Duration(f.random.ExpFloat64()*float64(f.kase.stalls)), f.stall)
+}
+
 // isCold reports whether the hosts believe that an endpoint is cold.
 func (f *fake) isCold(e *fakeEndpoint) bool { return f.now >= e.coldKnown && f.now < e.coldUntil }
 
 // arrive places one request and schedules the next one.
 func (f *fake) arrive() {
-	gap := f.random.ExpFloat64() / f.fleet.requestsPerSecond
+	gap := f.random.ExpFloat64() / (f.fleet.requestsPerSecond * (1 + f.kase.extraLoad))
 	f.after(time.Duration(gap*float64(time.Second)), f.arrive)
 	index := f.pickRoute()
 	route := f.fleet.routes[index]
@@ -316,6 +334,9 @@
 	if f.now < e.coldUntil {
 		factor *= 3
 	}
+	if f.now < e.stalledUntil {
+		factor *= 5
+	}
 	if faulty && f.kase.slowFactor > 0 {
 		factor *= f.kase.slowFactor
 	}
