--- a/internal/version/rollout/bench_test.go
+++ b/internal/version/rollout/bench_test.go
@@ -13,6 +13,9 @@
 	moveSeeds    = 10
 	moveComplete = 300 * time.Second
 	movesAtOnce  = 4
+	// manySeeds and shortComplete are those of BenchmarkFalseVerdict.
+	manySeeds     = 250
+	shortComplete = 60 * time.Second
 )
 
 // BenchmarkVersionMove plays version moves in virtual time. Shares and times
@@ -38,7 +41,7 @@
 func reportMoves(b *testing.B, fleet fakeFleet, kase fakeCase) {
 	completed, takenBack := 0.0, 0.0
 	var shares, momentary, stops []float64
-	for _, r := range playMoves(fleet, kase) {
+	for _, r := range playMoves(fleet, kase, moveComplete, moveSeeds) {
 		if r.completed {
 			completed++
 		}
@@ -61,13 +64,13 @@
 }
 
 // playMoves plays one move for each seed, a few at a time.
-func playMoves(fleet fakeFleet, kase fakeCase) []fakeResult {
-	results := make([]fakeResult, moveSeeds)
+func playMoves(fleet fakeFleet, kase fakeCase, complete time.Duration, seeds int) []fakeResult {
+	results := make([]fakeResult, seeds)
 	var players errgroup.Group
 	players.SetLimit(movesAtOnce)
 	for seed := range results {
 		players.Go(func() error {
-			results[seed] = newFake(fleet, kase, moveComplete, uint64(seed)+1).run()
+			results[seed] = newFake(fleet, kase, complete, uint64(seed)+1).run()
 			return nil
 		})
 	}
@@ -81,3 +84,31 @@
 	b.ReportMetric(figures[len(figures)-1], unit)
 	b.ReportMetric(figures[len(figures)/2], unit+"-median")
 }
+
+// BenchmarkFalseVerdict plays many short moves to sound versions.
+func BenchmarkFalseVerdict(b *testing.B) {
+	for _, kase := range fakeCases {
+		if kase.bad {
+			continue
+		}
+		b.Run(kase.name, func(b *testing.B) {
+			for range b.N {
+				reportFalse(b, kase)
+			}
+		})
+	}
+}
+
+func reportFalse(b *testing.B, kase fakeCase) {
+	completed, takenBack := 0.0, 0.0
+	for _, r := range playMoves(fakeFleets[1], kase, shortComplete, manySeeds) {
+		if r.completed {
+			completed++
+		}
+		if r.takenBack {
+			takenBack++
+		}
+	}
+	b.ReportMetric(completed/manySeeds, "completed-in-time")
+	b.ReportMetric(takenBack/manySeeds, "false-taken-back")
+}
--- a/internal/version/rollout/decide.go
+++ b/internal/version/rollout/decide.go
@@ -13,7 +13,7 @@
 	// move; the rest is for those over recent windows.
 	wholeMoveShare = 0.5
 	// suspicion is the log likelihood ratio from which a move is held.
-	suspicion = 3
+	suspicion = 5
 	// resultsToRaise is how many results a stage needs before the next one.
 	resultsToRaise = 40
 	// resultsAtDeadline is enough when the move's time runs out.
