--- a/internal/process/daemon/host.go
+++ b/internal/process/daemon/host.go
@@ -180,7 +180,7 @@
 	}
 	h.requests.runner = flow.New(flow.Config{
 		Registry:   h.registry,
-		Placer:     &rotatingPlacer{index: h.index.Load},
+		Placer:     h.placer,
 		Endpoints:  h.endpoints,
 		Forwarder:  h.makeForwarder(),
 		Events:     flow.Events{Recorder: h.ring},
