--- a/internal/process/placement/core.go
+++ b/internal/process/placement/core.go
@@ -14,9 +14,14 @@
 )
 
 const (
-	// patience is how long a request waits for a slot of one endpoint before
-	// any other will do.
-	patience = 20 * time.Millisecond
+	// minPatience and maxPatience bound how long a request waits for a slot of
+	// one endpoint before any other will do. patienceShare is the part of the
+	// time to its deadline that it may spend on that.
+	minPatience   = 10 * time.Millisecond
+	maxPatience   = 4 * time.Second
+	patienceShare = 2
+	// worthWaiting is the least number of cached tokens to wait for.
+	worthWaiting = 200
 	// manyWaiting is the largest demand of one tier that is reported; homes
 	// need not know more.
 	manyWaiting = 4
@@ -46,6 +51,9 @@
 	lengths map[string]*scheduler.Lengths
 	out     outbox
 	leaving atomic.Bool
+	// recheck is when a request that asked for a slot wants to try elsewhere;
+	// zero if none does.
+	recheck time.Time
 	stats   *stats
 }
 
@@ -266,11 +274,12 @@
 	notNow = -1
 	// ageWeight is the rating that a second of waiting adds; a second of
 	// prefill saved adds one.
-	ageWeight = 0.5
+	ageWeight = 0.1
 )
 
 // rate tells how much a waiting job deserves a slot now, and keeps its demand.
 func (c *core) rate(now time.Time, p *pool, j *job) float64 {
+	j.ask.HeldOnly = !j.askUntil.IsZero() && !now.Before(j.askUntil)
 	d := p.plan.Decide(now, &j.ask)
 	switch d.Action {
 	case scheduler.ActionDispatch:
@@ -280,7 +289,7 @@
 		saved := float64(d.Estimate.Cached) / scheduler.DefaultPrefill
 		return saved + ageWeight*now.Sub(j.item.Since).Seconds()
 	case scheduler.ActionAsk:
-		c.ask(now, p, j, p.sites[d.Endpoint])
+		c.ask(now, j, p.sites[d.Endpoint], d.Estimate)
 	case scheduler.ActionLate:
 		c.markLate(now, j)
 	default:
@@ -289,15 +298,31 @@
 	return notNow
 }
 
-// ask registers a demand at one site, or at all if that has brought nothing.
-func (c *core) ask(now time.Time, p *pool, j *job, s *site) {
-	if j.counted && now.Sub(j.demandSince) > patience {
-		j.demand(now, nil)
+// ask registers a demand at one site; if that brings nothing soon, any site
+// will do.
+func (c *core) ask(now time.Time, j *job, s *site, e scheduler.Estimate) {
+	if j.counted {
 		return
 	}
-	if !j.counted {
-		j.demand(now, s)
+	j.demand(now, s)
+	j.askUntil = now.Add(j.patience(now, e))
+	if c.recheck.IsZero() || j.askUntil.Before(c.recheck) {
+		c.recheck = j.askUntil
+	}
+}
+
+// patience is how long a job waits for one endpoint: longer if that saves the
+// prefill of what is cached there, and never a great part of what is left to
+// the deadline.
+func (j *job) patience(now time.Time, e scheduler.Estimate) time.Duration {
+	if e.Cached < worthWaiting {
+		return minPatience
+	}
+	if j.ask.Deadline.IsZero() {
+		return maxPatience
 	}
+	left := j.ask.Deadline.Sub(now)
+	return min(max(left/patienceShare, minPatience), maxPatience)
 }
 
 // markLate notes that a job's deadline cannot be met any more. Until it may be
@@ -373,6 +398,10 @@
 // flush sends the reports that are due, and lets the homes of this host answer
 // at once.
 func (c *core) flush(now time.Time) {
+	if !c.recheck.IsZero() && !now.Before(c.recheck) {
+		c.recheck = time.Time{}
+		c.pumpAll(now)
+	}
 	for range settleRounds {
 		granted := false
 		for _, s := range c.sites {
@@ -394,6 +423,10 @@
 // report sends a site's report if it is due. It returns whether that brought a
 // grant at once.
 func (c *core) report(now time.Time, s *site) bool {
+	grant, _ := s.holder.Last()
+	if s.holder.Surrender(grant.Idle) {
+		s.dirty.Store(true)
+	}
 	demand := c.demandOf(now, s)
 	if !s.dirty.Swap(false) && demand.Waiting == s.waiting {
 		return false
