--- /dev/null
+++ b/internal/connection/mesh/bench_test.go
@@ -0,0 +1,88 @@
+package mesh_test
+
+import (
+	"context"
+	"fmt"
+	"runtime"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+)
+
+// BenchmarkCall measures calls on loopback by the number of callers at once.
+func BenchmarkCall(b *testing.B) {
+	for _, callers := range []int{1, 16, 256} {
+		b.Run(fmt.Sprintf("callers=%d", callers), func(b *testing.B) {
+			here, there := start(b, "a", nil), start(b, "b", nil)
+			measure(b, callers, func() error {
+				var reply echo
+				return here.client.Call(context.Background(), there.address, kindEcho, echo{Text: "0123456789"}, &reply)
+			})
+			frames := here.count("sent_frames")
+			b.ReportMetric(float64(here.count("sent_bytes"))/float64(frames), "B/call")
+		})
+	}
+}
+
+// BenchmarkLinks measures what idle connections hold, both ends together.
+func BenchmarkLinks(b *testing.B) {
+	for _, count := range []int{10, 40, 160} {
+		b.Run(fmt.Sprintf("links=%d", count), func(b *testing.B) {
+			here := start(b, "a", nil)
+			var peers []*peer
+			for range count {
+				peers = append(peers, start(b, "b", nil))
+			}
+			for range b.N {
+				before := memoryBytes()
+				for _, there := range peers {
+					if err := here.client.Call(context.Background(), there.address, kindEcho, echo{}, &echo{}); err != nil {
+						b.Fatal(err)
+					}
+				}
+				b.ReportMetric((memoryBytes()-before)/float64(count)/1024, "KiB/link")
+			}
+		})
+	}
+}
+
+// memoryBytes is the memory in use by the heap and the stacks.
+func memoryBytes() float64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return float64(stats.HeapAlloc + stats.StackInuse)
+}
+
+// measure runs calls from several goroutines and reports their latencies.
+func measure(b *testing.B, callers int, call func() error) {
+	const warmUp = 100
+	for range warmUp {
+		if err := call(); err != nil {
+			b.Fatal(err)
+		}
+	}
+	latencies := make([][]time.Duration, callers)
+	perCaller := b.N/callers + 1
+	b.ResetTimer()
+	var group sync.WaitGroup
+	for i := range callers {
+		group.Go(func() {
+			for range perCaller {
+				begin := time.Now()
+				if err := call(); err != nil {
+					b.Error(err)
+					return
+				}
+				latencies[i] = append(latencies[i], time.Since(begin))
+			}
+		})
+	}
+	group.Wait()
+	b.StopTimer()
+	all := slices.Concat(latencies...)
+	slices.Sort(all)
+	b.ReportMetric(float64(all[len(all)/2].Microseconds()), "p50-µs")
+	b.ReportMetric(float64(all[len(all)*99/100].Microseconds()), "p99-µs")
+}
