First homes grant at once; a host is ready once its services have homes

Cause: a new fleet shed urgent requests for its first seconds: a home waited out grants of an earlier home that could not exist. Change: a claim that is the first in a stream read from its beginning opens its ledger at once (TestFirstHome); readiness waits for homes.

--- a/internal/process/daemon/homes.go
+++ b/internal/process/daemon/homes.go
@@ -73,6 +73,28 @@
 	h.ring.Record(event)
 }
 
+// homeless names a service none of whose endpoints has a home yet, so that its
+// requests would wait; it is empty once all have been served.
+func (h *host) homeless() string {
+	if h.served.Load() {
+		return ""
+	}
+	served := map[string]bool{}
+	bundle := h.index.Load().Bundle()
+	for _, endpoint := range bundle.Endpoints {
+		if _, found := h.homes.Home(endpoint.Name); found {
+			served[endpoint.Service] = true
+		}
+	}
+	for _, service := range bundle.Services {
+		if !served[service.Name] {
+			return "no endpoint of service " + service.Name + " has a home yet"
+		}
+	}
+	h.served.Store(true)
+	return ""
+}
+
 // HomeStatus tells which host is an endpoint's home.
 type HomeStatus struct {
 	Endpoint string `json:"endpoint"`
--- a/internal/process/daemon/host.go
+++ b/internal/process/daemon/host.go
@@ -69,6 +69,8 @@
 	callers      *caller.Server
 
 	stopping atomic.Bool
+	// served is set once every service has had an endpoint with a home.
+	served atomic.Bool
 }
 
 // listeners are opened first, so that a port that is taken is noticed before
@@ -222,7 +224,10 @@
 	if h.stopping.Load() {
 		return "host is stopping"
 	}
-	return h.notConfigured()
+	if reason := h.notConfigured(); reason != "" {
+		return reason
+	}
+	return h.homeless()
 }
 
 // notConfigured says why this host can take no requests at all; it is empty if
--- a/internal/process/home/manager.go
+++ b/internal/process/home/manager.go
@@ -267,6 +267,7 @@
 		Host:        entry.Holder.Incarnation,
 		MeshAddress: entry.Holder.MeshAddress,
 		Fence:       entry.Fence,
+		First:       entry.First,
 	}
 	if entry.Holder.Incarnation != m.options.Self.Incarnation {
 		return home
--- a/internal/process/home/table.go
+++ b/internal/process/home/table.go
@@ -20,6 +20,9 @@
 	Lease time.Duration
 	// Seen is when this host read that record, on the monotonic clock.
 	Seen time.Time
+	// First tells that the stream, read from its beginning, names no earlier
+	// home.
+	First bool
 	// Free tells that the holder gave the endpoint back.
 	Free bool
 	// Unfit tells that the endpoint does not run what the bundle wants, as far
@@ -51,7 +54,9 @@
 // Table holds the homes that follow from a part of the stream.
 type Table struct {
 	// Offset is that of the last record applied.
-	Offset  uint64
+	Offset uint64
+	// Partial tells that there may have been homes that the table lacks.
+	Partial bool
 	entries map[string]Entry
 }
 
@@ -110,6 +115,7 @@
 	}
 	entry.Fence = entry.Last
 	entry.Unfit = known.Unfit
+	entry.First = !found && !t.Partial
 	t.entries[endpoint] = entry
 	applied.Changed = append(applied.Changed, endpoint)
 }
@@ -128,6 +134,7 @@
 		t.entries[held.Endpoint] = entry
 		applied.Changed = append(applied.Changed, held.Endpoint)
 	case held.Fence == known.Fence && known.Holder.Incarnation == entry.Holder.Incarnation && !known.Free:
+		entry.First = known.First
 		t.entries[held.Endpoint] = entry
 		applied.Renewed = append(applied.Renewed, held.Endpoint)
 		if known.Unfit != entry.Unfit {
@@ -152,6 +159,7 @@
 // Touch makes all leases count from now. It is for a reader that missed a part
 // of the stream.
 func (t *Table) Touch(now time.Time) {
+	t.Partial = true
 	for endpoint, entry := range t.entries {
 		entry.Seen = now
 		t.entries[endpoint] = entry
@@ -163,6 +171,7 @@
 	for endpoint, entry := range t.entries {
 		if !wanted(endpoint) && entry.Lapsed().Before(before) {
 			delete(t.entries, endpoint)
+			t.Partial = true
 		}
 	}
 }
--- a/internal/process/home/table_test.go
+++ b/internal/process/home/table_test.go
@@ -249,3 +249,25 @@
 		}
 	})
 }
+
+func TestFirstHome(t *testing.T) {
+	now := time.Now()
+	claim := func(table *Table, offset uint64) bool {
+		table.Apply(offset, Record{Claim: []string{"e"}, ReadTo: offset - 1, LeaseMillis: 1000}, now)
+		entry, found := table.Entry("e")
+		assert.Assert(t, found)
+		return entry.First
+	}
+	whole := NewTable()
+	assert.Assert(t, claim(whole, 1), "the first claim of a stream read from its beginning")
+	assert.Assert(t, !claim(whole, 2), "a second home")
+
+	trimmed := NewTable()
+	trimmed.Touch(now)
+	assert.Assert(t, !claim(trimmed, 9), "records before the claim are gone")
+
+	forgetful := NewTable()
+	claim(forgetful, 1)
+	forgetful.Forget(now.Add(time.Hour), func(string) bool { return false })
+	assert.Assert(t, !claim(forgetful, 2), "the earlier home was forgotten")
+}
--- a/internal/process/placement/site.go
+++ b/internal/process/placement/site.go
@@ -98,16 +98,15 @@
 	}
 	s.home = home
 	if home.Host == self && s.office == nil {
-		_, alone := homes.(localHomes)
-		s.office = newOffice(s, now, alone)
+		s.office = newOffice(s, now)
 	}
 }
 
 // newOffice opens a ledger. Unless no other host can have been the home, it
 // waits out what an earlier home may have granted.
-func newOffice(s *site, now time.Time, alone bool) *office {
+func newOffice(s *site, now time.Time) *office {
 	closedUntil, unknown := now, 0
-	if !alone {
+	if !s.home.First {
 		closedUntil = now.Add(slot.GrantTTL + slot.LapseMargin)
 		unknown = s.spec.MaxSlots
 	}
--- a/internal/process/placement/view.go
+++ b/internal/process/placement/view.go
@@ -34,6 +34,8 @@
 	// Fence is the fencing number of the home's lease; it grows with every
 	// change of home.
 	Fence uint64
+	// First tells that no other host can have been the home before.
+	First bool
 	// LeaseUntil is, for an endpoint whose home this host is, when the lease
 	// runs out on the local monotonic clock. Zero means that it never does.
 	LeaseUntil time.Time
@@ -52,7 +54,7 @@
 // LocalHomes returns Homes that name the given host for every endpoint. It is
 // for a fleet of one host.
 func LocalHomes(self identity.Host) Homes {
-	return localHomes{Home{Host: self.Incarnation, MeshAddress: self.MeshAddress, Fence: 1}}
+	return localHomes{Home{Host: self.Incarnation, MeshAddress: self.MeshAddress, Fence: 1, First: true}}
 }
 
 // Home implements Homes.
--- a/scenario/fleet_test.go
+++ b/scenario/fleet_test.go
@@ -50,8 +50,7 @@
 		ts.Check(ts.Exec("mustarddoor", append([]string{line[0], "--admin", admin}, line[1:]...)...))
 	}
 	for i := 1; i <= hostCount; i++ {
-		cmdEventually(ts, false, []string{`"ready": true`, "mustarddoor", "status", "--output", "json",
-			"--admin", network + "." + strconv.Itoa(i) + ":7002"})
+		cmdEventually(ts, false, []string{`host +host-\S+ +ready`, "mustarddoor", "status", "--admin", network + "." + strconv.Itoa(i) + ":7002"})
 	}
 }
 
