--- a/internal/request/flow/fetch.go
+++ b/internal/request/flow/fetch.go
@@ -17,6 +17,7 @@
 // on. It fetches the last bytes before the offset again, so that it sees the
 // stream's end even if the caller lacks nothing.
 func (t *retry) resumeStream(ctx context.Context, intent witness.Intent) resume.Ending {
+	t.resumed.Inc(1)
 	overlap := min(t.offset, int64(len(streamEnd)))
 	reply, err := t.config.Endpoints.Resume(ctx, intent.Address, t.key.String(), t.offset-overlap)
 	if errors.Is(err, engine.ErrUnknownKey) {
--- a/internal/request/flow/forward.go
+++ b/internal/request/flow/forward.go
@@ -57,6 +57,10 @@
 type Resumer struct {
 	config ForwardConfig
 	relays *http.Client
+	// relayed counts answers relayed from their owners, resumed those fetched
+	// from endpoints.
+	relayed metrics.Counter
+	resumed metrics.Counter
 }
 
 // NewResumer returns a resumer with its own connections to other hosts.
@@ -66,7 +70,12 @@
 		IdleConnTimeout:     relayIdleTimeout,
 		DisableCompression:  true,
 	}
-	return &Resumer{config: config, relays: &http.Client{Transport: transport}}
+	return &Resumer{
+		config:  config,
+		relays:  &http.Client{Transport: transport},
+		relayed: metrics.GetOrRegisterCounter("request.relayed", config.Metrics),
+		resumed: metrics.GetOrRegisterCounter("request.resumed", config.Metrics),
+	}
 }
 
 // Forward implements Forwarder.
--- a/internal/request/flow/relay.go
+++ b/internal/request/flow/relay.go
@@ -38,6 +38,7 @@
 	if !known {
 		return t.offset, resume.Silent
 	}
+	t.relayed.Inc(1)
 	relayed, stop := context.WithCancelCause(ctx)
 	defer stop(nil)
 	go t.probe(relayed, stop)
