--- a/internal/process/daemon/host.go
+++ b/internal/process/daemon/host.go
@@ -17,6 +17,7 @@
 	"mustarddoor/internal/connection/mesh"
 	"mustarddoor/internal/connection/platform"
 	"mustarddoor/internal/process/hlc"
+	"mustarddoor/internal/process/home"
 	"mustarddoor/internal/process/identity"
 	"mustarddoor/internal/process/member"
 	"mustarddoor/internal/process/placement"
@@ -43,8 +44,9 @@
 
 	listeners  listeners
 	meshServer *mesh.Server
-	meshClient *mesh.Client
 	members    *member.Driver
+	// caller reaches other hosts; a call that fails makes members probe.
+	caller mesh.Caller
 
 	log      platform.Log
 	follower *config.Follower
@@ -52,7 +54,11 @@
 	index    atomic.Pointer[bundle.Index]
 
 	endpoints *engine.Client
+	homes     *home.Manager
+	orders    *home.Orders
 	placer    *placement.Placer
+	// reapply is signalled when placement should look at the homes again.
+	reapply chan struct{}
 
 	sessionClock *session.Clock
 	register     *witness.Register
@@ -84,9 +90,10 @@
 		gate:         &mesh.Cuts{},
 		endpoints:    engine.NewClient(),
 		sessionClock: session.NewClock(),
+		reapply:      make(chan struct{}, 1),
 	}
 	h.ring = timeline.NewRing(h.self.Incarnation, h.clock, loaded.Limits.TimelineEvents)
-	steps := []func() error{h.listen, h.makeMesh, h.makeConfig, h.makePlacement, h.makeRequests}
+	steps := []func() error{h.listen, h.makeMesh, h.makeConfig, h.makeHomes, h.makePlacement, h.makeRequests}
 	for _, step := range steps {
 		if err := step(); err != nil {
 			return nil, err
@@ -125,28 +132,6 @@
 	return nil
 }
 
-// makeMesh makes the connections to other hosts and the membership.
-func (h *host) makeMesh() error {
-	options := mesh.Options{Self: h.self, Clock: h.clock, Metrics: h.metrics}
-	memberOptions := member.Options{
-		Self:     h.self,
-		Seeds:    h.settings.Peers,
-		Clock:    h.clock,
-		Recorder: h.ring,
-		Metrics:  h.metrics,
-	}
-	if h.settings.TestGate {
-		options.Gate = h.gate
-		memberOptions.Gate = h.gate
-	}
-	h.meshServer = mesh.NewServer(options)
-	h.meshClient = mesh.NewClient(options)
-	timeline.Register(h.meshServer, h.ring)
-	driver, err := member.NewDriver(memberOptions)
-	h.members = driver
-	return err
-}
-
 // makeRequests makes what serves callers.
 func (h *host) makeRequests() error {
 	now := h.sessionClock.Now
@@ -157,7 +142,7 @@
 	})
 	h.register.HandleOn(h.meshServer, now)
 	h.sender = witness.NewSender(witness.SenderConfig{
-		Caller:          h.meshClient,
+		Caller:          h.caller,
 		Hosts:           h,
 		Local:           h.register,
 		Now:             now,
@@ -284,8 +269,11 @@
 // addActors adds all that runs to the group.
 func (h *host) addActors(group *run.Group) {
 	addRunActor(group, h.members.Run)
+	addRunActor(group, h.followHostList)
 	addRunActor(group, h.follower.Run)
 	addRunActor(group, h.followConfig)
+	addRunActor(group, h.homes.Run)
+	addRunActor(group, h.orders.Run)
 	addRunActor(group, h.placer.Run)
 	addRunActor(group, h.sender.Run)
 	addRunActor(group, h.journal.Run)
