--- a/internal/request/journal/reader.go
+++ b/internal/request/journal/reader.go
@@ -27,6 +27,7 @@
 	next    uint64
 	current map[uint64]uint64
 	older   map[uint64]uint64
+	pages   pageCache
 }
 
 // NewReader returns a reader with an empty index.
@@ -98,23 +99,37 @@
 
 // fetch reads the key's entry from the log record at the offset.
 func (r *Reader) fetch(ctx context.Context, k key.Key, offset uint64) (witness.Record, bool, error) {
-	part, err := r.read(ctx, offset, 1)
-	if err != nil {
-		return witness.Record{}, false, err
+	entries, kept := r.pages.get(offset)
+	if !kept {
+		var err error
+		if entries, err = r.fetchPage(ctx, offset); err != nil {
+			return witness.Record{}, false, err
+		}
+		r.pages.put(offset, entries)
 	}
-	if len(part.Records) == 0 || part.Records[0].Offset != offset {
+	entry, found := entries[k]
+	if !found {
 		return witness.Record{}, false, nil
 	}
-	batch, err := decode(part.Records[0].Data)
+	return describe(entry), true, nil
+}
+
+// fetchPage reads the entries of a log record; there are none if the log no
+// longer has it.
+func (r *Reader) fetchPage(ctx context.Context, offset uint64) (map[key.Key]Entry, error) {
+	page, err := r.read(ctx, offset, 1)
+	if err != nil || len(page.Records) == 0 {
+		return nil, err
+	}
+	batch, err := decode(page.Records[0].Data)
 	if err != nil {
-		return witness.Record{}, false, err
+		return nil, err
 	}
+	entries := make(map[key.Key]Entry, len(batch.Entries))
 	for _, entry := range batch.Entries {
-		if entry.Intent.Key == k {
-			return describe(entry), true, nil
-		}
+		entries[entry.Intent.Key] = entry
 	}
-	return witness.Record{}, false, nil
+	return entries, nil
 }
 
 // describe turns an entry into what a witness would have told.
