--- a/internal/request/flow/fetch.go
+++ b/internal/request/flow/fetch.go
@@ -19,7 +19,9 @@
 func (t *retry) resumeStream(ctx context.Context, intent witness.Intent) resume.Ending {
 	t.resumed.Inc(1)
 	overlap := min(t.offset, int64(len(streamEnd)))
-	reply, err := t.config.Endpoints.Resume(ctx, intent.Address, t.key.String(), t.offset-overlap)
+	guard := newStallGuard(ctx)
+	reply, err := t.config.Endpoints.Resume(guard.ctx, intent.Address, t.key.String(), t.offset-overlap)
+	reply, err = guarded(guard, reply, err)
 	if errors.Is(err, engine.ErrUnknownKey) {
 		return resume.NoSuchKey
 	}
--- a/internal/request/flow/run.go
+++ b/internal/request/flow/run.go
@@ -32,7 +32,7 @@
 		}
 		place, refusal = place.Retry(gone)
 	}
-	own.Refuse(reasonOf(refusal.Reason))
+	own.Refuse(reasonOf(refusal.Reason), refusal.RetryAfter)
 	r.config.Events.Ended(request, own, nil)
 }
 
--- a/internal/request/flow/stall.go
+++ b/internal/request/flow/stall.go
@@ -20,8 +20,8 @@
 	timer  *time.Timer
 }
 
-func newStallGuard() *stallGuard {
-	ctx, cancel := context.WithCancel(context.Background())
+func newStallGuard(parent context.Context) *stallGuard {
+	ctx, cancel := context.WithCancel(parent)
 	return &stallGuard{ctx: ctx, cancel: cancel, timer: time.AfterFunc(stallTimeout, cancel)}
 }
 
@@ -57,7 +57,7 @@
 
 // send sends a call once, guarded against a silent endpoint.
 func (r *Runner) send(call engine.Call) (*engine.Reply, error) {
-	guard := newStallGuard()
+	guard := newStallGuard(context.Background())
 	reply, err := r.config.Endpoints.Send(guard.ctx, call)
 	return guarded(guard, reply, err)
 }
@@ -65,7 +65,7 @@
 // resume reads an engine's stream from an offset, guarded against a silent
 // endpoint.
 func (r *Runner) resume(address, key string, offset int64) (*engine.Reply, error) {
-	guard := newStallGuard()
+	guard := newStallGuard(context.Background())
 	reply, err := r.config.Endpoints.Resume(guard.ctx, address, key, offset)
 	return guarded(guard, reply, err)
 }
--- a/internal/request/owner/owner_test.go
+++ b/internal/request/owner/owner_test.go
@@ -49,7 +49,7 @@
 	f := newFixture(owner.Limits{Requests: 1, AnswerBytes: 1, WindowBytes: 1})
 	first, _, refusal := f.Open(f.key("a"), 0)
 	assert.Assert(t, refusal == nil)
-	first.Refuse(outcome.ReasonCanceled)
+	first.Refuse(outcome.ReasonCanceled, 0)
 	f.now = f.now.Add(30 * time.Second)
 	refused := f.key("b")
 	_, _, refusal = f.Open(refused, 0)
--- a/internal/request/owner/registry.go
+++ b/internal/request/owner/registry.go
@@ -143,7 +143,7 @@
 		return LocateReply{State: StateRefused, Final: final}
 	}
 	closed := r.insert(shard, k, 0)
-	closed.Refuse(outcome.ReasonVoided)
+	closed.Refuse(outcome.ReasonVoided, 0)
 	return closed.locate()
 }
 
--- a/internal/request/owner/request.go
+++ b/internal/request/owner/request.go
@@ -157,7 +157,7 @@
 	if !finished {
 		return
 	}
-	r.end(final)
+	r.end(final, 0)
 }
 
 // describe fills in the answer's length and bytes.
@@ -176,13 +176,14 @@
 
 // Refuse ends a request that was not dispatched, with outcome NotRun. It
 // returns false and changes nothing if the request may have been dispatched.
-func (r *Request) Refuse(reason outcome.Reason) bool {
+// RetryAfter is when the caller may try again, under a new key.
+func (r *Request) Refuse(reason outcome.Reason, retryAfter time.Duration) bool {
 	r.mu.Lock()
 	refused := r.machine.Refuse(reason)
 	final := r.machine.Final()
 	r.mu.Unlock()
 	if refused {
-		r.end(final)
+		r.end(final, retryAfter)
 	}
 	return refused
 }
@@ -193,15 +194,15 @@
 	state, final := r.machine.State(), r.machine.Final()
 	r.mu.Unlock()
 	if state == StateRefused {
-		r.end(final)
+		r.end(final, 0)
 	}
 	return r.refusal()
 }
 
-func (r *Request) end(final witness.Final) {
+func (r *Request) end(final witness.Final, retryAfter time.Duration) {
 	refusal := outcome.Refusal{}
 	if final.Outcome != outcome.Done {
-		refusal = outcome.Refuse(final.Outcome, final.Reason)
+		refusal = outcome.Refuse(final.Outcome, final.Reason).WithRetryAfter(retryAfter)
 	}
 	if !r.answer.End(refusal) {
 		return
--- a/internal/request/tasks_test.go
+++ b/internal/request/tasks_test.go
@@ -106,7 +106,7 @@
 		return
 	}
 	task := h.owned[f.pick(len(h.owned))]
-	if f.pick(40) == 0 && task.request.Refuse(outcome.ReasonCanceled) {
+	if f.pick(40) == 0 && task.request.Refuse(outcome.ReasonCanceled, 0) {
 		task.stage = stageOver
 		f.told(task.request.Key(), outcome.Refuse(outcome.NotRun, outcome.ReasonCanceled))
 	}
