Rollout: half of the allowed false verdicts go to the test of failures

Cause: the bound was split evenly over six measures, so that three failures in a row were needed at the start of a move; failures are the clearest sign. Now falseVerdicts is 0.001 and the test of failures has half of it, so a version that has shown nothing but two failures is taken back.

--- a/internal/version/rollout/decide.go
+++ b/internal/version/rollout/decide.go
@@ -8,7 +8,7 @@
 // Parameters of the decision.
 const (
 	// falseVerdicts bounds the chance that a sound version is taken back.
-	falseVerdicts = 0.0005
+	falseVerdicts = 0.001
 	// wholeMoveShare is the part of falseVerdicts for the tests over the whole
 	// move; the rest is for those over recent windows.
 	wholeMoveShare = 0.5
@@ -58,18 +58,20 @@
 type measure struct {
 	name Measure
 	// floor is a rate of hits that is always allowed.
-	floor  float64
+	floor float64
+	// weight is the test's part of falseVerdicts.
+	weight float64
 	sample func(Counts) Sample
 }
 
 // measures are the sequential tests of each route.
 var measures = []measure{
-	{MeasureFailed, 0.003, func(c Counts) Sample { return Sample{c.Failed, c.Succeeded + c.Failed} }},
-	{MeasureLost, 0.25, func(c Counts) Sample { return Sample{c.Lost, c.Succeeded + c.Failed + c.Lost} }},
-	{MeasureLateFirstToken, 0.03, func(c Counts) Sample { return Sample{c.FirstToken.Late, c.FirstToken.Timed} }},
-	{MeasureVeryLateFirstToken, 0.01, func(c Counts) Sample { return Sample{c.FirstToken.VeryLate, c.FirstToken.Timed} }},
-	{MeasureSlowTokens, 0.03, func(c Counts) Sample { return Sample{c.PerToken.Late, c.PerToken.Timed} }},
-	{MeasureVerySlowTokens, 0.01, func(c Counts) Sample { return Sample{c.PerToken.VeryLate, c.PerToken.Timed} }},
+	{MeasureFailed, 0.003, 0.5, func(c Counts) Sample { return Sample{c.Failed, c.Succeeded + c.Failed} }},
+	{MeasureLost, 0.25, 0.1, func(c Counts) Sample { return Sample{c.Lost, c.Succeeded + c.Failed + c.Lost} }},
+	{MeasureLateFirstToken, 0.03, 0.1, func(c Counts) Sample { return Sample{c.FirstToken.Late, c.FirstToken.Timed} }},
+	{MeasureVeryLateFirstToken, 0.01, 0.1, func(c Counts) Sample { return Sample{c.FirstToken.VeryLate, c.FirstToken.Timed} }},
+	{MeasureSlowTokens, 0.03, 0.1, func(c Counts) Sample { return Sample{c.PerToken.Late, c.PerToken.Timed} }},
+	{MeasureVerySlowTokens, 0.01, 0.1, func(c Counts) Sample { return Sample{c.PerToken.VeryLate, c.PerToken.Timed} }},
 }
 
 // Decide judges a move.
@@ -131,8 +133,8 @@
 // the new version.
 type comparer struct {
 	in Input
-	// tests is the number of tests over one span of time.
-	tests float64
+	// spans is the number of routes that are tested, with that for all routes.
+	spans float64
 	worst Comparison
 	// excess is by how much the worst comparison exceeds its threshold; a
 	// negative excess is no verdict.
@@ -150,18 +152,19 @@
 // newComparer runs all tests over the whole move and over recent windows.
 func newComparer(in Input) *comparer {
 	c := &comparer{in: in, worst: Comparison{LogRatio: math.Inf(-1)}, excess: math.Inf(-1)}
-	c.tests = float64((len(in.Evidence.Routes()) + 1) * len(measures))
-	c.compare(in.Evidence.Total, -math.Log(falseVerdicts*wholeMoveShare/c.tests))
-	threshold := -math.Log(falseVerdicts * (1 - wholeMoveShare) / c.tests / windowsInMove)
+	c.spans = float64(len(in.Evidence.Routes()) + 1)
+	c.compare(in.Evidence.Total, falseVerdicts*wholeMoveShare/c.spans)
+	chance := falseVerdicts * (1 - wholeMoveShare) / c.spans / windowsInMove
 	for back := uint64(1); back <= recentWindows && back <= in.Window; back *= 2 {
 		recent := func(arm Arm) Counts { return in.Evidence.After(arm, in.Window-back) }
-		c.compare(recent, threshold)
+		c.compare(recent, chance)
 	}
 	return c
 }
 
 // compare runs the tests over one span of time, for each route and for all.
-func (c *comparer) compare(counts func(Arm) Counts, threshold float64) {
+// The chance of a false verdict on one route is bounded by chance.
+func (c *comparer) compare(counts func(Arm) Counts, chance float64) {
 	all, allWhole := span{}, Counts{}
 	for _, route := range c.in.Evidence.Routes() {
 		fresh := counts(Arm{New: true, Route: route})
@@ -170,14 +173,14 @@
 		}
 		s := span{fresh: fresh, old: counts(Arm{Route: route})}
 		whole := c.in.Evidence.Total(Arm{Route: route})
-		c.test(route, s, whole, threshold)
+		c.test(route, s, whole, chance)
 		all, allWhole = all.plus(s), allWhole.plus(whole)
 	}
-	c.test(AllRoutes, all, allWhole, threshold)
+	c.test(AllRoutes, all, allWhole, chance)
 }
 
 // test runs the tests over one span of time on one route, or on all.
-func (c *comparer) test(route string, s span, whole Counts, threshold float64) {
+func (c *comparer) test(route string, s span, whole Counts, chance float64) {
 	for _, m := range measures {
 		one := Comparison{Route: route, Measure: m.name, New: m.sample(s.fresh), Old: m.sample(s.old)}
 		one.Null = nullRate(one.Old, m.sample(whole), m.floor)
@@ -185,8 +188,9 @@
 			continue
 		}
 		one.LogRatio = logRatio(one.New, one.Null)
-		if one.LogRatio-threshold > c.excess {
-			c.worst, c.excess = one, one.LogRatio-threshold
+		excess := one.LogRatio + math.Log(chance*m.weight)
+		if excess > c.excess {
+			c.worst, c.excess = one, excess
 		}
 	}
 }
