--- a/scenario/scenario_test.go
+++ b/scenario/scenario_test.go
@@ -33,14 +33,20 @@
 	networkCount = 200
 )
 
+// raceOptions spare each process the second that the race detector waits at
+// its end.
+const raceOptions = "atexit_sleep_ms=0"
+
 func TestScenarios(t *testing.T) {
 	testscript.Run(t, testscript.Params{
 		Dir: "testdata",
 		Setup: func(env *testscript.Env) error {
 			network := fmt.Sprintf("127.%d.%d", firstNetwork+os.Getpid()%networkCount, networks.Add(1))
 			env.Setenv("NET", network)
+			env.Setenv("GORACE", raceOptions)
 			processes := newProcessTable(env.WorkDir)
 			env.Values[processesKey{}] = processes
+			env.Values[loadKey{}] = &loadBox{}
 			env.Defer(processes.killAll)
 			return nil
 		},
@@ -51,6 +57,10 @@
 			"stopped":    cmdStopped,
 			"eventually": cmdEventually,
 			"fetch":      cmdFetch,
+			"load":       cmdLoad,
+			"session":    cmdSession,
+			"ran":        cmdRan,
+			"started":    cmdStarted,
 		},
 		RequireExplicitExec: true,
 	})
