Version moves in the daemon: judge, watch over dispatches, steady version

The judge chooses the version of each request; a request that cannot go to it at once, or that waits when a verdict comes, takes the version that most requests get. Placements tell the prompt tokens before the first token and whether the endpoint is cold, which the judge needs to compare times.

--- a/internal/process/daemon/configuration.go
+++ b/internal/process/daemon/configuration.go
@@ -91,6 +91,7 @@
 		}).Info("bundle is in force")
 	}
 	h.homes.Update(view.Bundle)
+	h.judge.Apply(movesOf(view))
 	h.placer.Update(h.placementView(view))
 }
 
@@ -105,6 +106,9 @@
 		DomainsOut:   out,
 		EndpointsOut: h.homes.Unfit(),
 		Hosts:        hosts,
+
+		ChooseVersion: h.judge.Choose,
+		Steady:        h.judge.Steady,
 	}
 }
 
--- a/internal/process/daemon/host.go
+++ b/internal/process/daemon/host.go
@@ -30,6 +30,7 @@
 	"mustarddoor/internal/request/witness"
 	"mustarddoor/internal/version/bundle"
 	"mustarddoor/internal/version/config"
+	"mustarddoor/internal/version/rollout"
 )
 
 // host is one running daemon.
@@ -57,6 +58,7 @@
 	homes     *home.Manager
 	orders    *home.Orders
 	placer    *placement.Placer
+	judge     *rollout.Judge
 	// reapply is signalled when placement should look at the homes again.
 	reapply chan struct{}
 
@@ -93,7 +95,7 @@
 		reapply:      make(chan struct{}, 1),
 	}
 	h.ring = timeline.NewRing(h.self.Incarnation, h.clock, loaded.Limits.TimelineEvents)
-	steps := []func() error{h.listen, h.makeMesh, h.makeConfig, h.makeHomes, h.makePlacement, h.makeRequests}
+	steps := []func() error{h.listen, h.makeMesh, h.makeConfig, h.makeHomes, h.makeRollout, h.makePlacement, h.makeRequests}
 	for _, step := range steps {
 		if err := step(); err != nil {
 			return nil, err
@@ -180,10 +182,11 @@
 	}
 	h.requests.runner = flow.New(flow.Config{
 		Registry:   h.registry,
-		Placer:     &rotatingPlacer{index: h.index.Load},
+		Placer:     h.placer,
 		Endpoints:  h.endpoints,
 		Forwarder:  h.makeForwarder(),
 		Events:     flow.Events{Recorder: h.ring},
+		Watcher:    &versionWatcher{judge: h.judge, index: h.index.Load},
 		OtherHosts: h.requests.otherAddresses,
 		Metrics:    h.metrics,
 	})
@@ -275,6 +278,7 @@
 	addRunActor(group, h.homes.Run)
 	addRunActor(group, h.orders.Run)
 	addRunActor(group, h.placer.Run)
+	addRunActor(group, h.judge.Run)
 	addRunActor(group, h.sender.Run)
 	addRunActor(group, h.journal.Run)
 	addRunActor(group, h.sweep)
--- a/internal/process/placement/core.go
+++ b/internal/process/placement/core.go
@@ -132,6 +132,9 @@
 		return nil, nil
 	}
 	d := p.plan.Decide(now, &j.ask)
+	if d.Action != scheduler.ActionDispatch && c.settleVersion(j) {
+		d = p.plan.Decide(now, &j.ask)
+	}
 	switch d.Action {
 	case scheduler.ActionNone:
 		return nil, &Refusal{Reason: ReasonNoEndpoint, RetryAfter: retryAfterFull}
@@ -144,6 +147,22 @@
 	}
 }
 
+// settleVersion gives a job that cannot go at once the version that most
+// requests get, and reports whether that is another one.
+func (c *core) settleVersion(j *job) bool {
+	view := &c.state.Load().view
+	if view.ChooseVersion == nil {
+		return false
+	}
+	steady := view.Steady(j.route.service)
+	if j.ask.Version == steady {
+		return false
+	}
+	j.withdraw()
+	j.ask.Version = steady
+	return true
+}
+
 // dispatch takes the slot that a decision found, or returns nil if it is gone.
 func (c *core) dispatch(now time.Time, p *pool, j *job, d scheduler.Decision) *ticket {
 	s := p.sites[d.Endpoint]
@@ -274,6 +293,7 @@
 
 // rate tells how much a waiting job deserves a slot now, and keeps its demand.
 func (c *core) rate(now time.Time, p *pool, j *job) float64 {
+	c.settleVersion(j)
 	j.ask.HeldOnly = now.Sub(j.item.Since) >= patience
 	d := p.plan.Decide(now, &j.ask)
 	switch d.Action {
--- a/internal/process/placement/placement.go
+++ b/internal/process/placement/placement.go
@@ -22,6 +22,11 @@
 	SendBy time.Time
 	// Tier is the request's tier.
 	Tier string
+	// PrefillTokens are the prompt tokens that the endpoint is believed to
+	// prefill before the first token, those of other requests included.
+	PrefillTokens int
+	// Cold tells that the endpoint is cold.
+	Cold bool
 
 	placer *Placer
 	ticket *ticket
@@ -40,9 +45,13 @@
 		Deadline: t.job.deadline,
 		SendBy:   t.sendBy,
 		Tier:     t.job.route.tierName,
-		placer:   p,
-		ticket:   t,
-		late:     time.AfterFunc(t.overdueAfter(), func() { t.overdue(); p.signal() }),
+
+		PrefillTokens: t.prefill + t.estimate.Backlog,
+		Cold:          t.site.isCold.Load(),
+
+		placer: p,
+		ticket: t,
+		late:   time.AfterFunc(t.overdueAfter(), func() { t.overdue(); p.signal() }),
 	}
 }
 
--- a/internal/process/placement/site.go
+++ b/internal/process/placement/site.go
@@ -34,6 +34,8 @@
 	// waiting is the demand in the last report.
 	waiting tier.Counts
 	samples samples
+	// isCold tells that the last grant was for a cold endpoint.
+	isCold atomic.Bool
 	// inService tells that the site takes new work.
 	inService bool
 	// home is the endpoint's home, known if hasHome.
@@ -169,6 +171,7 @@
 		Headroom:      grant.Headroom,
 		Limit:         grant.Limit,
 	})
+	s.isCold.Store(grant.Limit <= s.spec.ColdSlots && s.spec.ColdSlots < s.spec.MaxSlots)
 	return true
 }
 
--- a/internal/process/placement/view.go
+++ b/internal/process/placement/view.go
@@ -12,6 +12,11 @@
 // means that any will do. It must be safe for concurrent use.
 type VersionChoice func(service, route string) (version string)
 
+// SteadyVersion names the version of a service for requests that the version
+// picked by VersionChoice cannot serve at once. It is called often, and its
+// answer may change while a request waits. It must be safe for concurrent use.
+type SteadyVersion func(service string) (version string)
+
 // View is the configuration that placement follows. It is immutable.
 type View struct {
 	Bundle *bundle.Bundle
@@ -22,6 +27,8 @@
 	EndpointsOut []string
 	// ChooseVersion may be nil.
 	ChooseVersion VersionChoice
+	// Steady must be set if ChooseVersion is.
+	Steady SteadyVersion
 	// Hosts are the hosts believed to be alive, with this one.
 	Hosts []identity.Host
 }
--- a/internal/request/flow/finish.go
+++ b/internal/request/flow/finish.go
@@ -36,6 +36,7 @@
 	own     *owner.Request
 	place   *placement.Placement
 	gone    context.Context
+	watch   Watch
 	started time.Time
 	// status and contentType are those of the endpoint's reply.
 	status      int
@@ -49,11 +50,12 @@
 }
 
 // finish copies the endpoint's answer and notes the outcome.
-func (r *Runner) finish(gone context.Context, request *Request, own *owner.Request, place *placement.Placement, reply *engine.Reply) {
-	d := &dispatched{runner: r, request: request, own: own, place: place, gone: gone, started: time.Now()}
+func (r *Runner) finish(gone context.Context, request *Request, own *owner.Request, place *placement.Placement, out *sent) {
+	d := &dispatched{runner: r, request: request, own: own, place: place, gone: gone, watch: out.watch, started: time.Now()}
 	stopWatching := d.watchCallers()
-	result := d.follow(reply)
+	result := d.follow(out.reply)
 	stopWatching()
+	d.watch.End(endOf(result), d.events)
 	own.Finish(result)
 	place.Done(placement.Result{
 		Outcome:      placementOutcome(result),
@@ -189,11 +191,15 @@
 func (d *dispatched) take(part []byte) {
 	if d.offset == 0 {
 		d.place.FirstToken()
+		if d.status < http.StatusInternalServerError {
+			d.watch.FirstToken()
+		}
 		d.runner.timers.firstByte.UpdateSince(d.request.Arrival)
 		d.runner.config.Events.FirstToken(d.request, d.place)
 	}
 	d.offset += int64(len(part))
 	d.events += bytes.Count(part, []byte("data: "))
+	d.watch.Tokens(d.events)
 	d.tail = append(d.tail, part...)
 	if excess := len(d.tail) - len(streamEnd); excess > 0 {
 		d.tail = append(d.tail[:0], d.tail[excess:]...)
--- a/internal/request/flow/run.go
+++ b/internal/request/flow/run.go
@@ -18,11 +18,8 @@
 	own.Queue()
 	place, refusal := r.config.Placer.Place(gone, placementRequest(request))
 	for refusal == nil {
-		var reply *engine.Reply
-		var sent bool
-		reply, sent = r.dispatch(gone, request, own, place)
-		if sent {
-			r.finish(gone, request, own, place, reply)
+		if sent := r.dispatch(gone, request, own, place); sent != nil {
+			r.finish(gone, request, own, place, sent)
 			return
 		}
 		if own.State().IsFinal() {
@@ -50,29 +47,45 @@
 	}
 }
 
-// dispatch gets the witness's permission and sends the request. If sent is
-// false the endpoint surely did not start it. A nil reply of a sent request
-// means that the endpoint broke off.
-func (r *Runner) dispatch(gone context.Context, request *Request, own *owner.Request, place *placement.Placement) (reply *engine.Reply, sent bool) {
+// sent is a request that the endpoint may have started.
+type sent struct {
+	// reply is nil if the endpoint broke off.
+	reply *engine.Reply
+	watch Watch
+}
+
+// dispatch gets the witness's permission and sends the request. It returns nil
+// if the endpoint surely did not start it.
+func (r *Runner) dispatch(gone context.Context, request *Request, own *owner.Request, place *placement.Placement) *sent {
 	if !r.permit(gone, request, own, place) {
-		return nil, false
+		return nil
 	}
 	if refusal := own.Dispatch(); refusal != nil {
-		return nil, false
+		return nil
 	}
 	r.config.Events.Dispatched(request, place)
+	watch := r.config.Watcher.Watch(request, place)
 	reply, err := r.send(callOf(request, place.Address))
-	switch {
-	case errors.Is(err, engine.ErrNotStarted):
-		return nil, !r.takeBack(request, own)
-	case err != nil:
-		return nil, true
-	case isExplicitRefusal(request, reply.Status):
+	isRefused := err == nil && isExplicitRefusal(request, reply.Status)
+	if isRefused {
 		reply.Body.Close()
-		return nil, !r.takeBack(request, own)
-	default:
-		return reply, true
 	}
+	if (isRefused || errors.Is(err, engine.ErrNotStarted)) && r.takeBack(request, own) {
+		watch.End(unstarted(isRefused), 0)
+		return nil
+	}
+	if isRefused || err != nil {
+		reply = nil
+	}
+	return &sent{reply: reply, watch: watch}
+}
+
+// unstarted is the end of a dispatch that the endpoint did not start.
+func unstarted(isRefused bool) DispatchEnd {
+	if isRefused {
+		return DispatchRefused
+	}
+	return DispatchBroken
 }
 
 // takeBack notes that the endpoint did not start a dispatched request.
--- a/internal/request/flow/runner.go
+++ b/internal/request/flow/runner.go
@@ -44,6 +44,8 @@
 	Forwarder Forwarder
 	// Events takes the events of the time line.
 	Events Events
+	// Watcher follows dispatches; it may be nil.
+	Watcher Watcher
 	// OtherHosts lists the caller addresses of other live hosts, for refusals.
 	OtherHosts func() []string
 	Metrics    metrics.Registry
@@ -66,6 +68,9 @@
 
 // New gives a runner.
 func New(config Config) *Runner {
+	if config.Watcher == nil {
+		config.Watcher = noWatcher{}
+	}
 	return &Runner{
 		config:  config,
 		running: newReaderTable(),
--- a/internal/version/rollout/judge.go
+++ b/internal/version/rollout/judge.go
@@ -120,6 +120,20 @@
 	return m.move.To
 }
 
+// Steady is the version for requests that the version which Choose has picked
+// cannot serve at once: the one that gets most of the traffic. It is empty if
+// no move concerns the service.
+func (j *Judge) Steady(service string) string {
+	m := j.table.Load().moves[service]
+	if m == nil {
+		return ""
+	}
+	if Stage(m.stage.Load()).Share() > fractionUnit/2 {
+		return m.move.To
+	}
+	return m.move.From
+}
+
 // Share is the new version's part of a service's traffic, from 0 to 1, and
 // false if no move concerns the service.
 func (j *Judge) Share(service string) (float64, bool) {
@@ -174,7 +188,7 @@
 		m.addRoutes(move.Routes, j.config.Self)
 		m.configStage = m.configStage.Merge(move.Stage)
 		next.moves[move.Service] = m
-		j.adopt(m, move.Stage, "by configuration", now)
+		j.adopt(m, move.Stage, move.Reason, now)
 	}
 	j.table.Store(next)
 }
--- a/internal/version/rollout/verdict.go
+++ b/internal/version/rollout/verdict.go
@@ -16,6 +16,8 @@
 	To      string `cbor:"3,keyasint" json:"to"`
 	// Since is the log offset of the roll that began the move.
 	Since uint64 `cbor:"4,keyasint" json:"since"`
+	// SinceMillis is that roll's time by the log's clock, Unix milliseconds.
+	SinceMillis int64 `cbor:"5,keyasint" json:"since_ms"`
 }
 
 // Move is a version move that is under way or has ended.
@@ -27,6 +29,8 @@
 	Complete time.Duration
 	// Stage is how far it has come, as far as the configuration knows.
 	Stage Stage
+	// Reason is why the stage was reached.
+	Reason string
 	// Routes are the service's routes.
 	Routes []string
 }
--- /dev/null
+++ b/scenario/requests_test.go
@@ -0,0 +1,61 @@
+package scenario
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"strconv"
+	"sync"
+	"sync/atomic"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"mustarddoor/client"
+	"mustarddoor/internal/connection/caller"
+)
+
+// requestCallers is how many callers share the work of cmdRequests.
+const requestCallers = 8
+
+// cmdRequests runs "requests COUNT FILE ADDRESS...": it sends short chat
+// requests and writes the number of those that failed to FILE.
+func cmdRequests(ts *testscript.TestScript, _ bool, args []string) {
+	if len(args) < 3 {
+		ts.Fatalf("usage: requests COUNT FILE ADDRESS...")
+	}
+	count, err := strconv.Atoi(args[0])
+	ts.Check(err)
+	var sent, failed atomic.Int64
+	var callers sync.WaitGroup
+	for range requestCallers {
+		fleet := client.New(client.Options{Hosts: args[2:], Team: "foremen"})
+		callers.Go(func() {
+			for sent.Add(1) <= int64(count) {
+				if !isServed(fleet) {
+					failed.Add(1)
+				}
+			}
+		})
+	}
+	callers.Wait()
+	ts.Logf("%d of %d requests failed", failed.Load(), count)
+	ts.Check(os.WriteFile(ts.MkAbs(args[1]), fmt.Appendln(nil, failed.Load()), 0o600))
+}
+
+// isServed sends one request and reports whether it was answered.
+func isServed(fleet *client.Client) bool {
+	body := `{"model":"voz-modelo","stream":true,"max_tokens":4,"messages":[{"role":"user","content":"frost"}]}`
+	got, err := fleet.Do(context.Background(), client.Request{
+		Path:  caller.PathChat,
+		Route: "frost-check",
+		Body:  []byte(body),
+	})
+	if err != nil {
+		return false
+	}
+	defer got.Close()
+	_, err = io.Copy(io.Discard, got)
+	return err == nil && got.Status == http.StatusOK
+}
--- a/scenario/scenario_test.go
+++ b/scenario/scenario_test.go
@@ -61,6 +61,7 @@
 			"session":    cmdSession,
 			"ran":        cmdRan,
 			"started":    cmdStarted,
+			"requests":   cmdRequests,
 		},
 		RequireExplicitExec: true,
 	})
