--- a/internal/process/placement/site.go
+++ b/internal/process/placement/site.go
@@ -40,6 +40,8 @@
 	samples samples
 	// plain tells that the endpoint is a plain service, which reports no load.
 	plain bool
+	// isCold tells that the last grant was for a cold endpoint.
+	isCold atomic.Bool
 	// inService tells that the site takes new work.
 	inService bool
 	// home is the endpoint's home, known if hasHome.
@@ -105,19 +107,18 @@
 	}
 	s.home = home
 	if home.Host == self && s.office == nil {
-		_, alone := homes.(localHomes)
-		s.office = newOffice(s, now, alone)
+		s.office = newOffice(s, now)
 	}
 }
 
 // newOffice opens a ledger. Unless no other host can have been the home, it
 // waits out what an earlier home may have granted.
-func newOffice(s *site, now time.Time, alone bool) *office {
+func newOffice(s *site, now time.Time) *office {
 	closedUntil, unknown, life := now, 0, engineOrphanLife
 	if s.plain {
 		life = plainOrphanLife
 	}
-	if !alone {
+	if !s.home.First {
 		closedUntil = now.Add(slot.GrantTTL + slot.LapseMargin)
 		unknown = s.spec.MaxSlots
 	}
@@ -179,6 +180,7 @@
 		Headroom:      grant.Headroom,
 		Limit:         grant.Limit,
 	})
+	s.isCold.Store(grant.Limit <= s.spec.ColdSlots && s.spec.ColdSlots < s.spec.MaxSlots)
 	return true
 }
 
--- a/internal/process/placement/view.go
+++ b/internal/process/placement/view.go
@@ -12,6 +12,11 @@
 // means that any will do. It must be safe for concurrent use.
 type VersionChoice func(service, route string) (version string)
 
+// SteadyVersion names the version of a service for requests that the version
+// picked by VersionChoice cannot serve at once. It is called often, and its
+// answer may change while a request waits. It must be safe for concurrent use.
+type SteadyVersion func(service string) (version string)
+
 // View is the configuration that placement follows. It is immutable.
 type View struct {
 	Bundle *bundle.Bundle
@@ -22,6 +27,8 @@
 	EndpointsOut []string
 	// ChooseVersion may be nil.
 	ChooseVersion VersionChoice
+	// Steady must be set if ChooseVersion is.
+	Steady SteadyVersion
 	// Hosts are the hosts believed to be alive, with this one.
 	Hosts []identity.Host
 }
@@ -34,6 +41,8 @@
 	// Fence is the fencing number of the home's lease; it grows with every
 	// change of home.
 	Fence uint64
+	// First tells that no other host can have been the home before.
+	First bool
 	// LeaseUntil is, for an endpoint whose home this host is, when the lease
 	// runs out on the local monotonic clock. Zero means that it never does.
 	LeaseUntil time.Time
@@ -52,7 +61,7 @@
 // LocalHomes returns Homes that name the given host for every endpoint. It is
 // for a fleet of one host.
 func LocalHomes(self identity.Host) Homes {
-	return localHomes{Home{Host: self.Incarnation, MeshAddress: self.MeshAddress, Fence: 1}}
+	return localHomes{Home{Host: self.Incarnation, MeshAddress: self.MeshAddress, Fence: 1, First: true}}
 }
 
 // Home implements Homes.
