--- a/internal/process/daemon/configuration.go
+++ b/internal/process/daemon/configuration.go
@@ -8,6 +8,7 @@
 
 	"mustarddoor/internal/connection/platform"
 	"mustarddoor/internal/process/hlc"
+	"mustarddoor/internal/process/loadpoll"
 	"mustarddoor/internal/process/placement"
 	"mustarddoor/internal/process/timeline"
 	"mustarddoor/internal/version/bundle"
@@ -53,6 +54,7 @@
 		Metrics: h.metrics,
 	})
 	h.placer.Register(h.meshServer)
+	h.loads = loadpoll.New(h.endpoints, h.placer)
 	return nil
 }
 
@@ -93,6 +95,7 @@
 	h.homes.Update(view.Bundle)
 	h.judge.Apply(movesOf(view))
 	h.placer.Update(h.placementView(view))
+	h.loads.Update(view.Bundle)
 }
 
 func (h *host) placementView(view *config.View) placement.View {
--- a/internal/process/daemon/host.go
+++ b/internal/process/daemon/host.go
@@ -19,6 +19,7 @@
 	"mustarddoor/internal/process/hlc"
 	"mustarddoor/internal/process/home"
 	"mustarddoor/internal/process/identity"
+	"mustarddoor/internal/process/loadpoll"
 	"mustarddoor/internal/process/member"
 	"mustarddoor/internal/process/placement"
 	"mustarddoor/internal/process/settings"
@@ -58,6 +59,7 @@
 	homes     *home.Manager
 	orders    *home.Orders
 	placer    *placement.Placer
+	loads     *loadpoll.Poller
 	judge     *rollout.Judge
 	// reapply is signalled when placement should look at the homes again.
 	reapply chan struct{}
@@ -283,6 +285,7 @@
 	addRunActor(group, h.homes.Run)
 	addRunActor(group, h.orders.Run)
 	addRunActor(group, h.placer.Run)
+	addRunActor(group, h.loads.Run)
 	addRunActor(group, h.judge.Run)
 	addRunActor(group, h.sender.Run)
 	addRunActor(group, h.journal.Run)
--- /dev/null
+++ b/internal/process/loadpoll/loadpoll.go
@@ -0,0 +1,155 @@
+// Package loadpoll reads the load reports and cache events of engines.
+//
+// To wire it: make a Poller with New, call Update with every new bundle and run
+// Run in the daemon's group. Reports go to a Sink, in practice the placer.
+package loadpoll
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"mustarddoor/internal/connection/engine"
+	"mustarddoor/internal/version/bundle"
+)
+
+const (
+	// interval is how often each engine is asked.
+	interval = time.Second
+	// timeout bounds one question.
+	timeout = 800 * time.Millisecond
+	// maxAtOnce bounds the questions under way.
+	maxAtOnce = 32
+)
+
+// Engines answers questions about engines by their address, IP:port.
+type Engines interface {
+	Load(ctx context.Context, address string) (engine.Load, error)
+	CacheEvents(ctx context.Context, address string, from uint64) (engine.CacheEvents, error)
+}
+
+// Sink takes what engines report.
+type Sink interface {
+	ObserveLoad(endpoint string, load engine.Load)
+	ObserveCache(endpoint string, events engine.CacheEvents)
+}
+
+// Poller asks every engine of the bundle once an interval.
+type Poller struct {
+	engines Engines
+	sink    Sink
+	targets atomic.Pointer[[]target]
+
+	mu      sync.Mutex
+	cursors map[string]cursor
+}
+
+// target is an engine to ask.
+type target struct{ name, address string }
+
+// cursor is how far an engine's cache events were read.
+type cursor struct {
+	incarnation string
+	next        uint64
+}
+
+// New returns a poller without targets.
+func New(engines Engines, sink Sink) *Poller {
+	p := &Poller{engines: engines, sink: sink, cursors: map[string]cursor{}}
+	p.targets.Store(&[]target{})
+	return p
+}
+
+// Update takes the engines of a bundle; plain services report no load.
+func (p *Poller) Update(b *bundle.Bundle) {
+	isEngine := map[string]bool{}
+	for _, s := range b.Services {
+		isEngine[s.Name] = s.Kind == bundle.KindEngine
+	}
+	targets := []target{}
+	for _, e := range b.Endpoints {
+		if isEngine[e.Service] {
+			targets = append(targets, target{e.Name, e.Address})
+		}
+	}
+	p.targets.Store(&targets)
+	p.forget(targets)
+}
+
+// forget drops the cursors of engines that are gone.
+func (p *Poller) forget(targets []target) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	kept := map[string]cursor{}
+	for _, t := range targets {
+		kept[t.name] = p.cursors[t.name]
+	}
+	p.cursors = kept
+}
+
+// Run asks until the context ends.
+func (p *Poller) Run(ctx context.Context) error {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		p.round(ctx)
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+	}
+}
+
+// round asks every engine once.
+func (p *Poller) round(ctx context.Context) {
+	var group errgroup.Group
+	group.SetLimit(maxAtOnce)
+	for _, t := range *p.targets.Load() {
+		group.Go(func() error {
+			p.ask(ctx, t)
+			return nil
+		})
+	}
+	_ = group.Wait()
+}
+
+// ask reads one engine's load and cache events. An engine that does not answer
+// is asked again in the next round.
+func (p *Poller) ask(ctx context.Context, t target) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	load, err := p.engines.Load(ctx, t.address)
+	if err != nil {
+		return
+	}
+	p.sink.ObserveLoad(t.name, load)
+	from := p.cursorOf(t.name, load.Incarnation)
+	events, err := p.engines.CacheEvents(ctx, t.address, from.next)
+	if err != nil {
+		return
+	}
+	p.sink.ObserveCache(t.name, events)
+	p.advance(t.name, cursor{events.Incarnation, events.Next})
+}
+
+// cursorOf is where to read on; a new incarnation is read from its start.
+func (p *Poller) cursorOf(name, incarnation string) cursor {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if known := p.cursors[name]; known.incarnation == incarnation {
+		return known
+	}
+	return cursor{incarnation: incarnation}
+}
+
+func (p *Poller) advance(name string, to cursor) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if _, wanted := p.cursors[name]; wanted {
+		p.cursors[name] = to
+	}
+}
--- /dev/null
+++ b/internal/process/loadpoll/loadpoll_test.go
@@ -0,0 +1,58 @@
+package loadpoll
+
+import (
+	"context"
+	"errors"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"mustarddoor/internal/connection/engine"
+	"mustarddoor/internal/version/bundle"
+)
+
+// fakeEngine restarts when its incarnation is changed.
+type fakeEngine struct {
+	incarnation string
+	down        bool
+	asked       []uint64
+}
+
+func (f *fakeEngine) Load(context.Context, string) (engine.Load, error) {
+	if f.down {
+		return engine.Load{}, errors.New("down")
+	}
+	return engine.Load{Incarnation: f.incarnation}, nil
+}
+
+func (f *fakeEngine) CacheEvents(_ context.Context, _ string, from uint64) (engine.CacheEvents, error) {
+	f.asked = append(f.asked, from)
+	return engine.CacheEvents{Incarnation: f.incarnation, Next: from + 5}, nil
+}
+
+type fakeSink struct{ loads, caches []string }
+
+func (f *fakeSink) ObserveLoad(endpoint string, load engine.Load) {
+	f.loads = append(f.loads, endpoint+load.Incarnation)
+}
+func (f *fakeSink) ObserveCache(endpoint string, _ engine.CacheEvents) {
+	f.caches = append(f.caches, endpoint)
+}
+
+func TestReadsOnAndFromTheStartAfterARestart(t *testing.T) {
+	fake, sink := &fakeEngine{incarnation: "A"}, &fakeSink{}
+	p := New(fake, sink)
+	p.Update(&bundle.Bundle{
+		Services:  []bundle.Service{{Name: "m", Kind: bundle.KindEngine}, {Name: "s", Kind: bundle.KindPlain}},
+		Endpoints: []bundle.Endpoint{{Name: "e", Service: "m"}, {Name: "p", Service: "s"}},
+	})
+	p.round(t.Context())
+	p.round(t.Context())
+	fake.incarnation = "B"
+	p.round(t.Context())
+	fake.down = true
+	p.round(t.Context())
+	assert.DeepEqual(t, fake.asked, []uint64{0, 5, 0})
+	assert.DeepEqual(t, sink.loads, []string{"eA", "eA", "eB"})
+	assert.Equal(t, len(sink.caches), 3)
+}
