--- a/internal/process/placement/placement.go
+++ b/internal/process/placement/placement.go
@@ -47,7 +47,7 @@
 		Tier:     t.job.route.tierName,
 
 		PrefillTokens: t.prefill + t.estimate.Backlog,
-		Cold:          t.site.isCold.Load(),
+		Cold:          t.site.live.IsCold(),
 
 		placer: p,
 		ticket: t,
--- a/internal/process/placement/site.go
+++ b/internal/process/placement/site.go
@@ -40,8 +40,6 @@
 	samples samples
 	// plain tells that the endpoint is a plain service, which reports no load.
 	plain bool
-	// isCold tells that the last grant was for a cold endpoint.
-	isCold atomic.Bool
 	// inService tells that the site takes new work.
 	inService bool
 	// home is the endpoint's home, known if hasHome.
@@ -180,7 +178,7 @@
 		Headroom:      grant.Headroom,
 		Limit:         grant.Limit,
 	})
-	s.isCold.Store(grant.Limit <= s.spec.ColdSlots && s.spec.ColdSlots < s.spec.MaxSlots)
+	s.live.SetCold(grant.Limit <= s.spec.ColdSlots && s.spec.ColdSlots < s.spec.MaxSlots)
 	return true
 }
 
--- a/internal/process/scheduler/live.go
+++ b/internal/process/scheduler/live.go
@@ -15,6 +15,9 @@
 	speedWeight = 0.1
 	// bestFall is the weight of one measured speed that is below the best.
 	bestFall = 0.005
+	// coldPart is the part of its speed that a cold endpoint is expected to
+	// reach.
+	coldPart = 0.4
 	// speedRange bounds measured speeds relative to the assumed ones.
 	speedRange = 8.0
 )
@@ -23,6 +26,8 @@
 // concurrent use and takes no lock.
 type Live struct {
 	prefill, decode atomic.Uint64
+	// cold tells that the endpoint is cold.
+	cold atomic.Bool
 	// best is the prefill speed when the endpoint is at its best.
 	best                          atomic.Uint64
 	assumedPrefill, assumedDecode float64
@@ -55,14 +60,30 @@
 	return l
 }
 
-// Prefill is the measured prefill speed in tokens per second.
-func (l *Live) Prefill() float64 { return math.Float64frombits(l.prefill.Load()) }
+// Prefill is the expected prefill speed in tokens per second: the measured one,
+// or a part of it while the endpoint is cold.
+func (l *Live) Prefill() float64 {
+	measured := math.Float64frombits(l.prefill.Load())
+	if l.cold.Load() {
+		return measured * coldPart
+	}
+	return measured
+}
+
+// SetCold tells whether the endpoint is cold. Speeds are not measured then.
+func (l *Live) SetCold(cold bool) { l.cold.Store(cold) }
+
+// IsCold reports whether the endpoint is cold.
+func (l *Live) IsCold() bool { return l.cold.Load() }
 
 // Decode is the measured decode speed of one stream in tokens per second.
 func (l *Live) Decode() float64 { return math.Float64frombits(l.decode.Load()) }
 
 // ObservePrefill takes how long the prefill of a number of tokens took.
 func (l *Live) ObservePrefill(tokens int, took time.Duration) {
+	if l.cold.Load() {
+		return
+	}
 	measured := speed(tokens, took)
 	blend(&l.prefill, measured, l.assumedPrefill, speedWeight)
 	weight := bestFall
@@ -82,6 +103,9 @@
 
 // ObserveDecode takes how long the decoding of a number of tokens took.
 func (l *Live) ObserveDecode(tokens int, took time.Duration) {
+	if l.cold.Load() {
+		return
+	}
 	blend(&l.decode, speed(tokens, took), l.assumedDecode, speedWeight)
 }
 
