--- a/internal/process/daemon/host.go
+++ b/internal/process/daemon/host.go
@@ -170,7 +170,7 @@
 		Self:     h.self.Incarnation,
 		Register: h.register,
 		Log:      logAppender{h.log},
-		Interval: journalInterval,
+		Interval: h.journalInterval,
 		Timeout:  journalTimeout,
 		Metrics:  h.metrics,
 	})
@@ -209,10 +209,14 @@
 	answerWindowBytes = 1 << 20
 	intentTimeout     = time.Second
 	outcomeInterval   = 20 * time.Millisecond
-	journalInterval   = 100 * time.Millisecond
 	journalTimeout    = 5 * time.Second
 )
 
+// journalInterval spreads the fleet's appends over its hosts.
+func (h *host) journalInterval() time.Duration {
+	return journal.FleetInterval(len(h.otherHosts()) + 1)
+}
+
 // logAppender appends to the log service for the journal.
 type logAppender struct{ log platform.Log }
 
--- a/internal/request/journal/writer.go
+++ b/internal/request/journal/writer.go
@@ -15,6 +15,20 @@
 // maxBatchEntries is how many entries one log record holds at most.
 const maxBatchEntries = 1024
 
+const (
+	// minInterval is the time between appends in a small fleet.
+	minInterval = 100 * time.Millisecond
+	// fleetAppendsPerSecond is how many of the log's appends the journals of
+	// all hosts may take together.
+	fleetAppendsPerSecond = 200
+)
+
+// FleetInterval is the time between appends of each host, so that those of a
+// fleet of the given size stay within their share of what the log takes.
+func FleetInterval(hosts int) time.Duration {
+	return max(minInterval, time.Duration(hosts)*time.Second/fleetAppendsPerSecond)
+}
+
 // Unlogged is where a writer takes records from; witness.Register is one.
 type Unlogged interface {
 	TakeUnlogged(start uint, limit int) []witness.Unlogged
@@ -27,9 +41,9 @@
 	Self     identity.Incarnation
 	Register Unlogged
 	Log      Appender
-	// Interval is the time between appends. While records remain after one, the
-	// next follows at once.
-	Interval time.Duration
+	// Interval gives the time between appends; see FleetInterval. While records
+	// remain after one, the next follows at once.
+	Interval func() time.Duration
 	// Timeout is how long an append may take.
 	Timeout time.Duration
 	// Metrics gets the counters journal.appends, journal.failures and
@@ -58,12 +72,13 @@
 
 // Run appends until the context ends, and then once more what is left.
 func (w *Writer) Run(ctx context.Context) error {
-	ticker := time.NewTicker(w.config.Interval)
-	defer ticker.Stop()
+	timer := time.NewTimer(w.config.Interval())
+	defer timer.Stop()
 	for {
 		select {
-		case <-ticker.C:
+		case <-timer.C:
 			w.Flush(ctx)
+			timer.Reset(w.config.Interval())
 		case <-ctx.Done():
 			w.Flush(context.WithoutCancel(ctx))
 			return nil
