placement: an idle endpoint is cold until a load report shows otherwise

Cause: an endpoint that restarts while nothing is in flight breaks off no request, so hosts went on under the old limit until the next load report. Once idle, it now gets its cold limit until a later report shows the same incarnation. Plain services report no load and are left out.

--- a/internal/process/placement/site.go
+++ b/internal/process/placement/site.go
@@ -72,6 +72,10 @@
 	ledger *slot.Ledger
 	limit  *limit.Limit
 	peers  map[identity.Incarnation]string
+	plain  bool
+	// idleAt is when the endpoint last had nothing in flight, verifiedAt the
+	// time of the last load report of the known incarnation.
+	idleAt, verifiedAt time.Time
 }
 
 func limitsOf(spec *bundle.Endpoint) limit.Config {
@@ -124,13 +128,28 @@
 		ledger: slot.NewLedger(s.spec.Name, s.home.Fence, closedUntil, unknown, life),
 		limit:  limit.New(limitsOf(&s.spec), now),
 		peers:  map[identity.Incarnation]string{},
+		plain:  s.plain,
 	}
 	o.refresh(now)
 	return o
 }
 
 // refresh hands the limit to the ledger.
-func (o *office) refresh(now time.Time) { o.ledger.SetLimit(o.limit.Value(now), o.limit.Cold()) }
+//
+// An idle endpoint may restart unseen, since no request breaks off. Once idle it
+// therefore gets no more than its cold limit until a load report of a later
+// time shows the same incarnation.
+func (o *office) refresh(now time.Time) {
+	if o.ledger.Used() == 0 {
+		o.idleAt = now
+	}
+	value := o.limit.Value(now)
+	if !o.plain && !o.verifiedAt.After(o.idleAt) {
+		value = min(value, o.limit.Cold())
+	}
+	o.ledger.SetLimit(value, o.limit.Cold())
+	o.ledger.SetCold(o.limit.IsCold())
+}
 
 // take lets the home learn from a report and returns its grants.
 func (o *office) take(now time.Time, report slot.Report) []slot.Grant {
@@ -161,6 +180,7 @@
 	o.seeEngine(now, load.Incarnation)
 	o.limit.SeeCache(now, load.CachedTokens)
 	o.limit.Verify(sampled, load.Incarnation)
+	o.verifiedAt = sampled
 	o.ledger.ObserveLoad(now, sampled, load.Running+load.Waiting)
 	o.refresh(now)
 	return o.ledger.Grants(now)
@@ -178,7 +198,7 @@
 		Headroom:      grant.Headroom,
 		Limit:         grant.Limit,
 	})
-	s.live.SetCold(grant.Limit <= s.spec.ColdSlots && s.spec.ColdSlots < s.spec.MaxSlots)
+	s.live.SetCold(grant.Cold)
 	return true
 }
 
--- a/internal/process/slot/ledger.go
+++ b/internal/process/slot/ledger.go
@@ -48,6 +48,7 @@
 	fence    uint64
 	limit    int
 	cold     int
+	isCold   bool
 	// closedUntil is when grants of an earlier home have lapsed.
 	closedUntil time.Time
 	// orphanLife is how long a lost holder's requests may run at most.
@@ -80,6 +81,9 @@
 	l.cold = cold
 }
 
+// SetCold sets what grants say of the endpoint being cold.
+func (l *Ledger) SetCold(cold bool) { l.isCold = cold }
+
 // Fence is the home's fencing number.
 func (l *Ledger) Fence() uint64 { return l.fence }
 
@@ -456,6 +460,7 @@
 		Floor:              floor,
 		Confirmed:          confirmed,
 		Limit:              l.limit,
+		Cold:               l.isCold,
 		Headroom:           l.headroom(now),
 		OtherUsed:          used,
 		OtherPrefillTokens: prefill,
--- a/internal/process/slot/message.go
+++ b/internal/process/slot/message.go
@@ -81,6 +81,8 @@
 	Confirmed uint8 `cbor:"8,keyasint"`
 	// Limit is the endpoint's present limit.
 	Limit int `cbor:"9,keyasint"`
+	// Cold tells that the endpoint is cold, as far as the home knows.
+	Cold bool `cbor:"15,keyasint,omitempty"`
 	// Headroom is how many slots the home could grant at once to whoever asks.
 	Headroom int `cbor:"13,keyasint"`
 	// OtherUsed are the slots that other holders use.
