--- a/internal/process/limit/limit.go
+++ b/internal/process/limit/limit.go
@@ -246,6 +246,9 @@
 }
 
 func (l *Limit) grow(now time.Time) {
+	if l.value >= float64(l.config.Max) {
+		return
+	}
 	l.value = min(math.Ceil(l.value*growth), float64(l.config.Max))
 	l.changed = now
 }
--- a/internal/process/placement/fakefleet_test.go
+++ b/internal/process/placement/fakefleet_test.go
@@ -23,20 +23,18 @@
 
 type events []event
 
-func (e events) Len() int           { return len(e) }
-func (e events) Less(i, j int) bool { return e[i].before(e[j]) }
-func (e events) Swap(i, j int)      { e[i], e[j] = e[j], e[i] }
-func (e *events) Push(x any)        { *e = append(*e, x.(event)) }
+func (e events) Len() int      { return len(e) }
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
+func (e events) Less(i, j int) bool {
+	return e[i].at.Before(e[j].at) || e[i].at.Equal(e[j].at) && e[i].seq < e[j].seq
+}
 func (e *events) Pop() any {
 	last := (*e)[len(*e)-1]
 	*e = (*e)[:len(*e)-1]
 	return last
 }
 
-func (e event) before(other event) bool {
-	return e.at.Before(other.at) || e.at.Equal(other.at) && e.seq < other.seq
-}
-
 // clock runs events in virtual time.
 type clock struct {
 	now    time.Time
@@ -90,8 +88,8 @@
 	coldUntil   time.Time
 	downUntil   time.Time
 	queue       []*fakeRequest
-	prefilling  *fakeRequest
-	decoding    map[*fakeRequest]bool
+	prefilling  []*fakeRequest
+	decoding    []*fakeRequest
 	cache       map[uint64]*list.Element
 	recent      list.List
 	cached      int
@@ -112,24 +110,15 @@
 	batchPenalty = 0.03
 )
 
-func (e *fakeEngine) isCold() bool { return e.clock.now.Before(e.coldUntil) }
-func (e *fakeEngine) isDown() bool { return e.clock.now.Before(e.downUntil) }
-func (e *fakeEngine) inFlight() int {
-	n := len(e.queue) + len(e.decoding)
-	if e.prefilling != nil {
-		n++
-	}
-	return n
-}
+func (e *fakeEngine) isCold() bool  { return e.clock.now.Before(e.coldUntil) }
+func (e *fakeEngine) isDown() bool  { return e.clock.now.Before(e.downUntil) }
+func (e *fakeEngine) inFlight() int { return len(e.queue) + len(e.decoding) + len(e.prefilling) }
 
 // restart loses everything in flight and in the cache.
 func (e *fakeEngine) restart(down time.Duration) {
-	lost := append(slices.Clone(e.queue), e.sortedDecoding()...)
-	if e.prefilling != nil {
-		lost = append(lost, e.prefilling)
-	}
+	lost := slices.Concat(e.queue, e.decoding, e.prefilling)
 	e.incarnation++
-	e.queue, e.prefilling, e.decoding = nil, nil, map[*fakeRequest]bool{}
+	e.queue, e.prefilling, e.decoding = nil, nil, nil
 	e.cache, e.cached, e.log, e.sequence = map[uint64]*list.Element{}, 0, nil, 0
 	e.recent.Init()
 	e.downUntil = e.clock.now.Add(down)
@@ -141,15 +130,6 @@
 	}
 }
 
-func (e *fakeEngine) sortedDecoding() []*fakeRequest {
-	var all []*fakeRequest
-	for r := range e.decoding {
-		all = append(all, r)
-	}
-	slices.SortFunc(all, func(a, b *fakeRequest) int { return a.Arrival.Compare(b.Arrival) })
-	return all
-}
-
 // submit takes a request; it returns false if the engine is down.
 func (e *fakeEngine) submit(r *fakeRequest) bool {
 	if e.isDown() {
@@ -174,12 +154,12 @@
 
 // next starts the next prefill.
 func (e *fakeEngine) next() {
-	if e.prefilling != nil || len(e.queue) == 0 || len(e.decoding) >= e.spec.MaxSlots {
+	if len(e.prefilling) > 0 || len(e.queue) == 0 || len(e.decoding) >= e.spec.MaxSlots {
 		return
 	}
 	r := e.queue[0]
 	e.queue = e.queue[1:]
-	e.prefilling = r
+	e.prefilling = append(e.prefilling, r)
 	r.uncached = r.PromptTokens - e.lookup(r)
 	e.fleet.account(e, r)
 	e.store(r)
@@ -204,14 +184,14 @@
 	e.prefilling = nil
 	r.answered = e.clock.now
 	r.first()
-	e.decoding[r] = true
+	e.decoding = append(e.decoding, r)
 	rate := e.spec.DecodeTokensPerSecond * e.speed() / (1 + batchPenalty*float64(len(e.decoding)))
 	e.later(secondsOf(float64(r.output)/rate), func() { e.finish(r) })
 	e.next()
 }
 
 func (e *fakeEngine) finish(r *fakeRequest) {
-	delete(e.decoding, r)
+	e.decoding = slices.DeleteFunc(e.decoding, func(d *fakeRequest) bool { return d == r })
 	r.ended = true
 	r.done(true)
 	e.next()
@@ -269,11 +249,9 @@
 	overruns      int
 	// prefilled and elsewhere are tokens: all, and those cached elsewhere.
 	prefilled, elsewhere float64
-	groups               []prefixGroup
+	groups               [][]scheduler.Prefix
 }
 
-type prefixGroup struct{ prefixes []scheduler.Prefix }
-
 func (f *fakeFleet) account(e *fakeEngine, r *fakeRequest) {
 	if !r.measured {
 		return
@@ -310,13 +288,13 @@
 		if i%2 == 0 {
 			spec.MaxSlots, spec.PrefillTokensPerSecond, spec.DecodeTokensPerSecond = 16, 8000, 60
 		}
-		e := &fakeEngine{clock: f.clock, fleet: f, spec: spec, decoding: map[*fakeRequest]bool{}, cache: map[uint64]*list.Element{}}
+		e := &fakeEngine{clock: f.clock, fleet: f, spec: spec, cache: map[uint64]*list.Element{}}
 		f.engines = append(f.engines, e)
 	}
 	for g := range 40 {
 		short := 200 + f.random.IntN(400)
 		long := short + 200 + f.random.IntN(2000)
-		f.groups = append(f.groups, prefixGroup{[]scheduler.Prefix{{Hash: uint64(1 + g%5), Tokens: 200 + 50*(g%5)}, {Hash: uint64(100 + g), Tokens: long}}})
+		f.groups = append(f.groups, []scheduler.Prefix{{Hash: uint64(1 + g%5), Tokens: 200 + 50*(g%5)}, {Hash: uint64(100 + g), Tokens: long}})
 	}
 	return f
 }
@@ -353,12 +331,12 @@
 		x -= r.share
 	}
 	group := f.groups[min(int(f.random.ExpFloat64()*10), len(f.groups)-1)]
-	longest := group.prefixes[len(group.prefixes)-1].Tokens
+	longest := group[len(group)-1].Tokens
 	r := &fakeRequest{tier: route.tier, budget: route.budget, output: int(f.logUniform(route.outLow, route.outHigh))}
 	r.Request = Request{
 		Route: route.route, Team: fmt.Sprintf("t%d", min(int(f.random.ExpFloat64()*1.5), 4)),
 		PromptTokens: longest + int(f.logUniform(route.ownLow, route.ownHigh)),
-		Bytes:        1000, Prefixes: group.prefixes, Arrival: f.clock.now,
+		Bytes:        1000, Prefixes: group, Arrival: f.clock.now,
 	}
 	return r
 }
--- a/internal/process/placement/placer_test.go
+++ b/internal/process/placement/placer_test.go
@@ -8,7 +8,9 @@
 
 	"gotest.tools/v3/assert"
 
+	"mustarddoor/internal/connection/engine"
 	"mustarddoor/internal/process/identity"
+	"mustarddoor/internal/process/slot"
 	"mustarddoor/internal/version/bundle"
 )
 
@@ -164,3 +166,35 @@
 		assert.Assert(t, second.Endpoint != first.Endpoint)
 	})
 }
+
+// TestIdleEndpointIsColdUntilVerified checks that an endpoint that had nothing
+// in flight gets its cold limit until a later load report.
+func TestIdleEndpointIsColdUntilVerified(t *testing.T) {
+	now := time.Unix(1000, 0)
+	spec := testEndpoint("e1", "a", 2)
+	spec.MaxSlots = 8
+	s := newSite(0, spec, false, testHost("h1").Incarnation, now)
+	s.follow(now, LocalHomes(testHost("h1")), testHost("h1").Incarnation)
+	report := func(used uint16) {
+		var demand slot.Demand
+		r := s.holder.Report(now, demand)
+		r.Used[0] = used
+		s.office.take(now, r)
+	}
+	load := func(at time.Time) { s.office.observe(now, at, engine.Load{Incarnation: "A"}) }
+	for range 100 {
+		now = now.Add(time.Second)
+		report(8)
+		s.office.limit.Sample(now, 100, 8)
+		load(now)
+	}
+	assert.Equal(t, s.office.ledger.Limit(), 8)
+	report(0)
+	assert.Equal(t, s.office.ledger.Limit(), 2)
+	now = now.Add(time.Second)
+	report(1)
+	load(now.Add(-2 * time.Second))
+	assert.Equal(t, s.office.ledger.Limit(), 2)
+	load(now)
+	assert.Equal(t, s.office.ledger.Limit(), 8)
+}
--- /dev/null
+++ b/internal/request/queue/queue_test.go
@@ -0,0 +1,167 @@
+package queue
+
+import (
+	"errors"
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"mustarddoor/internal/request/tier"
+)
+
+// TestMain fixes the seed of the property tests.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if flag.Lookup("rapid.seed").Value.String() == "0" {
+		_ = flag.Set("rapid.seed", "1")
+	}
+	os.Exit(m.Run())
+}
+
+func first(*Item) float64 { return 0 }
+
+// take serves the next item of any tier, or returns nil.
+func take(q *Queue) *Item {
+	for t := range tier.Tier(tier.Max) {
+		if item := q.Best(t, first); item != nil {
+			q.Take(item)
+			return item
+		}
+	}
+	return nil
+}
+
+func TestTeamsShareByWeight(t *testing.T) {
+	q := New(Bound{Weight: 1})
+	q.SetBound("big", Bound{Weight: 3})
+	q.SetBound("small", Bound{Weight: 1})
+	for range 100 {
+		for _, team := range []string{"big", "small"} {
+			_, err := q.Push(&Item{Team: team, Cost: 10})
+			assert.NilError(t, err)
+		}
+	}
+	served := map[string]int{}
+	for range 80 {
+		served[take(q).Team]++
+	}
+	assert.DeepEqual(t, served, map[string]int{"big": 60, "small": 20})
+}
+
+func TestATeamThatWasAwaySavesUpNothing(t *testing.T) {
+	q := New(Bound{Weight: 1})
+	q.SetBound("a", Bound{Weight: 1})
+	q.SetBound("b", Bound{Weight: 1})
+	push := func(team string) { _, err := q.Push(&Item{Team: team, Cost: 1}); assert.NilError(t, err) }
+	for range 50 {
+		push("a")
+		take(q)
+	}
+	for range 10 {
+		push("a")
+		push("b")
+	}
+	served := map[string]int{}
+	for range 10 {
+		served[take(q).Team]++
+	}
+	assert.Assert(t, served["a"] >= 4, "%v", served)
+}
+
+func TestBest(t *testing.T) {
+	q := New(Bound{Weight: 1})
+	var items []*Item
+	for i := range 4 {
+		item := &Item{Cost: 1, Value: float64(i)}
+		items = append(items, item)
+		_, err := q.Push(item)
+		assert.NilError(t, err)
+	}
+	highest := q.Best(0, func(i *Item) float64 { return i.Value.(float64) })
+	assert.Equal(t, highest, items[3])
+	passed := q.Best(0, func(i *Item) float64 { return 1 - i.Value.(float64) })
+	assert.Equal(t, passed, items[0])
+	assert.Assert(t, q.Best(0, func(*Item) float64 { return -1 }) == nil)
+	assert.Assert(t, q.Best(1, first) == nil)
+}
+
+func TestFullTeam(t *testing.T) {
+	q := New(Bound{Weight: 1})
+	q.SetBound("a", Bound{Requests: 2, Bytes: 100})
+	push := func(at tier.Tier, bytes int) ([]*Item, error) {
+		return q.Push(&Item{Team: "a", Tier: at, Bytes: bytes})
+	}
+	_, err := push(2, 10)
+	assert.NilError(t, err)
+	_, err = push(2, 10)
+	assert.NilError(t, err)
+	_, err = push(2, 10)
+	assert.Assert(t, errors.Is(err, ErrTeamFull))
+	evicted, err := push(0, 85)
+	assert.NilError(t, err)
+	assert.Equal(t, len(evicted), 1)
+	_, err = push(0, 101)
+	assert.Assert(t, errors.Is(err, ErrTeamFull))
+	assert.Equal(t, q.Len(), 2)
+}
+
+// TestOrderAndBounds checks under random use that tiers are strictly ordered,
+// that no team exceeds its bounds, and that nothing is lost or served twice.
+func TestOrderAndBounds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		q := New(Bound{Weight: 1, Requests: 5, Bytes: 50})
+		q.SetBound("a", Bound{Weight: 2, Requests: 4, Bytes: 60})
+		waiting := map[*Item]bool{}
+		for i := range rapid.IntRange(1, 60).Draw(t, "steps") {
+			if rapid.IntRange(0, 2).Draw(t, "action") > 0 {
+				item := &Item{
+					Team: rapid.SampledFrom([]string{"a", "x", "y"}).Draw(t, "team"),
+					Tier: tier.Tier(rapid.IntRange(0, 3).Draw(t, "tier")), Cost: 1,
+					Bytes: rapid.IntRange(1, 30).Draw(t, "bytes"), Since: time.Unix(int64(i), 0),
+				}
+				push(t, q, waiting, item)
+			} else if item := take(q); item != nil {
+				for other := range waiting {
+					if other.Tier < item.Tier {
+						t.Fatalf("tier %d served before %d", item.Tier, other.Tier)
+					}
+				}
+				if !waiting[item] {
+					t.Fatal("served an item that does not wait")
+				}
+				delete(waiting, item)
+			}
+			check(t, q, waiting)
+		}
+	})
+}
+
+func push(t *rapid.T, q *Queue, waiting map[*Item]bool, item *Item) {
+	evicted, err := q.Push(item)
+	if err != nil {
+		return
+	}
+	waiting[item] = true
+	for _, old := range evicted {
+		if old.Tier <= item.Tier || !waiting[old] {
+			t.Fatalf("evicted tier %d for %d", old.Tier, item.Tier)
+		}
+		delete(waiting, old)
+	}
+}
+
+func check(t *rapid.T, q *Queue, waiting map[*Item]bool) {
+	count, bytes := map[string]int{}, map[string]int{}
+	for item := range waiting {
+		count[item.Team]++
+		bytes[item.Team] += item.Bytes
+	}
+	if q.Len() != len(waiting) || count["a"] > 4 || bytes["a"] > 60 || count[""] > 5 || bytes[""] > 50 {
+		t.Fatal(fmt.Sprint("out of bounds: ", q.Len(), count, bytes))
+	}
+}
--- /dev/null
+++ b/internal/request/retry/budget_test.go
@@ -0,0 +1,19 @@
+package retry
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+func TestRetriesAreAFractionOfDispatches(t *testing.T) {
+	b := NewBudget()
+	allowed := 0
+	for range 1000 {
+		b.Dispatched()
+		if b.Allow() {
+			allowed++
+		}
+	}
+	assert.Assert(t, allowed >= 100 && allowed <= 110, "%d", allowed)
+}
