--- a/internal/process/placement/core.go
+++ b/internal/process/placement/core.go
@@ -45,8 +45,10 @@
 	budget *retry.Budget
 	index  *scheduler.Index
 
-	sites   map[string]*site
-	byID    map[uint16]*site
+	sites map[string]*site
+	byID  map[uint16]*site
+	// order is the sites by name.
+	order   []*site
 	lines   map[string]*line
 	lengths map[string]*scheduler.Lengths
 	out     outbox
@@ -399,7 +401,7 @@
 
 // tick does what time alone brings about.
 func (c *core) tick(now time.Time) {
-	for _, s := range c.sites {
+	for _, s := range c.order {
 		s.follow(now, c.homes, c.self)
 		if s.office != nil {
 			s.office.refresh(now)
@@ -425,7 +427,7 @@
 	}
 	for range settleRounds {
 		granted := false
-		for _, s := range c.sites {
+		for _, s := range c.order {
 			granted = c.report(now, s) || granted
 		}
 		if !granted {
--- a/internal/process/placement/observe.go
+++ b/internal/process/placement/observe.go
@@ -83,7 +83,7 @@
 			})
 		}
 	}
-	for _, s := range c.sites {
+	for _, s := range c.order {
 		s.holder.Surrender(0)
 		s.dirty.Store(true)
 	}
--- a/internal/process/placement/state.go
+++ b/internal/process/placement/state.go
@@ -1,7 +1,9 @@
 package placement
 
 import (
+	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"mustarddoor/internal/process/scheduler"
@@ -51,6 +53,9 @@
 		c.buildPools(now, next)
 		c.setBounds(view.Bundle.Teams)
 	}
+	c.order = slices.SortedFunc(maps.Values(c.sites), func(a, b *site) int {
+		return strings.Compare(a.spec.Name, b.spec.Name)
+	})
 	c.state.Store(next)
 }
 
