queue: teams may get ahead of each other by a small window

Cause: a freed slot went to the next team in strict fair order, whose few requests seldom had their prefix at that endpoint. Change: teams within a window of cost 1000 (about four requests of weight 1) compete by what is cached.

--- a/internal/process/placement/line.go
+++ b/internal/process/placement/line.go
@@ -19,6 +19,11 @@
 	classes map[class]*tier.Counts
 }
 
+// fairWindow is how far a team may get ahead of others of its tier, as a cost
+// for a weight of 1. It lets requests meet the endpoints that have their
+// prefixes.
+const fairWindow = 1000
+
 // class tells which endpoints can serve a request that waits.
 type class struct {
 	version string
@@ -51,7 +56,7 @@
 }
 
 func newLine() *line {
-	return &line{queue: queue.New(queue.Bound{Weight: 1}), classes: map[class]*tier.Counts{}}
+	return &line{queue: queue.New(queue.Bound{Weight: 1}, fairWindow), classes: map[class]*tier.Counts{}}
 }
 
 func (j *job) class() class { return class{version: j.ask.Version, adapter: j.ask.Adapter} }
--- a/internal/request/queue/queue.go
+++ b/internal/request/queue/queue.go
@@ -74,11 +74,13 @@
 	clock  [tier.Max]float64
 	counts tier.Counts
 	scans  uint64
+	window float64
 }
 
 // New returns an empty queue. Teams without a bound of their own share other.
-func New(other Bound) *Queue {
-	return &Queue{teams: map[string]*team{}, other: other}
+// A team may get ahead of others by the window, a cost for a weight of 1.
+func New(other Bound, window float64) *Queue {
+	return &Queue{teams: map[string]*team{}, other: other, window: window}
 }
 
 // SetBound sets a team's weight and limits. What waits already stays.
@@ -184,24 +186,35 @@
 	if l == nil {
 		return false
 	}
-	q.clock[item.Tier] = max(q.clock[item.Tier], l.virtual)
+	q.clock[item.Tier] = max(q.clock[item.Tier], l.virtual-q.window)
 	l.virtual += item.Cost / float64(max(l.team.bound.Weight, 1))
 	return q.Remove(item)
 }
 
-// Best offers the waiting items of one tier to rate, the teams in fair order,
-// and returns the one with the highest rating, the first of equals. Items with
-// a rating below zero are passed over. Only the first few of each team are
-// offered, and of a later team only if no earlier one had any to take.
+// Best offers the waiting items of one tier to rate and returns the one with the
+// highest rating, the first of equals. Items with a rating below zero are
+// passed over. Teams come in fair order: one that is more than the window ahead
+// is offered only if nothing of the others can be taken. Only the first few
+// items of each team are offered.
 func (q *Queue) Best(at tier.Tier, rate func(*Item) float64) *Item {
 	q.scans++
+	var best *Item
+	bestRate, limit := 0.0, 0.0
 	for l := q.nextLane(at); l != nil; l = q.nextLane(at) {
+		if best != nil && l.virtual > limit {
+			break
+		}
 		l.scan = q.scans
-		if best := l.best(rate); best != nil {
-			return best
+		item, r := l.best(rate)
+		if item == nil || best != nil && r <= bestRate {
+			continue
+		}
+		if best == nil {
+			limit = l.virtual + q.window
 		}
+		best, bestRate = item, r
 	}
-	return nil
+	return best
 }
 
 // nextLane returns the lane with the least virtual time that has items and was
@@ -219,7 +232,7 @@
 	return next
 }
 
-func (l *lane) best(rate func(*Item) float64) *Item {
+func (l *lane) best(rate func(*Item) float64) (*Item, float64) {
 	var best *Item
 	bestRate := 0.0
 	depth := 0
@@ -232,7 +245,7 @@
 		}
 		best, bestRate = item, r
 	}
-	return best
+	return best, bestRate
 }
 
 // Each calls visit for every waiting item of a tier until it returns false.
--- a/internal/request/queue/queue_test.go
+++ b/internal/request/queue/queue_test.go
@@ -37,7 +37,7 @@
 }
 
 func TestTeamsShareByWeight(t *testing.T) {
-	q := New(Bound{Weight: 1})
+	q := New(Bound{Weight: 1}, 0)
 	q.SetBound("big", Bound{Weight: 3})
 	q.SetBound("small", Bound{Weight: 1})
 	for range 100 {
@@ -54,7 +54,7 @@
 }
 
 func TestATeamThatWasAwaySavesUpNothing(t *testing.T) {
-	q := New(Bound{Weight: 1})
+	q := New(Bound{Weight: 1}, 0)
 	q.SetBound("a", Bound{Weight: 1})
 	q.SetBound("b", Bound{Weight: 1})
 	push := func(team string) { _, err := q.Push(&Item{Team: team, Cost: 1}); assert.NilError(t, err) }
@@ -74,7 +74,7 @@
 }
 
 func TestBest(t *testing.T) {
-	q := New(Bound{Weight: 1})
+	q := New(Bound{Weight: 1}, 0)
 	var items []*Item
 	for i := range 4 {
 		item := &Item{Cost: 1, Value: float64(i)}
@@ -91,7 +91,7 @@
 }
 
 func TestFullTeam(t *testing.T) {
-	q := New(Bound{Weight: 1})
+	q := New(Bound{Weight: 1}, 0)
 	q.SetBound("a", Bound{Requests: 2, Bytes: 100})
 	push := func(at tier.Tier, bytes int) ([]*Item, error) {
 		return q.Push(&Item{Team: "a", Tier: at, Bytes: bytes})
@@ -114,7 +114,7 @@
 // that no team exceeds its bounds, and that nothing is lost or served twice.
 func TestOrderAndBounds(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		q := New(Bound{Weight: 1, Requests: 5, Bytes: 50})
+		q := New(Bound{Weight: 1, Requests: 5, Bytes: 50}, 0)
 		q.SetBound("a", Bound{Weight: 2, Requests: 4, Bytes: 60})
 		waiting := map[*Item]bool{}
 		for i := range rapid.IntRange(1, 60).Draw(t, "steps") {
