--- a/internal/process/placement/core.go
+++ b/internal/process/placement/core.go
@@ -17,9 +17,10 @@
 	// minPatience and maxPatience bound how long a request waits for a slot of
 	// one endpoint before any other will do. patienceShare is the part of the
 	// time to its deadline that it may spend on that.
-	minPatience   = 10 * time.Millisecond
-	maxPatience   = 4 * time.Second
-	patienceShare = 2
+	minPatience     = 10 * time.Millisecond
+	maxPatience     = 30 * time.Second
+	patienceShare   = 2
+	patienceReserve = time.Second
 	// worthWaiting is the least number of cached tokens to wait for.
 	worthWaiting = 200
 	// manyWaiting is the largest demand of one tier that is reported; homes
@@ -345,7 +346,7 @@
 		return maxPatience
 	}
 	left := j.ask.Deadline.Sub(now)
-	return min(max(left/patienceShare, minPatience), maxPatience)
+	return min(max(left-patienceReserve, left/patienceShare, minPatience), maxPatience)
 }
 
 // markLate notes that a job's deadline cannot be met any more. Until it may be
