placement: waits end when no endpoint is left

A request that waited while all endpoints went out of service waited for ever; one of a service that was taken out of the bundle too. Urgent ones are refused at their deadline, all of them when the service goes; work that may be late waits on.

--- a/internal/process/placement/observe.go
+++ b/internal/process/placement/observe.go
@@ -75,16 +75,21 @@
 func (c *core) leave() {
 	c.leaving.Store(true)
 	for _, l := range c.lines {
-		for t := range tier.Tier(tier.Max) {
-			l.queue.Each(t, func(item *queue.Item) bool {
-				l.queue.Remove(item)
-				c.refuse(item.Value.(*job), Refusal{Reason: ReasonLeaving, RetryAfter: retryAfterShed})
-				return true
-			})
-		}
+		c.refuseAll(l, Refusal{Reason: ReasonLeaving, RetryAfter: retryAfterShed})
 	}
 	for _, s := range c.order {
 		s.holder.Surrender(0)
 		s.dirty.Store(true)
 	}
 }
+
+// refuseAll refuses everything that waits in a line.
+func (c *core) refuseAll(l *line, refusal Refusal) {
+	for t := range tier.Tier(tier.Max) {
+		l.queue.Each(t, func(item *queue.Item) bool {
+			l.queue.Remove(item)
+			c.refuse(item.Value.(*job), refusal)
+			return true
+		})
+	}
+}
--- a/internal/process/placement/placer_test.go
+++ b/internal/process/placement/placer_test.go
@@ -198,3 +198,31 @@
 	load(now)
 	assert.Equal(t, s.office.ledger.Limit(), 8)
 }
+
+// TestWaitEndsWhenNoEndpointIsLeft checks that an urgent request that waits is
+// refused at its deadline if all endpoints went out of service, that work that
+// may be late is kept, and that all is refused when the service is gone.
+func TestWaitEndsWhenNoEndpointIsLeft(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := startPlacer(t, testEndpoint("e1", "a", 1))
+		first, _ := p.Place(t.Context(), Request{Route: "check", Team: "blue"})
+		refusals := make(chan *Refusal, 2)
+		place := func(route string) {
+			_, refusal := p.Place(t.Context(), Request{Route: route, Team: "blue"})
+			refusals <- refusal
+		}
+		go place("check")
+		go place("summary")
+		synctest.Wait()
+		view := View{Bundle: testBundle(testEndpoint("e1", "a", 1)), DomainsOut: []string{"a"}}
+		p.Update(view)
+		time.Sleep(2 * time.Second)
+		assert.Equal(t, (<-refusals).Reason, ReasonNoEndpoint)
+		assert.Equal(t, len(refusals), 0)
+		without := testBundle()
+		without.Services = nil
+		p.Update(View{Bundle: without})
+		assert.Equal(t, (<-refusals).Reason, ReasonNoEndpoint)
+		first.Done(Result{Outcome: OutcomeDone})
+	})
+}
--- a/internal/process/placement/state.go
+++ b/internal/process/placement/state.go
@@ -57,6 +57,11 @@
 		return strings.Compare(a.spec.Name, b.spec.Name)
 	})
 	c.state.Store(next)
+	for service, l := range c.lines {
+		if next.pools[service] == nil {
+			c.refuseAll(l, Refusal{Reason: ReasonNoEndpoint, RetryAfter: retryAfterFull})
+		}
+	}
 }
 
 func (c *core) buildRoutes(next *state) {
