--- a/internal/process/member/message.go
+++ b/internal/process/member/message.go
@@ -1,9 +1,9 @@
 package member
 
 import (
-	"github.com/fxamacker/cbor/v2"
 	"github.com/rotisserie/eris"
 
+	"mustarddoor/internal/connection/codec"
 	"mustarddoor/internal/process/hlc"
 	"mustarddoor/internal/process/identity"
 )
@@ -32,7 +32,7 @@
 const (
 	// TypePing asks for an ack.
 	TypePing Type = 1
-	// TypeAck tells that Subject lives.
+	// TypeAck tells that Subject, or else the sender, lives.
 	TypeAck Type = 2
 	// TypeRelay asks the receiver to ping Subject.
 	TypeRelay Type = 3
@@ -40,6 +40,8 @@
 	TypeSync Type = 4
 	// TypeState answers TypeSync.
 	TypeState Type = 5
+	// TypeNews brings news at once and asks for nothing.
+	TypeNews Type = 6
 )
 
 // Message is one datagram between hosts.
@@ -49,7 +51,7 @@
 	// Nonce ties an ack to its ping.
 	Nonce uint32 `cbor:"3,keyasint,omitempty"`
 	// Subject is who is pinged, lives, or is to be pinged. It is zero in a ping
-	// to an address where no one is known.
+	// to an address where no one is known, and in an ack of the sender's own.
 	Subject identity.Incarnation `cbor:"4,keyasint,omitzero"`
 	// Digest is a hash of all that the sender knows.
 	Digest uint64 `cbor:"5,keyasint,omitempty"`
@@ -71,39 +73,23 @@
 	Digest uint64 `cbor:"2,keyasint"`
 }
 
-var (
-	encoder = mustEncMode(cbor.EncOptions{}.EncMode())
-	decoder = mustDecMode(cbor.DecOptions{
-		MaxNestedLevels:  maxNestedLevels,
-		MaxArrayElements: maxArrayElements,
-		MaxMapPairs:      maxMapPairs,
-	}.DecMode())
-)
-
-func mustEncMode(mode cbor.EncMode, err error) cbor.EncMode {
-	if err != nil {
-		panic(err)
-	}
-	return mode
-}
-
-func mustDecMode(mode cbor.DecMode, err error) cbor.DecMode {
-	if err != nil {
-		panic(err)
-	}
-	return mode
-}
+// wire is the codec of messages.
+var wire = codec.New(codec.Limits{
+	NestedLevels:  maxNestedLevels,
+	ArrayElements: maxArrayElements,
+	MapPairs:      maxMapPairs,
+})
 
 // Encode gives the message as CBOR.
 func (m Message) Encode() ([]byte, error) {
-	encoded, err := encoder.Marshal(m)
+	encoded, err := wire.Marshal(m)
 	return encoded, eris.Wrap(err, "encoding a membership message")
 }
 
 // Decode is the inverse of Message.Encode. It fails with ErrMessage.
 func Decode(datagram []byte) (Message, error) {
 	var message Message
-	if err := decoder.Unmarshal(datagram, &message); err != nil {
+	if err := wire.Unmarshal(datagram, &message); err != nil {
 		return Message{}, eris.Wrap(ErrMessage, err.Error())
 	}
 	if message.From.IsZero() {
@@ -114,7 +100,7 @@
 
 // sizeOf is the encoded size of a part of a message, in bytes.
 func sizeOf(part any) int {
-	encoded, err := encoder.Marshal(part)
+	encoded, err := wire.Marshal(part)
 	if err != nil {
 		return maxDatagramBytes
 	}
