--- a/internal/process/daemon/forward.go
+++ b/internal/process/daemon/forward.go
@@ -9,7 +9,7 @@
 func (h *host) makeForwarder() flow.Forwarder {
 	return flow.NewResumer(flow.ForwardConfig{
 		Self:       h.self.Incarnation,
-		Caller:     h.meshClient,
+		Caller:     h.caller,
 		Hosts:      h,
 		Endpoints:  h.endpoints,
 		Log:        journal.NewReader(h.log),
