--- a/internal/process/scheduler/scheduler.go
+++ b/internal/process/scheduler/scheduler.go
@@ -20,7 +20,7 @@
 	// decodeShare is the weight of the time from first to last token.
 	decodeShare = 0.2
 	// wasteShare is the weight of prefilling what another endpoint has cached.
-	wasteShare = 1.0
+	wasteShare = 4.0
 	// twinMargin is how much worse than the best, as a fraction, a candidate
 	// may be to share its requests.
 	twinMargin = 0.25
@@ -79,6 +79,8 @@
 	Deadline time.Time
 	// Avoid is the ID of an endpoint to pass over, or NoEndpoint.
 	Avoid int
+	// HeldOnly keeps the request from asking for a slot that is not at hand.
+	HeldOnly bool
 	// Random is a random number.
 	Random uint64
 }
--- a/internal/process/slot/ledger.go
+++ b/internal/process/slot/ledger.go
@@ -397,6 +397,7 @@
 		Floor:              floor,
 		Confirmed:          confirmed,
 		Limit:              l.limit,
+		Headroom:           l.headroom(now),
 		OtherUsed:          used,
 		OtherPrefillTokens: prefill,
 	}
@@ -415,6 +416,23 @@
 	a.grants = slices.Delete(a.grants, 0, 1)
 }
 
+// headroom is how many slots could be granted to whoever asks, if need be after
+// a recall of unused ones.
+func (l *Ledger) headroom(now time.Time) int {
+	if now.Before(l.closedUntil) {
+		return 0
+	}
+	free := l.limit - l.InHands()
+	for i := range l.accounts {
+		acc := &l.accounts[i]
+		if !acc.lapsed {
+			free += max(acc.bound()-acc.report.Used.Sum(), 0)
+		}
+	}
+	waiting := l.Waiting()
+	return free - waiting.Sum()
+}
+
 // others sums up what the other holders have at the endpoint.
 func (l *Ledger) others(acc *account) (used, prefill int) {
 	for i := range l.accounts {
