--- a/internal/process/daemon/host.go
+++ b/internal/process/daemon/host.go
@@ -30,6 +30,7 @@
 	"mustarddoor/internal/request/witness"
 	"mustarddoor/internal/version/bundle"
 	"mustarddoor/internal/version/config"
+	"mustarddoor/internal/version/rollout"
 )
 
 // host is one running daemon.
@@ -57,6 +58,7 @@
 	homes     *home.Manager
 	orders    *home.Orders
 	placer    *placement.Placer
+	judge     *rollout.Judge
 	// reapply is signalled when placement should look at the homes again.
 	reapply chan struct{}
 
@@ -69,6 +71,8 @@
 	callers      *caller.Server
 
 	stopping atomic.Bool
+	// served is set once every service has had an endpoint with a home.
+	served atomic.Bool
 }
 
 // listeners are opened first, so that a port that is taken is noticed before
@@ -93,7 +97,7 @@
 		reapply:      make(chan struct{}, 1),
 	}
 	h.ring = timeline.NewRing(h.self.Incarnation, h.clock, loaded.Limits.TimelineEvents)
-	steps := []func() error{h.listen, h.makeMesh, h.makeConfig, h.makeHomes, h.makePlacement, h.makeRequests}
+	steps := []func() error{h.listen, h.makeMesh, h.makeConfig, h.makeHomes, h.makeRollout, h.makePlacement, h.makeRequests}
 	for _, step := range steps {
 		if err := step(); err != nil {
 			return nil, err
@@ -184,6 +188,7 @@
 		Endpoints:  h.endpoints,
 		Forwarder:  h.makeForwarder(),
 		Events:     flow.Events{Recorder: h.ring},
+		Watcher:    &versionWatcher{judge: h.judge, index: h.index.Load},
 		OtherHosts: h.requests.otherAddresses,
 		Metrics:    h.metrics,
 	})
@@ -222,7 +227,10 @@
 	if h.stopping.Load() {
 		return "host is stopping"
 	}
-	return h.notConfigured()
+	if reason := h.notConfigured(); reason != "" {
+		return reason
+	}
+	return h.homeless()
 }
 
 // notConfigured says why this host can take no requests at all; it is empty if
@@ -275,6 +283,7 @@
 	addRunActor(group, h.homes.Run)
 	addRunActor(group, h.orders.Run)
 	addRunActor(group, h.placer.Run)
+	addRunActor(group, h.judge.Run)
 	addRunActor(group, h.sender.Run)
 	addRunActor(group, h.journal.Run)
 	addRunActor(group, h.sweep)
--- a/internal/process/placement/site.go
+++ b/internal/process/placement/site.go
@@ -34,6 +34,8 @@
 	// waiting is the demand in the last report.
 	waiting tier.Counts
 	samples samples
+	// isCold tells that the last grant was for a cold endpoint.
+	isCold atomic.Bool
 	// inService tells that the site takes new work.
 	inService bool
 	// home is the endpoint's home, known if hasHome.
@@ -98,16 +100,15 @@
 	}
 	s.home = home
 	if home.Host == self && s.office == nil {
-		_, alone := homes.(localHomes)
-		s.office = newOffice(s, now, alone)
+		s.office = newOffice(s, now)
 	}
 }
 
 // newOffice opens a ledger. Unless no other host can have been the home, it
 // waits out what an earlier home may have granted.
-func newOffice(s *site, now time.Time, alone bool) *office {
+func newOffice(s *site, now time.Time) *office {
 	closedUntil, unknown := now, 0
-	if !alone {
+	if !s.home.First {
 		closedUntil = now.Add(slot.GrantTTL + slot.LapseMargin)
 		unknown = s.spec.MaxSlots
 	}
@@ -169,6 +170,7 @@
 		Headroom:      grant.Headroom,
 		Limit:         grant.Limit,
 	})
+	s.isCold.Store(grant.Limit <= s.spec.ColdSlots && s.spec.ColdSlots < s.spec.MaxSlots)
 	return true
 }
 
