--- a/internal/process/daemon/homes.go
+++ b/internal/process/daemon/homes.go
@@ -15,10 +15,12 @@
 		Log:     h.log,
 		Sealer:  home.NewSealer(h.settings.FleetSecret),
 		Members: h.homeMembers,
+		Caller:  h.caller,
 		Metrics: h.metrics,
 		Logger:  h.logger,
 		Observe: h.observeHome,
 	})
+	h.homes.Register(h.meshServer)
 	h.orders = home.NewOrders(home.OrdersOptions{
 		Manager: h.homes,
 		Engines: h.endpoints,
--- a/internal/process/home/doc.go
+++ b/internal/process/home/doc.go
@@ -20,6 +20,7 @@
 // To wire it into a daemon:
 //
 //	manager := home.NewManager(home.Options{...})
+//	manager.Register(router)                 // before the mesh server starts
 //	go manager.Run(ctx)
 //	manager.Update(view.Bundle)              // on every new configuration
 //	placer := placement.New(placement.Config{Homes: manager, ...})
--- a/internal/process/home/fakes_test.go
+++ b/internal/process/home/fakes_test.go
@@ -6,13 +6,16 @@
 	"os"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/rotisserie/eris"
 	logtest "github.com/sirupsen/logrus/hooks/test"
 
 	"mustarddoor/internal/connection/engine"
+	"mustarddoor/internal/connection/mesh"
 	"mustarddoor/internal/connection/platform"
 	"mustarddoor/internal/process/identity"
 )
@@ -94,6 +97,74 @@
 	return platform.Page{Records: records, FirstOffset: 1, NextOffset: uint64(len(l.records)) + 1}, l.changed, nil
 }
 
+// switchLog is one log until it is cut, then another.
+type switchLog struct {
+	first, second *memoryLog
+	cut           atomic.Bool
+}
+
+func (s *switchLog) now() *memoryLog {
+	if s.cut.Load() {
+		return s.second
+	}
+	return s.first
+}
+
+func (s *switchLog) Append(ctx context.Context, batch platform.Batch) (uint64, error) {
+	return s.now().Append(ctx, batch)
+}
+
+func (s *switchLog) Read(ctx context.Context, part platform.Range) (platform.Page, error) {
+	page, err := s.now().Read(ctx, part)
+	if s.cut.Load() {
+		return platform.Page{}, platform.ErrUnavailable
+	}
+	return page, err
+}
+
+// network connects managers in memory by their mesh addresses.
+type network struct {
+	mu       sync.Mutex
+	handlers map[string]map[mesh.Kind]mesh.Handler
+	cut      map[string]bool
+}
+
+// router registers the handlers of one host.
+type router struct {
+	network *network
+	address string
+}
+
+func (r router) Handle(kind mesh.Kind, handler mesh.Handler) {
+	r.network.mu.Lock()
+	defer r.network.mu.Unlock()
+	if r.network.handlers[r.address] == nil {
+		r.network.handlers[r.address] = map[mesh.Kind]mesh.Handler{}
+	}
+	r.network.handlers[r.address][kind] = handler
+}
+
+// setCut makes a host unreachable.
+func (n *network) setCut(address string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cut[address] = true
+}
+
+func (n *network) Call(ctx context.Context, address string, kind mesh.Kind, _, response any) error {
+	n.mu.Lock()
+	handler, cut := n.handlers[address][kind], n.cut[address]
+	n.mu.Unlock()
+	if handler == nil || cut {
+		return mesh.ErrUnreachable
+	}
+	reply, err := handler(ctx, identity.Incarnation{}, nil)
+	if err != nil {
+		return eris.Wrap(mesh.ErrRejected, err.Error())
+	}
+	return cbor.Unmarshal(mustEncode(reply), response)
+}
+
 // hosts is the set of live hosts that all managers see.
 type hosts struct {
 	mu   sync.Mutex
@@ -112,11 +183,13 @@
 	h.list = list
 }
 
-func newTestManager(self identity.Host, log platform.Log, live *hosts) *Manager {
+func newTestManager(self identity.Host, log platform.Log, live *hosts, n *network) *Manager {
 	logger, _ := logtest.NewNullLogger()
-	return NewManager(Options{
-		Self: self, Log: log, Sealer: NewSealer("a secret of the test fleet"), Members: live.get, Logger: logger,
+	m := NewManager(Options{
+		Self: self, Log: log, Sealer: NewSealer("a secret of the test fleet"), Members: live.get, Caller: n, Logger: logger,
 	})
+	m.Register(router{network: n, address: self.MeshAddress})
+	return m
 }
 
 // errReplyLost is what a fake engine's order fails with after its effect.
--- a/internal/process/home/follow.go
+++ b/internal/process/home/follow.go
@@ -9,7 +9,7 @@
 
 // Times of reading the stream.
 const (
-	longPoll    = 10 * time.Second
+	longPoll    = 3 * time.Second
 	emptyPause  = 50 * time.Millisecond
 	readBackoff = 500 * time.Millisecond
 )
@@ -70,14 +70,14 @@
 	}
 	isTail := m.offset()+1 >= page.NextOffset
 	m.mu.Lock()
-	wasTail := m.reading.atTail
+	isBack := isTail && (!m.reading.atTail || m.reading.appendFailed)
 	m.reading.atTail = isTail
 	m.mu.Unlock()
 	if !isTail {
 		return 0
 	}
-	if !wasTail {
-		m.wake()
+	if isBack {
+		m.regain()
 	}
 	if len(page.Records) == 0 {
 		pause(ctx, emptyPause)
@@ -85,6 +85,18 @@
 	return longPoll
 }
 
+// regain goes on after an outage. All leases count anew, so that those who held
+// homes through the outage renew them before anyone may claim them.
+func (m *Manager) regain() {
+	m.mu.Lock()
+	m.table.Refresh(time.Now())
+	m.reading.appendFailed = false
+	m.renewedAt = time.Time{}
+	m.holding.until = time.Time{}
+	m.mu.Unlock()
+	m.wake()
+}
+
 // apply applies one record of the stream.
 func (m *Manager) apply(entry platform.Record) {
 	record, err := m.options.Sealer.Decode(entry.Data)
--- a/internal/process/home/keep.go
+++ b/internal/process/home/keep.go
@@ -54,6 +54,9 @@
 	if !m.isRenewalDue(snapshot) {
 		actions.Renew = nil
 	}
+	if m.reading.appendFailed {
+		actions.Claim = nil
+	}
 	if actions.IsEmpty() {
 		return Record{}, false
 	}
@@ -173,6 +176,7 @@
 	defer m.mu.Unlock()
 	if err != nil {
 		m.metrics.appendFail.Inc(1)
+		m.reading.appendFailed = true
 		m.renewedAt = time.Time{}
 		return err
 	}
--- a/internal/process/home/manager.go
+++ b/internal/process/home/manager.go
@@ -12,6 +12,7 @@
 	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/errgroup"
 
+	"mustarddoor/internal/connection/mesh"
 	"mustarddoor/internal/connection/platform"
 	"mustarddoor/internal/process/identity"
 	"mustarddoor/internal/process/placement"
@@ -25,6 +26,8 @@
 	Sealer *Sealer
 	// Members gives the live hosts, with this one.
 	Members func() []Member
+	// Caller reaches other hosts; without it homes lapse when the log is out.
+	Caller  mesh.Caller
 	Metrics metrics.Registry
 	Logger  logrus.FieldLogger
 	// Observe is told of every change of a home; nil if nobody listens. It must
@@ -69,6 +72,7 @@
 	leaving   bool
 	reading   readingState
 	members   membersState
+	holding   holding
 	// sent holds when this host sent its recent records, by id.
 	sent      map[string]time.Time
 	turns     map[string]chan time.Duration
@@ -91,10 +95,15 @@
 type readingState struct {
 	// atTail tells that the last read worked and reached the tail.
 	atTail bool
+	// appendFailed tells that the last append failed and nothing was read since.
+	appendFailed bool
 	// unseenSince is Snapshot.UnseenSince.
 	unseenSince time.Time
 }
 
+// isOut reports whether the log is out as far as this host can tell.
+func (r readingState) isOut() bool { return !r.atTail || r.appendFailed }
+
 // membersState is the set of hosts and when it last changed.
 type membersState struct {
 	members []Member
@@ -129,6 +138,7 @@
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return m.follow(ctx) })
 	group.Go(func() error { return m.keep(ctx) })
+	group.Go(func() error { return m.hold(ctx) })
 	return group.Wait()
 }
 
@@ -149,7 +159,8 @@
 
 // Home gives the endpoint's home, or false if it has none. It implements
 // placement.Homes and never blocks. For an endpoint whose home this host is,
-// LeaseUntil may lie in the past: the host may not act as home then.
+// LeaseUntil may lie in the past: the host may not act as home then. It goes on
+// beyond the lease while the log is out for all hosts.
 func (m *Manager) Home(endpoint string) (placement.Home, bool) {
 	home, found := m.homes.Load().byEndpoint[endpoint]
 	return home, found
@@ -273,8 +284,13 @@
 		return home
 	}
 	home.LeaseUntil = entry.Seen
-	if lease, found := m.leases[endpoint]; found {
-		home.LeaseUntil = lease.Until
+	lease, found := m.leases[endpoint]
+	if !found {
+		return home
+	}
+	home.LeaseUntil = lease.Until
+	if m.holding.until.After(lease.Until) {
+		home.LeaseUntil = m.holding.until
 	}
 	return home
 }
--- a/internal/process/home/manager_test.go
+++ b/internal/process/home/manager_test.go
@@ -9,6 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	"mustarddoor/internal/connection/engine"
+	"mustarddoor/internal/connection/mesh"
 	"mustarddoor/internal/version/bundle"
 )
 
@@ -16,13 +17,15 @@
 type fleet struct {
 	log      *memoryLog
 	live     *hosts
+	network  *network
 	managers []*Manager
 	cancels  []context.CancelFunc
 	bundle   *bundle.Bundle
 }
 
 func startFleet(t *testing.T, count, endpoints int) *fleet {
-	f := &fleet{log: newMemoryLog(), live: &hosts{list: members(count)}, bundle: &bundle.Bundle{
+	n := &network{handlers: map[string]map[mesh.Kind]mesh.Handler{}, cut: map[string]bool{}}
+	f := &fleet{log: newMemoryLog(), live: &hosts{list: members(count)}, network: n, bundle: &bundle.Bundle{
 		Services:             []bundle.Service{{Name: "s", Kind: bundle.KindEngine}},
 		WeightLoadsPerMinute: 60,
 	}}
@@ -30,7 +33,7 @@
 		f.bundle.Endpoints = append(f.bundle.Endpoints, bundle.Endpoint{Name: name, Service: "s", Version: "v1"})
 	}
 	for _, member := range f.live.get() {
-		f.add(t, newTestManager(member.Host, f.log, f.live))
+		f.add(t, newTestManager(member.Host, f.log, f.live, n))
 	}
 	return f
 }
@@ -121,6 +124,102 @@
 	})
 }
 
+// usedBy gives the hosts that act as an endpoint's home, by lease or by hold.
+func (f *fleet) usedBy(endpoint string) []*Manager {
+	users := []*Manager{}
+	for _, m := range f.managers {
+		home, found := m.Home(endpoint)
+		if found && home.Host == m.options.Self.Incarnation && time.Now().Before(home.LeaseUntil) {
+			users = append(users, m)
+		}
+	}
+	return users
+}
+
+// While the log is out for all hosts, homes stay in use beyond their leases,
+// without orders, and are the same when the log is back.
+func TestHomesHoldThroughOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := startFleet(t, 5, 20)
+		defer f.stop()
+		settle(time.Minute)
+		before := holders(f.managers[0].table, endpointNames(20))
+		f.log.setDown(true)
+		for range 600 {
+			settle(100 * time.Millisecond)
+			for _, endpoint := range endpointNames(20) {
+				assert.Equal(t, len(f.usedBy(endpoint)), 1)
+			}
+		}
+		assert.Equal(t, len(f.managers[0].Held()), 0)
+		late := newTestManager(hostNamed("late"), f.log, f.live, f.network)
+		f.add(t, late)
+		settle(time.Second)
+		home, found := late.Home("endpoint-0")
+		assert.Assert(t, found)
+		assert.Equal(t, home.Host.Host, before["endpoint-0"])
+		f.log.setDown(false)
+		settle(time.Minute)
+		assert.DeepEqual(t, holders(f.managers[0].table, endpointNames(20)), before)
+		for _, endpoint := range endpointNames(20) {
+			assert.Equal(t, len(f.holdersOf(endpoint)), 1)
+		}
+	})
+}
+
+// Homes are not held by a host that others do not confirm: if it alone has lost
+// the log, or cannot reach most of the hosts.
+func TestIsHeld(t *testing.T) {
+	out, reads := holdReply{LogOut: true}, holdReply{}
+	cases := []struct {
+		name    string
+		base    int
+		replies []holdReply
+		held    bool
+	}{
+		{"alone in the fleet", 1, nil, true},
+		{"out for all", 3, []holdReply{out, out}, true},
+		{"one host dead", 3, []holdReply{out}, true},
+		{"cut off", 3, nil, false},
+		{"cut in halves", 4, []holdReply{out}, false},
+		{"another host reads the log", 3, []holdReply{out, reads}, false},
+	}
+	for _, c := range cases {
+		assert.Equal(t, isHeld(c.base, c.replies), c.held, c.name)
+	}
+}
+
+// A host that is cut off from the log and from the other hosts stops being home
+// before another one takes its place.
+func TestCutOffHomeLapses(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := startFleet(t, 3, 9)
+		defer f.stop()
+		settle(time.Minute)
+		own := newMemoryLog()
+		own.setDown(true)
+		alone := newTestManager(hostNamed("host-3"), &switchLog{first: f.log, second: own}, &hosts{list: members(4)}, f.network)
+		f.live.set(members(4))
+		f.add(t, alone)
+		settle(2 * time.Minute)
+		assert.Assert(t, len(alone.Held()) > 0)
+		alone.options.Log.(*switchLog).cut.Store(true)
+		f.network.setCut("host-0")
+		f.network.setCut("host-1")
+		f.network.setCut("host-2")
+		f.live.set(members(3))
+		for range 300 {
+			settle(100 * time.Millisecond)
+			for _, endpoint := range endpointNames(9) {
+				assert.Assert(t, len(f.usedBy(endpoint)) <= 1)
+			}
+		}
+		for _, endpoint := range endpointNames(9) {
+			assert.Equal(t, len(f.holdersOf(endpoint)), 1)
+		}
+	})
+}
+
 // A host that leaves hands its homes over without waiting for its leases.
 func TestLeave(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/process/home/table.go
+++ b/internal/process/home/table.go
@@ -160,6 +160,12 @@
 // of the stream.
 func (t *Table) Touch(now time.Time) {
 	t.Partial = true
+	t.Refresh(now)
+}
+
+// Refresh makes all leases count from now. It is for a reader that could not
+// read for a while but has missed nothing.
+func (t *Table) Refresh(now time.Time) {
 	for endpoint, entry := range t.entries {
 		entry.Seen = now
 		t.entries[endpoint] = entry
