--- a/internal/process/daemon/host.go
+++ b/internal/process/daemon/host.go
@@ -19,6 +19,7 @@
 	"mustarddoor/internal/process/hlc"
 	"mustarddoor/internal/process/home"
 	"mustarddoor/internal/process/identity"
+	"mustarddoor/internal/process/loadpoll"
 	"mustarddoor/internal/process/member"
 	"mustarddoor/internal/process/placement"
 	"mustarddoor/internal/process/settings"
@@ -58,6 +59,7 @@
 	homes     *home.Manager
 	orders    *home.Orders
 	placer    *placement.Placer
+	loads     *loadpoll.Poller
 	judge     *rollout.Judge
 	// reapply is signalled when placement should look at the homes again.
 	reapply chan struct{}
@@ -170,7 +172,7 @@
 		Self:     h.self.Incarnation,
 		Register: h.register,
 		Log:      logAppender{h.log},
-		Interval: journalInterval,
+		Interval: h.journalInterval,
 		Timeout:  journalTimeout,
 		Metrics:  h.metrics,
 	})
@@ -209,10 +211,14 @@
 	answerWindowBytes = 1 << 20
 	intentTimeout     = time.Second
 	outcomeInterval   = 20 * time.Millisecond
-	journalInterval   = 100 * time.Millisecond
 	journalTimeout    = 5 * time.Second
 )
 
+// journalInterval spreads the fleet's appends over its hosts.
+func (h *host) journalInterval() time.Duration {
+	return journal.FleetInterval(len(h.otherHosts()) + 1)
+}
+
 // logAppender appends to the log service for the journal.
 type logAppender struct{ log platform.Log }
 
@@ -283,6 +289,7 @@
 	addRunActor(group, h.homes.Run)
 	addRunActor(group, h.orders.Run)
 	addRunActor(group, h.placer.Run)
+	addRunActor(group, h.loads.Run)
 	addRunActor(group, h.judge.Run)
 	addRunActor(group, h.sender.Run)
 	addRunActor(group, h.journal.Run)
