Homes: ask a sample of hosts during an outage, and pull homes only for news

With all hosts asked twice a second, a fleet of 330 would have sent 658 calls a second from every host; now at most 32. A host that started during an outage pulled the whole table every half second.

--- a/internal/process/home/hold.go
+++ b/internal/process/home/hold.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -26,7 +27,8 @@
 	// holdFor is how long the hosts' word that the log is out counts.
 	holdFor      = 1500 * time.Millisecond
 	tableTimeout = 2 * time.Second
-	maxHoldCalls = 16
+	// maxHoldPeers bounds the hosts that are asked at a time.
+	maxHoldPeers = 16
 )
 
 // holdRequest asks a host whether it reads the stream.
@@ -122,15 +124,12 @@
 		return
 	}
 	asked := time.Now()
-	replies, newest := m.askHosts(ctx, base)
-	known := max(offset, m.heardOffset())
-	for _, reply := range replies {
-		known = max(known, reply.Offset)
-	}
-	if known > offset && newest != "" {
+	base = sample(base, m.options.Self.Host)
+	replies, newest, furthest := m.askHosts(ctx, base)
+	if furthest > max(offset, m.heardOffset()) {
 		m.pullTable(ctx, newest)
 	}
-	if isHeld(len(base), replies) {
+	if isHeld(len(base)+1, replies) {
 		m.extendHold(asked.Add(holdFor))
 	}
 }
@@ -161,22 +160,28 @@
 	return m.holding.offset
 }
 
-// askHosts asks the hosts that are alive and in the base. It returns their
-// replies and the address of the one that has read furthest.
-func (m *Manager) askHosts(ctx context.Context, base []string) ([]holdReply, string) {
+// sample gives some of the other hosts at random, or all of a small fleet.
+func sample(names []string, self string) []string {
+	others := slices.DeleteFunc(slices.Clone(names), func(name string) bool { return name == self })
+	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+	return others[:min(len(others), maxHoldPeers)]
+}
+
+// askHosts asks those of the named hosts that are alive. It returns their
+// replies, and the address and offset of the one that has read furthest.
+func (m *Manager) askHosts(ctx context.Context, names []string) ([]holdReply, string, uint64) {
 	type answer struct {
 		reply   holdReply
 		address string
 	}
 	peers := []identity.Host{}
 	for _, member := range m.options.Members() {
-		if member.Host.Host != m.options.Self.Host && slices.Contains(base, member.Host.Host) {
+		if slices.Contains(names, member.Host.Host) {
 			peers = append(peers, member.Host)
 		}
 	}
 	answers := make(chan answer, len(peers))
 	var group errgroup.Group
-	group.SetLimit(maxHoldCalls)
 	for _, peer := range peers {
 		group.Go(func() error {
 			ctx, cancel := context.WithTimeout(ctx, holdTimeout)
@@ -198,19 +203,19 @@
 			newest, furthest = a.address, a.reply.Offset
 		}
 	}
-	return replies, newest
+	return replies, newest, furthest
 }
 
-// isHeld reports whether homes stay in use without the log: nobody reads it,
-// as most of the hosts that were alive when it was last read confirm. Then
-// nobody can have claimed them.
-func isHeld(base int, replies []holdReply) bool {
+// isHeld reports whether homes stay in use without the log: nobody reads it, as
+// most of a number of hosts, with this one, confirm. Then nobody can have
+// claimed them.
+func isHeld(hosts int, replies []holdReply) bool {
 	for _, reply := range replies {
 		if !reply.LogOut {
 			return false
 		}
 	}
-	return 2*(len(replies)+1) > base
+	return 2*(len(replies)+1) > hosts
 }
 
 // extendHold keeps the homes in use until a time.
