--- a/internal/process/home/bench_test.go
+++ b/internal/process/home/bench_test.go
@@ -80,3 +80,46 @@
 		})
 	}
 }
+
+// BenchmarkHomeMoves measures the time from the death of a host until all its
+// endpoints have another home, in real time.
+func BenchmarkHomeMoves(b *testing.B) {
+	for _, s := range []fleetSize{{3, 23}, {9, 23}} {
+		b.Run(s.String(), func(b *testing.B) {
+			total := time.Duration(0)
+			for range b.N {
+				total += killOne(b, s)
+			}
+			b.ReportMetric(total.Seconds()/float64(b.N), "s-to-new-home")
+		})
+	}
+}
+
+// killOne starts a fleet, stops one host once every endpoint has a home, and
+// returns the time until every endpoint has one again.
+func killOne(b *testing.B, s fleetSize) time.Duration {
+	f := startFleet(b, s.hosts, s.endpoints)
+	for !f.allHeld(f.managers, s.endpoints) {
+		time.Sleep(time.Millisecond)
+	}
+	begin := time.Now()
+	f.cancels[0]()
+	f.live.set(f.live.get()[1:])
+	for !f.allHeld(f.managers[1:], s.endpoints) {
+		time.Sleep(time.Millisecond)
+	}
+	took := time.Since(begin)
+	for _, cancel := range f.cancels {
+		cancel()
+	}
+	return took
+}
+
+// allHeld reports whether the managers hold leases on all endpoints.
+func (f *fleet) allHeld(managers []*Manager, endpoints int) bool {
+	held := 0
+	for _, m := range managers {
+		held += len(m.Held())
+	}
+	return held >= endpoints
+}
--- a/internal/process/home/manager_test.go
+++ b/internal/process/home/manager_test.go
@@ -23,7 +23,7 @@
 	bundle   *bundle.Bundle
 }
 
-func startFleet(t *testing.T, count, endpoints int) *fleet {
+func startFleet(t testing.TB, count, endpoints int) *fleet {
 	n := &network{handlers: map[string]map[mesh.Kind]mesh.Handler{}, cut: map[string]bool{}}
 	f := &fleet{log: newMemoryLog(), live: &hosts{list: members(count)}, network: n, bundle: &bundle.Bundle{
 		Services:             []bundle.Service{{Name: "s", Kind: bundle.KindEngine}},
@@ -38,7 +38,7 @@
 	return f
 }
 
-func (f *fleet) add(t *testing.T, m *Manager) {
+func (f *fleet) add(t testing.TB, m *Manager) {
 	ctx, cancel := context.WithCancel(t.Context())
 	f.managers = append(f.managers, m)
 	f.cancels = append(f.cancels, cancel)
