--- a/internal/process/placement/core.go
+++ b/internal/process/placement/core.go
@@ -17,9 +17,10 @@
 	// minPatience and maxPatience bound how long a request waits for a slot of
 	// one endpoint before any other will do. patienceShare is the part of the
 	// time to its deadline that it may spend on that.
-	minPatience   = 10 * time.Millisecond
-	maxPatience   = 4 * time.Second
-	patienceShare = 2
+	minPatience     = 10 * time.Millisecond
+	maxPatience     = 30 * time.Second
+	patienceShare   = 2
+	patienceReserve = time.Second
 	// worthWaiting is the least number of cached tokens to wait for.
 	worthWaiting = 200
 	// manyWaiting is the largest demand of one tier that is reported; homes
@@ -45,8 +46,10 @@
 	budget *retry.Budget
 	index  *scheduler.Index
 
-	sites   map[string]*site
-	byID    map[uint16]*site
+	sites map[string]*site
+	byID  map[uint16]*site
+	// order is the sites by name.
+	order   []*site
 	lines   map[string]*line
 	lengths map[string]*scheduler.Lengths
 	out     outbox
@@ -343,7 +346,7 @@
 		return maxPatience
 	}
 	left := j.ask.Deadline.Sub(now)
-	return min(max(left/patienceShare, minPatience), maxPatience)
+	return min(max(left-patienceReserve, left/patienceShare, minPatience), maxPatience)
 }
 
 // markLate notes that a job's deadline cannot be met any more. Until it may be
@@ -399,7 +402,7 @@
 
 // tick does what time alone brings about.
 func (c *core) tick(now time.Time) {
-	for _, s := range c.sites {
+	for _, s := range c.order {
 		s.follow(now, c.homes, c.self)
 		if s.office != nil {
 			s.office.refresh(now)
@@ -425,7 +428,7 @@
 	}
 	for range settleRounds {
 		granted := false
-		for _, s := range c.sites {
+		for _, s := range c.order {
 			granted = c.report(now, s) || granted
 		}
 		if !granted {
