--- a/internal/request/journal/reader.go
+++ b/internal/request/journal/reader.go
@@ -27,6 +27,7 @@
 	next    uint64
 	current map[uint64]uint64
 	older   map[uint64]uint64
+	pages   pageCache
 }
 
 // NewReader returns a reader with an empty index.
@@ -52,23 +53,26 @@
 // extend indexes the log up to its tail.
 func (r *Reader) extend(ctx context.Context) error {
 	for {
-		part, err := r.source.Read(ctx, platform.StreamRequests, r.next, readLimit)
+		page, err := r.read(ctx, r.next, readLimit)
 		if err != nil {
 			return err
 		}
-		for _, record := range part.Records {
+		for _, record := range page.Records {
 			r.index(record)
 		}
-		r.next = max(r.next, part.FirstOffset)
-		if r.next >= part.NextOffset {
-			return nil
-		}
-		if len(part.Records) == 0 {
+		switch {
+		case page.Trimmed:
+			r.next = max(r.next+1, page.FirstOffset)
+		case len(page.Records) == 0:
 			return nil
 		}
 	}
 }
 
+func (r *Reader) read(ctx context.Context, from uint64, limit int) (platform.Page, error) {
+	return r.source.Read(ctx, platform.Range{Stream: platform.StreamRequests, From: from, Max: limit})
+}
+
 // index notes the keys of one log record. A record of another form is skipped.
 func (r *Reader) index(record platform.Record) {
 	r.next = record.Offset + 1
@@ -95,23 +99,37 @@
 
 // fetch reads the key's entry from the log record at the offset.
 func (r *Reader) fetch(ctx context.Context, k key.Key, offset uint64) (witness.Record, bool, error) {
-	part, err := r.source.Read(ctx, platform.StreamRequests, offset, 1)
-	if err != nil {
-		return witness.Record{}, false, err
+	entries, kept := r.pages.get(offset)
+	if !kept {
+		var err error
+		if entries, err = r.fetchPage(ctx, offset); err != nil {
+			return witness.Record{}, false, err
+		}
+		r.pages.put(offset, entries)
 	}
-	if len(part.Records) == 0 || part.Records[0].Offset != offset {
+	entry, found := entries[k]
+	if !found {
 		return witness.Record{}, false, nil
 	}
-	batch, err := decode(part.Records[0].Data)
+	return describe(entry), true, nil
+}
+
+// fetchPage reads the entries of a log record; there are none if the log no
+// longer has it.
+func (r *Reader) fetchPage(ctx context.Context, offset uint64) (map[key.Key]Entry, error) {
+	page, err := r.read(ctx, offset, 1)
+	if err != nil || len(page.Records) == 0 {
+		return nil, err
+	}
+	batch, err := decode(page.Records[0].Data)
 	if err != nil {
-		return witness.Record{}, false, err
+		return nil, err
 	}
+	entries := make(map[key.Key]Entry, len(batch.Entries))
 	for _, entry := range batch.Entries {
-		if entry.Intent.Key == k {
-			return describe(entry), true, nil
-		}
+		entries[entry.Intent.Key] = entry
 	}
-	return witness.Record{}, false, nil
+	return entries, nil
 }
 
 // describe turns an entry into what a witness would have told.
--- a/internal/request/owner/request.go
+++ b/internal/request/owner/request.go
@@ -63,18 +63,32 @@
 // is dispatched within the given time. A refusal ends the request for good
 // and is its answer.
 func (r *Request) Permit(ctx context.Context, target Target, within time.Duration) *outcome.Refusal {
-	intent, ok := r.intend(target, within)
-	if !ok {
-		return r.refusal()
+	intent, refusal := r.Intend(target, within)
+	if refusal != nil {
+		return refusal
 	}
 	verdict, err := r.registry.config.Intender.Intend(ctx, intent)
-	r.mu.Lock()
 	if err != nil {
-		r.machine.LoseWitness(intent.Attempt)
-	} else {
-		r.machine.Acknowledge(intent.Attempt, verdict)
+		return r.LoseWitness(intent.Attempt)
+	}
+	return r.Acknowledge(intent.Attempt, verdict)
+}
+
+// Intend is the first step of Permit: it returns the intent for the witness.
+func (r *Request) Intend(target Target, within time.Duration) (witness.Intent, *outcome.Refusal) {
+	r.mu.Lock()
+	intent, ok := r.machine.Intend(r.registry.config.Now(), target, within)
+	r.mu.Unlock()
+	if !ok {
+		return witness.Intent{}, r.refusal()
 	}
-	permitted := r.machine.State() == StatePermitted
+	return intent, nil
+}
+
+// Acknowledge is the last step of Permit if the witness has answered.
+func (r *Request) Acknowledge(attempt uint32, verdict witness.Verdict) *outcome.Refusal {
+	r.mu.Lock()
+	permitted := r.machine.Acknowledge(attempt, verdict)
 	r.mu.Unlock()
 	if permitted {
 		return nil
@@ -82,10 +96,13 @@
 	return r.settle()
 }
 
-func (r *Request) intend(target Target, within time.Duration) (witness.Intent, bool) {
+// LoseWitness is the last step of Permit if no answer of the witness will
+// come.
+func (r *Request) LoseWitness(attempt uint32) *outcome.Refusal {
 	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.machine.Intend(r.registry.config.Now(), target, within)
+	r.machine.LoseWitness(attempt)
+	r.mu.Unlock()
+	return r.settle()
 }
 
 // Dispatch must be called right before the request is sent, with nothing in
@@ -140,7 +157,7 @@
 	if !finished {
 		return
 	}
-	r.end(final)
+	r.end(final, 0)
 }
 
 // describe fills in the answer's length and bytes.
@@ -159,13 +176,14 @@
 
 // Refuse ends a request that was not dispatched, with outcome NotRun. It
 // returns false and changes nothing if the request may have been dispatched.
-func (r *Request) Refuse(reason outcome.Reason) bool {
+// RetryAfter is when the caller may try again, under a new key.
+func (r *Request) Refuse(reason outcome.Reason, retryAfter time.Duration) bool {
 	r.mu.Lock()
 	refused := r.machine.Refuse(reason)
 	final := r.machine.Final()
 	r.mu.Unlock()
 	if refused {
-		r.end(final)
+		r.end(final, retryAfter)
 	}
 	return refused
 }
@@ -176,15 +194,15 @@
 	state, final := r.machine.State(), r.machine.Final()
 	r.mu.Unlock()
 	if state == StateRefused {
-		r.end(final)
+		r.end(final, 0)
 	}
 	return r.refusal()
 }
 
-func (r *Request) end(final witness.Final) {
+func (r *Request) end(final witness.Final, retryAfter time.Duration) {
 	refusal := outcome.Refusal{}
 	if final.Outcome != outcome.Done {
-		refusal = outcome.Refuse(final.Outcome, final.Reason)
+		refusal = outcome.Refuse(final.Outcome, final.Reason).WithRetryAfter(retryAfter)
 	}
 	if !r.answer.End(refusal) {
 		return
--- a/internal/version/rollout/step.go
+++ b/internal/version/rollout/step.go
@@ -92,8 +92,8 @@
 	}
 	if refresh {
 		m.refreshedAt = now
-		m.setLimits()
 	}
+	m.setLimits(refresh)
 	return cells
 }
 
@@ -118,12 +118,17 @@
 	return cells
 }
 
-// setLimits renews the times from which requests are late.
-func (m *moveState) setLimits() {
+// setLimits sets the times from which requests are late; renew sets also those
+// that are set already.
+func (m *moveState) setLimits(renew bool) {
 	for name, route := range *m.routes.Load() {
 		old := Arm{Route: name}
-		route.firstToken.store(lateLimit(m.evidence.FirstToken(old)))
-		route.perToken.store(lateLimit(m.evidence.PerToken(old)))
+		if renew || route.firstToken.load() == 0 {
+			route.firstToken.store(lateLimit(m.evidence.FirstToken(old)))
+		}
+		if renew || route.perToken.load() == 0 {
+			route.perToken.store(lateLimit(m.evidence.PerToken(old)))
+		}
 	}
 }
 
@@ -187,13 +192,24 @@
 		if m == nil || m.move.MoveID != delta.Move {
 			continue
 		}
+		isNews := false
 		for _, cell := range delta.Cells {
 			cell.Host = from
+			isNews = m.isNews(cell) || isNews
 			j.merge(m, cell)
 		}
 		j.adopt(m, delta.Stage, delta.Reason, now)
+		if isNews {
+			j.wake()
+		}
 	}
-	j.wake()
+}
+
+// isNews reports whether a cell counts failures of the new version that this
+// host does not know.
+func (m *moveState) isNews(cell Cell) bool {
+	known := m.evidence.last(cell.Arm, cell.Host)
+	return cell.Arm.New && (cell.Counts.Failed > known.Failed || cell.Counts.Lost > known.Lost)
 }
 
 // HandleEvidence is the mesh handler of KindEvidence.
