Time line: limits of endpoints and shed requests are recorded

The checker's rules on cold endpoints and on the order of shedding had no events to look at. A home now records every limit before it grants a slot under it, and a request that gives way records so. A request's end is recorded before its slot is given back, so that the time line never counts one request too many.

--- a/internal/process/daemon/configuration.go
+++ b/internal/process/daemon/configuration.go
@@ -52,6 +52,8 @@
 		Homes:   h.homes,
 		Caller:  h.caller,
 		Metrics: h.metrics,
+
+		NotifyLimit: h.observeLimit,
 	})
 	h.placer.Register(h.meshServer)
 	h.loads = loadpoll.New(h.endpoints, h.placer)
--- /dev/null
+++ b/internal/process/daemon/limits.go
@@ -0,0 +1,26 @@
+package daemon
+
+import (
+	"mustarddoor/internal/process/placement"
+	"mustarddoor/internal/process/timeline"
+)
+
+// observeLimit puts the limits that this host sets as a home on the time line.
+func (h *host) observeLimit(change placement.LimitChange) {
+	h.ring.Record(timeline.Event{
+		Kind:     limitKind(change),
+		Endpoint: change.Endpoint,
+		Value:    int64(change.Limit),
+	})
+}
+
+func limitKind(change placement.LimitChange) timeline.Kind {
+	switch {
+	case change.Limit >= change.Max:
+		return timeline.EndpointWarm
+	case change.IsColdTurn():
+		return timeline.EndpointCold
+	default:
+		return timeline.EndpointLimit
+	}
+}
--- a/internal/process/placement/core.go
+++ b/internal/process/placement/core.go
@@ -55,6 +55,8 @@
 	// zero if none does.
 	recheck time.Time
 	stats   *stats
+	// notifyLimit is told of the limits that this host sets; it may be nil.
+	notifyLimit func(LimitChange)
 }
 
 func newCore(self identity.Host, homes Homes, random func() uint64, stats *stats, now time.Time) *core {
--- a/internal/process/placement/placer.go
+++ b/internal/process/placement/placer.go
@@ -31,6 +31,10 @@
 	// Caller sends messages to homes on other hosts; it may be nil if there
 	// are none.
 	Caller mesh.Caller
+	// NotifyLimit is told of the limits that this host sets as the home of an
+	// endpoint, before any slot is granted under them. It must not block and
+	// may be nil.
+	NotifyLimit func(LimitChange)
 	// Metrics takes the counters; nil means none.
 	Metrics metrics.Registry
 	// Now is the clock; nil means time.Now. Its times must carry the monotonic
@@ -59,12 +63,14 @@
 		config.Now = time.Now
 	}
 	st := newStats(config.Metrics)
+	core := newCore(config.Self, config.Homes, nil, st, config.Now())
+	core.notifyLimit = config.NotifyLimit
 	return &Placer{
 		config: config,
 		stats:  st,
 		wake:   make(chan struct{}, 1),
 		calls:  make(chan struct{}, maxCalls),
-		core:   newCore(config.Self, config.Homes, nil, st, config.Now()),
+		core:   core,
 	}
 }
 
--- a/internal/process/placement/site.go
+++ b/internal/process/placement/site.go
@@ -49,6 +49,8 @@
 	hasHome bool
 	// office is the home's part, if this host is the home.
 	office *office
+	// notify is told of the limits that this host sets as the home.
+	notify func(LimitChange)
 	// asked are the requests that wait for a slot of just this site.
 	asked tier.Counts
 	// engine is the endpoint's incarnation by its last load report, cacheNext
@@ -108,6 +110,7 @@
 	s.home = home
 	if home.Host == self && s.office == nil {
 		s.office = newOffice(s, now)
+		s.office.ledger.Observe(s.observeLimit)
 	}
 }
 
--- a/internal/process/placement/state.go
+++ b/internal/process/placement/state.go
@@ -118,6 +118,7 @@
 	s := c.sites[spec.Name]
 	if s == nil {
 		s = newSite(c.newID(), spec, plain, c.self, now)
+		s.notify = c.notifyLimit
 		c.sites[spec.Name] = s
 		c.byID[s.id] = s
 		s.follow(now, c.homes, c.self)
--- a/internal/process/slot/ledger.go
+++ b/internal/process/slot/ledger.go
@@ -60,6 +60,16 @@
 	turn   int
 	// pending is the load report that is not yet settled, or nil.
 	pending *sample
+	// observe is told of new limits; it may be nil.
+	observe func(limit, before int)
+}
+
+// Observe calls the function with the present limit, and with each later one
+// before any slot is granted under it. The second argument is the limit before,
+// zero at first.
+func (l *Ledger) Observe(notify func(limit, before int)) {
+	l.observe = notify
+	notify(l.limit, 0)
 }
 
 // NewLedger returns a ledger for an endpoint with the home's fencing number.
@@ -76,6 +86,9 @@
 // SetLimit sets how many slots there are in all, and how many of them may be
 // unused in hands.
 func (l *Ledger) SetLimit(limit, cold int) {
+	if l.observe != nil && limit != l.limit {
+		l.observe(limit, l.limit)
+	}
 	l.limit = limit
 	l.cold = cold
 }
--- a/internal/process/timeline/check/check_test.go
+++ b/internal/process/timeline/check/check_test.go
@@ -164,6 +164,21 @@
 				at(350, endpoint(timeline.EndpointLimit, 2)), at(400, dispatch("q", "e")),
 			},
 		},
+		{
+			name: "cold endpoint with a limit just lowered",
+			events: []timeline.Event{
+				at(0, endpoint(timeline.EndpointCold, 2)), at(300, dispatch("r", "e")),
+				at(350, endpoint(timeline.EndpointLimit, 1)), at(400, dispatch("q", "e")),
+			},
+		},
+		{
+			name: "cold endpoint with a limit lowered before",
+			events: []timeline.Event{
+				at(0, endpoint(timeline.EndpointCold, 2)), at(300, dispatch("r", "e")),
+				at(350, endpoint(timeline.EndpointLimit, 1)), at(700, dispatch("q", "e")),
+			},
+			broken: "cold endpoint within its limit",
+		},
 		{
 			name: "warm endpoint",
 			events: []timeline.Event{
--- a/internal/request/flow/events.go
+++ b/internal/request/flow/events.go
@@ -46,6 +46,9 @@
 	e.Recorder.Record(eventOf(timeline.RequestNotStarted, request))
 }
 
+// Shed tells that the request gives way under load.
+func (e Events) Shed(request *Request) { e.Recorder.Record(eventOf(timeline.RequestShed, request)) }
+
 // FirstToken tells that the answer has begun.
 func (e Events) FirstToken(request *Request, place *placement.Placement) {
 	e.Recorder.Record(placedEvent(timeline.RequestFirstToken, request, place))
--- a/internal/request/flow/finish.go
+++ b/internal/request/flow/finish.go
@@ -57,13 +57,13 @@
 	stopWatching()
 	d.watch.End(endOf(result), d.events)
 	own.Finish(result)
+	r.config.Events.Ended(request, own, place)
 	place.Done(placement.Result{
 		Outcome:      placementOutcome(result),
 		OutputTokens: d.events,
 		CachedTokens: -1,
 	})
 	r.timers.whole.UpdateSince(request.Arrival)
-	r.config.Events.Ended(request, own, place)
 }
 
 func placementOutcome(result witness.Final) placement.Outcome {
--- a/internal/request/flow/run.go
+++ b/internal/request/flow/run.go
@@ -29,6 +29,9 @@
 		}
 		place, refusal = place.Retry(gone)
 	}
+	if refusal.Reason == placement.ReasonCapacity {
+		r.config.Events.Shed(request)
+	}
 	own.Refuse(reasonOf(refusal.Reason), refusal.RetryAfter)
 	r.config.Events.Ended(request, own, nil)
 }
