Time line: endpoints that a configuration drops and adds, with a scenario

The rule on leaving endpoints had no events to look at. It used to be lifted by a cold spell, which an endpoint can have after it was dropped; now only its return lifts it, and news that a host hears late is ignored. The test of the lift by a cold spell is replaced by one that wants the violation.

--- a/internal/process/daemon/configuration.go
+++ b/internal/process/daemon/configuration.go
@@ -83,7 +83,9 @@
 		return
 	}
 	if current := h.index.Load(); current == nil || current.Bundle() != view.Bundle {
-		h.index.Store(bundle.NewIndex(view.Bundle))
+		next := bundle.NewIndex(view.Bundle)
+		h.index.Store(next)
+		h.recordEndpoints(current, next, view.Version.Version)
 		h.ring.Record(timeline.Event{
 			Kind:   timeline.ConfigInForce,
 			Value:  int64(view.Version.Version),
--- /dev/null
+++ b/internal/process/daemon/endpoints.go
@@ -0,0 +1,34 @@
+package daemon
+
+import (
+	"mustarddoor/internal/process/timeline"
+	"mustarddoor/internal/version/bundle"
+)
+
+// recordEndpoints puts on the time line which endpoints a new bundle drops and
+// adds. Before is nil for the first bundle.
+func (h *host) recordEndpoints(before, after *bundle.Index, version uint64) {
+	if before == nil {
+		return
+	}
+	h.recordMissing(timeline.EndpointLeaving, before, after, version)
+	h.recordMissing(timeline.EndpointJoined, after, before, version)
+}
+
+// recordMissing records an event for each endpoint of one bundle that the other
+// lacks.
+func (h *host) recordMissing(kind timeline.Kind, of, in *bundle.Index, version uint64) {
+	for _, endpoint := range of.Bundle().Endpoints {
+		if _, found := in.Endpoint(endpoint.Name); found {
+			continue
+		}
+		h.ring.Record(timeline.Event{
+			Kind:     kind,
+			Endpoint: endpoint.Name,
+			Service:  endpoint.Service,
+			Domain:   endpoint.Domain,
+			Version:  endpoint.Version,
+			Value:    int64(version),
+		})
+	}
+}
--- a/internal/process/timeline/check/check_test.go
+++ b/internal/process/timeline/check/check_test.go
@@ -143,8 +143,16 @@
 			broken: "no dispatch to a leaving endpoint",
 		},
 		{
-			name:   "leaving endpoint started again",
-			events: []timeline.Event{at(0, endpoint(timeline.EndpointLeaving, 0)), at(9, endpoint(timeline.EndpointCold, 1)), at(3100, dispatch("r", "e"))},
+			name:   "leaving endpoint that still has cold spells",
+			events: []timeline.Event{at(0, endpoint(timeline.EndpointLeaving, 4)), at(9, endpoint(timeline.EndpointCold, 1)), at(3100, dispatch("r", "e"))},
+			broken: "no dispatch to a leaving endpoint",
+		},
+		{
+			name: "endpoint that has come back, which one host hears late",
+			events: []timeline.Event{
+				at(0, endpoint(timeline.EndpointLeaving, 4)), at(9, endpoint(timeline.EndpointJoined, 5)),
+				at(10, endpoint(timeline.EndpointLeaving, 4)), at(3100, dispatch("r", "e")),
+			},
 		},
 		{
 			name: "cold endpoint within its limit",
--- a/internal/process/timeline/check/routing.go
+++ b/internal/process/timeline/check/routing.go
@@ -23,7 +23,7 @@
 }
 
 // find lists the dispatches that break the ban. Hosts learn of the same news
-// at different times; what arrives late, by Since, is ignored.
+// at different times; what arrives late, by Since or Value, is ignored.
 func (b ban) find(events []timeline.Event) []Violation {
 	latest := map[string]news{}
 	var found []Violation
@@ -47,7 +47,8 @@
 
 // replaces reports whether the news changes what was known before.
 func (n news) replaces(last news) bool {
-	return n.banned != last.banned && n.event.Since >= last.event.Since
+	isLate := n.event.Since < last.event.Since || n.event.Value < last.event.Value
+	return n.banned != last.banned && !isLate
 }
 
 func (b ban) violation(begin, dispatch timeline.Event) Violation {
@@ -72,7 +73,7 @@
 func endpointLeaving(events []timeline.Event, limits Limits) []Violation {
 	return ban{
 		begins:  timeline.EndpointLeaving,
-		lifts:   timeline.EndpointCold,
+		lifts:   timeline.EndpointJoined,
 		delay:   limits.LeavingDelay,
 		subject: func(e timeline.Event) string { return e.Endpoint },
 	}.find(events)
--- a/internal/process/timeline/event.go
+++ b/internal/process/timeline/event.go
@@ -46,8 +46,11 @@
 	// EndpointLimit changes the limit on requests in flight to Value.
 	EndpointLimit Kind = "endpoint.limit"
 	// EndpointWarm ends a cold spell.
-	EndpointWarm    Kind = "endpoint.warm"
+	EndpointWarm Kind = "endpoint.warm"
+	// EndpointLeaving and EndpointJoined tell that the configuration at log
+	// offset Value drops or adds the endpoint.
 	EndpointLeaving Kind = "endpoint.leaving"
+	EndpointJoined  Kind = "endpoint.joined"
 	EndpointGone    Kind = "endpoint.gone"
 	// EndpointOrdered tells of an order; Outcome and Detail.
 	EndpointOrdered Kind = "endpoint.ordered"
