--- a/internal/process/timeline/check/check_test.go
+++ b/internal/process/timeline/check/check_test.go
@@ -143,8 +143,16 @@
 			broken: "no dispatch to a leaving endpoint",
 		},
 		{
-			name:   "leaving endpoint started again",
-			events: []timeline.Event{at(0, endpoint(timeline.EndpointLeaving, 0)), at(9, endpoint(timeline.EndpointCold, 1)), at(3100, dispatch("r", "e"))},
+			name:   "leaving endpoint that still has cold spells",
+			events: []timeline.Event{at(0, endpoint(timeline.EndpointLeaving, 4)), at(9, endpoint(timeline.EndpointCold, 1)), at(3100, dispatch("r", "e"))},
+			broken: "no dispatch to a leaving endpoint",
+		},
+		{
+			name: "endpoint that has come back, which one host hears late",
+			events: []timeline.Event{
+				at(0, endpoint(timeline.EndpointLeaving, 4)), at(9, endpoint(timeline.EndpointJoined, 5)),
+				at(10, endpoint(timeline.EndpointLeaving, 4)), at(3100, dispatch("r", "e")),
+			},
 		},
 		{
 			name: "cold endpoint within its limit",
@@ -164,6 +172,21 @@
 				at(350, endpoint(timeline.EndpointLimit, 2)), at(400, dispatch("q", "e")),
 			},
 		},
+		{
+			name: "cold endpoint with a limit just lowered",
+			events: []timeline.Event{
+				at(0, endpoint(timeline.EndpointCold, 2)), at(300, dispatch("r", "e")),
+				at(350, endpoint(timeline.EndpointLimit, 1)), at(400, dispatch("q", "e")),
+			},
+		},
+		{
+			name: "cold endpoint with a limit lowered before",
+			events: []timeline.Event{
+				at(0, endpoint(timeline.EndpointCold, 2)), at(300, dispatch("r", "e")),
+				at(350, endpoint(timeline.EndpointLimit, 1)), at(700, dispatch("q", "e")),
+			},
+			broken: "cold endpoint within its limit",
+		},
 		{
 			name: "warm endpoint",
 			events: []timeline.Event{
