--- a/internal/request/journal/journal_test.go
+++ b/internal/request/journal/journal_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"testing"
 	"time"
 
@@ -158,3 +159,17 @@
 	_, _, err := f.reader.Find(context.Background(), keyOf("a"))
 	assert.ErrorIs(t, err, errDown)
 }
+
+func TestFlushesAtOnceTakeTurns(t *testing.T) {
+	f := newFixture()
+	var group sync.WaitGroup
+	for i := range 8 {
+		f.intend(t, fmt.Sprint(i))
+		group.Go(func() { f.writer.Flush(context.Background()) })
+	}
+	group.Wait()
+	for i := range 8 {
+		_, found := f.find(t, fmt.Sprint(i))
+		assert.Assert(t, found)
+	}
+}
--- a/internal/request/journal/writer.go
+++ b/internal/request/journal/writer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"strconv"
+	"sync"
 	"time"
 
 	metrics "github.com/rcrowley/go-metrics"
@@ -38,12 +39,15 @@
 }
 
 // Writer appends the records that the log lacks, one batch at a time.
+// It is safe for concurrent use.
 type Writer struct {
 	config   WriterConfig
-	sequence uint64
 	appends  metrics.Counter
 	failures metrics.Counter
 	entries  metrics.Counter
+
+	mu       sync.Mutex
+	sequence uint64
 }
 
 // NewWriter returns a writer.
@@ -74,6 +78,8 @@
 // Flush appends until the log has everything or an append fails. It returns
 // whether the log has everything.
 func (w *Writer) Flush(ctx context.Context) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	for {
 		records := w.config.Register.TakeUnlogged(uint(w.sequence), maxBatchEntries)
 		if len(records) == 0 {
--- a/scenario/load_test.go
+++ b/scenario/load_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"time"
 
 	"github.com/rogpeppe/go-internal/testscript"
 
@@ -27,9 +28,10 @@
 	stop  context.CancelFunc
 	group sync.WaitGroup
 
-	mu     sync.Mutex
-	keys   []string
-	faults []string
+	mu      sync.Mutex
+	keys    []string
+	faults  []string
+	slowest time.Duration
 }
 
 func (l *load) fault(format string, args ...any) {
@@ -38,10 +40,11 @@
 	l.faults = append(l.faults, fmt.Sprintf(format, args...))
 }
 
-func (l *load) answered(key string) {
+func (l *load) answered(key string, took time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.keys = append(l.keys, key)
+	l.slowest = max(l.slowest, took)
 }
 
 func (l *load) count() int {
@@ -113,7 +116,7 @@
 			running.fault("%s ran %d times", key, count)
 		}
 	}
-	ts.Logf("%d answers, %d executions", len(running.keys), len(counts))
+	ts.Logf("%d answers, %d executions, slowest answer %v", len(running.keys), len(counts), running.slowest)
 	for _, fault := range running.faults {
 		ts.Logf("%s", fault)
 	}
@@ -138,6 +141,7 @@
 			`{"model":"voz-modelo","stream":true,"max_tokens":%d,"messages":[{"role":"user","content":%q}]}`,
 			loadTokens, loadPrompt))}
 	}
+	start := time.Now()
 	got, err := fleet.Do(context.Background(), request)
 	if err != nil {
 		l.fault("request: %v", err)
@@ -151,7 +155,7 @@
 	case !isExpected(got, body):
 		l.fault("answer of %s with status %d: %q", got.Key(), got.Status, body)
 	default:
-		l.answered(got.Key())
+		l.answered(got.Key(), time.Since(start))
 	}
 }
 
--- a/scenario/request_test.go
+++ b/scenario/request_test.go
@@ -18,8 +18,9 @@
 
 // cmdSession runs "session VAR ADDRESS": it asks a host for its entry and sets
 // VAR to the session, VAR_OWNER and VAR_WITNESS to the hosts that it names,
-// VAR_THIRD to the host that it does not name, and VAR_WITNESS_ADMIN and
-// VAR_THIRD_ADDRESS to their admin and caller addresses.
+// VAR_THIRD to the host that it does not name, and VAR_WITNESS_ADDRESS,
+// VAR_WITNESS_MESH, VAR_WITNESS_ADMIN and VAR_THIRD_ADDRESS to their caller,
+// mesh and admin addresses.
 func cmdSession(ts *testscript.TestScript, _ bool, args []string) {
 	if len(args) != 2 {
 		ts.Fatalf("usage: session VAR ADDRESS")
@@ -37,6 +38,8 @@
 	for i := 1; i <= hostCount; i++ {
 		name := "host-" + strconv.Itoa(i)
 		if name == session.Witness.Host {
+			ts.Setenv(args[0]+"_WITNESS_ADDRESS", ts.Getenv("NET")+"."+strconv.Itoa(i)+":7000")
+			ts.Setenv(args[0]+"_WITNESS_MESH", ts.Getenv("NET")+"."+strconv.Itoa(i)+":7001")
 			ts.Setenv(args[0]+"_WITNESS_ADMIN", ts.Getenv("NET")+"."+strconv.Itoa(i)+":7002")
 		}
 		if name != session.Owner.Host && name != session.Witness.Host {
