--- a/internal/process/daemon/host.go
+++ b/internal/process/daemon/host.go
@@ -19,6 +19,7 @@
 	"mustarddoor/internal/process/hlc"
 	"mustarddoor/internal/process/home"
 	"mustarddoor/internal/process/identity"
+	"mustarddoor/internal/process/loadpoll"
 	"mustarddoor/internal/process/member"
 	"mustarddoor/internal/process/placement"
 	"mustarddoor/internal/process/settings"
@@ -30,6 +31,7 @@
 	"mustarddoor/internal/request/witness"
 	"mustarddoor/internal/version/bundle"
 	"mustarddoor/internal/version/config"
+	"mustarddoor/internal/version/rollout"
 )
 
 // host is one running daemon.
@@ -57,6 +59,8 @@
 	homes     *home.Manager
 	orders    *home.Orders
 	placer    *placement.Placer
+	loads     *loadpoll.Poller
+	judge     *rollout.Judge
 	// reapply is signalled when placement should look at the homes again.
 	reapply chan struct{}
 
@@ -69,6 +73,8 @@
 	callers      *caller.Server
 
 	stopping atomic.Bool
+	// served is set once every service has had an endpoint with a home.
+	served atomic.Bool
 }
 
 // listeners are opened first, so that a port that is taken is noticed before
@@ -93,7 +99,7 @@
 		reapply:      make(chan struct{}, 1),
 	}
 	h.ring = timeline.NewRing(h.self.Incarnation, h.clock, loaded.Limits.TimelineEvents)
-	steps := []func() error{h.listen, h.makeMesh, h.makeConfig, h.makeHomes, h.makePlacement, h.makeRequests}
+	steps := []func() error{h.listen, h.makeMesh, h.makeConfig, h.makeHomes, h.makeRollout, h.makePlacement, h.makeRequests}
 	for _, step := range steps {
 		if err := step(); err != nil {
 			return nil, err
@@ -166,7 +172,7 @@
 		Self:     h.self.Incarnation,
 		Register: h.register,
 		Log:      logAppender{h.log},
-		Interval: journalInterval,
+		Interval: h.journalInterval,
 		Timeout:  journalTimeout,
 		Metrics:  h.metrics,
 	})
@@ -184,6 +190,7 @@
 		Endpoints:  h.endpoints,
 		Forwarder:  h.makeForwarder(),
 		Events:     flow.Events{Recorder: h.ring},
+		Watcher:    &versionWatcher{judge: h.judge, index: h.index.Load},
 		OtherHosts: h.requests.otherAddresses,
 		Metrics:    h.metrics,
 	})
@@ -204,10 +211,14 @@
 	answerWindowBytes = 1 << 20
 	intentTimeout     = time.Second
 	outcomeInterval   = 20 * time.Millisecond
-	journalInterval   = 100 * time.Millisecond
 	journalTimeout    = 5 * time.Second
 )
 
+// journalInterval spreads the fleet's appends over its hosts.
+func (h *host) journalInterval() time.Duration {
+	return journal.FleetInterval(len(h.otherHosts()) + 1)
+}
+
 // logAppender appends to the log service for the journal.
 type logAppender struct{ log platform.Log }
 
@@ -222,7 +233,10 @@
 	if h.stopping.Load() {
 		return "host is stopping"
 	}
-	return h.notConfigured()
+	if reason := h.notConfigured(); reason != "" {
+		return reason
+	}
+	return h.homeless()
 }
 
 // notConfigured says why this host can take no requests at all; it is empty if
@@ -275,6 +289,8 @@
 	addRunActor(group, h.homes.Run)
 	addRunActor(group, h.orders.Run)
 	addRunActor(group, h.placer.Run)
+	addRunActor(group, h.loads.Run)
+	addRunActor(group, h.judge.Run)
 	addRunActor(group, h.sender.Run)
 	addRunActor(group, h.journal.Run)
 	addRunActor(group, h.sweep)
