Placement follows versions: waits keep the chosen one while its homes have slots

Now it falls only if there is no slot even at the homes, or when the version is no longer allowed. Versions is an interface, because a waiting request must also follow a verdict.

--- a/internal/process/daemon/configuration.go
+++ b/internal/process/daemon/configuration.go
@@ -107,8 +107,7 @@
 		EndpointsOut: h.homes.Unfit(),
 		Hosts:        hosts,
 
-		ChooseVersion: h.judge.Choose,
-		Steady:        h.judge.Steady,
+		Versions: h.judge,
 	}
 }
 
--- a/internal/process/placement/core.go
+++ b/internal/process/placement/core.go
@@ -102,8 +102,8 @@
 		j.deadline = request.Arrival.Add(r.budget)
 		j.ask.Deadline = j.deadline
 	}
-	if st.view.ChooseVersion != nil {
-		j.ask.Version = st.view.ChooseVersion(r.service, r.name)
+	if st.view.Versions != nil {
+		j.ask.Version = st.view.Versions.Choose(r.service, r.name)
 	}
 	return j, nil
 }
@@ -136,10 +136,7 @@
 	if p.line.waiting.Load() > 0 {
 		return nil, nil
 	}
-	d := p.plan.Decide(now, &j.ask)
-	if d.Action != scheduler.ActionDispatch && c.settleVersion(j) {
-		d = p.plan.Decide(now, &j.ask)
-	}
+	d := c.decide(now, p, j)
 	switch d.Action {
 	case scheduler.ActionNone:
 		return nil, &Refusal{Reason: ReasonNoEndpoint, RetryAfter: retryAfterFull}
@@ -152,23 +149,6 @@
 	}
 }
 
-// settleVersion gives a job that cannot go at once the version that most
-// requests get, and reports whether that is another one.
-func (c *core) settleVersion(j *job) bool {
-	view := &c.state.Load().view
-	if view.ChooseVersion == nil {
-		return false
-	}
-	steady := view.Steady(j.route.service)
-	if j.ask.Version == steady {
-		return false
-	}
-	j.withdraw()
-	j.askUntil = time.Time{}
-	j.ask.Version = steady
-	return true
-}
-
 // dispatch takes the slot that a decision found, or returns nil if it is gone.
 func (c *core) dispatch(now time.Time, p *pool, j *job, d scheduler.Decision) *ticket {
 	s := p.sites[d.Endpoint]
@@ -275,7 +255,7 @@
 		c.refuse(j, Refusal{Reason: ReasonCapacity, RetryAfter: retryAfterShed})
 		return true
 	}
-	d := p.plan.Decide(now, &j.ask)
+	d := c.decide(now, p, j)
 	if d.Action != scheduler.ActionDispatch {
 		return false
 	}
@@ -299,9 +279,8 @@
 
 // rate tells how much a waiting job deserves a slot now, and keeps its demand.
 func (c *core) rate(now time.Time, p *pool, j *job) float64 {
-	c.settleVersion(j)
 	j.ask.HeldOnly = !j.askUntil.IsZero() && !now.Before(j.askUntil)
-	d := p.plan.Decide(now, &j.ask)
+	d := c.decide(now, p, j)
 	switch d.Action {
 	case scheduler.ActionDispatch:
 		if j.late {
--- a/internal/process/placement/view.go
+++ b/internal/process/placement/view.go
@@ -7,15 +7,20 @@
 	"mustarddoor/internal/version/bundle"
 )
 
-// VersionChoice picks the endpoint version for one request of a service and
-// route. It is called once for each request that is placed. An empty version
-// means that any will do. It must be safe for concurrent use.
-type VersionChoice func(service, route string) (version string)
-
-// SteadyVersion names the version of a service for requests that the version
-// picked by VersionChoice cannot serve at once. It is called often, and its
-// answer may change while a request waits. It must be safe for concurrent use.
-type SteadyVersion func(service string) (version string)
+// Versions shares a service's requests between endpoint versions. Empty
+// versions mean that any will do. It must be safe for concurrent use and must
+// not block.
+type Versions interface {
+	// Choose picks the version for one request. It is called once for each
+	// request that is placed.
+	Choose(service, route string) (version string)
+	// Steady names the version for requests for which the chosen one has no
+	// slot.
+	Steady(service string) (version string)
+	// Allows reports whether requests may still go to a version that Choose
+	// has picked before.
+	Allows(service, version string) bool
+}
 
 // View is the configuration that placement follows. It is immutable.
 type View struct {
@@ -25,10 +30,8 @@
 	// EndpointsOut are endpoints that take no new work: leaving ones and those
 	// that an order has made unfit.
 	EndpointsOut []string
-	// ChooseVersion may be nil.
-	ChooseVersion VersionChoice
-	// Steady must be set if ChooseVersion is.
-	Steady SteadyVersion
+	// Versions may be nil.
+	Versions Versions
 	// Hosts are the hosts believed to be alive, with this one.
 	Hosts []identity.Host
 }
--- a/internal/version/rollout/judge.go
+++ b/internal/version/rollout/judge.go
@@ -134,6 +134,22 @@
 	return m.move.From
 }
 
+// Allows reports whether requests may still go to a version of a service: not
+// to a new version that was taken back, nor to an old one that was let go.
+func (j *Judge) Allows(service, version string) bool {
+	m := j.table.Load().moves[service]
+	if m == nil {
+		return true
+	}
+	switch stage := Stage(m.stage.Load()); {
+	case stage >= StageBad:
+		return version != m.move.To
+	case stage >= StageDone:
+		return version != m.move.From
+	}
+	return true
+}
+
 // Share is the new version's part of a service's traffic, from 0 to 1, and
 // false if no move concerns the service.
 func (j *Judge) Share(service string) (float64, bool) {
--- a/internal/version/rollout/judge_test.go
+++ b/internal/version/rollout/judge_test.go
@@ -109,6 +109,34 @@
 	assert.Equal(t, judge.Choose("usta", "gauge"), "")
 }
 
+func TestSteadyAndAllows(t *testing.T) {
+	cases := []struct {
+		name                 string
+		stage                Stage
+		steady               string
+		allowsOld, allowsNew bool
+	}{
+		{"first share", 0, "v1", true, true},
+		{"half", 5, "v1", true, true},
+		{"full load", lastRung, "v2", true, true},
+		{"done", StageDone, "v2", false, true},
+		{"taken back", StageBad, "v1", true, false},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			judge := newTestJudge(&recorder{}, "host-1")
+			move := testMove
+			move.Stage = test.stage
+			judge.Apply([]Move{move})
+			assert.Equal(t, judge.Steady("usta"), test.steady)
+			assert.Equal(t, judge.Allows("usta", "v1"), test.allowsOld)
+			assert.Equal(t, judge.Allows("usta", "v2"), test.allowsNew)
+			assert.Equal(t, judge.Steady("defter-app"), "")
+			assert.Assert(t, judge.Allows("defter-app", "v2"))
+		})
+	}
+}
+
 func TestChooseIsExactFromManyThreads(t *testing.T) {
 	judge := newTestJudge(&recorder{}, "host-1")
 	const threads, each = 8, 1000
