--- a/internal/process/daemon/rollout.go
+++ b/internal/process/daemon/rollout.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -114,7 +115,7 @@
 		Kind:    kind,
 		Service: event.Move.Service,
 		Version: event.Move.To,
-		Value:   int64(event.Share * thousandths),
+		Value:   int64(math.Round(event.Share * thousandths)),
 		Detail:  event.Reason,
 	})
 	if event.Stage.IsFinal() {
--- a/scenario/request_test.go
+++ b/scenario/request_test.go
@@ -11,11 +11,9 @@
 	"mustarddoor/internal/connection/caller"
 	"mustarddoor/internal/request/key"
 	"mustarddoor/internal/standin/executions"
+	"mustarddoor/internal/version/bundle"
 )
 
-// endpointAddresses are the last bytes of the standard fleet's endpoints.
-var endpointAddresses = []int{21, 22, 31}
-
 // cmdSession runs "session VAR ADDRESS": it asks a host for its entry and sets
 // VAR to the session, VAR_OWNER and VAR_WITNESS to the hosts that it names,
 // VAR_THIRD to the host that it does not name, and VAR_WITNESS_ADMIN and
@@ -65,11 +63,18 @@
 	await(ts, "the start of "+args[0], func() bool { return executionsOf(ts)[args[0]] > 0 })
 }
 
+// endpointsOf are the endpoints of the script's bundle.
+func endpointsOf(ts *testscript.TestScript) []bundle.Endpoint {
+	var b bundle.Bundle
+	ts.Check(json.Unmarshal([]byte(ts.ReadFile("bundle.json")), &b))
+	return b.Endpoints
+}
+
 // executionsOf counts the executions at all endpoints by key.
 func executionsOf(ts *testscript.TestScript) map[string]int {
 	counts := map[string]int{}
-	for _, last := range endpointAddresses {
-		resp, err := http.Get("http://" + ts.Getenv("NET") + "." + strconv.Itoa(last) + ":8000" + executions.Path)
+	for _, endpoint := range endpointsOf(ts) {
+		resp, err := http.Get("http://" + endpoint.Address + executions.Path)
 		ts.Check(err)
 		var list []executions.Execution
 		err = json.NewDecoder(resp.Body).Decode(&list)
