--- a/internal/version/rollout/bench_test.go
+++ b/internal/version/rollout/bench_test.go
@@ -25,7 +25,8 @@
 //     its end, as a part of the service's requests from the roll on,
 //   - momentary-share is the same as a part of the requests of that time only,
 //   - seconds-to-stop is from the first faulty request to the last request
-//     that the new version got on any host.
+//     that the new version got on any host,
+//   - sent-bytes-per-second is what one host sends to all others.
 func BenchmarkVersionMove(b *testing.B) {
 	for _, kase := range fakeCases {
 		for _, fleet := range fakeFleets {
@@ -40,7 +41,7 @@
 
 func reportMoves(b *testing.B, fleet fakeFleet, kase fakeCase) {
 	completed, takenBack := 0.0, 0.0
-	var shares, momentary, stops []float64
+	var shares, momentary, stops, rates []float64
 	for _, r := range playMoves(fleet, kase, moveComplete, moveSeeds) {
 		if r.completed {
 			completed++
@@ -50,11 +51,13 @@
 		}
 		shares = append(shares, float64(r.toNewBad)/float64(r.requests))
 		momentary = append(momentary, float64(r.toNewBad)/float64(max(r.requestsBad, 1)))
+		rates = append(rates, float64(r.sentBytes)/float64(fleet.hosts)/r.took.Seconds())
 		stops = append(stops, (r.lastToNew - r.badStart).Seconds())
 	}
 	if !kase.bad {
 		b.ReportMetric(completed/moveSeeds, "completed-in-time")
 		b.ReportMetric(takenBack/moveSeeds, "false-taken-back")
+		reportWorst(b, rates, "sent-bytes-per-second")
 		return
 	}
 	b.ReportMetric(takenBack/moveSeeds, "taken-back")
--- a/internal/version/rollout/fake_test.go
+++ b/internal/version/rollout/fake_test.go
@@ -7,6 +7,8 @@
 	"strconv"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
+
 	"mustarddoor/internal/process/identity"
 )
 
@@ -100,6 +102,9 @@
 	badSeen               bool
 	requestsBad, toNewBad int
 	overruns              int
+	// sentBytes is what all hosts sent to each other, and took how long.
+	sentBytes int
+	took      time.Duration
 }
 
 // fakeEvent is a call at a virtual time.
@@ -205,6 +210,7 @@
 	}
 	f.result.completed = f.all(StageDone)
 	f.result.takenBack = f.all(StageBad)
+	f.result.took = f.now
 	return f.result
 }
 
@@ -235,6 +241,11 @@
 	if len(out.Deltas) == 0 {
 		return
 	}
+	encoded, err := cbor.Marshal(out.Deltas)
+	if err != nil {
+		panic(err)
+	}
+	f.result.sentBytes += len(encoded) * (len(f.judges) - 1)
 	for i, judge := range f.judges {
 		if i != host && f.random.Float64() >= fakeMeshLoss {
 			f.after(fakeMeshDelay, func() { judge.Merge(f.judges[host].config.Self, out.Deltas) })
