--- a/internal/process/placement/fakefleet_test.go
+++ b/internal/process/placement/fakefleet_test.go
@@ -73,10 +73,7 @@
 }
 
 func (r *fakeRequest) inTime() bool {
-	if r.answered.IsZero() || r.failed {
-		return false
-	}
-	return r.budget == 0 && r.ended || r.budget > 0 && !r.answered.After(r.Arrival.Add(r.budget))
+	return !r.answered.IsZero() && !r.failed && (r.budget == 0 && r.ended || r.budget > 0 && !r.answered.After(r.Arrival.Add(r.budget)))
 }
 
 // fakeEngine batches continuously: prefill one by one, decode side by side.
--- a/internal/process/placement/fakehost_test.go
+++ b/internal/process/placement/fakehost_test.go
@@ -32,6 +32,8 @@
 	fleet *fakeFleet
 	list  []*fakeHost
 	drop  float64
+	// refused hears of the refusals of requests that waited.
+	refused func(*fakeRequest, *Refusal)
 }
 
 // spreadHomes assigns the endpoints' homes to hosts in turn.
@@ -175,6 +177,8 @@
 	j.settle = func(t *ticket, refusal *Refusal) {
 		if t != nil {
 			h.run(r, t)
+		} else if h.sim.refused != nil {
+			h.sim.refused(r, refusal)
 		}
 	}
 	h.core.wait(now, j)
