--- a/internal/request/flow/flow_test.go
+++ b/internal/request/flow/flow_test.go
@@ -30,11 +30,23 @@
 
 var self = identity.Incarnation{Host: "a", Number: 1}
 
-// fixedPlacer places every request on the same endpoint, and may do so again.
-type fixedPlacer struct{}
-
-func (fixedPlacer) Place(context.Context, placement.Request) (*placement.Placement, *placement.Refusal) {
-	return &placement.Placement{Endpoint: "e", Address: "127.0.0.1:1"}, nil
+// newPlacer gives a placer over one endpoint for each service, of which this
+// host is the home.
+func newPlacer() *placement.Placer {
+	b := &bundle.Bundle{
+		Tiers:    []bundle.Tier{{Name: "t", Rank: 1}},
+		Services: []bundle.Service{{Name: "llm", Kind: bundle.KindEngine}, {Name: "app", Kind: bundle.KindPlain}},
+		Teams:    []bundle.Team{{Name: "team", Weight: 1, QueueRequests: 100, QueueBytes: 1 << 20}},
+	}
+	for _, service := range b.Services {
+		b.Routes = append(b.Routes, bundle.Route{Name: service.Name, Service: service.Name, Tier: "t"})
+		b.Endpoints = append(b.Endpoints, bundle.Endpoint{
+			Name: service.Name, Service: service.Name, Address: "127.0.0.1:1", ColdSlots: 16, MaxSlots: 16,
+		})
+	}
+	placer := placement.New(placement.Config{Self: identity.Host{Incarnation: self}, Metrics: metrics.NewRegistry()})
+	placer.Update(placement.View{Bundle: b})
+	return placer
 }
 
 // acceptingWitness acknowledges every intent.
@@ -118,7 +130,7 @@
 	})
 	return flow.New(flow.Config{
 		Registry:   registry,
-		Placer:     fixedPlacer{},
+		Placer:     newPlacer(),
 		Endpoints:  endpoints,
 		Events:     flow.Events{Recorder: timeline.Discard},
 		OtherHosts: func() []string { return nil },
@@ -129,7 +141,8 @@
 func requestTo(service *bundle.Service, part string) *flow.Request {
 	return &flow.Request{
 		Key:     key.Key{Session: key.Session{Owner: self, IssuedMillis: time.Now().UnixMilli()}, Part: part},
-		Route:   &bundle.Route{Name: "r", Service: service.Name},
+		Route:   &bundle.Route{Name: service.Name, Service: service.Name, Tier: "t"},
+		Team:    "team",
 		Tier:    &bundle.Tier{Name: "t", Rank: 1},
 		Service: service,
 		Method:  http.MethodPost,
