--- /dev/null
+++ b/internal/process/placement/exchange_test.go
@@ -0,0 +1,111 @@
+package placement
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"gotest.tools/v3/assert"
+
+	"mustarddoor/internal/connection/engine"
+	"mustarddoor/internal/connection/mesh"
+	"mustarddoor/internal/process/identity"
+)
+
+// memoryMesh hands messages to the handlers of hosts in the same process.
+type memoryMesh struct {
+	mu       sync.Mutex
+	handlers map[string]mesh.Handler
+}
+
+// port is one host's side of a memoryMesh.
+type port struct {
+	mesh *memoryMesh
+	self identity.Host
+}
+
+func (p port) Handle(_ mesh.Kind, handler mesh.Handler) {
+	p.mesh.mu.Lock()
+	defer p.mesh.mu.Unlock()
+	p.mesh.handlers[p.self.MeshAddress] = handler
+}
+
+func (p port) Call(ctx context.Context, address string, _ mesh.Kind, request, response any) error {
+	time.Sleep(time.Millisecond)
+	p.mesh.mu.Lock()
+	handler := p.mesh.handlers[address]
+	p.mesh.mu.Unlock()
+	if handler == nil {
+		return mesh.ErrUnreachable
+	}
+	body, err := cbor.Marshal(request)
+	if err != nil {
+		return err
+	}
+	answer, err := handler(ctx, p.self.Incarnation, body)
+	if err != nil {
+		return mesh.ErrRejected
+	}
+	encoded, err := cbor.Marshal(answer)
+	if err != nil {
+		return err
+	}
+	return cbor.Unmarshal(encoded, response)
+}
+
+// TestHostsShareEndpointsOverTheMesh lets two hosts with many callers each use
+// endpoints whose homes are spread over both, and counts what is in flight.
+func TestHostsShareEndpointsOverTheMesh(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const slots, callers, rounds = 3, 20, 10
+		hosts := []identity.Host{testHost("h1"), testHost("h2")}
+		homes := &spreadHomes{of: map[string]Home{}}
+		for i, name := range []string{"e1", "e2"} {
+			homes.of[name] = Home{Host: hosts[i].Incarnation, MeshAddress: hosts[i].MeshAddress, Fence: 1, First: true}
+		}
+		network := &memoryMesh{handlers: map[string]mesh.Handler{}}
+		ctx, cancel := context.WithCancel(t.Context())
+		var running sync.WaitGroup
+		var placers []*Placer
+		for _, self := range hosts {
+			p := New(Config{Self: self, Homes: homes, Caller: port{network, self}})
+			p.Register(port{network, self})
+			p.Update(View{Bundle: testBundle(testEndpoint("e1", "a", slots), testEndpoint("e2", "b", slots))})
+			for _, name := range []string{"e1", "e2"} {
+				p.ObserveLoad(name, engine.Load{Incarnation: "A"})
+			}
+			running.Go(func() { _ = p.Run(ctx) })
+			placers = append(placers, p)
+		}
+		inFlight := map[string]*atomic.Int32{"e1": {}, "e2": {}}
+		var served atomic.Int32
+		var all sync.WaitGroup
+		for i := range callers {
+			all.Go(func() {
+				for range rounds {
+					place, refusal := placers[i%2].Place(ctx, Request{Route: "summary", Team: "blue"})
+					if refusal != nil {
+						t.Error(refusal.Reason)
+						return
+					}
+					if got := inFlight[place.Endpoint].Add(1); got > slots {
+						t.Errorf("%d in flight at %s", got, place.Endpoint)
+					}
+					time.Sleep(100 * time.Millisecond)
+					place.FirstToken()
+					inFlight[place.Endpoint].Add(-1)
+					place.Done(Result{Outcome: OutcomeDone, OutputTokens: 20})
+					served.Add(1)
+				}
+			})
+		}
+		all.Wait()
+		cancel()
+		running.Wait()
+		assert.Equal(t, int(served.Load()), callers*rounds)
+	})
+}
