--- a/internal/process/slot/ledger.go
+++ b/internal/process/slot/ledger.go
@@ -9,38 +9,6 @@
 	"mustarddoor/internal/request/tier"
 )
 
-const (
-	// MaxHolders bounds the holders of one endpoint.
-	MaxHolders = 64
-	// maxOutstanding bounds the grants that are remembered for each holder
-	// until it acknowledges them.
-	maxOutstanding = 8
-	// sampleLife is how long a load report is of use; holders' reports look
-	// back further.
-	sampleLife = LeastWindow - time.Second
-)
-
-// outstanding is a grant that its holder may not have seen.
-type outstanding struct {
-	number uint64
-	slots  int
-	unused int
-	idle   int
-	floor  tier.Tier
-}
-
-// account is what a ledger knows of one holder.
-type account struct {
-	report Report
-	// grants are those after the last acknowledged one, with it first.
-	grants []outstanding
-	lapse  time.Time
-	// lapsed tells that the holder can start nothing any more. What it may
-	// have started counts until the endpoint's load shows that it is gone.
-	lapsed bool
-	orphan int
-}
-
 // Ledger is a home's record of the grants of one endpoint. It is not safe for
 // concurrent use.
 type Ledger struct {
@@ -169,139 +137,6 @@
 	return l.find(report.Holder)
 }
 
-// acknowledge forgets the grants before the one that the holder has applied.
-func (a *account) acknowledge(number uint64) {
-	a.grants = slices.DeleteFunc(a.grants, func(g outstanding) bool { return g.number < number })
-}
-
-// expire marks the holder as unable to start anything.
-func (a *account) expire(now time.Time) {
-	if a.lapsed {
-		return
-	}
-	a.orphan = a.bound()
-	a.lapsed = true
-	a.lapse = now
-}
-
-// bound is the most slots that the holder may use now or later.
-func (a *account) bound() int {
-	if a.lapsed {
-		return a.orphan
-	}
-	bound := a.report.Allowed
-	for _, g := range a.grants {
-		if g.number > a.report.Grant {
-			bound = max(bound, g.slots)
-		}
-	}
-	return bound
-}
-
-// idle is how many unused slots the holder may keep when requests end.
-func (a *account) idle() int {
-	idle := 0
-	for _, g := range a.grants {
-		idle = max(idle, g.idle)
-	}
-	return idle
-}
-
-// unused is the most slots that the holder may have unused, now or later.
-func (a *account) unused() int {
-	unused := max(a.report.Allowed-a.report.Used.Sum(), a.idle())
-	for _, g := range a.grants {
-		if g.number > a.report.Grant {
-			unused = max(unused, g.unused)
-		}
-	}
-	return unused
-}
-
-// mayStart tells whether the holder may start a request of a lower tier than t
-// without a further grant.
-func (a *account) mayStart(t tier.Tier) bool {
-	if a.lapsed {
-		return false
-	}
-	floor := tier.Tier(0)
-	for _, g := range a.grants {
-		floor = max(floor, g.floor)
-	}
-	return floor > t && (a.idle() > 0 || a.bound() > a.report.Used.Sum())
-}
-
-// sample is a load report of the endpoint that waits for the holders' reports.
-type sample struct {
-	at       time.Time
-	inFlight int
-	// number is that of the last grant before the sample came.
-	number uint64
-}
-
-// ObserveLoad takes the number of requests that the endpoint had running and
-// waiting at a time. Once all holders have reported what they used at that
-// time, it settles what lost holders may still use.
-func (l *Ledger) ObserveLoad(now, sampled time.Time, inFlight int) {
-	if l.pending == nil || now.Sub(l.pending.at) > sampleLife {
-		l.pending = &sample{at: sampled, inFlight: inFlight, number: l.number}
-	}
-	l.settle(now)
-}
-
-// settle uses the pending sample if every holder has acknowledged a grant that
-// was made after it. Such a holder's report covers the time of the sample.
-func (l *Ledger) settle(now time.Time) {
-	if l.pending == nil || now.Sub(l.pending.at) > sampleLife {
-		return
-	}
-	known := 0
-	for i := range l.accounts {
-		acc := &l.accounts[i]
-		if acc.lapsed {
-			continue
-		}
-		if acc.report.Grant <= l.pending.number {
-			return
-		}
-		known += acc.report.Least
-	}
-	l.clear(l.pending.at, max(l.pending.inFlight-known, 0))
-	l.pending = nil
-}
-
-// clear lowers what lost holders may still use to rest, which the endpoint had
-// in flight for them at a time after which they can have started nothing.
-func (l *Ledger) clear(at time.Time, rest int) {
-	for i := range l.accounts {
-		acc := &l.accounts[i]
-		if acc.lapsed && at.After(acc.lapse.Add(LapseMargin)) {
-			acc.orphan = min(acc.orphan, rest)
-		}
-	}
-	if at.After(l.closedUntil.Add(LapseMargin)) {
-		l.unknown = min(l.unknown, rest)
-	}
-	l.sweep()
-}
-
-// Restarted tells that the endpoint has restarted: what lost holders had in
-// flight is gone.
-func (l *Ledger) Restarted() {
-	for i := range l.accounts {
-		if l.accounts[i].lapsed {
-			l.accounts[i].orphan = 0
-		}
-	}
-	l.unknown = 0
-	l.sweep()
-}
-
-// sweep forgets lost holders that use nothing any more.
-func (l *Ledger) sweep() {
-	l.accounts = slices.DeleteFunc(l.accounts, func(a account) bool { return a.lapsed && a.orphan == 0 })
-}
-
 // InHands is the most slots that may be in use, now or by grants already made.
 func (l *Ledger) InHands() int {
 	sum := l.unknown
@@ -439,18 +274,6 @@
 	return true
 }
 
-// changes tells whether a holder must hear of its standing.
-func (a *account) changes(target int, floor tier.Tier) bool {
-	if len(a.grants) == 0 {
-		return true
-	}
-	last := a.grants[len(a.grants)-1]
-	if target != a.bound() {
-		return last.slots != target
-	}
-	return last.floor > floor && a.mayStart(floor)
-}
-
 // grant makes and records one grant.
 func (l *Ledger) grant(now time.Time, acc *account, c *claim, floor tier.Tier, confirmed uint8) Grant {
 	unused, idle := c.mayKeep(), 0
@@ -480,20 +303,6 @@
 	}
 }
 
-// remember adds a grant; when there are too many, the oldest two become one
-// that covers both.
-func (a *account) remember(g outstanding) {
-	a.grants = append(a.grants, g)
-	if len(a.grants) <= maxOutstanding {
-		return
-	}
-	a.grants[1].slots = max(a.grants[0].slots, a.grants[1].slots)
-	a.grants[1].unused = max(a.grants[0].unused, a.grants[1].unused)
-	a.grants[1].idle = max(a.grants[0].idle, a.grants[1].idle)
-	a.grants[1].floor = max(a.grants[0].floor, a.grants[1].floor)
-	a.grants = slices.Delete(a.grants, 0, 1)
-}
-
 // headroom is how many slots could be granted to whoever asks, if need be after
 // a recall of unused ones.
 func (l *Ledger) headroom(now time.Time) int {
