--- a/internal/process/placement/exchange.go
+++ b/internal/process/placement/exchange.go
@@ -47,10 +47,10 @@
 		p.core.stats.lost.Inc(1)
 		return
 	}
-	go func() {
+	p.sends.Go(func() {
 		defer func() { <-p.calls }()
 		p.exchange(ctx, e)
-	}()
+	})
 }
 
 func (p *Placer) exchange(ctx context.Context, e envelope) {
--- a/internal/process/placement/placer.go
+++ b/internal/process/placement/placer.go
@@ -48,6 +48,7 @@
 	stats  *stats
 	wake   chan struct{}
 	calls  chan struct{}
+	sends  sync.WaitGroup
 
 	// mu guards what is not lock-free in core.
 	mu   sync.Mutex
@@ -75,8 +76,9 @@
 }
 
 // Run keeps grants fresh and sends messages to other hosts until the context
-// ends.
+// ends. It returns when no message is under way any more.
 func (p *Placer) Run(ctx context.Context) error {
+	defer p.sends.Wait()
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	for {
