--- a/internal/version/rollout/bench_test.go
+++ b/internal/version/rollout/bench_test.go
@@ -2,10 +2,14 @@
 
 import (
 	"slices"
+	"strconv"
 	"testing"
 	"time"
 
 	"golang.org/x/sync/errgroup"
+	"gotest.tools/v3/assert"
+
+	"mustarddoor/internal/process/identity"
 )
 
 // Size of BenchmarkVersionMove.
@@ -115,3 +119,35 @@
 	b.ReportMetric(completed/manySeeds, "completed-in-time")
 	b.ReportMetric(takenBack/manySeeds, "false-taken-back")
 }
+
+// BenchmarkChoose picks versions from several threads at once.
+func BenchmarkChoose(b *testing.B) {
+	judge := newTestJudge(&recorder{}, "host-1")
+	b.ReportAllocs()
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			judge.Choose("usta", "gauge")
+		}
+	})
+}
+
+// BenchmarkDecide judges a move of 16 routes seen by nine hosts.
+func BenchmarkDecide(b *testing.B) {
+	e := NewEvidence()
+	for host := range uint64(9) {
+		for route := range 16 {
+			for window := range uint64(recentWindows) {
+				for _, isNew := range []bool{false, true} {
+					arm := Arm{New: isNew, Route: strconv.Itoa(route)}
+					counts := sound(100 * (window + 1))
+					counts.FirstToken.Late = 5 * window
+					cell := Cell{Host: identity.Incarnation{Host: "h", Number: host}, Arm: arm, Window: window, Counts: counts}
+					assert.NilError(b, e.Merge(cell))
+				}
+			}
+		}
+	}
+	for b.Loop() {
+		Decide(Input{Complete: time.Minute, Window: recentWindows, Evidence: e})
+	}
+}
