Rollout: moves of services with little traffic finish in time

Cause: near the end of a move each stage wanted five results of its own, which a few requests a second do not bring. At the deadline the results of the whole move count now.

--- a/internal/version/rollout/decide.go
+++ b/internal/version/rollout/decide.go
@@ -16,7 +16,8 @@
 	suspicion = 5
 	// resultsToRaise is how many results a stage needs before the next one.
 	resultsToRaise = 40
-	// resultsAtDeadline is enough when the move's time runs out.
+	// resultsAtDeadline is enough, counted over the whole move, when the
+	// move's time runs out.
 	resultsAtDeadline = 5
 	// latestPart is the part of the time between a stage's due time and the
 	// move's end for which the stage may wait for evidence.
@@ -113,7 +114,7 @@
 		return CauseSound
 	}
 	latest := due + time.Duration(float64(in.Complete-due)*latestPart)
-	if in.Elapsed >= latest && d.Results >= resultsAtDeadline {
+	if in.Elapsed >= latest && resultsInAll(in) >= resultsAtDeadline {
 		return CauseDeadline
 	}
 	return CauseEvidence
@@ -129,6 +130,15 @@
 	return sum
 }
 
+// resultsInAll counts the new version's results since the move began.
+func resultsInAll(in Input) uint64 {
+	sum := uint64(0)
+	for _, route := range in.Evidence.Routes() {
+		sum += in.Evidence.Total(Arm{New: true, Route: route}).Results()
+	}
+	return sum
+}
+
 // comparer runs the tests and keeps the comparison that speaks most against
 // the new version.
 type comparer struct {
--- a/internal/version/rollout/fake_test.go
+++ b/internal/version/rollout/fake_test.go
@@ -76,6 +76,7 @@
 	{name: "good-but-cold", cold: true, route: anyRoute},
 	{name: "good-with-stalls", route: anyRoute, stalls: 2 * time.Second},
 	{name: "good-at-high-load", route: anyRoute, extraLoad: 0.6},
+	{name: "good-at-low-traffic", route: anyRoute, extraLoad: -0.98},
 	{name: "bad-at-once", bad: true, errorRate: 1, route: anyRoute},
 	{name: "bad-later", bad: true, errorRate: 1, laterPart: 0.6, route: anyRoute},
 	{name: "bad-only-under-load", bad: true, errorRate: 1, minRunning: fakeSlots / 2, route: anyRoute},
