--- a/internal/process/slot/ledger.go
+++ b/internal/process/slot/ledger.go
@@ -48,6 +48,7 @@
 	fence    uint64
 	limit    int
 	cold     int
+	isCold   bool
 	// closedUntil is when grants of an earlier home have lapsed.
 	closedUntil time.Time
 	// orphanLife is how long a lost holder's requests may run at most.
@@ -60,6 +61,16 @@
 	turn   int
 	// pending is the load report that is not yet settled, or nil.
 	pending *sample
+	// observe is told of new limits; it may be nil.
+	observe func(limit, before int)
+}
+
+// Observe calls the function with the present limit, and with each later one
+// before any slot is granted under it. The second argument is the limit before,
+// zero at first.
+func (l *Ledger) Observe(notify func(limit, before int)) {
+	l.observe = notify
+	notify(l.limit, 0)
 }
 
 // NewLedger returns a ledger for an endpoint with the home's fencing number.
@@ -76,10 +87,16 @@
 // SetLimit sets how many slots there are in all, and how many of them may be
 // unused in hands.
 func (l *Ledger) SetLimit(limit, cold int) {
+	if l.observe != nil && limit != l.limit {
+		l.observe(limit, l.limit)
+	}
 	l.limit = limit
 	l.cold = cold
 }
 
+// SetCold sets what grants say of the endpoint being cold.
+func (l *Ledger) SetCold(cold bool) { l.isCold = cold }
+
 // Fence is the home's fencing number.
 func (l *Ledger) Fence() uint64 { return l.fence }
 
@@ -456,6 +473,7 @@
 		Floor:              floor,
 		Confirmed:          confirmed,
 		Limit:              l.limit,
+		Cold:               l.isCold,
 		Headroom:           l.headroom(now),
 		OtherUsed:          used,
 		OtherPrefillTokens: prefill,
