Rollout: quantiles are interpolated within their bucket

Cause: the 90th percentile was rounded up to its bucket's limit, so that the late limit lay up to 19 percent above 1.5 times the true value.

--- a/internal/version/rollout/histogram.go
+++ b/internal/version/rollout/histogram.go
@@ -39,8 +39,8 @@
 	return sum
 }
 
-// Quantile is a pace that at least a fraction q of the paces do not exceed,
-// rounded up to its bucket's limit. It is zero for an empty histogram.
+// Quantile estimates the pace that a fraction q of the paces do not exceed. It
+// lies in the bucket of that pace. It is zero for an empty histogram.
 func (h *Histogram) Quantile(q float64) float64 {
 	total := h.Count()
 	if total == 0 {
@@ -49,10 +49,11 @@
 	need := uint64(math.Ceil(q * float64(total)))
 	sum := uint64(0)
 	for index, count := range h.Buckets {
-		sum += count
-		if sum >= need {
-			return bucketLimit(index)
+		if sum+count >= need {
+			part := float64(need-sum) / float64(count)
+			return bucketLimit(index-1) * math.Exp2(part/bucketsPerOctave)
 		}
+		sum += count
 	}
 	return bucketLimit(bucketCount - 1)
 }
