Rollout: operators hear of an overdue move; Run waits for what it sends

Cause of the second: TestJudgeCompletes failed once under the race detector, because a proposal was still being made after Run had returned. Run now waits for its sendings, which end with its context. go test -race -count 10: green.

--- a/internal/process/daemon/rollout.go
+++ b/internal/process/daemon/rollout.go
@@ -118,7 +118,7 @@
 		Value:   int64(math.Round(event.Share * thousandths)),
 		Detail:  event.Reason,
 	})
-	if event.Stage.IsFinal() {
+	if event.Stage.IsFinal() || event.Overdue {
 		h.logger.WithFields(logrus.Fields{
 			"service": event.Move.Service,
 			"version": event.Move.To,
--- a/internal/version/rollout/judge.go
+++ b/internal/version/rollout/judge.go
@@ -28,7 +28,7 @@
 
 // counters are the judge's metrics.
 type counters struct {
-	raised, completed, takenBack, cellsRefused, proposeFailed metrics.Counter
+	raised, completed, takenBack, overdue, cellsRefused, proposeFailed metrics.Counter
 }
 
 // table holds the moves by service.
@@ -57,6 +57,7 @@
 	configStage Stage
 	proposedAt  time.Time
 	lost        map[string]uint64
+	isOverdue   bool
 }
 
 // routeState is one route of a moving service on this host.
@@ -86,6 +87,7 @@
 		raised:        metrics.GetOrRegisterCounter("rollout.raised", registry),
 		completed:     metrics.GetOrRegisterCounter("rollout.completed", registry),
 		takenBack:     metrics.GetOrRegisterCounter("rollout.taken_back", registry),
+		overdue:       metrics.GetOrRegisterCounter("rollout.overdue", registry),
 		cellsRefused:  metrics.GetOrRegisterCounter("rollout.cells_refused", registry),
 		proposeFailed: metrics.GetOrRegisterCounter("rollout.propose_failed", registry),
 	}
--- a/internal/version/rollout/judge_test.go
+++ b/internal/version/rollout/judge_test.go
@@ -230,6 +230,22 @@
 	})
 }
 
+// TestJudgeTellsOfOverdueMove checks that operators hear, once, of a move that
+// has too little evidence at its end.
+func TestJudgeTellsOfOverdueMove(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := &recorder{}
+		judge := newTestJudge(r, "host-1")
+		for range 100 {
+			time.Sleep(time.Second)
+			judge.Step(time.Now())
+		}
+		assert.Equal(t, len(r.events), 1)
+		assert.Assert(t, r.events[0].Overdue)
+		assert.Equal(t, r.events[0].Reason, "overdue: hold after 1m0s: too few results (0 results at this stage)")
+	})
+}
+
 func TestLateRequestsCountBeforeTheyEnd(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		judge := newTestJudge(&recorder{}, "host-1")
--- a/internal/version/rollout/step.go
+++ b/internal/version/rollout/step.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -153,6 +154,25 @@
 		Evidence:    m.evidence,
 	})
 	j.adopt(m, decision.Stage, decision.String(), now)
+	if decision.Elapsed >= m.move.Complete {
+		j.noteOverdue(m, decision)
+	}
+}
+
+// noteOverdue tells, once, that a move's time is over before its end.
+func (j *Judge) noteOverdue(m *moveState, decision Decision) {
+	if m.isOverdue || decision.Stage.IsFinal() {
+		return
+	}
+	m.isOverdue = true
+	j.counters.overdue.Inc(1)
+	j.config.Notify(Event{
+		Move:    m.move.MoveID,
+		Stage:   decision.Stage,
+		Overdue: true,
+		Share:   decision.Stage.Share().Float(),
+		Reason:  "overdue: " + decision.String(),
+	})
 }
 
 // propose returns the verdict that the configuration lacks, if it is due. A
@@ -222,8 +242,10 @@
 	return struct{}{}, nil
 }
 
-// Run steps until the context ends.
+// Run steps until the context ends, and waits for what is being sent.
 func (j *Judge) Run(ctx context.Context) error {
+	var sending sync.WaitGroup
+	defer sending.Wait()
 	ticker := time.NewTicker(stepInterval)
 	defer ticker.Stop()
 	for {
@@ -236,27 +258,27 @@
 				return nil
 			}
 		}
-		j.carryOut(ctx, j.Step(j.config.Now()))
+		j.carryOut(ctx, &sending, j.Step(j.config.Now()))
 	}
 }
 
 // carryOut sends what a step asks for, without waiting.
-func (j *Judge) carryOut(ctx context.Context, out Output) {
+func (j *Judge) carryOut(ctx context.Context, sending *sync.WaitGroup, out Output) {
 	if len(out.Deltas) > 0 && j.config.Exchange != nil {
-		go func() {
+		sending.Go(func() {
 			ctx, cancel := context.WithTimeout(ctx, broadcastTimeout)
 			defer cancel()
 			j.config.Exchange.Broadcast(ctx, out.Deltas)
-		}()
+		})
 	}
 	for _, verdict := range out.Verdicts {
-		go func() {
+		sending.Go(func() {
 			ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
 			defer cancel()
 			if err := j.config.Proposer.Propose(ctx, verdict); err != nil {
 				j.counters.proposeFailed.Inc(1)
 			}
-		}()
+		})
 	}
 }
 
--- a/internal/version/rollout/verdict.go
+++ b/internal/version/rollout/verdict.go
@@ -67,10 +67,13 @@
 	Propose(ctx context.Context, verdict Verdict) error
 }
 
-// Event tells of a change of a move's stage on this host.
+// Event tells of a change of a move's stage on this host, or that the move's
+// time is over before its end.
 type Event struct {
 	Move  MoveID
 	Stage Stage
+	// Overdue tells that the move's time is over; the stage is as before.
+	Overdue bool
 	// Share is the new version's part of the traffic, from 0 to 1.
 	Share  float64
 	Reason string
