--- a/internal/process/home/manager.go
+++ b/internal/process/home/manager.go
@@ -85,12 +85,6 @@
 	work chan struct{}
 }
 
-// homes is what readers see: never changed, replaced as a whole.
-type homes struct {
-	byEndpoint map[string]placement.Home
-	unfit      []string
-}
-
 // readingState is how far this host follows the stream.
 type readingState struct {
 	// atTail tells that the last read worked and reached the tail.
@@ -157,19 +151,6 @@
 	m.wake()
 }
 
-// Home gives the endpoint's home, or false if it has none. It implements
-// placement.Homes and never blocks. For an endpoint whose home this host is,
-// LeaseUntil may lie in the past: the host may not act as home then. It goes on
-// beyond the lease while the log is out for all hosts.
-func (m *Manager) Home(endpoint string) (placement.Home, bool) {
-	home, found := m.homes.Load().byEndpoint[endpoint]
-	return home, found
-}
-
-// Unfit lists the endpoints that do not run what the bundle wants yet, as their
-// homes see them. They should get no new requests.
-func (m *Manager) Unfit() []string { return m.homes.Load().unfit }
-
 // Lease gives the lease that this host holds on an endpoint, or false if it
 // holds none that is valid now. A holder asks again right before it acts.
 func (m *Manager) Lease(endpoint string) (Lease, bool) {
@@ -258,43 +239,6 @@
 	}
 }
 
-// publish makes what readers see. The lock is held.
-func (m *Manager) publish() {
-	next := &homes{byEndpoint: make(map[string]placement.Home, len(m.table.entries))}
-	for endpoint, entry := range m.table.entries {
-		if entry.Unfit {
-			next.unfit = append(next.unfit, endpoint)
-		}
-		if !entry.Free {
-			next.byEndpoint[endpoint] = m.homeOf(endpoint, entry)
-		}
-	}
-	m.homes.Store(next)
-}
-
-// homeOf describes an endpoint's home.
-func (m *Manager) homeOf(endpoint string, entry Entry) placement.Home {
-	home := placement.Home{
-		Host:        entry.Holder.Incarnation,
-		MeshAddress: entry.Holder.MeshAddress,
-		Fence:       entry.Fence,
-		First:       entry.First,
-	}
-	if entry.Holder.Incarnation != m.options.Self.Incarnation {
-		return home
-	}
-	home.LeaseUntil = entry.Seen
-	lease, found := m.leases[endpoint]
-	if !found {
-		return home
-	}
-	home.LeaseUntil = lease.Until
-	if m.holding.until.After(lease.Until) {
-		home.LeaseUntil = m.holding.until
-	}
-	return home
-}
-
 const (
 	leavePoll = 20 * time.Millisecond
 	// leaveTimeout bounds how long a planned stop waits for the log.
@@ -309,27 +253,3 @@
 	}
 	return hex.EncodeToString(id)
 }
-
-// managerMetrics are a manager's counters.
-type managerMetrics struct {
-	held       metrics.Gauge
-	lost       metrics.Counter
-	appended   metrics.Counter
-	appendFail metrics.Counter
-	refused    metrics.Counter
-	gaps       metrics.Counter
-}
-
-func newManagerMetrics(registry metrics.Registry) managerMetrics {
-	if registry == nil {
-		registry = metrics.NewRegistry()
-	}
-	return managerMetrics{
-		held:       metrics.GetOrRegisterGauge("homes.held", registry),
-		lost:       metrics.GetOrRegisterCounter("homes.claims_lost", registry),
-		appended:   metrics.GetOrRegisterCounter("homes.appended", registry),
-		appendFail: metrics.GetOrRegisterCounter("homes.append_errors", registry),
-		refused:    metrics.GetOrRegisterCounter("homes.records_refused", registry),
-		gaps:       metrics.GetOrRegisterCounter("homes.gaps", registry),
-	}
-}
--- /dev/null
+++ b/internal/version/config/apply_versions.go
@@ -0,0 +1,189 @@
+package config
+
+import (
+	"fmt"
+	"slices"
+
+	"mustarddoor/internal/version/bundle"
+)
+
+func (t *step) publish() Outcome {
+	var body PublishBody
+	if outcome, ok := t.decode(&body); !ok {
+		return outcome
+	}
+	if head := t.state.Log.Head; head.offset() != body.Base {
+		return t.lostRace(body.Base)
+	}
+	if slices.Contains(t.state.Log.Names, body.Name) {
+		return refused(ReasonName, "%q", body.Name)
+	}
+	return t.takeHead(body)
+}
+
+// takeHead makes the published bundle the newest version.
+func (t *step) takeHead(body PublishBody) Outcome {
+	parsed, err := readBundle(body.Schema, body.Name, body.Digest, body.Content)
+	if err != nil {
+		return refused(ReasonBundle, "%v", err)
+	}
+	log := &t.state.Log
+	log.Head = &Version{
+		Offset:          t.entry.Offset,
+		Name:            body.Name,
+		Publisher:       t.record.Signer,
+		Digest:          body.Digest,
+		Schema:          body.Schema,
+		Content:         body.Content,
+		PublishedMillis: t.entry.AppendedMillis,
+		bundle:          parsed,
+	}
+	log.Names = append(slices.Clone(log.Names), body.Name)
+	if len(log.Names) > maxNames {
+		log.Names = log.Names[1:]
+	}
+	return accepted("version %d is %q", t.entry.Offset, body.Name)
+}
+
+// offset gives the version's offset, or zero for none.
+func (v *Version) offset() uint64 {
+	if v == nil {
+		return 0
+	}
+	return v.Offset
+}
+
+// lostRace tells the operator who was first.
+func (t *step) lostRace(base uint64) Outcome {
+	head := t.state.Log.Head
+	outcome := Outcome{Result: ResultLostRace, Winner: head.Info()}
+	if head == nil {
+		outcome.Detail = fmt.Sprintf("based on version %d, but there is none", base)
+		return outcome
+	}
+	outcome.Detail = fmt.Sprintf("based on version %d, but the newest is %d, %q by %s",
+		base, head.Offset, head.Name, head.Publisher)
+	return outcome
+}
+
+// isRestart reports whether the record restarts the stream. The answer does
+// not depend on the state, so that hosts with and without the records before it
+// agree.
+func (t *step) isRestart() bool {
+	if t.record.Kind != KindPublish || t.record.Role != RoleOperator || t.record.Schema > RecordSchema {
+		return false
+	}
+	var body PublishBody
+	if err := decoding.Unmarshal(t.record.Body, &body); err != nil || body.RestartAt == 0 {
+		return false
+	}
+	if t.entry.Offset < body.RestartAt || t.entry.Offset-body.RestartAt >= RestartWindow {
+		return false
+	}
+	_, err := readBundle(body.Schema, body.Name, body.Digest, body.Content)
+	return err == nil
+}
+
+// restart forgets what the log said before and takes the bundle as the newest
+// version. The version in force, marks and moves stay.
+func (t *step) restart() Outcome {
+	var body PublishBody
+	if outcome, ok := t.decode(&body); !ok {
+		return outcome
+	}
+	t.state.Log = LogState{SequenceFloor: t.record.Sequence}.clone()
+	return t.takeHead(body)
+}
+
+func (t *step) approve() Outcome {
+	var body ApproveBody
+	if outcome, ok := t.decode(&body); !ok {
+		return outcome
+	}
+	head := t.state.Log.Head
+	switch {
+	case head == nil || head.Offset != body.Version:
+		return t.lostRace(body.Version)
+	case head.Digest != body.Digest:
+		return refused(ReasonDigest, "version %d", head.Offset)
+	case head.Publisher == t.record.Signer:
+		return refused(ReasonSelf, "%s", t.record.Signer)
+	case head.Approver != "":
+		return refused(ReasonApproved, "by %s", head.Approver)
+	}
+	approved := *head
+	approved.Approver = t.record.Signer
+	t.state.Log.Head = &approved
+	return accepted("version %d, %q, approved", head.Offset, head.Name)
+}
+
+func (t *step) roll() Outcome {
+	var body RollBody
+	if outcome, ok := t.decode(&body); !ok {
+		return outcome
+	}
+	head := t.state.Log.Head
+	switch {
+	case head == nil || head.Offset != body.Version:
+		return t.lostRace(body.Version)
+	case head.Digest != body.Digest:
+		return refused(ReasonDigest, "version %d", head.Offset)
+	case head.Approver == "":
+		return refused(ReasonNotApproved, "version %d, %q", head.Offset, head.Name)
+	case head.Roller != "":
+		return refused(ReasonInForce, "version %d, %q", head.Offset, head.Name)
+	}
+	t.putInForce(*head)
+	return accepted("version %d, %q, in force", head.Offset, head.Name)
+}
+
+// putInForce puts a version in force and begins its moves.
+func (t *step) putInForce(rolled Version) {
+	rolled.Roller = t.record.Signer
+	rolled.RollOffset = t.entry.Offset
+	rolled.RolledMillis = t.entry.AppendedMillis
+	rolled.Moves = t.movesOf(rolled.bundle)
+	t.state.Log.Head = &rolled
+	t.state.Log.Moves = rolled.Moves
+	t.state.InForce = laterVersion(t.state.InForce, &rolled)
+	t.pruneVerdicts()
+	t.state.pruneMoves()
+}
+
+// movesOf gives the moves of a bundle; those that were under way keep their id.
+// A bundle that this release does not know has the moves that were under way.
+func (t *step) movesOf(b *bundle.Bundle) []MoveID {
+	before := t.state.Log.Moves
+	if b == nil {
+		return before
+	}
+	moves := []MoveID{}
+	for _, move := range b.Moves {
+		moves = append(moves, t.moveID(before, move))
+	}
+	return moves
+}
+
+func (t *step) moveID(before []MoveID, move bundle.Move) MoveID {
+	for _, id := range before {
+		if id.Service == move.Service && id.From == move.From && id.To == move.To {
+			return id
+		}
+	}
+	return MoveID{
+		Service:     move.Service,
+		From:        move.From,
+		To:          move.To,
+		Since:       t.entry.Offset,
+		SinceMillis: t.entry.AppendedMillis,
+	}
+}
+
+// pruneVerdicts drops the verdicts on moves that have ended.
+func (t *step) pruneVerdicts() {
+	for id := range t.state.Log.Verdicts {
+		if !slices.Contains(t.state.Log.Moves, id) {
+			delete(t.state.Log.Verdicts, id)
+		}
+	}
+}
--- /dev/null
+++ b/internal/version/config/exchange.go
@@ -0,0 +1,156 @@
+package config
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+)
+
+// exchange pulls from one peer at a time until the context ends.
+func (f *Follower) exchange(ctx context.Context) error {
+	for ctx.Err() == nil {
+		if peers := pick(f.options.Peers(), 1); len(peers) == 1 {
+			_ = f.pull(ctx, peers[0])
+		}
+		interval := f.pullInterval()
+		pause(ctx, interval/2+rand.N(interval))
+	}
+	return nil
+}
+
+// pullInterval is the mean time between two pulls.
+func (f *Follower) pullInterval() time.Duration {
+	if f.needsState() {
+		return needyPullInterval
+	}
+	return calmPullInterval
+}
+
+// needsState reports whether the log alone does not bring the host up to date.
+func (f *Follower) needsState() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	h := f.health
+	return h.isLogDown() || h.gapTo != 0 || !h.reachedTail
+}
+
+// pullAll asks several peers at once and notes how many answered.
+func (f *Follower) pullAll(ctx context.Context) {
+	peers := pick(f.options.Peers(), maxPullPeers)
+	answers := make(chan bool, len(peers))
+	var group errgroup.Group
+	group.SetLimit(parallelMessages)
+	for _, peer := range peers {
+		group.Go(func() error {
+			answers <- f.pullState(ctx, peer, true) == nil
+			return nil
+		})
+	}
+	_ = group.Wait()
+	close(answers)
+	answered := 0
+	for ok := range answers {
+		if ok {
+			answered++
+		}
+	}
+	f.peersHeard(len(peers), answered)
+}
+
+// pull asks one peer for what this host does not have.
+func (f *Follower) pull(ctx context.Context, peer string) error {
+	return f.pullState(ctx, peer, f.needsState())
+}
+
+func (f *Follower) pullState(ctx context.Context, peer string, needsState bool) error {
+	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
+	defer cancel()
+	request := f.currentState().pullRequest(needsState)
+	var reply pullReply
+	if err := f.options.Caller.Call(ctx, peer, kindPull, request, &reply); err != nil {
+		f.metrics.pullErrors.Inc(1)
+		return errNoAnswer
+	}
+	f.metrics.pulls.Inc(1)
+	f.mergeDelta(reply.Delta)
+	f.mergeSnapshot(reply.Snapshot)
+	return nil
+}
+
+// mergeSnapshot takes in a peer's snapshot if its signature is right.
+func (f *Follower) mergeSnapshot(raw []byte) {
+	if len(raw) == 0 {
+		return
+	}
+	record, err := Open(raw, f.options.Keys)
+	if err != nil {
+		f.refuseFromPeer(refusedOpen(err))
+		return
+	}
+	snapshot, outcome, ok := readSnapshot(record)
+	if !ok {
+		f.refuseFromPeer(outcome)
+		return
+	}
+	f.merge(snapshot)
+}
+
+// spread tells peers of changes until the context ends.
+func (f *Follower) spread(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-f.news:
+			f.push(ctx, f.takeUnsent())
+		}
+	}
+}
+
+// takeUnsent gives what peers have not heard of.
+func (f *Follower) takeUnsent() delta {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	news := delta{}
+	for domain := range f.unsent.marks {
+		news.Marks = append(news.Marks, f.state.Marks[domain].Raw)
+	}
+	for id := range f.unsent.moves {
+		if state, found := f.state.Moves[id]; found {
+			news.Moves = append(news.Moves, moveWire{ID: id, State: state})
+		}
+	}
+	f.unsent = newUnsent()
+	return news
+}
+
+// push sends news to some peers at once. A peer that does not hear of them now
+// does by its own pulls.
+func (f *Follower) push(ctx context.Context, news delta) {
+	if len(news.Marks) == 0 && len(news.Moves) == 0 {
+		return
+	}
+	var group errgroup.Group
+	group.SetLimit(parallelMessages)
+	for _, peer := range pick(f.options.Peers(), maxPushPeers) {
+		group.Go(func() error {
+			ctx, cancel := context.WithTimeout(ctx, pushTimeout)
+			defer cancel()
+			var reply pushReply
+			if err := f.options.Caller.Call(ctx, peer, kindPush, news, &reply); err != nil {
+				f.metrics.pushErrors.Inc(1)
+			}
+			return nil
+		})
+	}
+	_ = group.Wait()
+}
+
+// pick gives some peers at random.
+func pick(peers []string, count int) []string {
+	picked := append([]string(nil), peers...)
+	rand.Shuffle(len(picked), func(i, j int) { picked[i], picked[j] = picked[j], picked[i] })
+	return picked[:min(count, len(picked))]
+}
