--- a/internal/version/config/apply_versions.go
+++ b/internal/version/config/apply_versions.go
@@ -100,20 +100,17 @@
 	if outcome, ok := t.decode(&body); !ok {
 		return outcome
 	}
-	head := t.state.Log.Head
+	head, outcome, ok := t.headNamed(body.Version, body.Digest)
 	switch {
-	case head == nil || head.Offset != body.Version:
-		return t.lostRace(body.Version)
-	case head.Digest != body.Digest:
-		return refused(ReasonDigest, "version %d", head.Offset)
+	case !ok:
+		return outcome
 	case head.Publisher == t.record.Signer:
 		return refused(ReasonSelf, "%s", t.record.Signer)
 	case head.Approver != "":
 		return refused(ReasonApproved, "by %s", head.Approver)
 	}
-	approved := *head
-	approved.Approver = t.record.Signer
-	t.state.Log.Head = &approved
+	head.Approver = t.record.Signer
+	t.state.Log.Head = &head
 	return accepted("version %d, %q, approved", head.Offset, head.Name)
 }
 
@@ -122,21 +119,32 @@
 	if outcome, ok := t.decode(&body); !ok {
 		return outcome
 	}
-	head := t.state.Log.Head
+	head, outcome, ok := t.headNamed(body.Version, body.Digest)
 	switch {
-	case head == nil || head.Offset != body.Version:
-		return t.lostRace(body.Version)
-	case head.Digest != body.Digest:
-		return refused(ReasonDigest, "version %d", head.Offset)
+	case !ok:
+		return outcome
 	case head.Approver == "":
 		return refused(ReasonNotApproved, "version %d, %q", head.Offset, head.Name)
 	case head.Roller != "":
 		return refused(ReasonInForce, "version %d, %q", head.Offset, head.Name)
 	}
-	t.putInForce(*head)
+	t.putInForce(head)
 	return accepted("version %d, %q, in force", head.Offset, head.Name)
 }
 
+// headNamed gives a copy of the newest version if it is the one that an
+// operator names.
+func (t *step) headNamed(version uint64, digest string) (Version, Outcome, bool) {
+	head := t.state.Log.Head
+	switch {
+	case head == nil || head.Offset != version:
+		return Version{}, t.lostRace(version), false
+	case head.Digest != digest:
+		return Version{}, refused(ReasonDigest, "version %d", head.Offset), false
+	}
+	return *head, Outcome{}, true
+}
+
 // putInForce puts a version in force and begins its moves.
 func (t *step) putInForce(rolled Version) {
 	rolled.Roller = t.record.Signer
