Time line: refusals and resumed answers of hosts that do not own the request

The rule 'not run is true' saw only the owner's own refusals, not those that another host gives after the witness has written void, which are the ones that can be false.

--- a/internal/process/daemon/forward.go
+++ b/internal/process/daemon/forward.go
@@ -15,6 +15,7 @@
 		Log:        journal.NewReader(h.log),
 		Index:      h.index.Load,
 		OtherHosts: h.requests.otherAddresses,
+		Events:     flow.Events{Recorder: h.ring},
 		Metrics:    h.metrics,
 	})
 }
--- a/internal/process/timeline/event.go
+++ b/internal/process/timeline/event.go
@@ -35,6 +35,8 @@
 	RequestShed Kind = "request.shed"
 	// RequestRefused tells what the caller was told; Outcome and Detail.
 	RequestRefused Kind = "request.refused"
+	// RequestResumed tells that a host which does not own the request fetches
+	// its answer from Endpoint, from byte Value on.
 	RequestResumed Kind = "request.resumed"
 )
 
--- a/internal/request/flow/events.go
+++ b/internal/request/flow/events.go
@@ -5,6 +5,7 @@
 	"mustarddoor/internal/process/timeline"
 	"mustarddoor/internal/request/outcome"
 	"mustarddoor/internal/request/owner"
+	"mustarddoor/internal/request/witness"
 )
 
 // Events writes the events of requests to the time line.
@@ -49,6 +50,16 @@
 // Shed tells that the request gives way under load.
 func (e Events) Shed(request *Request) { e.Recorder.Record(eventOf(timeline.RequestShed, request)) }
 
+// Resumed tells that a host which does not own the request fetches its answer
+// from the endpoint, from an offset in bytes on.
+func (e Events) Resumed(request *Request, intent witness.Intent, offset int64) {
+	event := eventOf(timeline.RequestResumed, request)
+	event.Service = intent.Service
+	event.Endpoint = intent.Endpoint
+	event.Value = offset
+	e.Recorder.Record(event)
+}
+
 // FirstToken tells that the answer has begun.
 func (e Events) FirstToken(request *Request, place *placement.Placement) {
 	e.Recorder.Record(placedEvent(timeline.RequestFirstToken, request, place))
--- a/internal/request/flow/fetch.go
+++ b/internal/request/flow/fetch.go
@@ -18,6 +18,7 @@
 // stream's end even if the caller lacks nothing.
 func (t *retry) resumeStream(ctx context.Context, intent witness.Intent) resume.Ending {
 	t.resumed.Inc(1)
+	t.config.Events.Resumed(t.request, intent, t.offset)
 	overlap := min(t.offset, int64(len(streamEnd)))
 	guard := newStallGuard(ctx)
 	reply, err := t.config.Endpoints.Resume(guard.ctx, intent.Address, t.key.String(), t.offset-overlap)
--- a/internal/request/flow/forward.go
+++ b/internal/request/flow/forward.go
@@ -9,6 +9,7 @@
 
 	"mustarddoor/internal/connection/mesh"
 	"mustarddoor/internal/process/identity"
+	"mustarddoor/internal/process/timeline"
 	"mustarddoor/internal/request/key"
 	"mustarddoor/internal/request/outcome"
 	"mustarddoor/internal/request/owner"
@@ -48,7 +49,9 @@
 	Index func() *bundle.Index
 	// OtherHosts lists the caller addresses of other live hosts, for refusals.
 	OtherHosts func() []string
-	Metrics    metrics.Registry
+	// Events takes the events of the time line; its zero value drops them.
+	Events  Events
+	Metrics metrics.Registry
 }
 
 // Resumer answers requests that another host owns, by the decisions of
@@ -65,6 +68,9 @@
 
 // NewResumer returns a resumer with its own connections to other hosts.
 func NewResumer(config ForwardConfig) *Resumer {
+	if config.Events.Recorder == nil {
+		config.Events.Recorder = timeline.Discard
+	}
 	transport := &http.Transport{
 		MaxIdleConnsPerHost: maxIdleRelays,
 		IdleConnTimeout:     relayIdleTimeout,
@@ -82,6 +88,7 @@
 func (r *Resumer) Forward(ctx context.Context, request *Request, w http.ResponseWriter) {
 	retry := &retry{
 		Resumer: r,
+		request: request,
 		key:     request.Key,
 		offset:  request.Offset,
 		w:       w,
@@ -118,6 +125,7 @@
 // retry is one request that is being answered.
 type retry struct {
 	*Resumer
+	request *Request
 	key     key.Key
 	machine resume.Machine
 	w       http.ResponseWriter
@@ -229,6 +237,7 @@
 func (t *retry) refuse(refusal outcome.Refusal) {
 	name := "request.refused." + string(refusal.Outcome) + "." + string(refusal.Reason)
 	metrics.GetOrRegisterCounter(name, t.config.Metrics).Inc(1)
+	t.config.Events.Refused(t.request, refusal)
 	if t.out != nil {
 		t.out.abort(refusal)
 		return
