--- a/internal/request/flow/events.go
+++ b/internal/request/flow/events.go
@@ -29,6 +29,9 @@
 	e.Recorder.Record(eventOf(timeline.RequestReceived, request))
 }
 
+// Queued tells that the request waits for an endpoint.
+func (e Events) Queued(request *Request) { e.Recorder.Record(eventOf(timeline.RequestQueued, request)) }
+
 // Intended tells that the witness has acknowledged the intent.
 func (e Events) Intended(request *Request, place *placement.Placement) {
 	event := placedEvent(timeline.RequestIntent, request, place)
--- a/internal/request/flow/run.go
+++ b/internal/request/flow/run.go
@@ -16,6 +16,7 @@
 // caller waits any more.
 func (r *Runner) run(gone context.Context, request *Request, own *owner.Request) {
 	own.Queue()
+	r.config.Events.Queued(request)
 	place, refusal := r.config.Placer.Place(gone, placementRequest(request))
 	for refusal == nil {
 		if sent := r.dispatch(gone, request, own, place); sent != nil {
