--- a/internal/connection/caller/fault.go
+++ b/internal/connection/caller/fault.go
@@ -66,9 +66,10 @@
 	Detail           string          `json:"detail"`
 }
 
-func (f *fault) write(w http.ResponseWriter) error {
+// write answers with the fault and the caller addresses of other hosts.
+func (f *fault) write(w http.ResponseWriter, others []string) error {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(f.status())
-	body := faultBody{Outcome: f.outcome, Reason: f.kind, Addresses: []string{}, Detail: f.detail}
+	body := faultBody{Outcome: f.outcome, Reason: f.kind, Addresses: others, Detail: f.detail}
 	return json.NewEncoder(w).Encode(body)
 }
--- a/internal/connection/caller/server.go
+++ b/internal/connection/caller/server.go
@@ -41,7 +41,10 @@
 	// Index gives the bundle in force, or nil if there is none.
 	Index func() *bundle.Index
 	// NotReady says why the host takes no requests; empty if it does.
-	NotReady     func() string
+	NotReady func() string
+	// OtherHosts lists the caller addresses of other live hosts, for refusals.
+	// It is never nil.
+	OtherHosts   func() []string
 	MaxBodyBytes int64
 	Metrics      metrics.Registry
 }
@@ -151,7 +154,7 @@
 		fault.outcome = s.config.Requests.Close(parsed)
 	}
 	metrics.GetOrRegisterCounter("caller.refused."+string(fault.kind), s.config.Metrics).Inc(1)
-	return fault.write(c.Response())
+	return fault.write(c.Response(), s.config.OtherHosts())
 }
 
 // handleError answers what no handler took: unknown paths and methods.
--- a/internal/process/daemon/host.go
+++ b/internal/process/daemon/host.go
@@ -198,6 +198,7 @@
 		Requests:     h.requests,
 		Index:        h.index.Load,
 		NotReady:     h.notConfigured,
+		OtherHosts:   h.requests.otherAddresses,
 		MaxBodyBytes: h.settings.Limits.BodyBytes,
 		Metrics:      h.metrics,
 	})
