--- a/internal/process/daemon/configuration.go
+++ b/internal/process/daemon/configuration.go
@@ -52,6 +52,8 @@
 		Homes:   h.homes,
 		Caller:  h.caller,
 		Metrics: h.metrics,
+
+		NotifyLimit: h.observeLimit,
 	})
 	h.placer.Register(h.meshServer)
 	h.loads = loadpoll.New(h.endpoints, h.placer)
@@ -81,7 +83,9 @@
 		return
 	}
 	if current := h.index.Load(); current == nil || current.Bundle() != view.Bundle {
-		h.index.Store(bundle.NewIndex(view.Bundle))
+		next := bundle.NewIndex(view.Bundle)
+		h.index.Store(next)
+		h.recordEndpoints(current, next, view.Version.Version)
 		h.ring.Record(timeline.Event{
 			Kind:   timeline.ConfigInForce,
 			Value:  int64(view.Version.Version),
@@ -110,8 +114,7 @@
 		EndpointsOut: h.homes.Unfit(),
 		Hosts:        hosts,
 
-		ChooseVersion: h.judge.Choose,
-		Steady:        h.judge.Steady,
+		Versions: h.judge,
 	}
 }
 
--- a/internal/process/placement/core.go
+++ b/internal/process/placement/core.go
@@ -17,9 +17,10 @@
 	// minPatience and maxPatience bound how long a request waits for a slot of
 	// one endpoint before any other will do. patienceShare is the part of the
 	// time to its deadline that it may spend on that.
-	minPatience   = 10 * time.Millisecond
-	maxPatience   = 4 * time.Second
-	patienceShare = 2
+	minPatience     = 10 * time.Millisecond
+	maxPatience     = 30 * time.Second
+	patienceShare   = 2
+	patienceReserve = time.Second
 	// worthWaiting is the least number of cached tokens to wait for.
 	worthWaiting = 200
 	// manyWaiting is the largest demand of one tier that is reported; homes
@@ -45,8 +46,10 @@
 	budget *retry.Budget
 	index  *scheduler.Index
 
-	sites   map[string]*site
-	byID    map[uint16]*site
+	sites map[string]*site
+	byID  map[uint16]*site
+	// order is the sites by name.
+	order   []*site
 	lines   map[string]*line
 	lengths map[string]*scheduler.Lengths
 	out     outbox
@@ -55,6 +58,8 @@
 	// zero if none does.
 	recheck time.Time
 	stats   *stats
+	// notifyLimit is told of the limits that this host sets; it may be nil.
+	notifyLimit func(LimitChange)
 }
 
 func newCore(self identity.Host, homes Homes, random func() uint64, stats *stats, now time.Time) *core {
@@ -102,8 +107,8 @@
 		j.deadline = request.Arrival.Add(r.budget)
 		j.ask.Deadline = j.deadline
 	}
-	if st.view.ChooseVersion != nil {
-		j.ask.Version = st.view.ChooseVersion(r.service, r.name)
+	if st.view.Versions != nil {
+		j.ask.Version = st.view.Versions.Choose(r.service, r.name)
 	}
 	return j, nil
 }
@@ -136,10 +141,7 @@
 	if p.line.waiting.Load() > 0 {
 		return nil, nil
 	}
-	d := p.plan.Decide(now, &j.ask)
-	if d.Action != scheduler.ActionDispatch && c.settleVersion(j) {
-		d = p.plan.Decide(now, &j.ask)
-	}
+	d := c.decide(now, p, j)
 	switch d.Action {
 	case scheduler.ActionNone:
 		return nil, &Refusal{Reason: ReasonNoEndpoint, RetryAfter: retryAfterFull}
@@ -152,23 +154,6 @@
 	}
 }
 
-// settleVersion gives a job that cannot go at once the version that most
-// requests get, and reports whether that is another one.
-func (c *core) settleVersion(j *job) bool {
-	view := &c.state.Load().view
-	if view.ChooseVersion == nil {
-		return false
-	}
-	steady := view.Steady(j.route.service)
-	if j.ask.Version == steady {
-		return false
-	}
-	j.withdraw()
-	j.askUntil = time.Time{}
-	j.ask.Version = steady
-	return true
-}
-
 // dispatch takes the slot that a decision found, or returns nil if it is gone.
 func (c *core) dispatch(now time.Time, p *pool, j *job, d scheduler.Decision) *ticket {
 	s := p.sites[d.Endpoint]
@@ -275,7 +260,7 @@
 		c.refuse(j, Refusal{Reason: ReasonCapacity, RetryAfter: retryAfterShed})
 		return true
 	}
-	d := p.plan.Decide(now, &j.ask)
+	d := c.decide(now, p, j)
 	if d.Action != scheduler.ActionDispatch {
 		return false
 	}
@@ -299,9 +284,8 @@
 
 // rate tells how much a waiting job deserves a slot now, and keeps its demand.
 func (c *core) rate(now time.Time, p *pool, j *job) float64 {
-	c.settleVersion(j)
 	j.ask.HeldOnly = !j.askUntil.IsZero() && !now.Before(j.askUntil)
-	d := p.plan.Decide(now, &j.ask)
+	d := c.decide(now, p, j)
 	switch d.Action {
 	case scheduler.ActionDispatch:
 		if j.late {
@@ -343,7 +327,7 @@
 		return maxPatience
 	}
 	left := j.ask.Deadline.Sub(now)
-	return min(max(left/patienceShare, minPatience), maxPatience)
+	return min(max(left-patienceReserve, left/patienceShare, minPatience), maxPatience)
 }
 
 // markLate notes that a job's deadline cannot be met any more. Until it may be
@@ -399,7 +383,7 @@
 
 // tick does what time alone brings about.
 func (c *core) tick(now time.Time) {
-	for _, s := range c.sites {
+	for _, s := range c.order {
 		s.follow(now, c.homes, c.self)
 		if s.office != nil {
 			s.office.refresh(now)
@@ -425,7 +409,7 @@
 	}
 	for range settleRounds {
 		granted := false
-		for _, s := range c.sites {
+		for _, s := range c.order {
 			granted = c.report(now, s) || granted
 		}
 		if !granted {
