limit: a cold engine's limit does not grow on middling first tokens

A trace showed the limit grow from 2 to 3 after 5 s while the engine was cold for 8 s: its first tokens took less than twice the expected time, since the expectation counted the fixed overhead twice. Change: overhead counts once, and growth needs a median within 1.5 times the expected.

--- a/internal/process/limit/limit.go
+++ b/internal/process/limit/limit.go
@@ -25,7 +25,7 @@
 	growth = 1.5
 	// healthyStretch is the largest median stretch, in percent of the expected
 	// first-token time, at which the limit grows.
-	healthyStretch = 200
+	healthyStretch = 150
 	// gradientStretch is the median stretch, in percent, above which a warm
 	// limit shrinks.
 	gradientStretch = 300
--- a/internal/process/scheduler/live.go
+++ b/internal/process/scheduler/live.go
@@ -97,7 +97,7 @@
 // with the given prompt tokens to prefill.
 func (l *Live) Stretch(tokens int, took time.Duration) uint16 {
 	best := math.Float64frombits(l.best.Load())
-	expected := 2*overhead + seconds(float64(tokens)/best)
+	expected := overhead + seconds(float64(tokens)/best)
 	return uint16(min(100*took.Seconds()/expected.Seconds(), math.MaxUint16))
 }
 
