--- a/internal/process/scheduler/decide_bench_test.go
+++ b/internal/process/scheduler/decide_bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sync"
 	"testing"
 	"time"
 
@@ -28,7 +29,13 @@
 	return NewPool(endpoints, index), index
 }
 
-// BenchmarkDecision decides on one snapshot from several goroutines at once.
+const (
+	benchThreads   = 4
+	benchDecisions = 100000
+)
+
+// BenchmarkDecision decides on one snapshot from several goroutines at once and
+// reports what one decision takes on its goroutine.
 func BenchmarkDecision(b *testing.B) {
 	for _, size := range []int{23, 1400} {
 		b.Run(fmt.Sprintf("endpoints=%d", size), func(b *testing.B) {
@@ -38,20 +45,30 @@
 			for i := range 6 {
 				index.Add(now, uint16(i*3), prefixes[i%3].Hash)
 			}
-			b.ReportAllocs()
-			b.RunParallel(func(pb *testing.PB) {
-				request := Request{
-					Version: "v1", PromptTokens: 2500, OutputTokens: 100, Prefixes: prefixes,
-					Deadline: now.Add(time.Minute), Avoid: NoEndpoint, Random: 1,
-				}
-				for pb.Next() {
-					request.Random = request.Random*6364136223846793005 + 1442695040888963407
-					if pool.Decide(now, &request).Action != ActionDispatch {
-						b.Error("no endpoint")
-						return
-					}
+			request := Request{
+				Version: "v1", PromptTokens: 2500, OutputTokens: 100, Prefixes: prefixes,
+				Deadline: now.Add(time.Minute), Avoid: NoEndpoint, Random: 1,
+			}
+			allocations := testing.AllocsPerRun(1000, func() { pool.Decide(now, &request) })
+			for b.Loop() {
+				var all sync.WaitGroup
+				for range benchThreads {
+					all.Go(func() { decideMany(b, pool, now, request) })
 				}
-			})
+				all.Wait()
+			}
+			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N*benchDecisions), "ns/decision")
+			b.ReportMetric(allocations, "allocs/decision")
 		})
 	}
 }
+
+func decideMany(b *testing.B, pool *Pool, now time.Time, request Request) {
+	for range benchDecisions {
+		request.Random = request.Random*6364136223846793005 + 1442695040888963407
+		if pool.Decide(now, &request).Action != ActionDispatch {
+			b.Error("no endpoint")
+			return
+		}
+	}
+}
