An answer that does not stream survives its owner as JSON; forms are never mixed

Cause: after the owner's death a caller that had asked for JSON got the engine's event stream, and a begun JSON answer could have been continued with bytes of the stream. The retry now assembles the stream; what was begun in another form is cut, at the host and in the client.

--- a/client/answer.go
+++ b/client/answer.go
@@ -135,6 +135,10 @@
 	}
 	for try := 0; try < a.call.client.options.Tries; try++ {
 		resp, err := a.call.get(a.ctx, a.offset)
+		if err == nil && a.isOtherForm(resp) {
+			resp.Body.Close()
+			return eris.Wrapf(ErrLost, "key %s: answer comes in another form", a.call.key)
+		}
 		if err == nil {
 			a.use(resp)
 			return nil
@@ -146,6 +150,12 @@
 	return a.call.exhausted()
 }
 
+// isOtherForm reports whether a response cannot go on with the answer, as an
+// event stream in place of JSON.
+func (a *Answer) isOtherForm(resp *http.Response) bool {
+	return a.Status != 0 && resp.Header.Get("Content-Type") != a.ContentType
+}
+
 // rest is a body of which some bytes were read already.
 func rest(read []byte, body io.ReadCloser) io.ReadCloser {
 	return struct {
--- a/internal/command/answer.go
+++ b/internal/command/answer.go
@@ -30,7 +30,7 @@
 // printAnswer prints an answer as it comes: bytes as they are, or the text of a
 // model's event stream. It fails with ErrUnknown if the answer is cut.
 func (v *requestVerb) printAnswer(body io.Reader) error {
-	if v.Raw || v.Path != "" {
+	if v.Raw || v.JSON || v.Path != "" {
 		_, err := io.Copy(v.out, body)
 		if err != nil {
 			return eris.Wrap(ErrUnknown, err.Error())
--- a/internal/command/request.go
+++ b/internal/command/request.go
@@ -27,6 +27,7 @@
 	Method    string   `long:"method" default:"POST" description:"method, for a plain service"`
 	Body      string   `long:"body" description:"body, for a plain service"`
 	Tries     int      `long:"tries" description:"how often to try in a row without progress; 0 for the default"`
+	JSON      bool     `long:"json" description:"ask for one JSON object instead of a stream, for a model"`
 	Raw       bool     `long:"raw" description:"print the answer's bytes as they come"`
 	ShowKey   bool     `long:"show-key" description:"print the request key before the answer"`
 	out       io.Writer
@@ -98,7 +99,7 @@
 		Model:     v.Service,
 		Messages:  []chatMessage{{Role: "user", Content: v.Prompt}},
 		MaxTokens: v.MaxTokens,
-		Stream:    true,
+		Stream:    !v.JSON,
 	})
 	return client.Request{Path: caller.PathChat, Route: v.Route, Body: body, Part: v.Part, Key: v.Key}, err
 }
--- a/internal/connection/caller/server_test.go
+++ b/internal/connection/caller/server_test.go
@@ -62,6 +62,7 @@
 		Requests:     echoRequests{},
 		Index:        func() *bundle.Index { return testIndex },
 		NotReady:     func() string { return notReady },
+		OtherHosts:   func() []string { return []string{"127.0.0.1:2"} },
 		MaxBodyBytes: 256,
 		Metrics:      registry,
 	})
@@ -149,11 +150,13 @@
 			var refusal struct {
 				Outcome        outcome.Outcome
 				Reason, Detail string
+				Addresses      []string
 			}
 			assert.NilError(t, json.Unmarshal(recorder.Body.Bytes(), &refusal))
 			assert.Equal(t, refusal.Outcome, cmp.Or(c.wantOutcome, outcome.NotRun))
 			assert.Equal(t, refusal.Reason, c.wantReason)
 			assert.Assert(t, refusal.Detail != "")
+			assert.DeepEqual(t, refusal.Addresses, []string{"127.0.0.1:2"})
 			counter := metrics.GetOrRegisterCounter("caller.refused."+c.wantReason, registry)
 			assert.Equal(t, counter.Count(), int64(1))
 		})
--- /dev/null
+++ b/internal/connection/engine/assemble.go
@@ -0,0 +1,134 @@
+package engine
+
+import (
+	"bytes"
+	"encoding/json"
+	"strings"
+
+	"github.com/rotisserie/eris"
+)
+
+// ErrAssemble is returned for an event stream that cannot be put together as
+// one JSON answer.
+var ErrAssemble = eris.New("event stream cannot be assembled")
+
+// Objects of OpenAI-style answers.
+const (
+	objectChunk = "chat.completion.chunk"
+	objectChat  = "chat.completion"
+	roleAnswer  = "assistant"
+	finishStop  = "stop"
+)
+
+// chunk is one event of an answer's stream. Events with other fields in their
+// choices are refused, because they would be lost.
+type chunk struct {
+	ID      string          `json:"id"`
+	Object  string          `json:"object"`
+	Created int64           `json:"created"`
+	Model   string          `json:"model"`
+	Choices []chunkChoice   `json:"choices"`
+	Usage   json.RawMessage `json:"usage"`
+}
+
+type chunkChoice struct {
+	Index        int     `json:"index"`
+	Delta        *delta  `json:"delta"`
+	Text         string  `json:"text"`
+	FinishReason *string `json:"finish_reason"`
+}
+
+type delta struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+// assembled is the JSON of a whole answer.
+type assembled struct {
+	ID      string            `json:"id"`
+	Object  string            `json:"object"`
+	Created int64             `json:"created,omitempty"`
+	Model   string            `json:"model,omitempty"`
+	Choices []assembledChoice `json:"choices"`
+	Usage   json.RawMessage   `json:"usage,omitempty"`
+}
+
+type assembledChoice struct {
+	Index        int      `json:"index"`
+	Message      *message `json:"message,omitempty"`
+	Text         string   `json:"text,omitempty"`
+	FinishReason string   `json:"finish_reason"`
+}
+
+type message struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+// Assemble turns a whole event stream of text into the JSON of an answer that
+// does not stream. It fails with ErrAssemble if the stream is not whole or has
+// anything but text in its choices.
+func Assemble(stream []byte) ([]byte, error) {
+	answer := &assembled{}
+	for event := range strings.SplitSeq(string(stream), "\n\n") {
+		data, found := strings.CutPrefix(event, "data: ")
+		switch {
+		case event == "":
+			continue
+		case !found:
+			return nil, eris.Wrapf(ErrAssemble, "event %q", event)
+		case data == "[DONE]":
+			return json.Marshal(answer)
+		}
+		if err := answer.add(data); err != nil {
+			return nil, err
+		}
+	}
+	return nil, eris.Wrap(ErrAssemble, "stream has no end")
+}
+
+func (a *assembled) add(data string) error {
+	var next chunk
+	decoder := json.NewDecoder(bytes.NewReader([]byte(data)))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&next); err != nil {
+		return eris.Wrap(ErrAssemble, err.Error())
+	}
+	a.ID, a.Created, a.Model = next.ID, next.Created, next.Model
+	a.Object = next.Object
+	if next.Object == objectChunk {
+		a.Object = objectChat
+	}
+	if len(next.Usage) > 0 {
+		a.Usage = next.Usage
+	}
+	for _, choice := range next.Choices {
+		a.choice(choice.Index).add(choice)
+	}
+	return nil
+}
+
+// choice returns the choice with an index and adds it if need be.
+func (a *assembled) choice(index int) *assembledChoice {
+	for i := range a.Choices {
+		if a.Choices[i].Index == index {
+			return &a.Choices[i]
+		}
+	}
+	a.Choices = append(a.Choices, assembledChoice{Index: index, FinishReason: finishStop})
+	return &a.Choices[len(a.Choices)-1]
+}
+
+func (c *assembledChoice) add(next chunkChoice) {
+	c.Text += next.Text
+	if next.FinishReason != nil {
+		c.FinishReason = *next.FinishReason
+	}
+	if next.Delta == nil {
+		return
+	}
+	if c.Message == nil {
+		c.Message = &message{Role: roleAnswer}
+	}
+	c.Message.Content += next.Delta.Content
+}
--- a/internal/request/flow/fetch.go
+++ b/internal/request/flow/fetch.go
@@ -17,6 +17,12 @@
 // on. It fetches the last bytes before the offset again, so that it sees the
 // stream's end even if the caller lacks nothing.
 func (t *retry) resumeStream(ctx context.Context, intent witness.Intent) resume.Ending {
+	if t.isJSON {
+		return t.fetchJSON(ctx, intent)
+	}
+	if t.out != nil && !t.out.isStream {
+		return resume.Broken
+	}
 	t.resumed.Inc(1)
 	overlap := min(t.offset, int64(len(streamEnd)))
 	guard := newStallGuard(ctx)
@@ -45,6 +51,42 @@
 	return t.endingOf(err)
 }
 
+// fetchJSON answers with an engine's whole event stream as one JSON object. It
+// cannot complete JSON that another host has begun, because its bytes may
+// differ.
+func (t *retry) fetchJSON(ctx context.Context, intent witness.Intent) resume.Ending {
+	if t.out != nil {
+		return resume.Broken
+	}
+	t.resumed.Inc(1)
+	guard := newStallGuard(ctx)
+	reply, err := t.config.Endpoints.Resume(guard.ctx, intent.Address, t.key.String(), 0)
+	reply, err = guarded(guard, reply, err)
+	if errors.Is(err, engine.ErrUnknownKey) {
+		return resume.NoSuchKey
+	}
+	if err != nil {
+		return resume.Broken
+	}
+	defer reply.Body.Close()
+	stream, err := io.ReadAll(io.LimitReader(reply.Body, maxAssembledBytes))
+	if err != nil {
+		return resume.Broken
+	}
+	answer, err := engine.Assemble(stream)
+	if err != nil {
+		return resume.Broken
+	}
+	t.begin(owner.Head{Status: http.StatusOK, ContentType: contentTypeJSON})
+	return t.endingOf(t.copy(bytes.NewReader(answer)))
+}
+
+// maxAssembledBytes bounds the event stream of an answer that is turned into
+// JSON.
+const maxAssembledBytes = 16 << 20
+
+const contentTypeJSON = "application/json"
+
 // tailReader keeps the last bytes that were read, as many as streamEnd has.
 type tailReader struct {
 	from io.Reader
--- a/internal/request/flow/forward.go
+++ b/internal/request/flow/forward.go
@@ -84,6 +84,7 @@
 		Resumer: r,
 		key:     request.Key,
 		offset:  request.Offset,
+		isJSON:  request.IsJSON,
 		w:       w,
 		machine: resume.NewMachine(resume.Start{Key: request.Key, Offset: request.Offset, Services: r}),
 	}
@@ -125,6 +126,8 @@
 	// caller needs.
 	out    *answerWriter
 	offset int64
+	// isJSON tells that the caller wants a model's answer as one JSON object.
+	isJSON bool
 }
 
 // run carries decisions out until a final one.
