--- a/scenario/load_test.go
+++ b/scenario/load_test.go
@@ -29,17 +29,17 @@
 	stop  context.CancelFunc
 	group sync.WaitGroup
 
-	mu      sync.Mutex
-	keys    []string
+	mu   sync.Mutex
+	keys []string
+	// unknown are the keys of requests whose outcome could not be told.
+	unknown []string
 	faults  []string
 	slowest time.Duration
 	// longestPause is the longest time without a byte of an answer that had
 	// begun.
 	longestPause time.Duration
-	// unknown counts requests whose outcome was unknown to the end, notRun
-	// holds the keys of which a host said "not run".
-	unknown int
-	notRun  map[string]bool
+	// notRun holds the keys of which a host said "not run".
+	notRun map[string]bool
 }
 
 func (l *load) fault(format string, args ...any) {
@@ -48,23 +48,23 @@
 	l.faults = append(l.faults, fmt.Sprintf(format, args...))
 }
 
-func (l *load) answered(key string, took time.Duration) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.keys = append(l.keys, key)
-	l.slowest = max(l.slowest, took)
-}
-
 // refused notes a refusal that ends a request.
 func (l *load) refused(err error) {
 	var refusal *client.Refusal
-	if !errors.As(err, &refusal) || refusal.Outcome != client.Unknown {
+	if !errors.As(err, &refusal) || refusal.Outcome != client.Unknown || refusal.Key == "" {
 		l.fault("request: %v", err)
 		return
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.unknown++
+	l.unknown = append(l.unknown, refusal.Key)
+}
+
+func (l *load) answered(key string, took time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.keys = append(l.keys, key)
+	l.slowest = max(l.slowest, took)
 }
 
 // paused notes the longest pause within an answer.
@@ -107,7 +107,7 @@
 		stopLoad(ts)
 	case len(args) == 2 && args[0] == "stop" && args[1] == "known":
 		stopLoad(ts)
-		if unknown := loadOf(ts).unknown; unknown > 0 {
+		if unknown := len(loadOf(ts).unknown); unknown > 0 {
 			ts.Fatalf("%d outcomes stayed unknown", unknown)
 		}
 	default:
@@ -152,6 +152,15 @@
 			running.fault("%s was answered and ran %d times", key, counts[key])
 		}
 	}
+	// An owner that dies between the witness's acknowledgement and the dispatch
+	// leaves an intent that nobody can tell from a dispatch under way. Only
+	// then may the outcome be unknown: the request has not run.
+	for _, key := range running.unknown {
+		ts.Logf("%s is unknown and ran %d times", key, counts[key])
+		if counts[key] != 0 {
+			running.fault("%s ran and is unknown", key)
+		}
+	}
 	for key, count := range counts {
 		if count > 1 {
 			running.fault("%s ran %d times", key, count)
@@ -161,7 +170,7 @@
 		}
 	}
 	ts.Logf("%d answers, %d executions, %d unknown, %d refusals as not run, slowest answer %v, longest pause %v",
-		len(running.keys), len(counts), running.unknown, len(running.notRun), running.slowest, running.longestPause)
+		len(running.keys), len(counts), len(running.unknown), len(running.notRun), running.slowest, running.longestPause)
 	for _, fault := range running.faults {
 		ts.Logf("%s", fault)
 	}
