--- a/internal/request/flow/fetch.go
+++ b/internal/request/flow/fetch.go
@@ -26,32 +26,43 @@
 	t.resumed.Inc(1)
 	t.config.Events.Resumed(t.request, intent, t.offset)
 	overlap := min(t.offset, int64(len(streamEnd)))
-	guard := newStallGuard(ctx)
-	reply, err := t.config.Endpoints.Resume(guard.ctx, intent.Address, t.key.String(), t.offset-overlap)
-	reply, err = guarded(guard, reply, err)
-	if errors.Is(err, engine.ErrUnknownKey) {
-		return resume.NoSuchKey
-	}
-	if err != nil {
-		return resume.Broken
+	reply, ending := t.openStream(ctx, intent, t.offset-overlap)
+	if reply == nil {
+		return ending
 	}
 	defer reply.Body.Close()
-	if reply.Status != http.StatusOK {
-		return resume.Broken
-	}
 	tail := make([]byte, overlap)
 	if _, err := io.ReadFull(reply.Body, tail); err != nil {
 		return resume.Broken
 	}
 	t.begin(owner.Head{Status: reply.Status, ContentType: reply.ContentType})
 	watched := &tailReader{from: reply.Body, tail: tail}
-	err = t.copy(watched)
+	err := t.copy(watched)
 	if err == nil && !bytes.Equal(watched.tail, streamEnd) {
 		return resume.Broken
 	}
 	return t.endingOf(err)
 }
 
+// openStream asks the engine for its stream from an offset on. Without a reply
+// it returns how the attempt ended.
+func (t *retry) openStream(ctx context.Context, intent witness.Intent, offset int64) (*engine.Reply, resume.Ending) {
+	guard := newStallGuard(ctx)
+	reply, err := t.config.Endpoints.Resume(guard.ctx, intent.Address, t.key.String(), offset)
+	reply, err = guarded(guard, reply, err)
+	switch {
+	case errors.Is(err, engine.ErrUnknownKey):
+		return nil, resume.NoSuchKey
+	case err != nil:
+		return nil, resume.Broken
+	case reply.Status != http.StatusOK:
+		reply.Body.Close()
+		return nil, resume.Broken
+	default:
+		return reply, 0
+	}
+}
+
 // fetchJSON answers with an engine's whole event stream as one JSON object. It
 // cannot complete JSON that another host has begun, because its bytes may
 // differ.
@@ -60,14 +71,9 @@
 		return resume.Broken
 	}
 	t.resumed.Inc(1)
-	guard := newStallGuard(ctx)
-	reply, err := t.config.Endpoints.Resume(guard.ctx, intent.Address, t.key.String(), 0)
-	reply, err = guarded(guard, reply, err)
-	if errors.Is(err, engine.ErrUnknownKey) {
-		return resume.NoSuchKey
-	}
-	if err != nil {
-		return resume.Broken
+	reply, ending := t.openStream(ctx, intent, 0)
+	if reply == nil {
+		return ending
 	}
 	defer reply.Body.Close()
 	stream, err := io.ReadAll(io.LimitReader(reply.Body, maxAssembledBytes))
