--- a/internal/request/flow/forward.go
+++ b/internal/request/flow/forward.go
@@ -91,6 +91,7 @@
 		request: request,
 		key:     request.Key,
 		offset:  request.Offset,
+		isJSON:  request.IsJSON,
 		w:       w,
 		machine: resume.NewMachine(resume.Start{Key: request.Key, Offset: request.Offset, Services: r}),
 	}
@@ -133,6 +134,8 @@
 	// caller needs.
 	out    *answerWriter
 	offset int64
+	// isJSON tells that the caller wants a model's answer as one JSON object.
+	isJSON bool
 }
 
 // run carries decisions out until a final one.
