--- /dev/null
+++ b/internal/process/daemon/rollout_test.go
@@ -0,0 +1,68 @@
+package daemon
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"mustarddoor/internal/request/flow"
+	"mustarddoor/internal/version/bundle"
+	"mustarddoor/internal/version/config"
+	"mustarddoor/internal/version/rollout"
+)
+
+func TestStagesSurviveTheConfiguration(t *testing.T) {
+	for _, stage := range []rollout.Stage{0, 1, 6, rollout.StageDone, rollout.StageBad} {
+		state := configState(rollout.Verdict{Stage: stage, Reason: "why"})
+		assert.Equal(t, stageOf(state), stage)
+		assert.Equal(t, state.Reason, "why")
+	}
+}
+
+// TestStagesJoinAsVerdicts checks that the configuration's join of move states
+// and the judge's join of stages agree.
+func TestStagesJoinAsVerdicts(t *testing.T) {
+	stages := []rollout.Stage{0, 1, 6, rollout.StageDone, rollout.StageBad}
+	for _, a := range stages {
+		for _, b := range stages {
+			joined := configState(rollout.Verdict{Stage: a}).Join(configState(rollout.Verdict{Stage: b}))
+			assert.Equal(t, stageOf(joined), a.Merge(b), "%d and %d", a, b)
+		}
+	}
+}
+
+func TestMovesOfView(t *testing.T) {
+	view := &config.View{
+		Bundle: &bundle.Bundle{Routes: []bundle.Route{
+			{Name: "gauge", Service: "usta-llm"}, {Name: "invoice", Service: "defter-app"},
+		}},
+		Moves: []config.MoveView{{
+			ID:    config.MoveID{Service: "usta-llm", From: "v1", To: "v2", Since: 9, SinceMillis: 1000},
+			Move:  bundle.Move{CompleteSeconds: 60},
+			State: config.MoveState{Stage: 3},
+		}},
+	}
+	moves := movesOf(view)
+	assert.Equal(t, len(moves), 1)
+	assert.Equal(t, configMove(moves[0].MoveID), view.Moves[0].ID)
+	assert.Equal(t, moves[0].Stage, rollout.Stage(3))
+	assert.Equal(t, moves[0].Complete.Seconds(), 60.0)
+	assert.Equal(t, moves[0].Began.UnixMilli(), int64(1000))
+	assert.DeepEqual(t, moves[0].Routes, []string{"gauge"})
+}
+
+func TestResultOfDispatch(t *testing.T) {
+	cases := []struct {
+		end  flow.DispatchEnd
+		want rollout.Result
+	}{
+		{flow.DispatchAnswered, rollout.ResultSucceeded},
+		{flow.DispatchFailed, rollout.ResultFailed},
+		{flow.DispatchBroken, rollout.ResultLost},
+		{flow.DispatchRefused, rollout.ResultNone},
+		{flow.DispatchCanceled, rollout.ResultNone},
+	}
+	for _, test := range cases {
+		assert.Equal(t, resultOf(test.end), test.want)
+	}
+}
