Stand-in test: wait until both records have expired

TestLogRecordsGoneUnderReader/expired failed once on a busy machine: the first record had expired and the second, a millisecond younger, had not. The test now waits for the younger one and checks that the older one is gone too.

--- a/internal/standin/platform_test.go
+++ b/internal/standin/platform_test.go
@@ -81,11 +81,12 @@
 			assert.Equal(t, c.get(configRecords+"?from=1").status, http.StatusOK)
 			c.faults(test.faults)
 			poll.WaitOn(t, func(poll.LogT) poll.Result {
-				if got := c.get(configRecords + "?from=1"); got.status != http.StatusGone {
+				if got := c.get(configRecords + "?from=2"); got.status != http.StatusGone {
 					return poll.Continue("status %d", got.status)
 				}
 				return poll.Success()
 			}, poll.WithDelay(time.Millisecond))
+			assert.Equal(t, c.get(configRecords+"?from=1").status, http.StatusGone)
 			got := decode[platform.ReadResponse](t, c.get(configRecords+"?from=3"))
 			assert.Equal(t, got.FirstOffset, uint64(3))
 			assert.Equal(t, got.NextOffset, uint64(3))
