Scenarios reserve their loopback networks

A script's network was numbered by the process id modulo 200, so that two test runs on one machine could share one, as once happened. Each script now takes a random network and holds a listener on a reserved address of it until it ends; a taken address makes it try another network.

Weighed: locks on files in the temporary directory (left behind by a killed run), and a larger modulus (rarer, but not impossible).

--- a/scenario/scenario_test.go
+++ b/scenario/scenario_test.go
@@ -3,9 +3,7 @@
 package scenario
 
 import (
-	"fmt"
 	"os"
-	"sync/atomic"
 	"testing"
 
 	"github.com/rogpeppe/go-internal/testscript"
@@ -23,16 +21,6 @@
 	})
 }
 
-// networks numbers the loopback networks that scripts run on.
-var networks atomic.Int64
-
-// Networks of the scripts are 127.A.B, with A from the process and B from the
-// script, so that scripts that run at once do not meet.
-const (
-	firstNetwork = 20
-	networkCount = 200
-)
-
 // raceOptions spare each process the second that the race detector waits at
 // its end.
 const raceOptions = "atexit_sleep_ms=0"
@@ -41,8 +29,9 @@
 	testscript.Run(t, testscript.Params{
 		Dir: "testdata",
 		Setup: func(env *testscript.Env) error {
-			network := fmt.Sprintf("127.%d.%d", firstNetwork+os.Getpid()%networkCount, networks.Add(1))
-			env.Setenv("NET", network)
+			if err := setNetwork(env); err != nil {
+				return err
+			}
 			env.Setenv("GORACE", raceOptions)
 			processes := newProcessTable(env.WorkDir)
 			env.Values[processesKey{}] = processes
