daemon: request records apart from the host

What keeps request records is now records.go, with one function for each part; what serves callers stands beside callerRequests. No change of behaviour.

--- a/internal/process/daemon/host.go
+++ b/internal/process/daemon/host.go
@@ -1,7 +1,6 @@
 package daemon
 
 import (
-	"context"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -24,7 +23,6 @@
 	"mustarddoor/internal/process/placement"
 	"mustarddoor/internal/process/settings"
 	"mustarddoor/internal/process/timeline"
-	"mustarddoor/internal/request/flow"
 	"mustarddoor/internal/request/journal"
 	"mustarddoor/internal/request/owner"
 	"mustarddoor/internal/request/session"
@@ -99,7 +97,16 @@
 		reapply:      make(chan struct{}, 1),
 	}
 	h.ring = timeline.NewRing(h.self.Incarnation, h.clock, loaded.Limits.TimelineEvents)
-	steps := []func() error{h.listen, h.makeMesh, h.makeConfig, h.makeHomes, h.makeRollout, h.makePlacement, h.makeRequests}
+	steps := []func() error{
+		h.listen,
+		h.makeMesh,
+		h.makeConfig,
+		h.makeHomes,
+		h.makeRollout,
+		h.makePlacement,
+		h.makeRecords,
+		h.makeRequests,
+	}
 	for _, step := range steps {
 		if err := step(); err != nil {
 			return nil, err
@@ -138,96 +145,6 @@
 	return nil
 }
 
-// makeRequests makes what serves callers.
-func (h *host) makeRequests() error {
-	now := h.sessionClock.Now
-	h.register = witness.NewRegister(witness.Config{
-		Self:      h.self.Incarnation,
-		Limits:    witness.Limits{Records: registerRecords, Bytes: h.settings.Limits.RegisterBytes, Owners: registerOwners},
-		Retention: h.retention,
-	})
-	h.register.HandleOn(h.meshServer, now)
-	h.sender = witness.NewSender(witness.SenderConfig{
-		Caller:          h.caller,
-		Hosts:           h,
-		Local:           h.register,
-		Now:             now,
-		IntentTimeout:   intentTimeout,
-		OutcomeInterval: outcomeInterval,
-	})
-	h.registry = owner.NewRegistry(owner.Config{
-		Self: h.self.Incarnation,
-		Limits: owner.Limits{
-			Requests:    registerRecords,
-			AnswerBytes: h.settings.Limits.AnswerBytes,
-			WindowBytes: answerWindowBytes,
-		},
-		Intender:  h.sender,
-		Recorder:  h.sender,
-		Now:       now,
-		Retention: h.retention,
-	})
-	h.meshServer.Handle(owner.KindLocate, h.registry.Handle)
-	h.journal = journal.NewWriter(journal.WriterConfig{
-		Self:     h.self.Incarnation,
-		Register: h.register,
-		Log:      logAppender{h.log},
-		Interval: h.journalInterval,
-		Timeout:  journalTimeout,
-		Metrics:  h.metrics,
-	})
-	h.requests = &callerRequests{
-		self:     h.self,
-		registry: h.registry,
-		minter:   session.NewMinter(h.self, h, h.sessionClock),
-		live:     h.Live,
-		keep:     h.entryKeep,
-		leaving:  h.stopping.Load,
-	}
-	h.requests.runner = flow.New(flow.Config{
-		Registry:   h.registry,
-		Placer:     h.placer,
-		Endpoints:  h.endpoints,
-		Forwarder:  h.makeForwarder(),
-		Events:     flow.Events{Recorder: h.ring},
-		Watcher:    &versionWatcher{judge: h.judge, index: h.index.Load},
-		OtherHosts: h.requests.otherAddresses,
-		Metrics:    h.metrics,
-	})
-	h.callers = caller.NewServer(caller.Config{
-		Requests:     h.requests,
-		Index:        h.index.Load,
-		NotReady:     h.notConfigured,
-		OtherHosts:   h.requests.otherAddresses,
-		MaxBodyBytes: h.settings.Limits.BodyBytes,
-		Metrics:      h.metrics,
-	})
-	return nil
-}
-
-// Bounds and periods of the request records.
-const (
-	registerRecords   = 1 << 18
-	registerOwners    = 1024
-	answerWindowBytes = 1 << 20
-	intentTimeout     = time.Second
-	outcomeInterval   = 20 * time.Millisecond
-	journalTimeout    = 5 * time.Second
-)
-
-// journalInterval spreads the fleet's appends over its hosts.
-func (h *host) journalInterval() time.Duration {
-	return journal.FleetInterval(len(h.otherHosts()) + 1)
-}
-
-// logAppender appends to the log service for the journal.
-type logAppender struct{ log platform.Log }
-
-// Append implements journal.Appender.
-func (l logAppender) Append(ctx context.Context, stream string, records []platform.AppendRecord) (uint64, error) {
-	return l.log.Append(ctx, platform.Batch{Stream: stream, Records: records})
-}
-
 // notReady says why this host should get no new requests; it is empty if it
 // should.
 func (h *host) notReady() string {
@@ -321,21 +238,3 @@
 	server.RegisterOnShutdown(h.meshServer.Close)
 	return server
 }
-
-// sweepInterval is how often expired request records are dropped.
-const sweepInterval = time.Second
-
-// sweep drops expired request records until the context ends.
-func (h *host) sweep(ctx context.Context) error {
-	ticker := time.NewTicker(sweepInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-			h.registry.Sweep()
-			h.register.Sweep(h.sessionClock.Now())
-		}
-	}
-}
--- a/internal/process/daemon/requests.go
+++ b/internal/process/daemon/requests.go
@@ -32,6 +32,37 @@
 	leaving func() bool
 }
 
+// makeRequests makes what serves callers.
+func (h *host) makeRequests() error {
+	h.requests = &callerRequests{
+		self:     h.self,
+		registry: h.registry,
+		minter:   session.NewMinter(h.self, h, h.sessionClock),
+		live:     h.Live,
+		keep:     h.entryKeep,
+		leaving:  h.stopping.Load,
+	}
+	h.requests.runner = flow.New(flow.Config{
+		Registry:   h.registry,
+		Placer:     h.placer,
+		Endpoints:  h.endpoints,
+		Forwarder:  h.makeForwarder(),
+		Events:     flow.Events{Recorder: h.ring},
+		Watcher:    &versionWatcher{judge: h.judge, index: h.index.Load},
+		OtherHosts: h.requests.otherAddresses,
+		Metrics:    h.metrics,
+	})
+	h.callers = caller.NewServer(caller.Config{
+		Requests:     h.requests,
+		Index:        h.index.Load,
+		NotReady:     h.notConfigured,
+		OtherHosts:   h.requests.otherAddresses,
+		MaxBodyBytes: h.settings.Limits.BodyBytes,
+		Metrics:      h.metrics,
+	})
+	return nil
+}
+
 // Serve implements caller.Requests.
 func (c *callerRequests) Serve(ctx context.Context, request *flow.Request, w http.ResponseWriter) {
 	c.runner.Serve(ctx, request, w)
