timeline: remove the kinds that nothing records

request.voided, endpoint.gone, host.not_ready and move.taken_back were declared, but no process recorded them, so readers waited for them in vain. Recording them was weighed: a move taken back is told by move.bad, a host that was ready stays so until it stops (host.stopping), and an endpoint that goes is told by endpoint.leaving. The cold limit's rule read endpoint.gone; as it never came, the rule finds what it found before.

--- a/internal/process/timeline/check/load.go
+++ b/internal/process/timeline/check/load.go
@@ -39,7 +39,7 @@
 			if spell, cold := spells[event.Endpoint]; cold {
 				spells[event.Endpoint] = spell.changed(event)
 			}
-		case timeline.EndpointWarm, timeline.EndpointGone:
+		case timeline.EndpointWarm:
 			delete(spells, event.Endpoint)
 		case timeline.RequestDispatched:
 			at[event.Request] = event.Endpoint
--- a/internal/process/timeline/event.go
+++ b/internal/process/timeline/event.go
@@ -20,9 +20,7 @@
 	RequestReceived Kind = "request.received"
 	RequestQueued   Kind = "request.queued"
 	// RequestIntent tells that the witness Peer acknowledged the intent.
-	RequestIntent Kind = "request.intent"
-	// RequestVoided tells that the recording witness wrote void.
-	RequestVoided     Kind = "request.voided"
+	RequestIntent     Kind = "request.intent"
 	RequestDispatched Kind = "request.dispatched"
 	// RequestNotStarted takes the last dispatch back: the endpoint surely did
 	// not start the request.
@@ -53,7 +51,6 @@
 	// offset Value drops or adds the endpoint.
 	EndpointLeaving Kind = "endpoint.leaving"
 	EndpointJoined  Kind = "endpoint.joined"
-	EndpointGone    Kind = "endpoint.gone"
 	// EndpointOrdered tells of an order; Outcome and Detail.
 	EndpointOrdered Kind = "endpoint.ordered"
 	// HomeClaimed and HomeLapsed begin and end a lease; Value is its fencing
@@ -74,9 +71,8 @@
 	// traffic.
 	MoveStage Kind = "move.stage"
 	// MoveBad is the verdict against Version of Service.
-	MoveBad       Kind = "move.bad"
-	MoveDone      Kind = "move.done"
-	MoveTakenBack Kind = "move.taken_back"
+	MoveBad  Kind = "move.bad"
+	MoveDone Kind = "move.done"
 )
 
 // Events of hosts. Those of members carry Peer.
@@ -89,7 +85,6 @@
 	MemberLeft      Kind = "member.left"
 	HostStarted     Kind = "host.started"
 	HostReady       Kind = "host.ready"
-	HostNotReady    Kind = "host.not_ready"
 	HostStopping    Kind = "host.stopping"
 	HostStopped     Kind = "host.stopped"
 	LogOut          Kind = "log.out"
