--- a/internal/connection/platform/log_client.go
+++ b/internal/connection/platform/log_client.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"mustarddoor/internal/process/pause"
 )
 
 // Bounds of reads and appends.
@@ -76,7 +78,7 @@
 		if err != nil || found {
 			return offset, uncertain(batch, since, err)
 		}
-		if !pause(ctx, retryPause) {
+		if !pause.For(ctx, retryPause) {
 			break
 		}
 	}
@@ -208,15 +210,3 @@
 	defer c.mu.Unlock()
 	c.tails[stream] = max(c.tails[stream], next)
 }
-
-// pause waits and reports whether the context still runs.
-func pause(ctx context.Context, wait time.Duration) bool {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/internal/process/home/follow.go
+++ b/internal/process/home/follow.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"mustarddoor/internal/connection/platform"
+	"mustarddoor/internal/process/pause"
 )
 
 // Times of reading the stream.
@@ -28,7 +29,7 @@
 		case err != nil:
 			m.readFailed()
 			wait = 0
-			pause(ctx, readBackoff)
+			pause.For(ctx, readBackoff)
 		case page.Trimmed:
 			m.skip(page.FirstOffset)
 			wait = 0
@@ -80,7 +81,7 @@
 		m.regain()
 	}
 	if len(page.Records) == 0 {
-		pause(ctx, emptyPause)
+		pause.For(ctx, emptyPause)
 	}
 	return longPoll
 }
@@ -201,13 +202,3 @@
 	}
 	return changes
 }
-
-// pause waits or until the context ends.
-func pause(ctx context.Context, wait time.Duration) {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/process/home/keep.go
+++ b/internal/process/home/keep.go
@@ -10,6 +10,7 @@
 
 	"mustarddoor/internal/connection/platform"
 	"mustarddoor/internal/process/identity"
+	"mustarddoor/internal/process/pause"
 )
 
 // Times and bounds of keeping homes.
@@ -222,10 +223,9 @@
 	case <-ctx.Done():
 		return eris.Wrap(ErrNoTurn, ctx.Err().Error())
 	case wait := <-given:
-		pause(ctx, wait)
-	}
-	if ctx.Err() != nil {
-		return eris.Wrap(ErrNoTurn, ctx.Err().Error())
+		if !pause.For(ctx, wait) {
+			return eris.Wrap(ErrNoTurn, ctx.Err().Error())
+		}
 	}
 	return nil
 }
--- a/internal/standin/enginesim/batch.go
+++ b/internal/standin/enginesim/batch.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"mustarddoor/internal/process/pause"
 	"mustarddoor/internal/standin/answer"
 	"mustarddoor/internal/standin/fault"
 )
@@ -49,7 +50,7 @@
 		return false
 	}
 	defer func() { <-b.prefills }()
-	return sleep(ctx, duration)
+	return pause.For(ctx, duration)
 }
 
 // generate runs one request in the batch and writes its stream.
@@ -71,7 +72,7 @@
 	start := time.Now()
 	for index := range request.Tokens {
 		due := start.Add(tokenTime(float64(index)*slowdown, e.options.DecodeTokensPerSecond))
-		if !sleep(ctx, time.Until(due)) {
+		if !pause.For(ctx, time.Until(due)) {
 			return
 		}
 		out.write(request.Event(index))
@@ -105,18 +106,3 @@
 func tokenTime(tokens, speed float64) time.Duration {
 	return time.Duration(tokens / speed * float64(time.Second))
 }
-
-// sleep waits and reports false if the context ended first.
-func sleep(ctx context.Context, duration time.Duration) bool {
-	if duration <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/standin/fault/fault.go
+++ b/internal/standin/fault/fault.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/labstack/echo/v4"
+
+	"mustarddoor/internal/process/pause"
 )
 
 // Path takes a POST of a JSON object with the switches to change and answers
@@ -102,7 +104,11 @@
 func (s *Set[F]) Middleware(next echo.HandlerFunc) echo.HandlerFunc {
 	return func(c echo.Context) error {
 		common := s.take(c.Request().Method)
-		if !pause(c.Request(), time.Duration(common.SlowMillis)*time.Millisecond) || common.Cut {
+		slow := time.Duration(common.SlowMillis) * time.Millisecond
+		if slow > 0 && !pause.For(c.Request().Context(), slow) {
+			panic(http.ErrAbortHandler)
+		}
+		if common.Cut {
 			panic(http.ErrAbortHandler)
 		}
 		if common.Down {
@@ -125,16 +131,3 @@
 	}
 	return w
 }
-
-// pause waits and reports whether the request's context is still alive.
-func pause(r *http.Request, delay time.Duration) bool {
-	if delay <= 0 {
-		return true
-	}
-	select {
-	case <-time.After(delay):
-		return true
-	case <-r.Context().Done():
-		return false
-	}
-}
--- a/internal/version/config/exchange.go
+++ b/internal/version/config/exchange.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"golang.org/x/sync/errgroup"
+
+	"mustarddoor/internal/process/pause"
 )
 
 // exchange pulls from one peer at a time until the context ends.
@@ -15,7 +17,7 @@
 			_ = f.pull(ctx, peers[0])
 		}
 		interval := f.pullInterval()
-		pause(ctx, interval/2+rand.N(interval))
+		pause.For(ctx, interval/2+rand.N(interval))
 	}
 	return nil
 }
--- a/internal/version/config/fakes_test.go
+++ b/internal/version/config/fakes_test.go
@@ -16,6 +16,7 @@
 	"mustarddoor/internal/connection/mesh"
 	"mustarddoor/internal/connection/platform"
 	"mustarddoor/internal/process/identity"
+	"mustarddoor/internal/process/pause"
 )
 
 // TestMain fixes the seed of drawn tests.
@@ -84,7 +85,7 @@
 	deadline := time.Now().Add(part.Wait)
 	for {
 		page, slow, changed, err := l.readOnce(part)
-		if slow > 0 && !sleep(ctx, slow) {
+		if slow > 0 && !pause.For(ctx, slow) {
 			return platform.Page{}, platform.ErrUnavailable
 		}
 		if err != nil || page.Trimmed || len(page.Records) > 0 || !time.Now().Before(deadline) {
@@ -149,12 +150,6 @@
 	return count
 }
 
-// sleep waits and reports whether the context still runs.
-func sleep(ctx context.Context, wait time.Duration) bool {
-	pause(ctx, wait)
-	return ctx.Err() == nil
-}
-
 // network connects followers in memory. It is both a caller and, for each
 // host, a router.
 type network struct {
--- a/internal/version/config/reader.go
+++ b/internal/version/config/reader.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"mustarddoor/internal/connection/platform"
+	"mustarddoor/internal/process/pause"
 )
 
 // Times and sizes of reading the log.
@@ -31,7 +32,7 @@
 func (f *Follower) follow(ctx context.Context) error {
 	reader := &logReader{follower: f, backoff: minReadBackoff}
 	for ctx.Err() == nil {
-		pause(ctx, reader.step(ctx))
+		pause.For(ctx, reader.step(ctx))
 	}
 	return nil
 }
@@ -133,16 +134,3 @@
 	f.metrics.adopted.Inc(1)
 	return true
 }
-
-// pause waits or until the context ends.
-func pause(ctx context.Context, wait time.Duration) {
-	if wait <= 0 {
-		return
-	}
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/version/rollout/step.go
+++ b/internal/version/rollout/step.go
@@ -10,6 +10,7 @@
 
 	"mustarddoor/internal/connection/mesh"
 	"mustarddoor/internal/process/identity"
+	"mustarddoor/internal/process/pause"
 )
 
 // KindEvidence is the mesh message that carries a list of Delta.
@@ -254,7 +255,7 @@
 			return nil
 		case <-ticker.C:
 		case <-j.urgent:
-			if !sleep(ctx, wakeDelay) {
+			if !pause.For(ctx, wakeDelay) {
 				return nil
 			}
 		}
@@ -281,15 +282,3 @@
 		})
 	}
 }
-
-// sleep waits and reports false if the context ended first.
-func sleep(ctx context.Context, duration time.Duration) bool {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
