Remove exported items without users

hlc.Stamp.Logical, Estimate.MeetsDeadline, Limit.Turns with its counter, Limit.PausedUntil and caller.HeaderState had no caller, also none in tests; the header is set by flow, which has the constant that counts.

--- a/internal/connection/caller/names.go
+++ b/internal/connection/caller/names.go
@@ -13,8 +13,6 @@
 	HeaderTeam = "Mustarddoor-Team"
 	// HeaderRoute names the request's route if the request does not tell.
 	HeaderRoute = "Mustarddoor-Route"
-	// HeaderState tells the state of a request that is looked up.
-	HeaderState = "Mustarddoor-State"
 	// HeaderRelay names the host that sent a request on to its owner.
 	HeaderRelay = "Mustarddoor-Relay"
 )
--- a/internal/process/hlc/hlc.go
+++ b/internal/process/hlc/hlc.go
@@ -26,9 +26,6 @@
 // Time is the wall-clock part of the stamp, in microseconds.
 func (s Stamp) Time() time.Time { return time.UnixMicro(int64(s >> logicalBits)) }
 
-// Logical is the part of the stamp that orders events within a microsecond.
-func (s Stamp) Logical() uint64 { return uint64(s) & (1<<logicalBits - 1) }
-
 // Clock gives out stamps that grow strictly. It is safe for concurrent use.
 type Clock struct {
 	wall func() time.Time
--- a/internal/process/limit/limit.go
+++ b/internal/process/limit/limit.go
@@ -73,7 +73,6 @@
 	// former are earlier incarnations of the endpoint, latest last.
 	former []string
 	cached int64
-	turns  uint64
 	// suspended is the limit before a failure that no load report has yet
 	// explained, failedAt when that was, failures how many followed.
 	suspended float64
@@ -90,7 +89,6 @@
 	config.Max = max(config.Max, config.Cold)
 	l := &Limit{config: config}
 	l.turnCold(now)
-	l.turns = 0
 	return l
 }
 
@@ -102,18 +100,12 @@
 	return int(l.value)
 }
 
-// PausedUntil is when the pause after the last failure ends.
-func (l *Limit) PausedUntil() time.Time { return l.pausedUntil }
-
 // Cold is the limit just after a start.
 func (l *Limit) Cold() int { return l.config.Cold }
 
 // IsCold reports whether the limit has not yet grown since the last cold turn.
 func (l *Limit) IsCold() bool { return int(l.value) <= l.config.Cold && l.config.Cold < l.config.Max }
 
-// Turns counts the cold turns seen since New.
-func (l *Limit) Turns() uint64 { return l.turns }
-
 // turnCold collapses the limit.
 func (l *Limit) turnCold(now time.Time) {
 	l.value = float64(l.config.Cold)
@@ -121,7 +113,6 @@
 	l.lateRun = 0
 	l.since = now
 	l.changed = now
-	l.turns++
 }
 
 // SetConfig changes the bounds.
--- a/internal/process/scheduler/score.go
+++ b/internal/process/scheduler/score.go
@@ -83,8 +83,3 @@
 	}
 	return 0
 }
-
-// MeetsDeadline reports whether the estimate meets the request's deadline.
-func (e Estimate) MeetsDeadline(now time.Time, r *Request) bool {
-	return meets(now, r.Deadline, e.FirstToken)
-}
