limit: the samples are slowdowns, and the bounds are checked in one place

"Stretch" needed explaining; slowdown is the usual word for observed over expected time. The room for a queue in a shrinking step has a name, and New and SetConfig share the check of the bounds. No change of behaviour. slot, placement and scheduler.Live still say stretch.

--- a/internal/process/limit/limit.go
+++ b/internal/process/limit/limit.go
@@ -23,18 +23,20 @@
 	settle = 500 * time.Millisecond
 	// growth is the factor of a growth step.
 	growth = 1.5
-	// healthyStretch is the largest median stretch, in percent of the expected
-	// first-token time, at which the limit grows.
-	healthyStretch = 200
-	// gradientStretch is the median stretch, in percent, above which a warm
-	// limit shrinks.
-	gradientStretch = 300
-	// coldStretch is the stretch, in percent, of a sample that hints at a cold
-	// turn; coldRun of them in a row prove it.
-	coldStretch = 500
-	coldRun     = 4
+	// healthySlowdown is the largest median slowdown at which the limit grows.
+	// Slowdowns are first-token times in percent of the expected ones.
+	healthySlowdown = 200
+	// gradientSlowdown is the median slowdown above which a warm limit shrinks.
+	gradientSlowdown = 300
+	// coldSlowdown is the slowdown of a sample that hints at a cold turn;
+	// coldRun of them in a row prove it.
+	coldSlowdown = 500
+	coldRun      = 4
 	// minShrink bounds one shrinking step of the gradient.
 	minShrink = 0.7
+	// queueShare is the room that a shrinking step leaves for a queue, as a
+	// fraction of the limit's square root.
+	queueShare = 0.25
 	// cacheLost is the fraction of the cached tokens whose loss between two
 	// load reports hints at a cold turn.
 	cacheLost = 0.9
@@ -59,6 +61,13 @@
 	Cold, Max int
 }
 
+// bounded gives the configuration with both limits in their ranges.
+func (c Config) bounded() Config {
+	c.Cold = max(c.Cold, 1)
+	c.Max = max(c.Max, c.Cold)
+	return c
+}
+
 // Limit is the concurrency limit of one endpoint. It is not safe for
 // concurrent use.
 type Limit struct {
@@ -85,9 +94,7 @@
 
 // New returns the limit of an endpoint that is cold, for all that is known.
 func New(config Config, now time.Time) *Limit {
-	config.Cold = max(config.Cold, 1)
-	config.Max = max(config.Max, config.Cold)
-	l := &Limit{config: config}
+	l := &Limit{config: config.bounded()}
 	l.turnCold(now)
 	return l
 }
@@ -117,10 +124,8 @@
 
 // SetConfig changes the bounds.
 func (l *Limit) SetConfig(config Config) {
-	config.Cold = max(config.Cold, 1)
-	config.Max = max(config.Max, config.Cold)
-	l.config = config
-	l.value = min(max(l.value, float64(config.Cold)), float64(config.Max))
+	l.config = config.bounded()
+	l.value = min(max(l.value, float64(l.config.Cold)), float64(l.config.Max))
 }
 
 // Return tells that the endpoint takes requests again after it took none.
@@ -191,12 +196,12 @@
 	}
 }
 
-// Sample takes a first-token time in percent of the expected one. inFlight is
-// how many requests the endpoint has: a limit that is not used up does not
-// grow.
-func (l *Limit) Sample(now time.Time, stretch uint16, inFlight int) {
+// Sample takes the slowdown of a first token: its time in percent of the
+// expected one. inFlight is how many requests the endpoint has: a limit that is
+// not used up does not grow.
+func (l *Limit) Sample(now time.Time, slowdown uint16, inFlight int) {
 	l.pause = 0
-	if stretch >= coldStretch {
+	if slowdown >= coldSlowdown {
 		l.lateRun++
 	} else {
 		l.lateRun = 0
@@ -205,7 +210,7 @@
 		l.turnCold(now)
 		return
 	}
-	l.samples = append(l.samples, stretch)
+	l.samples = append(l.samples, slowdown)
 	if len(l.samples) >= l.needed() {
 		l.judge(now, inFlight)
 	}
@@ -223,9 +228,9 @@
 	median := l.median()
 	l.samples = l.samples[:0]
 	switch {
-	case median <= healthyStretch && 2*inFlight >= int(l.value):
+	case median <= healthySlowdown && 2*inFlight >= int(l.value):
 		l.grow(now)
-	case median > gradientStretch:
+	case median > gradientSlowdown:
 		l.shrink(now, median)
 	}
 }
@@ -246,7 +251,7 @@
 
 // shrink follows the gradient, with room for a queue of the limit's root.
 func (l *Limit) shrink(now time.Time, median float64) {
-	gradient := max(gradientStretch/median, minShrink)
-	l.value = max(math.Floor(l.value*gradient+math.Sqrt(l.value)/4), float64(l.config.Cold))
+	gradient := max(gradientSlowdown/median, minShrink)
+	l.value = max(math.Floor(l.value*gradient+queueShare*math.Sqrt(l.value)), float64(l.config.Cold))
 	l.changed = now
 }
--- a/internal/process/limit/limit_test.go
+++ b/internal/process/limit/limit_test.go
@@ -23,9 +23,9 @@
 }
 
 func TestWhatMakesALimitChange(t *testing.T) {
-	late := func(l *Limit, now time.Time, n int, stretch uint16) {
+	late := func(l *Limit, now time.Time, n int, slowdown uint16) {
 		for range n {
-			l.Sample(now, stretch, 16)
+			l.Sample(now, slowdown, 16)
 		}
 	}
 	cases := []struct {
@@ -41,8 +41,8 @@
 		}, 16},
 		{"loss of the cache", func(l *Limit, now time.Time) { l.SeeCache(now, 9000); l.SeeCache(now, 10) }, 2},
 		{"part of the cache", func(l *Limit, now time.Time) { l.SeeCache(now, 9000); l.SeeCache(now, 5000) }, 16},
-		{"run of very late first tokens", func(l *Limit, now time.Time) { late(l, now, coldRun, coldStretch) }, 2},
-		{"one late first token", func(l *Limit, now time.Time) { late(l, now, 1, coldStretch) }, 16},
+		{"run of very late first tokens", func(l *Limit, now time.Time) { late(l, now, coldRun, coldSlowdown) }, 2},
+		{"one late first token", func(l *Limit, now time.Time) { late(l, now, 1, coldSlowdown) }, 16},
 		{"gradient", func(l *Limit, now time.Time) { late(l, now.Add(time.Second), 2*window, 450) }, 12},
 		{"return to service", func(l *Limit, now time.Time) { l.Return(now) }, 2},
 		{"failure", func(l *Limit, now time.Time) { l.Fail(now.Add(-minPause)) }, 2},
@@ -75,13 +75,13 @@
 	cases := []struct {
 		name     string
 		after    time.Duration
-		stretch  uint16
+		slowdown uint16
 		inFlight int
 		grows    bool
 	}{
 		{"healthy and in use", holdCold, 100, 2, true},
 		{"too soon", holdCold / 2, 100, 2, false},
-		{"slow", holdCold, healthyStretch + 1, 2, false},
+		{"slow", holdCold, healthySlowdown + 1, 2, false},
 		{"not in use", holdCold, 100, 0, false},
 	}
 	for _, c := range cases {
@@ -89,7 +89,7 @@
 			l := New(Config{Cold: 2, Max: 16}, start)
 			now := start.Add(c.after)
 			for range window {
-				l.Sample(now, c.stretch, c.inFlight)
+				l.Sample(now, c.slowdown, c.inFlight)
 			}
 			assert.Equal(t, l.Value(now) > 2, c.grows)
 			assert.Equal(t, l.IsCold(), !c.grows)
