command: the paths of the admin address stand once

The verbs metrics and gate held copies of the daemon's paths as strings. They use the daemon's constants, which now say what they take and answer.

--- a/internal/command/gate.go
+++ b/internal/command/gate.go
@@ -5,6 +5,7 @@
 	"io"
 
 	"mustarddoor/internal/connection/mesh"
+	"mustarddoor/internal/process/daemon"
 )
 
 // gateVerb cuts and mends mesh links in tests.
@@ -25,7 +26,7 @@
 // Execute implements flags.Commander.
 func (v *gateVerb) Execute([]string) error {
 	order := mesh.CutOrder{Cut: mesh.Cut{Peer: v.Peer, Direction: v.Direction}, Broken: !v.Mend}
-	if err := v.post("/test/gate", order, nil); err != nil {
+	if err := v.post(daemon.PathGate, order, nil); err != nil {
 		return err
 	}
 	fmt.Fprintln(v.out, "done")
--- a/internal/command/metrics.go
+++ b/internal/command/metrics.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 
+	"mustarddoor/internal/process/daemon"
 	"mustarddoor/internal/process/telemetry"
 )
 
@@ -23,7 +24,7 @@
 // Execute implements flags.Commander.
 func (v *metricsVerb) Execute([]string) error {
 	var values []telemetry.Value
-	if err := v.get("/metrics", nil, &values); err != nil {
+	if err := v.get(daemon.PathMetrics, nil, &values); err != nil {
 		return err
 	}
 	return v.print(v.out, values, func() *table {
--- a/internal/process/daemon/admin.go
+++ b/internal/process/daemon/admin.go
@@ -12,9 +12,13 @@
 
 // Paths of the admin address.
 const (
-	pathMetrics = "/metrics"
-	pathReady   = "/readyz"
-	pathGate    = "/test/gate"
+	// PathMetrics takes a GET and answers a list of telemetry.Value.
+	PathMetrics = "/metrics"
+	// PathReady takes a GET and answers Readiness.
+	PathReady = "/readyz"
+	// PathGate takes a POST of mesh.CutOrder, if the settings have test_gate.
+	PathGate = "/test/gate"
+	// pathProfile serves the profiles of net/http/pprof.
 	pathProfile = "/debug/pprof/"
 )
 
@@ -28,14 +32,14 @@
 // adminHandler gives the handler of the admin address.
 func (h *host) adminHandler() http.Handler {
 	router := echo.New()
-	router.GET(pathMetrics, h.serveMetrics)
-	router.GET(pathReady, h.serveReady)
+	router.GET(PathMetrics, h.serveMetrics)
+	router.GET(PathReady, h.serveReady)
 	router.GET(timeline.Path, echo.WrapHandler(h.timelineService()))
 	router.GET(pathProfile+"*", echo.WrapHandler(http.HandlerFunc(pprof.Index)))
 	router.GET(pathProfile+"profile", echo.WrapHandler(http.HandlerFunc(pprof.Profile)))
 	h.addOperatorRoutes(router)
 	if h.settings.TestGate {
-		router.POST(pathGate, echo.WrapHandler(h.gate))
+		router.POST(PathGate, echo.WrapHandler(h.gate))
 	}
 	return router
 }
