Comments: one for package standin, and where a script's logs go

The comment on the scenarios' start command said that a later process adds to NAME.log; it gets a new one, and the old one becomes NAME.log.old.

--- a/internal/standin/main.go
+++ b/internal/standin/main.go
@@ -1,6 +1,11 @@
 // Package standin is the command line of the stand-ins: the parts around a
 // fleet in tests, each as one process with fault switches. They are the log
 // service, the host list, the weight store, model engines and plain services.
+//
+// Each stand-in is a subpackage with Options, which are also its command-line
+// flags, a constructor and an http.Handler, so that a test can also run it in
+// its own process. The daemon never imports them. The contract tests of all
+// stand-ins are in this package.
 package standin
 
 import (
--- a/scenario/process_test.go
+++ b/scenario/process_test.go
@@ -63,8 +63,8 @@
 }
 
 // cmdStart runs "start NAME PROGRAM ARG...": it starts a process and waits
-// until it says that it listens. Its output goes to NAME.log; a later process
-// of the same name adds to it.
+// until it says that it listens. Its output goes to NAME.log, and that of the
+// process of the same name before it to NAME.log.old.
 func cmdStart(ts *testscript.TestScript, _ bool, args []string) {
 	if len(args) < 2 {
 		ts.Fatalf("usage: start NAME PROGRAM ARG...")
