--- a/internal/process/settings/settings.go
+++ b/internal/process/settings/settings.go
@@ -6,6 +6,7 @@
 package settings
 
 import (
+	"cmp"
 	_ "embed"
 	"os"
 	"time"
@@ -90,16 +91,18 @@
 	TimelineEvents int `json:"timeline_events"`
 }
 
-// Defaults of the limits.
-const (
-	defaultBodyBytes           = 4 << 20
-	defaultHeaderTimeoutMillis = 5_000
-	defaultIdleTimeoutMillis   = 60_000
-	defaultStopTimeoutMillis   = 30_000
-	defaultAnswerBytes         = 64 << 20
-	defaultRegisterBytes       = 16 << 20
-	defaultTimelineEvents      = 1 << 14
-)
+// DefaultLimits gives the limits of a host whose settings have none.
+func DefaultLimits() Limits {
+	return Limits{
+		BodyBytes:           4 << 20,
+		HeaderTimeoutMillis: 5_000,
+		IdleTimeoutMillis:   60_000,
+		StopTimeoutMillis:   30_000,
+		AnswerBytes:         64 << 20,
+		RegisterBytes:       16 << 20,
+		TimelineEvents:      1 << 14,
+	}
+}
 
 // Load reads and checks a settings file. It fails with ErrRead or
 // jsoncheck.ErrInvalid.
@@ -118,23 +121,21 @@
 	if err := schema.Decode(file, data, settings); err != nil {
 		return nil, err
 	}
-	settings.Limits.fillDefaults()
+	settings.Limits = settings.Limits.withDefaults()
 	return settings, nil
 }
 
-func (l *Limits) fillDefaults() {
-	setDefault(&l.BodyBytes, defaultBodyBytes)
-	setDefault(&l.HeaderTimeoutMillis, defaultHeaderTimeoutMillis)
-	setDefault(&l.IdleTimeoutMillis, defaultIdleTimeoutMillis)
-	setDefault(&l.StopTimeoutMillis, defaultStopTimeoutMillis)
-	setDefault(&l.AnswerBytes, defaultAnswerBytes)
-	setDefault(&l.RegisterBytes, defaultRegisterBytes)
-	setDefault(&l.TimelineEvents, defaultTimelineEvents)
-}
-
-func setDefault[T int | int64](field *T, value T) {
-	if *field == 0 {
-		*field = value
+// withDefaults gives the limits with defaults in place of zeros.
+func (l Limits) withDefaults() Limits {
+	defaults := DefaultLimits()
+	return Limits{
+		BodyBytes:           cmp.Or(l.BodyBytes, defaults.BodyBytes),
+		HeaderTimeoutMillis: cmp.Or(l.HeaderTimeoutMillis, defaults.HeaderTimeoutMillis),
+		IdleTimeoutMillis:   cmp.Or(l.IdleTimeoutMillis, defaults.IdleTimeoutMillis),
+		StopTimeoutMillis:   cmp.Or(l.StopTimeoutMillis, defaults.StopTimeoutMillis),
+		AnswerBytes:         cmp.Or(l.AnswerBytes, defaults.AnswerBytes),
+		RegisterBytes:       cmp.Or(l.RegisterBytes, defaults.RegisterBytes),
+		TimelineEvents:      cmp.Or(l.TimelineEvents, defaults.TimelineEvents),
 	}
 }
 
