--- a/internal/connection/mesh/options.go
+++ b/internal/connection/mesh/options.go
@@ -1,6 +1,7 @@
 package mesh
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -63,21 +64,16 @@
 }
 
 func (o Options) withDefaults() Options {
-	setDefault(&o.Gate, Gate(openGate{}))
-	setDefault(&o.DialTimeout, DefaultDialTimeout)
-	setDefault(&o.CallTimeout, DefaultCallTimeout)
-	setDefault(&o.IdleTimeout, DefaultIdleTimeout)
-	setDefault(&o.StallTimeout, DefaultStallTimeout)
-	setDefault(&o.MaxMessageBytes, DefaultMaxMessageBytes)
-	setDefault(&o.MaxInFlight, DefaultMaxInFlight)
-	return o
-}
-
-func setDefault[T comparable](value *T, fallback T) {
-	var zero T
-	if *value == zero {
-		*value = fallback
+	if o.Gate == nil {
+		o.Gate = openGate{}
 	}
+	o.DialTimeout = cmp.Or(o.DialTimeout, DefaultDialTimeout)
+	o.CallTimeout = cmp.Or(o.CallTimeout, DefaultCallTimeout)
+	o.IdleTimeout = cmp.Or(o.IdleTimeout, DefaultIdleTimeout)
+	o.StallTimeout = cmp.Or(o.StallTimeout, DefaultStallTimeout)
+	o.MaxMessageBytes = cmp.Or(o.MaxMessageBytes, DefaultMaxMessageBytes)
+	o.MaxInFlight = cmp.Or(o.MaxInFlight, DefaultMaxInFlight)
+	return o
 }
 
 // readLimit is the largest WebSocket message that a peer may send.
