--- a/internal/command/timeline.go
+++ b/internal/command/timeline.go
@@ -21,7 +21,7 @@
 	Version  string `long:"version" description:"only events of this endpoint version"`
 	Host     string `long:"host" description:"only events of or about this host"`
 	Since    string `long:"since" value-name:"DURATION" description:"only events younger than this, as 90s or 5m"`
-	Check    bool   `long:"check" description:"test the promises over the time line; exit 5 if one is broken"`
+	Check    bool   `long:"check" description:"check the guarantees over the time line; exit 5 if one is broken"`
 	out      io.Writer
 }
 
@@ -47,7 +47,7 @@
 	report := check.Run(merged, check.DefaultLimits())
 	fmt.Fprint(v.out, report)
 	if len(report.Violations) > 0 {
-		return eris.Wrap(ErrFailed, "the time line breaks a promise")
+		return eris.Wrap(ErrFailed, "the time line breaks a guarantee")
 	}
 	return nil
 }
--- a/internal/connection/engine/client.go
+++ b/internal/connection/engine/client.go
@@ -96,7 +96,7 @@
 
 // newRequest builds a request that the transport cannot replay: with GetBody
 // unset it does not resend a body, and the key travels in a header that the
-// transport does not take for a promise of idempotence.
+// transport does not take as a mark of an idempotent request.
 func newRequest(ctx context.Context, call Call) (*http.Request, error) {
 	var body io.Reader
 	if len(call.Body) > 0 {
--- a/internal/process/daemon/host.go
+++ b/internal/process/daemon/host.go
@@ -169,7 +169,7 @@
 	return ""
 }
 
-// Live implements session.Peers: the other hosts that may take promises.
+// Live implements session.Peers: the other hosts that may become witnesses.
 func (h *host) Live() []identity.Host {
 	live := []identity.Host{}
 	for _, m := range h.members.View().Usable() {
--- a/internal/process/identity/identity.go
+++ b/internal/process/identity/identity.go
@@ -1,8 +1,8 @@
 // Package identity names the hosts of a fleet and their incarnations.
 //
 // A host keeps nothing on disk, so a process that starts again under the same
-// name knows nothing of what its predecessor promised. Every process start is
-// therefore a new incarnation, and promises name the incarnation, not the host.
+// name knows nothing of its predecessor's obligations. Every process start is
+// therefore a new incarnation; leases and keys name it, not the host.
 package identity
 
 import (
--- a/internal/process/member/view.go
+++ b/internal/process/member/view.go
@@ -15,7 +15,7 @@
 	Leaving bool
 }
 
-// IsUsable reports whether new work and promises may go to the host.
+// IsUsable reports whether the host may get new work and become a witness.
 func (m Member) IsUsable() bool { return m.State == StateAlive && !m.Leaving }
 
 // View is what this process believes of the fleet at one time, itself
--- a/internal/process/timeline/check/check.go
+++ b/internal/process/timeline/check/check.go
@@ -1,4 +1,4 @@
-// Package check tests the promises of the system over a merged time line.
+// Package check checks the guarantees of the system over a merged time line.
 //
 // Each rule reads the whole time line and returns its violations. A time line
 // with gaps can hide violations; rules that would see false ones because of a
@@ -44,14 +44,14 @@
 	}
 }
 
-// Violation is a broken promise with the events that show it.
+// Violation is a broken guarantee with the events that show it.
 type Violation struct {
 	Rule   string
 	Text   string
 	Events []timeline.Event
 }
 
-// Rule tests one promise.
+// Rule checks one guarantee.
 type Rule struct {
 	Name string
 	// NeedsWhole tells that a gap in the time line can bring false violations.
--- a/internal/request/fleet_test.go
+++ b/internal/request/fleet_test.go
@@ -301,7 +301,7 @@
 	f.answers[k] = answer
 }
 
-// check verifies the promises.
+// check verifies the guarantees.
 func (f *fleet) check() {
 	for k, runs := range f.runs {
 		if runs > 1 {
--- a/internal/request/promises_test.go
+++ b/internal/request/guarantees_test.go
@@ -52,11 +52,11 @@
 	{1, (*fleet).restartEndpoint},
 }
 
-// TestPromises runs owners, witnesses and retries over messages that are lost,
+// TestGuarantees runs owners, witnesses and retries over messages that are lost,
 // late and reordered and hosts that freeze and restart at any step. No request
 // may run twice, "not run" must stay true, and all whole answers of a request
 // must be the same.
-func TestPromises(t *testing.T) {
+func TestGuarantees(t *testing.T) {
 	var all []func(*fleet)
 	for _, s := range steps {
 		for range s.weight {
--- a/internal/request/outcome/outcome.go
+++ b/internal/request/outcome/outcome.go
@@ -1,7 +1,7 @@
 // Package outcome defines what can become of a request and how a refusal is
 // told to its caller.
 //
-// An outcome is a promise about side effects: NotRun says that the request was
+// An outcome is a guarantee about side effects: NotRun says that the request was
 // not dispatched and never will be under its key, Unknown says that this could
 // not be established. Code that cannot prove NotRun must answer Unknown.
 package outcome
--- a/internal/version/rollout/verdict.go
+++ b/internal/version/rollout/verdict.go
@@ -55,8 +55,8 @@
 
 // Exchange carries deltas to the other hosts.
 type Exchange interface {
-	// Broadcast sends deltas to all hosts, at most once and without a promise
-	// that they arrive. It returns within the context's deadline.
+	// Broadcast sends deltas to all hosts, at most once; they may be
+	// lost. It returns within the context's deadline.
 	Broadcast(ctx context.Context, deltas []Delta)
 }
 
