--- a/internal/version/config/supply.go
+++ b/internal/version/config/backfill.go
@@ -10,9 +10,9 @@
 
 // Times of what hosts append themselves.
 const (
-	supplyInterval = 250 * time.Millisecond
-	supplyTimeout  = 10 * time.Second
-	supplyRetry    = time.Second
+	backfillInterval = 250 * time.Millisecond
+	backfillTimeout  = 10 * time.Second
+	backfillRetry    = time.Second
 	// staggerSpan is the time over which hosts spread appends that any of them
 	// may do.
 	staggerSpan = 2 * time.Second
@@ -22,8 +22,8 @@
 	snapshotSpread = 0.2
 )
 
-// supplyItem is a record that the log does not have yet.
-type supplyItem struct {
+// missingRecord is a record that the log does not have yet.
+type missingRecord struct {
 	record Record
 	due    time.Time
 	// since is where the record may stand in the log after an append; zero
@@ -31,11 +31,11 @@
 	since uint64
 }
 
-// supply appends what the log lacks until the context ends.
-func (f *Follower) supply(ctx context.Context) error {
-	items := map[string]*supplyItem{}
+// backfill appends what the log lacks until the context ends.
+func (f *Follower) backfill(ctx context.Context) error {
+	items := map[string]*missingRecord{}
 	for {
-		timer := time.NewTimer(supplyInterval)
+		timer := time.NewTimer(backfillInterval)
 		select {
 		case <-ctx.Done():
 			timer.Stop()
@@ -44,13 +44,13 @@
 			timer.Stop()
 		case <-timer.C:
 		}
-		f.supplyOnce(ctx, items)
+		f.backfillOnce(ctx, items)
 	}
 }
 
-// supplyOnce appends what is due.
-func (f *Follower) supplyOnce(ctx context.Context, items map[string]*supplyItem) {
-	state, ready := f.supplyState()
+// backfillOnce appends what is due.
+func (f *Follower) backfillOnce(ctx context.Context, items map[string]*missingRecord) {
+	state, ready := f.stateToBackfill()
 	if !ready {
 		return
 	}
@@ -65,8 +65,8 @@
 	}
 }
 
-// supplyState gives the state, and whether it is up to date with the log.
-func (f *Follower) supplyState() (State, bool) {
+// stateToBackfill gives the state, and whether it is up to date with the log.
+func (f *Follower) stateToBackfill() (State, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	h := f.health
@@ -74,14 +74,14 @@
 }
 
 // plan adds the records that the log lacks and drops those that it has.
-func (f *Follower) plan(state State, items map[string]*supplyItem) {
+func (f *Follower) plan(state State, items map[string]*missingRecord) {
 	wanted := map[string]bool{}
 	for _, mark := range state.unloggedMarks() {
 		key := "mark " + mark.ID
 		wanted[key] = true
 		if items[key] == nil {
 			record := Record{Header: Header{ID: mark.ID}, Raw: mark.Raw}
-			items[key] = &supplyItem{record: record, due: now().Add(f.stagger(key, mark.Stamp.Host))}
+			items[key] = &missingRecord{record: record, due: now().Add(f.stagger(key, mark.Stamp.Host))}
 		}
 	}
 	for _, move := range state.unloggedVerdicts() {
@@ -90,7 +90,7 @@
 		if items[key] == nil {
 			record := f.options.Keys.host(f.options.Host).sign(KindVerdict, f.nextSequence(),
 				VerdictBody{Move: move.ID, State: move.State})
-			items[key] = &supplyItem{record: record, due: now().Add(f.stagger(key, ""))}
+			items[key] = &missingRecord{record: record, due: now().Add(f.stagger(key, ""))}
 		}
 	}
 	for key := range items {
@@ -102,7 +102,7 @@
 }
 
 // planSnapshot adds a snapshot if it is due.
-func (f *Follower) planSnapshot(state State, items map[string]*supplyItem) {
+func (f *Follower) planSnapshot(state State, items map[string]*missingRecord) {
 	if state.Log.Head == nil && len(state.Marks) == 0 {
 		return
 	}
@@ -110,7 +110,7 @@
 		return
 	}
 	record := state.encodeSnapshot(f.options.Keys.host(f.options.Host), f.nextSequence())
-	items["snapshot"] = &supplyItem{record: record, due: now()}
+	items["snapshot"] = &missingRecord{record: record, due: now()}
 }
 
 // stagger is how long this host leaves an append to others. The host that
@@ -123,15 +123,15 @@
 }
 
 // append appends an item and reports whether it is off the list.
-func (f *Follower) append(ctx context.Context, item *supplyItem) bool {
-	ctx, cancel := context.WithTimeout(ctx, supplyTimeout)
+func (f *Follower) append(ctx context.Context, item *missingRecord) bool {
+	ctx, cancel := context.WithTimeout(ctx, backfillTimeout)
 	defer cancel()
 	offset, err := f.options.Log.Append(ctx, platform.Batch{
 		Stream:  platform.StreamConfig,
 		Records: []platform.AppendRecord{{ID: item.record.ID, Data: item.record.Raw}},
 		Since:   item.since,
 	})
-	item.due = now().Add(supplyRetry)
+	item.due = now().Add(backfillRetry)
 	if err == nil {
 		f.metrics.appended.Inc(1)
 		item.since = offset
--- a/internal/version/config/follower.go
+++ b/internal/version/config/follower.go
@@ -79,7 +79,7 @@
 	health health
 	// snapshots tells when the next snapshot is due.
 	snapshots snapshotClock
-	outcomes  outcomeRing
+	outcomes  outcomeHistory
 	unsent    unsent
 	stamp     Stamp
 	sequence  uint64
@@ -108,7 +108,7 @@
 		options:  options,
 		metrics:  newFollowerMetrics(options.Metrics),
 		state:    State{}.clone(),
-		outcomes: newOutcomeRing(),
+		outcomes: newOutcomeHistory(),
 		unsent:   newUnsent(),
 		waiters:  map[string][]chan Outcome{},
 		readers:  map[int]chan *View{},
@@ -125,7 +125,7 @@
 	group.Go(func() error { return f.follow(ctx) })
 	group.Go(func() error { return f.exchange(ctx) })
 	group.Go(func() error { return f.spread(ctx) })
-	group.Go(func() error { return f.supply(ctx) })
+	group.Go(func() error { return f.backfill(ctx) })
 	return group.Wait()
 }
 
--- a/internal/version/config/ring.go
+++ b/internal/version/config/outcome_history.go
@@ -6,21 +6,21 @@
 	maxRefused  = 32
 )
 
-// outcomeRing remembers the outcomes of recent records by id.
-type outcomeRing struct {
+// outcomeHistory remembers the outcomes of recent records by id.
+type outcomeHistory struct {
 	byID  map[string]Outcome
 	order []string
 	// refused holds the recent records that were not accepted.
 	refused []Outcome
 }
 
-func newOutcomeRing() outcomeRing {
-	return outcomeRing{byID: map[string]Outcome{}}
+func newOutcomeHistory() outcomeHistory {
+	return outcomeHistory{byID: map[string]Outcome{}}
 }
 
 // add remembers an outcome and reports whether it is the first of its id from
 // the log: a record that stands there twice has the outcome of its first copy.
-func (r *outcomeRing) add(outcome Outcome) bool {
+func (r *outcomeHistory) add(outcome Outcome) bool {
 	if outcome.Result != ResultAccepted {
 		r.refused = append(r.refused, outcome)
 		if len(r.refused) > maxRefused {
