--- a/internal/process/member/core.go
+++ b/internal/process/member/core.go
@@ -150,7 +150,7 @@
 // Hint starts a probe at once of the member at a mesh address, which did not
 // answer a call.
 func (c *Core) Hint(now time.Duration, address string) Output {
-	c.awake(now)
+	c.creditPause(now)
 	for _, entry := range slices.Clone(c.sorted) {
 		if entry != c.self && entry.record.Host.MeshAddress == address && entry.record.State == StateAlive {
 			c.probe(now, entry)
@@ -161,7 +161,7 @@
 
 // Tick runs the timers that are due.
 func (c *Core) Tick(now time.Duration) Output {
-	c.awake(now)
+	c.creditPause(now)
 	c.expire(now)
 	c.advanceRounds(now)
 	if now >= c.nextRound {
@@ -179,9 +179,9 @@
 // Next is when Tick is to be called at the latest.
 func (c *Core) Next() time.Duration { return c.due }
 
-// awake notices that this process was paused, and gives all others the time
-// back that it missed.
-func (c *Core) awake(now time.Duration) {
+// creditPause notices that this process was paused, and extends the timeouts of
+// all others by the pause.
+func (c *Core) creditPause(now time.Duration) {
 	late := now - c.due
 	if late < c.timing.Stall {
 		return
@@ -226,11 +226,11 @@
 
 // Receive handles a message that came from a mesh address.
 func (c *Core) Receive(now time.Duration, address string, message Message) Output {
-	c.awake(now)
+	c.creditPause(now)
 	if message.From == c.self.record.Host.Incarnation {
 		return c.finish()
 	}
-	c.hear(message.From)
+	c.closeRoundsOf(message.From)
 	for _, record := range message.Records {
 		c.learn(now, record, message.Type != TypeState)
 	}
--- a/internal/process/member/doc.go
+++ b/internal/process/member/doc.go
@@ -1,4 +1,4 @@
-// Package member keeps each host's view of which hosts live, without a
+// Package member keeps each host's view of which hosts are alive, without a
 // coordinator, and carries small state deltas of other packages along.
 //
 // Each host probes one member at a time. A probe repeats its ping and asks
--- a/internal/process/member/message.go
+++ b/internal/process/member/message.go
@@ -32,7 +32,7 @@
 const (
 	// TypePing asks for an ack.
 	TypePing Type = 1
-	// TypeAck tells that Subject, or else the sender, lives.
+	// TypeAck tells that Subject, or else the sender, is alive.
 	TypeAck Type = 2
 	// TypeRelay asks the receiver to ping Subject.
 	TypeRelay Type = 3
@@ -50,8 +50,8 @@
 	From identity.Incarnation `cbor:"2,keyasint"`
 	// Nonce ties an ack to its ping.
 	Nonce uint32 `cbor:"3,keyasint,omitempty"`
-	// Subject is who is pinged, lives, or is to be pinged. It is zero in a ping
-	// to an address where no one is known, and in an ack of the sender's own.
+	// Subject is the host that is pinged, is alive, or is to be pinged. It is zero in a ping
+	// to an address at which no member is known, and in an ack of the sender's own.
 	Subject identity.Incarnation `cbor:"4,keyasint,omitzero"`
 	// Digest is a hash of all that the sender knows.
 	Digest uint64 `cbor:"5,keyasint,omitempty"`
--- a/internal/process/member/probe.go
+++ b/internal/process/member/probe.go
@@ -12,8 +12,8 @@
 	relayTimeout = 2 * time.Second
 	// maxRelays bounds the relayed pings in flight.
 	maxRelays = 1024
-	// lonelyContacts is how many seeds a host without peers pings at once.
-	lonelyContacts = 3
+	// seedsAtOnce is how many seeds a host without peers pings at once.
+	seedsAtOnce = 3
 )
 
 // round is one probe of a member: pings until the first answer.
@@ -98,7 +98,7 @@
 		return
 	}
 	if target.record.State == StateSuspect && open.attempts >= c.timing.RelayFrom {
-		// Others have asked it already; what it hears now lets it refute.
+		// Others have suspected it already; the pings so far let it refute.
 		c.closeRound(open)
 		return
 	}
@@ -167,7 +167,7 @@
 }
 
 // answer acknowledges a ping. The ack names this incarnation, whoever was
-// meant; a sender that meant another one, or nobody, also gets the record.
+// meant; a sender that meant another one, or none, also gets the record.
 func (c *Core) answer(address string, ping Message) {
 	ack := c.message(TypeAck)
 	ack.Nonce = ping.Nonce
@@ -199,13 +199,13 @@
 	c.send(asked.address, onward)
 }
 
-// hear ends the rounds of a member that has just sent a message.
-func (c *Core) hear(from identity.Incarnation) {
+// closeRoundsOf ends the rounds of a member that has just sent a message.
+func (c *Core) closeRoundsOf(from identity.Incarnation) {
 	c.rounds = slices.DeleteFunc(c.rounds, func(r *round) bool { return r.target == from })
 }
 
 // contact pings one host that is gone, which may have come back from behind a
-// cut, and a seed at which nobody is known.
+// cut, and a seed at which no member is known.
 func (c *Core) contact() {
 	var gone []*entry
 	taken := map[string]bool{}
@@ -224,15 +224,15 @@
 	c.random.Shuffle(len(free), func(i, j int) { free[i], free[j] = free[j], free[i] })
 	count := 1
 	if len(taken) == 0 {
-		count = lonelyContacts
+		count = seedsAtOnce
 	}
 	for _, address := range free[:min(count, len(free))] {
-		c.introduce(address)
+		c.pingSeed(address)
 	}
 }
 
-// introduce pings an address at which nobody is known.
-func (c *Core) introduce(address string) {
+// pingSeed pings an address at which no member is known.
+func (c *Core) pingSeed(address string) {
 	message := c.message(TypePing)
 	message.Nonce = c.nonce()
 	message.Records = []Record{c.self.record}
