--- a/internal/process/daemon/homes.go
+++ b/internal/process/daemon/homes.go
@@ -60,17 +60,17 @@
 }
 
 // observeOrder puts an order on the time line.
-func (h *host) observeOrder(given home.Given) {
+func (h *host) observeOrder(result home.OrderResult) {
 	event := timeline.Event{
 		Kind:     timeline.EndpointOrdered,
-		Endpoint: given.Endpoint,
+		Endpoint: result.Endpoint,
 		Outcome:  timeline.OutcomeDone,
-		Detail:   string(given.Order.Kind) + " " + given.Order.Value,
-		Value:    int64(given.Order.Fence),
+		Detail:   string(result.Order.Kind) + " " + result.Order.Value,
+		Value:    int64(result.Order.Fence),
 	}
-	if given.Err != nil {
+	if result.Err != nil {
 		event.Outcome = timeline.OutcomeUnknown
-		event.Detail += ": " + given.Err.Error()
+		event.Detail += ": " + result.Err.Error()
 	}
 	h.ring.Record(event)
 }
--- a/internal/process/home/hold.go
+++ b/internal/process/home/hold.go
@@ -174,12 +174,7 @@
 		reply   holdReply
 		address string
 	}
-	peers := []identity.Host{}
-	for _, member := range m.options.Members() {
-		if slices.Contains(names, member.Host.Host) {
-			peers = append(peers, member.Host)
-		}
-	}
+	peers := m.membersNamed(names)
 	answers := make(chan answer, len(peers))
 	var group errgroup.Group
 	for _, peer := range peers {
@@ -206,8 +201,19 @@
 	return replies, newest, furthest
 }
 
-// isHeld reports whether homes stay in use without the log: nobody reads it, as
-// most of a number of hosts, with this one, confirm. Then nobody can have
+// membersNamed gives the live hosts among those named.
+func (m *Manager) membersNamed(names []string) []identity.Host {
+	hosts := []identity.Host{}
+	for _, member := range m.options.Members() {
+		if slices.Contains(names, member.Host.Host) {
+			hosts = append(hosts, member.Host)
+		}
+	}
+	return hosts
+}
+
+// isHeld reports whether homes stay in use without the log: no host reads it,
+// as most of a number of hosts, with this one, confirm. Then none can have
 // claimed them.
 func isHeld(hosts int, replies []holdReply) bool {
 	for _, reply := range replies {
--- a/internal/process/home/manager.go
+++ b/internal/process/home/manager.go
@@ -30,8 +30,8 @@
 	Caller  mesh.Caller
 	Metrics metrics.Registry
 	Logger  logrus.FieldLogger
-	// Observe is told of every change of a home; nil if nobody listens. It must
-	// not block.
+	// Observe is told of every change of a home; nil for no observer. It
+	// must not block.
 	Observe func(Change)
 }
 
--- a/internal/process/home/orders.go
+++ b/internal/process/home/orders.go
@@ -6,7 +6,6 @@
 	"time"
 
 	metrics "github.com/rcrowley/go-metrics"
-	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/errgroup"
 
 	"mustarddoor/internal/connection/engine"
@@ -35,13 +34,12 @@
 	// Bundle gives the bundle in force, or nil before the first.
 	Bundle  func() *bundle.Bundle
 	Metrics metrics.Registry
-	Logger  logrus.FieldLogger
-	// Observe is told of every order given; nil if nobody listens.
-	Observe func(Given)
+	// Observe is told of every order sent; nil for no observer.
+	Observe func(OrderResult)
 }
 
-// Given is an order that was given to an endpoint.
-type Given struct {
+// OrderResult is an order that was sent to an endpoint.
+type OrderResult struct {
 	Endpoint string
 	Order    engine.Order
 	// Err is nil if the endpoint acknowledged it. Otherwise the endpoint's
@@ -64,14 +62,14 @@
 type watch struct {
 	unfitSince time.Time
 	busySince  time.Time
-	// isAtWork tells that a step for the endpoint is under way.
-	isAtWork bool
+	// hasStep tells that a step for the endpoint is under way.
+	hasStep bool
 }
 
 // NewOrders gives the orders of a host.
 func NewOrders(options OrdersOptions) *Orders {
 	if options.Observe == nil {
-		options.Observe = func(Given) {}
+		options.Observe = func(OrderResult) {}
 	}
 	registry := options.Metrics
 	if registry == nil {
@@ -145,14 +143,14 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	seen := o.watched[endpoint]
-	if seen.isAtWork {
+	if seen.hasStep {
 		return false
 	}
 	if !held {
 		delete(o.watched, endpoint)
 		return false
 	}
-	seen.isAtWork = true
+	seen.hasStep = true
 	o.watched[endpoint] = seen
 	return true
 }
@@ -161,7 +159,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	seen := o.watched[endpoint]
-	seen.isAtWork = false
+	seen.hasStep = false
 	o.watched[endpoint] = seen
 }
 
@@ -269,7 +267,7 @@
 	if err != nil {
 		o.failed.Inc(1)
 	}
-	o.options.Observe(Given{Endpoint: endpoint.Name, Order: order, Err: err})
+	o.options.Observe(OrderResult{Endpoint: endpoint.Name, Order: order, Err: err})
 }
 
 // isWanted reports whether the bundle in force still has the endpoint as it is.
