A request is not sent after its slot has lapsed

Cause: the flow gave every dispatch 500 ms from its intent and ignored when the slot of the placement lapses; a slow witness could let a request go out after the home had given the slot to somebody else. Change: the send-by time of the intent is the earlier of both.

--- a/internal/request/flow/run.go
+++ b/internal/request/flow/run.go
@@ -104,7 +104,7 @@
 func (r *Runner) permit(gone context.Context, request *Request, own *owner.Request, place *placement.Placement) bool {
 	start := time.Now()
 	target := owner.Target{Service: request.Service.Name, Endpoint: place.Endpoint, Address: place.Address}
-	refusal := own.Permit(gone, target, sendWithin)
+	refusal := own.Permit(gone, target, sendingTime(place))
 	if refusal != nil {
 		return false
 	}
@@ -113,6 +113,15 @@
 	return true
 }
 
+// sendingTime is how long after its intent the request may be dispatched: no
+// longer than its slot lasts.
+func sendingTime(place *placement.Placement) time.Duration {
+	if place.SendBy.IsZero() {
+		return sendWithin
+	}
+	return min(sendWithin, time.Until(place.SendBy))
+}
+
 func callOf(request *Request, address string) engine.Call {
 	return engine.Call{
 		Address:     address,
