Leases of small fleets hold 3 s

Cause: after a host's death its endpoints had no home for 6.75 s (3 and 9 hosts), and requests waited up to 14 s in killed_under_load. Change: the least lease is 3 s instead of 6 s. Nine hosts then write 9 renewals a second to a log that takes several hundred; larger fleets are as before, since the renewals' rate bounds their leases. Weighed: longer grants, so that holders bridge the gap; it would cost a lost holder's share for longer and was not tried.

--- a/internal/process/home/plan.go
+++ b/internal/process/home/plan.go
@@ -205,7 +205,7 @@
 
 // Bounds of leases and renewals.
 const (
-	minLease             = 6 * time.Second
+	minLease             = 3 * time.Second
 	maxLease             = time.Minute
 	renewalsPerLease     = 3
 	maxRenewalsPerSecond = 20
