--- /dev/null
+++ b/internal/process/home/orders_test.go
@@ -0,0 +1,87 @@
+package home
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"mustarddoor/internal/connection/engine"
+	"mustarddoor/internal/version/bundle"
+)
+
+// startOrders runs the orders of all hosts against one engine.
+func startOrders(t *testing.T, f *fleet, e *fakeEngine) {
+	for _, m := range f.managers {
+		ctx, cancel := context.WithCancel(t.Context())
+		f.cancels = append(f.cancels, cancel)
+		orders := NewOrders(OrdersOptions{Manager: m, Engines: e, Bundle: func() *bundle.Bundle { return f.bundle }})
+		go func() { _ = orders.Run(ctx) }()
+	}
+}
+
+// An order whose reply is lost is not given again if it took effect, and is
+// given again if it did not.
+func TestOrdersReadBack(t *testing.T) {
+	cases := []struct {
+		name   string
+		engine *fakeEngine
+		orders int
+	}{
+		{"sound", &fakeEngine{}, 1},
+		{"runs the version already", &fakeEngine{state: engine.State{Version: "v1"}}, 0},
+		{"reply lost", &fakeEngine{lose: 1}, 1},
+		{"order lost", &fakeEngine{ignore: 2}, 3},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := startFleet(t, 3, 1)
+				defer f.stop()
+				c.engine.state.Ready = true
+				startOrders(t, f, c.engine)
+				settle(time.Minute)
+				assert.Equal(t, c.engine.count(), c.orders)
+				for _, m := range f.managers {
+					assert.Equal(t, len(m.Unfit()), 0)
+				}
+			})
+		})
+	}
+}
+
+// While an endpoint is brought to another version, all hosts know that it is
+// unfit; and a new home gives an endpoint that ignores fencing numbers no order
+// before those of the old home have ended.
+func TestOrdersOfNewHome(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := startFleet(t, 3, 1)
+		defer f.stop()
+		e := &fakeEngine{ignore: 1000, state: engine.State{Ready: true}}
+		startOrders(t, f, e)
+		settle(time.Minute)
+		for _, m := range f.managers {
+			assert.DeepEqual(t, m.Unfit(), endpointNames(1))
+		}
+		old := f.holdersOf("endpoint-0")[0]
+		for i, m := range f.managers {
+			if m == old {
+				f.cancels[i]()
+			}
+		}
+		oldLease, _ := old.Lease("endpoint-0")
+		settle(time.Minute)
+		lease, held := f.holdersOf("endpoint-0")[0].Lease("endpoint-0")
+		assert.Assert(t, held)
+		for i, order := range e.orders {
+			if order.Fence == oldLease.Fence {
+				assert.Assert(t, e.given[i].Before(oldLease.Until))
+				continue
+			}
+			assert.Equal(t, order.Fence, lease.Fence)
+			assert.Assert(t, e.given[i].After(oldLease.Until.Add(orderTimeout)))
+		}
+	})
+}
