--- a/.ci/knownred/main.go
+++ b/.ci/knownred/main.go
@@ -11,18 +11,35 @@
 	"errors"
 	"fmt"
 	"io/fs"
+	"maps"
 	"os"
-	"sort"
+	"slices"
 	"strings"
 )
 
-const listName = "KNOWN-RED.txt"
+// listName is the list of known failures, and testPrefix begins its lines that
+// name a test.
+const (
+	listName   = "KNOWN-RED.txt"
+	testPrefix = "test: "
+)
+
+// action is what an event tells.
+type action string
 
-const testPrefix = "test: "
+// The actions that count; go test has others.
+const (
+	actionPass        action = "pass"
+	actionFail        action = "fail"
+	actionSkip        action = "skip"
+	actionOutput      action = "output"
+	actionBuildOutput action = "build-output"
+	actionBuildFail   action = "build-fail"
+)
 
 // event is one line of the output of go test -json.
 type event struct {
-	Action  string
+	Action  action
 	Package string
 	Test    string
 	Output  string
@@ -30,9 +47,11 @@
 
 // report collects what the run said.
 type report struct {
-	results  map[string]string
-	output   map[string][]string
-	packages map[string]string
+	// results and output are those of tests by package.TestName.
+	results map[string]action
+	output  map[string][]string
+	// packages holds the results of packages by import path.
+	packages map[string]action
 }
 
 func main() {
@@ -70,9 +89,9 @@
 
 func readEvents(in *bufio.Reader) (*report, error) {
 	rep := &report{
-		results:  map[string]string{},
+		results:  map[string]action{},
 		output:   map[string][]string{},
-		packages: map[string]string{},
+		packages: map[string]action{},
 	}
 	decoder := json.NewDecoder(in)
 	for decoder.More() {
@@ -91,20 +110,20 @@
 		name += "." + ev.Test
 	}
 	switch ev.Action {
-	case "output", "build-output":
+	case actionOutput, actionBuildOutput:
 		if ev.Test == "" {
 			fmt.Print(ev.Output)
 		}
 		r.output[name] = append(r.output[name], ev.Output)
-	case "build-fail":
-		r.packages[name] = "fail"
-	case "pass", "fail", "skip":
+	case actionBuildFail:
+		r.packages[name] = actionFail
+	case actionPass, actionFail, actionSkip:
 		if ev.Test == "" {
 			r.packages[name] = ev.Action
 			return
 		}
 		r.results[name] = ev.Action
-		if ev.Action == "pass" {
+		if ev.Action == actionPass {
 			delete(r.output, name)
 		}
 	}
@@ -115,13 +134,13 @@
 	green := true
 	passed, failed, skipped := 0, 0, 0
 	explained := map[string]bool{}
-	for _, name := range sortedKeys(rep.results) {
+	for _, name := range slices.Sorted(maps.Keys(rep.results)) {
 		switch rep.results[name] {
-		case "pass":
+		case actionPass:
 			passed++
-		case "skip":
+		case actionSkip:
 			skipped++
-		case "fail":
+		case actionFail:
 			failed++
 			explained[packageOf(name)] = true
 			if !isListed(name, listed) {
@@ -130,16 +149,16 @@
 			fmt.Print(strings.Join(rep.output[name], ""))
 		}
 	}
-	for _, name := range sortedKeys(rep.packages) {
-		if rep.packages[name] == "fail" && !explained[name] {
+	for _, name := range slices.Sorted(maps.Keys(rep.packages)) {
+		if rep.packages[name] == actionFail && !explained[name] {
 			fmt.Printf("%s failed outside its tests\n", name)
 			green = false
 		}
 	}
-	for name := range listed {
+	for _, name := range slices.Sorted(maps.Keys(listed)) {
 		result := rep.results[name]
 		fmt.Printf("known red: %s: %s\n", name, result)
-		if result != "fail" {
+		if result != actionFail {
 			fmt.Printf("%s lists %s, which does not fail here\n", listName, name)
 			green = false
 		}
@@ -166,24 +185,11 @@
 // packageOf gives the package of package.Test; import paths may hold dots,
 // test names hold none.
 func packageOf(name string) string {
-	slash := strings.Index(name, ".Test")
-	if other := strings.Index(name, ".Fuzz"); slash < 0 || other >= 0 && other < slash {
-		slash = other
-	}
-	if other := strings.Index(name, ".Example"); slash < 0 || other >= 0 && other < slash {
-		slash = other
-	}
-	if slash < 0 {
-		return name
-	}
-	return name[:slash]
-}
-
-func sortedKeys(m map[string]string) []string {
-	keys := make([]string, 0, len(m))
-	for key := range m {
-		keys = append(keys, key)
+	end := len(name)
+	for _, prefix := range []string{".Test", ".Fuzz", ".Example"} {
+		if at := strings.Index(name, prefix); at >= 0 {
+			end = min(end, at)
+		}
 	}
-	sort.Strings(keys)
-	return keys
+	return name[:end]
 }
