--- a/internal/connection/mesh/mesh_test.go
+++ b/internal/connection/mesh/mesh_test.go
@@ -70,6 +70,18 @@
 	}
 	p.server = mesh.NewServer(options)
 	p.client = mesh.NewClient(options)
+	p.handle(t)
+	p.http.Start()
+	t.Cleanup(func() {
+		p.client.Close()
+		p.server.Close()
+		p.http.Close()
+	})
+	return p
+}
+
+// handle registers the handlers of the test messages.
+func (p *peer) handle(t testing.TB) {
 	p.server.Handle(kindEcho, func(_ context.Context, from identity.Incarnation, body cbor.RawMessage) (any, error) {
 		var request echo
 		err := cbor.Unmarshal(body, &request)
@@ -86,13 +98,6 @@
 		}
 		return echo{}, nil
 	})
-	p.http.Start()
-	t.Cleanup(func() {
-		p.client.Close()
-		p.server.Close()
-		p.http.Close()
-	})
-	return p
 }
 
 func (p *peer) count(name string) int64 {
