--- a/internal/process/timeline/check/load.go
+++ b/internal/process/timeline/check/load.go
@@ -24,44 +24,70 @@
 	return s
 }
 
+// endpointLoad is what endpoints run and which of them are cold, as far as the
+// time line was read.
+type endpointLoad struct {
+	// spells holds the cold spells by endpoint.
+	spells map[string]coldSpell
+	// running holds the requests in flight by endpoint, and endpoints the
+	// endpoint of each request.
+	running   map[string]map[string]bool
+	endpoints map[string]string
+}
+
 // coldLimit finds dispatches to a cold endpoint that bear it more requests
 // than its limit.
 func coldLimit(events []timeline.Event, limits Limits) []Violation {
-	spells := map[string]coldSpell{}
-	running := map[string]map[string]bool{}
-	at := map[string]string{}
+	load := endpointLoad{
+		spells:    map[string]coldSpell{},
+		running:   map[string]map[string]bool{},
+		endpoints: map[string]string{},
+	}
 	var found []Violation
 	for _, event := range events {
-		switch event.Kind {
-		case timeline.EndpointCold:
-			spells[event.Endpoint] = coldSpell{since: event.Stamp, limit: event.Value}
-		case timeline.EndpointLimit:
-			if spell, cold := spells[event.Endpoint]; cold {
-				spells[event.Endpoint] = spell.changed(event)
-			}
-		case timeline.EndpointWarm:
-			delete(spells, event.Endpoint)
-		case timeline.RequestDispatched:
-			at[event.Request] = event.Endpoint
-			if running[event.Endpoint] == nil {
-				running[event.Endpoint] = map[string]bool{}
-			}
-			running[event.Endpoint][event.Request] = true
-			spell, cold := spells[event.Endpoint]
-			count := len(running[event.Endpoint])
-			if cold && int64(count) > spell.limit && isPast(event, spell.since, limits.ColdDelay) {
-				found = append(found, Violation{
-					Text:   fmt.Sprintf("%d requests at %s, whose cold limit is %d", count, event.Endpoint, spell.limit),
-					Events: []timeline.Event{event},
-				})
-			}
-		case timeline.RequestDone:
-			delete(running[at[event.Request]], event.Request)
+		load.apply(event)
+		if event.Kind == timeline.RequestDispatched {
+			found = append(found, load.check(event, limits)...)
 		}
 	}
 	return found
 }
 
+// apply takes in one event.
+func (l endpointLoad) apply(event timeline.Event) {
+	switch event.Kind {
+	case timeline.EndpointCold:
+		l.spells[event.Endpoint] = coldSpell{since: event.Stamp, limit: event.Value}
+	case timeline.EndpointLimit:
+		if spell, cold := l.spells[event.Endpoint]; cold {
+			l.spells[event.Endpoint] = spell.changed(event)
+		}
+	case timeline.EndpointWarm:
+		delete(l.spells, event.Endpoint)
+	case timeline.RequestDispatched:
+		l.endpoints[event.Request] = event.Endpoint
+		if l.running[event.Endpoint] == nil {
+			l.running[event.Endpoint] = map[string]bool{}
+		}
+		l.running[event.Endpoint][event.Request] = true
+	case timeline.RequestDone:
+		delete(l.running[l.endpoints[event.Request]], event.Request)
+	}
+}
+
+// check gives the violation of a dispatch that was just applied, if it is one.
+func (l endpointLoad) check(dispatch timeline.Event, limits Limits) []Violation {
+	spell, cold := l.spells[dispatch.Endpoint]
+	count := len(l.running[dispatch.Endpoint])
+	if !cold || int64(count) <= spell.limit || !isPast(dispatch, spell.since, limits.ColdDelay) {
+		return nil
+	}
+	return []Violation{{
+		Text:   fmt.Sprintf("%d requests at %s, whose cold limit is %d", count, dispatch.Endpoint, spell.limit),
+		Events: []timeline.Event{dispatch},
+	}}
+}
+
 func isPast(event timeline.Event, since hlc.Stamp, delay time.Duration) bool {
 	return event.Stamp.Time().Sub(since.Time()) > delay
 }
