--- a/internal/process/limit/limit.go
+++ b/internal/process/limit/limit.go
@@ -25,7 +25,7 @@
 	growth = 1.5
 	// healthySlowdown is the largest median slowdown at which the limit grows.
 	// Slowdowns are first-token times in percent of the expected ones.
-	healthySlowdown = 200
+	healthySlowdown = 150
 	// gradientSlowdown is the median slowdown above which a warm limit shrinks.
 	gradientSlowdown = 300
 	// coldSlowdown is the slowdown of a sample that hints at a cold turn;
