Scenarios: typed launches and one place for a host's addresses

Processes to start were lists of strings whose first two had a meaning of their own, and ports stood as text in several commands. cmdFleet is in steps.

--- a/scenario/fleet_test.go
+++ b/scenario/fleet_test.go
@@ -1,6 +1,7 @@
 package scenario
 
 import (
+	"fmt"
 	"io"
 	"net/http"
 	"os"
@@ -27,33 +28,53 @@
 	if len(args) == 1 && args[0] == "new" {
 		return
 	}
-	network := ts.Getenv("NET")
-	startAll(ts, [][]string{
-		{"log", "standin", "log", "--listen", network + ".11:8000"},
-		{"hosts", "standin", "hosts", "--listen", network + ".12:8000"},
-		{"voz-1", "standin", "engine", "--listen", network + ".21:8000", "--version", "v1"},
-		{"voz-2", "standin", "engine", "--listen", network + ".22:8000", "--version", "v1"},
-		{"cuadrilla-1", "standin", "plain", "--listen", network + ".31:8000", "--lookup"},
-	})
-	daemons := [][]string{}
+	startStandIns(ts)
+	daemons := []launch{}
 	for i := 1; i <= hostCount; i++ {
-		name := "host-" + strconv.Itoa(i)
-		daemons = append(daemons, []string{name, "mustarddoord", "--settings", name + ".json"})
+		name := hostName(i)
+		daemons = append(daemons, launch{name, "mustarddoord", []string{"--settings", name + ".json"}})
 	}
 	startAll(ts, daemons)
-	admin := network + ".1:7002"
-	for _, line := range [][]string{
-		{"publish", "--as", "alma", "--key-file", "alma.key", "bundle.json"},
-		{"approve", "--as", "berta", "--key-file", "berta.key", "first"},
-		{"roll", "--as", "alma", "--key-file", "alma.key", "first"},
-	} {
-		ts.Check(ts.Exec("mustarddoor", append([]string{line[0], "--admin", admin}, line[1:]...)...))
-	}
+	operate(ts, "publish", "alma", "bundle.json")
+	operate(ts, "approve", "berta", "first")
+	operate(ts, "roll", "alma", "first")
 	for i := 1; i <= hostCount; i++ {
-		cmdEventually(ts, false, []string{`host +host-\S+ +ready`, "mustarddoor", "status", "--admin", network + "." + strconv.Itoa(i) + ":7002"})
+		cmdEventually(ts, false, []string{`host +host-\S+ +ready`, "mustarddoor", "status", "--admin", hostAddress(ts, i, adminPort)})
 	}
 }
 
+// Ports of a host, as in the demo's settings.
+const (
+	callerPort = 7000
+	meshPort   = 7001
+	adminPort  = 7002
+)
+
+func hostName(index int) string { return "host-" + strconv.Itoa(index) }
+
+func hostAddress(ts *testscript.TestScript, index, port int) string {
+	return fmt.Sprintf("%s.%d:%d", ts.Getenv("NET"), index, port)
+}
+
+// startStandIns starts the platform, the engines and the plain service, at the
+// addresses of the demo's bundle and settings.
+func startStandIns(ts *testscript.TestScript) {
+	network := ts.Getenv("NET")
+	startAll(ts, []launch{
+		{"log", "standin", []string{"log", "--listen", network + ".11:8000"}},
+		{"hosts", "standin", []string{"hosts", "--listen", network + ".12:8000"}},
+		{"voz-1", "standin", []string{"engine", "--listen", network + ".21:8000", "--version", "v1"}},
+		{"voz-2", "standin", []string{"engine", "--listen", network + ".22:8000", "--version", "v1"}},
+		{"cuadrilla-1", "standin", []string{"plain", "--listen", network + ".31:8000", "--lookup"}},
+	})
+}
+
+// operate runs an operator's verb at the first host.
+func operate(ts *testscript.TestScript, verb, operator, target string) {
+	admin := hostAddress(ts, 1, adminPort)
+	ts.Check(ts.Exec("mustarddoor", verb, "--admin", admin, "--as", operator, "--key-file", operator+".key", target))
+}
+
 // writeFleetFiles fills in the demo's templates: bundle.json, host-N.json and
 // the operators' keys.
 func writeFleetFiles(ts *testscript.TestScript) {
--- a/scenario/process_test.go
+++ b/scenario/process_test.go
@@ -69,37 +69,42 @@
 	if len(args) < 2 {
 		ts.Fatalf("usage: start NAME PROGRAM ARG...")
 	}
-	startAll(ts, [][]string{args})
+	startAll(ts, []launch{{name: args[0], program: args[1], args: args[2:]}})
+}
+
+// launch is a process to start.
+type launch struct {
+	name    string
+	program string
+	args    []string
 }
 
 // startAll starts several processes and then waits for all of them.
-func startAll(ts *testscript.TestScript, lines [][]string) {
-	names := []string{}
-	for _, line := range lines {
-		launch(ts, line[0], line[1], line[2:])
-		names = append(names, line[0])
+func startAll(ts *testscript.TestScript, launches []launch) {
+	for _, l := range launches {
+		l.start(ts)
 	}
-	for _, name := range names {
-		awaitListening(ts, name)
+	for _, l := range launches {
+		awaitListening(ts, l.name)
 	}
 }
 
-func launch(ts *testscript.TestScript, name, program string, args []string) {
+func (l launch) start(ts *testscript.TestScript) {
 	table := tableOf(ts)
-	logFile := filepath.Join(table.dir, name+".log")
-	if old, found := table.processes[name]; found {
+	logFile := filepath.Join(table.dir, l.name+".log")
+	if old, found := table.processes[l.name]; found {
 		<-old.ended
 		ts.Check(os.Rename(logFile, logFile+".old"))
 	}
 	out, err := os.Create(logFile)
 	ts.Check(err)
-	command := commandOf(ts, program, args)
+	command := commandOf(ts, l.program, l.args)
 	command.Stdout = out
 	command.Stderr = out
 	ts.Check(command.Start())
 	out.Close()
 	proc := &process{command: command, logFile: logFile, ended: make(chan struct{})}
-	table.processes[name] = proc
+	table.processes[l.name] = proc
 	go func() {
 		command.Wait()
 		close(proc.ended)
--- a/scenario/request_test.go
+++ b/scenario/request_test.go
@@ -34,15 +34,15 @@
 	ts.Setenv(args[0]+"_OWNER", session.Owner.Host)
 	ts.Setenv(args[0]+"_WITNESS", session.Witness.Host)
 	for i := 1; i <= hostCount; i++ {
-		name := "host-" + strconv.Itoa(i)
+		name := hostName(i)
 		if name == session.Witness.Host {
-			ts.Setenv(args[0]+"_WITNESS_ADDRESS", ts.Getenv("NET")+"."+strconv.Itoa(i)+":7000")
-			ts.Setenv(args[0]+"_WITNESS_MESH", ts.Getenv("NET")+"."+strconv.Itoa(i)+":7001")
-			ts.Setenv(args[0]+"_WITNESS_ADMIN", ts.Getenv("NET")+"."+strconv.Itoa(i)+":7002")
+			ts.Setenv(args[0]+"_WITNESS_ADDRESS", hostAddress(ts, i, callerPort))
+			ts.Setenv(args[0]+"_WITNESS_MESH", hostAddress(ts, i, meshPort))
+			ts.Setenv(args[0]+"_WITNESS_ADMIN", hostAddress(ts, i, adminPort))
 		}
 		if name != session.Owner.Host && name != session.Witness.Host {
 			ts.Setenv(args[0]+"_THIRD", name)
-			ts.Setenv(args[0]+"_THIRD_ADDRESS", ts.Getenv("NET")+"."+strconv.Itoa(i)+":7000")
+			ts.Setenv(args[0]+"_THIRD_ADDRESS", hostAddress(ts, i, callerPort))
 		}
 	}
 }
