command: one start for verbs that sign a record; missingHome for homeless

domain, publish and the verbs about a version each read the key and then the host's status. The daemon's homeless tells of a service without a home and is named so. No change of behaviour.

--- a/internal/command/domain.go
+++ b/internal/command/domain.go
@@ -28,11 +28,7 @@
 	if v.Args.Mark != "out" && v.Args.Mark != "in" {
 		return eris.Wrapf(ErrUsage, "mark %q; allowed are out and in", v.Args.Mark)
 	}
-	signer, err := v.signer()
-	if err != nil {
-		return err
-	}
-	status, err := v.status()
+	signer, status, err := v.signerAndStatus()
 	if err != nil {
 		return err
 	}
--- a/internal/command/operator.go
+++ b/internal/command/operator.go
@@ -46,6 +46,17 @@
 	return config.NextSequence(status.Config.Sequences[o.As], time.Now())
 }
 
+// signerAndStatus gives the operator's signer and what the host tells now, on
+// which the next record is based.
+func (o operatorOptions) signerAndStatus() (*config.Signer, daemon.Status, error) {
+	signer, err := o.signer()
+	if err != nil {
+		return nil, daemon.Status{}, err
+	}
+	status, err := o.status()
+	return signer, status, err
+}
+
 // submit sends a signed record and prints what became of it.
 func (o operatorOptions) submit(out io.Writer, record config.Record) error {
 	var outcome config.Outcome
--- a/internal/command/publish.go
+++ b/internal/command/publish.go
@@ -30,11 +30,7 @@
 	if err != nil {
 		return err
 	}
-	signer, err := v.signer()
-	if err != nil {
-		return err
-	}
-	status, err := v.status()
+	signer, status, err := v.signerAndStatus()
 	if err != nil {
 		return err
 	}
--- a/internal/command/version.go
+++ b/internal/command/version.go
@@ -24,11 +24,7 @@
 }
 
 func (v *versionVerb) target() (versionTarget, error) {
-	signer, err := v.signer()
-	if err != nil {
-		return versionTarget{}, err
-	}
-	status, err := v.status()
+	signer, status, err := v.signerAndStatus()
 	if err != nil {
 		return versionTarget{}, err
 	}
--- a/internal/process/daemon/homes.go
+++ b/internal/process/daemon/homes.go
@@ -75,9 +75,9 @@
 	h.ring.Record(event)
 }
 
-// homeless names a service none of whose endpoints has a home yet, so that its
-// requests would wait; it is empty once all have been served.
-func (h *host) homeless() string {
+// missingHome tells of a service none of whose endpoints has a home yet, so that
+// its requests would wait. It is empty once all services have had a home.
+func (h *host) missingHome() string {
 	if h.served.Load() {
 		return ""
 	}
--- a/internal/process/daemon/host.go
+++ b/internal/process/daemon/host.go
@@ -154,7 +154,7 @@
 	if reason := h.notConfigured(); reason != "" {
 		return reason
 	}
-	return h.homeless()
+	return h.missingHome()
 }
 
 // notConfigured says why this host can take no requests at all; it is empty if
