--- a/internal/process/placement/dispatch.go
+++ b/internal/process/placement/dispatch.go
@@ -20,7 +20,7 @@
 	worthWaiting = 200
 	// manyWaiting is the largest demand of one tier that is reported; homes
 	// need not know more.
-	manyWaiting = 4
+	manyWaiting = 64
 	// retryAfterShed and retryAfterFull are what refused callers are told.
 	retryAfterShed = time.Second
 	retryAfterFull = 5 * time.Second
