Draw an owner's witnesses from eight hosts

Witnesses were drawn from all hosts of other failure domains, so that each host kept mesh connections to all others: 52 KiB a connection, both ends together, some 17 MB of 32 at 330 hosts. Now eight hosts are chosen by rendezvous hashing for each owner, still in another failure domain if there is one. Fleets of up to nine hosts in three domains have six candidates and see no change.

With the old choice TestWitnesses fails (29 witnesses of 30 hosts, 8 wanted) and TestWitnessesSpreadOverFleet too. Witnesses of one owner at 330 hosts: all of 297 before, 8 now.

--- a/internal/request/session/session.go
+++ b/internal/request/session/session.go
@@ -7,6 +7,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"mustarddoor/internal/process/identity"
 	"mustarddoor/internal/request/key"
 )
@@ -44,30 +46,73 @@
 	}
 }
 
-// PickWitness chooses the witness for sessions of self among the live hosts:
-// at random among those of other failure domains, else among all others. It
-// returns the zero incarnation if there is none. The function intn returns a
-// number from 0 to n-1.
+// maxWitnesses bounds the hosts among which one owner spreads its sessions, and
+// with them the mesh connections that witnessing keeps open.
+const maxWitnesses = 8
+
+// PickWitness chooses the witness for sessions of self among the live hosts: at
+// random among the maxWitnesses hosts of other failure domains that rank first
+// for self by rendezvous hashing, else among those of its own domain. Hosts that
+// come and go thus change at most one of the candidates each. It returns the
+// zero incarnation if there is none. The function intn returns a number from 0
+// to n-1.
 func PickWitness(self identity.Host, live []identity.Host, intn func(n int) int) identity.Incarnation {
-	var elsewhere, others []identity.Host
+	var elsewhere, others ranking
 	for _, host := range live {
 		if host.Host == self.Host {
 			continue
 		}
-		others = append(others, host)
-		if host.Domain != self.Domain {
-			elsewhere = append(elsewhere, host)
+		candidate := candidate{weightOf(self.Host, host.Host), host.Incarnation}
+		if host.Domain == self.Domain {
+			others.add(candidate)
+			continue
 		}
+		elsewhere.add(candidate)
 	}
-	if len(elsewhere) > 0 {
-		return elsewhere[intn(len(elsewhere))].Incarnation
+	if elsewhere.size > 0 {
+		return elsewhere.first[intn(elsewhere.size)].host
 	}
-	if len(others) > 0 {
-		return others[intn(len(others))].Incarnation
+	if others.size > 0 {
+		return others.first[intn(others.size)].host
 	}
 	return identity.Incarnation{}
 }
 
+// weightOf is the weight of a host as a witness for an owner.
+func weightOf(owner, host string) uint64 {
+	var digest xxhash.Digest
+	digest.Reset()
+	_, _ = digest.WriteString(owner)
+	_, _ = digest.WriteString("\n")
+	_, _ = digest.WriteString(host)
+	return digest.Sum64()
+}
+
+// candidate is a host that may witness.
+type candidate struct {
+	weight uint64
+	host   identity.Incarnation
+}
+
+// ranking keeps the candidates of greatest weight, in descending order.
+type ranking struct {
+	first [maxWitnesses]candidate
+	size  int
+}
+
+func (r *ranking) add(c candidate) {
+	at := r.size
+	for at > 0 && r.first[at-1].weight < c.weight {
+		at--
+	}
+	if at == maxWitnesses {
+		return
+	}
+	r.size = min(r.size+1, maxWitnesses)
+	copy(r.first[at+1:r.size], r.first[at:r.size-1])
+	r.first[at] = c
+}
+
 // Clock is a wall clock that never jumps: it reads the wall once and advances
 // with the monotonic clock. Session ages are therefore exact at the owner.
 type Clock struct {
--- /dev/null
+++ b/internal/request/session/session_test.go
@@ -0,0 +1,99 @@
+package session
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"mustarddoor/internal/process/identity"
+)
+
+func fleetOf(hosts, domains int) []identity.Host {
+	var fleet []identity.Host
+	for i := range hosts {
+		host := identity.Host{Domain: fmt.Sprint("domain-", i%domains)}
+		host.Incarnation = identity.Incarnation{Host: fmt.Sprint("host-", i), Number: 1}
+		fleet = append(fleet, host)
+	}
+	return fleet
+}
+
+// witnessesOf are the hosts that witness for an owner, with how often.
+func witnessesOf(self identity.Host, live []identity.Host) map[identity.Incarnation]int {
+	chosen := map[identity.Incarnation]int{}
+	for draw := range 4 * maxWitnesses {
+		chosen[PickWitness(self, live, func(n int) int { return draw % n })]++
+	}
+	return chosen
+}
+
+func TestWitnesses(t *testing.T) {
+	cases := []struct {
+		hosts, domains, want int
+	}{
+		{1, 1, 1}, // none: the zero incarnation
+		{2, 2, 1},
+		{6, 1, 5},
+		{9, 3, 6},
+		{30, 1, maxWitnesses},
+		{330, 10, maxWitnesses},
+	}
+	for _, c := range cases {
+		fleet := fleetOf(c.hosts, c.domains)
+		chosen := witnessesOf(fleet[0], fleet)
+		assert.Equal(t, len(chosen), c.want, "%+v", c)
+		assert.Equal(t, chosen[identity.Incarnation{}] > 0, c.hosts == 1, "%+v", c)
+		assert.Assert(t, chosen[fleet[0].Incarnation] == 0, "%+v", c)
+		for _, host := range fleet {
+			if c.domains > 1 && host.Domain == fleet[0].Domain {
+				assert.Equal(t, chosen[host.Incarnation], 0, "%+v", c)
+			}
+		}
+	}
+}
+
+func TestWitnessesChangeLittle(t *testing.T) {
+	fleet := fleetOf(330, 10)
+	before := witnessesOf(fleet[0], fleet)
+	for i := 1; i < len(fleet); i += 3 {
+		after := witnessesOf(fleet[0], append(append([]identity.Host{}, fleet[:i]...), fleet[i+1:]...))
+		added := 0
+		for host := range after {
+			if before[host] == 0 {
+				added++
+			}
+		}
+		assert.Assert(t, added <= 1)
+	}
+}
+
+func TestWitnessesSpreadOverFleet(t *testing.T) {
+	fleet := fleetOf(330, 10)
+	owners := map[identity.Incarnation]int{}
+	for _, host := range fleet {
+		for witness := range witnessesOf(host, fleet) {
+			owners[witness]++
+		}
+	}
+	most := 0
+	for _, count := range owners {
+		most = max(most, count)
+	}
+	assert.Assert(t, most <= 3*maxWitnesses, "a host witnesses for %d", most)
+}
+
+// BenchmarkPickWitness measures the choice, which is made once for a session,
+// and the hosts that an owner keeps connections to for it.
+func BenchmarkPickWitness(b *testing.B) {
+	for _, hosts := range []int{9, 30, 100, 330} {
+		b.Run(fmt.Sprint("hosts=", hosts), func(b *testing.B) {
+			fleet := fleetOf(hosts, 10)
+			for b.Loop() {
+				PickWitness(fleet[0], fleet, rand.IntN)
+			}
+			b.ReportMetric(float64(len(witnessesOf(fleet[0], fleet))), "witnesses")
+		})
+	}
+}
