Benchmarks of idle daemons and of an endpoint's ledger

BenchmarkIdle starts real daemons and reads /proc and their metrics; BenchmarkLedger gives bytes and memory of the slot protocol by holders.

--- /dev/null
+++ b/internal/process/daemon/idle_bench_test.go
@@ -0,0 +1,176 @@
+package daemon
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"mustarddoor/internal/process/telemetry"
+	"mustarddoor/internal/standin/logservice"
+	"mustarddoor/internal/version/config"
+)
+
+// idleTime is how long idle daemons are watched.
+const idleTime = 5 * time.Second
+
+// idleUse is what one process used since it started.
+type idleUse struct {
+	ticks, resident, member, mesh float64
+}
+
+// idleDaemon is a daemon in a process of its own.
+type idleDaemon struct {
+	pid   int
+	admin string
+}
+
+// BenchmarkIdle measures daemons without requests, each in its own process but
+// for one that publishes the configuration: processor time, resident memory and
+// bytes sent, as means over the processes.
+func BenchmarkIdle(b *testing.B) {
+	binary := filepath.Join(b.TempDir(), "mustarddoord")
+	output, err := exec.Command("go", "build", "-o", binary, "mustarddoor/cmd/mustarddoord").CombinedOutput()
+	assert.NilError(b, err, "%s", output)
+	for _, size := range []struct{ hosts, endpoints int }{{3, 1}, {6, 1}, {9, 1}, {3, 23}, {6, 23}, {9, 23}, {6, 46}} {
+		b.Run(fmt.Sprintf("hosts=%d/endpoints=%d", size.hosts, size.endpoints), func(b *testing.B) {
+			for b.Loop() {
+				measureIdle(b, binary, size.hosts, size.endpoints)
+			}
+		})
+	}
+}
+
+func measureIdle(b *testing.B, binary string, hosts, endpoints int) {
+	daemons := startIdle(b, binary, hosts, endpoints)
+	before := make([]idleUse, len(daemons))
+	for i, d := range daemons {
+		before[i] = d.use(b)
+	}
+	// The wait is the interval of the measurement, not a proof.
+	time.Sleep(idleTime)
+	var sum idleUse
+	for i, d := range daemons {
+		now := d.use(b)
+		sum.ticks += now.ticks - before[i].ticks
+		sum.member += now.member - before[i].member
+		sum.mesh += now.mesh - before[i].mesh
+		sum.resident += now.resident
+	}
+	const ticksPerSecond = 100
+	count := float64(len(daemons))
+	perSecond := count * idleTime.Seconds()
+	b.ReportMetric(100*sum.ticks/ticksPerSecond/perSecond, "%core")
+	b.ReportMetric(sum.resident/count/1024, "MiB-resident")
+	b.ReportMetric(sum.member/perSecond, "member-B/s")
+	b.ReportMetric(sum.mesh/perSecond, "mesh-B/s")
+}
+
+// startIdle starts the daemons and waits until all serve a configuration.
+func startIdle(b *testing.B, binary string, hosts, endpoints int) []idleDaemon {
+	log := httptest.NewServer(logservice.New(logservice.Options{AppendsPerSecond: 500, AppendBurst: 100, MaxRecords: 100_000}).Handler())
+	b.Cleanup(log.Close)
+	logAddress := strings.TrimPrefix(log.URL, "http://")
+	signers, operators := []*config.Signer{}, map[string]string{}
+	for _, name := range []string{"alma", "berta"} {
+		pair, err := config.GenerateKey()
+		assert.NilError(b, err)
+		signer, err := config.NewOperatorSigner(name, pair.Private)
+		assert.NilError(b, err)
+		signers = append(signers, signer)
+		operators[name] = pair.Public
+	}
+	meshes := []string{}
+	for range hosts {
+		meshes = append(meshes, freeAddress(b))
+	}
+	daemons := []idleDaemon{}
+	for i := range hosts - 1 {
+		daemons = append(daemons, startDaemon(b, binary, i+1, logAddress, meshes, operators))
+	}
+	first := startHost(b, "a", logAddress, meshes, meshes[0], operators)
+	bundle := hopBundle(freeEngine(b))
+	bundle.Endpoints[0].ColdSlots, bundle.Endpoints[0].MaxSlots = 8, 64
+	for i := 1; i < endpoints; i++ {
+		another := bundle.Endpoints[0]
+		another.Name, another.Address = fmt.Sprint("llm-", i+1), freeEngine(b)
+		bundle.Endpoints = append(bundle.Endpoints, another)
+	}
+	roll(b, first, signers, bundle)
+	poll.WaitOn(b, func(poll.LogT) poll.Result {
+		held := len(first.homes.Held())
+		if first.notReady() != "" || len(first.Live()) < hosts-1 || held > (endpoints+hosts-1)/hosts+1 {
+			return poll.Continue("%s, %d peers, %d homes", first.notReady(), len(first.Live()), held)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(time.Minute))
+	return daemons
+}
+
+// freeEngine starts an engine without load reports and returns its address.
+func freeEngine(b *testing.B) string {
+	engine := httptest.NewServer(http.HandlerFunc(hopEngine))
+	b.Cleanup(engine.Close)
+	return strings.TrimPrefix(engine.URL, "http://")
+}
+
+func startDaemon(b *testing.B, binary string, number int, log string, meshes []string, operators map[string]string) idleDaemon {
+	admin := freeAddress(b)
+	settings := map[string]any{
+		"host":    map[string]string{"name": fmt.Sprint("b", number), "domain": "domain-b", "region": "region"},
+		"address": freeAddress(b), "mesh_address": meshes[number], "admin_address": admin,
+		"peers": meshes, "platform": map[string]string{"log": log}, "operators": operators,
+		"fleet_secret": "benchmark-fleet-secret",
+	}
+	text, err := json.Marshal(settings)
+	assert.NilError(b, err)
+	file := filepath.Join(b.TempDir(), "settings.json")
+	assert.NilError(b, os.WriteFile(file, text, 0o600))
+	command := exec.Command(binary, "--settings", file)
+	assert.NilError(b, command.Start())
+	b.Cleanup(func() {
+		_ = command.Process.Signal(syscall.SIGKILL)
+		_ = command.Wait()
+	})
+	return idleDaemon{pid: command.Process.Pid, admin: admin}
+}
+
+func (d idleDaemon) use(b *testing.B) idleUse {
+	stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", d.pid))
+	assert.NilError(b, err)
+	// Fields 14 and 15 are the ticks in user and in system mode, 24 is the
+	// resident set in pages; the name in field 2 ends with a parenthesis.
+	_, after, _ := strings.Cut(string(stat), ") ")
+	fields := strings.Fields(after)
+	number := func(field int) float64 {
+		value, err := strconv.ParseFloat(fields[field-3], 64)
+		assert.NilError(b, err)
+		return value
+	}
+	use := idleUse{ticks: number(14) + number(15), resident: number(24) * float64(os.Getpagesize()) / 1024}
+	resp, err := http.Get("http://" + d.admin + "/metrics")
+	assert.NilError(b, err)
+	defer resp.Body.Close()
+	var values []telemetry.Value
+	assert.NilError(b, json.NewDecoder(resp.Body).Decode(&values))
+	for _, value := range values {
+		switch value.Name {
+		case "member.sent_bytes":
+			use.member = float64(value.Count)
+		case "mesh.sent_bytes":
+			use.mesh = float64(value.Count)
+		}
+	}
+	return use
+}
--- /dev/null
+++ b/internal/process/slot/bench_test.go
@@ -0,0 +1,69 @@
+package slot
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"gotest.tools/v3/assert"
+
+	"mustarddoor/internal/process/identity"
+)
+
+// encodedBytes is the size of a value on the mesh.
+func encodedBytes(b *testing.B, value any) float64 {
+	data, err := cbor.Marshal(value)
+	assert.NilError(b, err)
+	return float64(len(data))
+}
+
+// BenchmarkLedger measures one endpoint's home with a number of holders: the
+// time for a report and its grants, the memory for a holder, and the bytes of a
+// report and a grant.
+func BenchmarkLedger(b *testing.B) {
+	const ledgers = 64
+	for _, holders := range []int{3, 9, 30, 100, 330} {
+		b.Run(fmt.Sprint("holders=", holders), func(b *testing.B) {
+			now := time.Unix(100, 0)
+			var before, after runtime.MemStats
+			runtime.GC()
+			runtime.ReadMemStats(&before)
+			all := make([]*Ledger, ledgers)
+			for i := range all {
+				all[i] = NewLedger("endpoint-0001", 1, now, 0, time.Hour)
+				all[i].SetLimit(64, 8)
+				for n := range holders {
+					all[i].Take(now, benchReport(n, 1))
+				}
+			}
+			runtime.GC()
+			runtime.ReadMemStats(&after)
+			ledger := all[0]
+			sequence := uint64(1)
+			var grants []Grant
+			for b.Loop() {
+				sequence++
+				report := benchReport(0, sequence)
+				ledger.Take(now, report)
+				grants = ledger.Grants(now, report.Holder)
+			}
+			b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/ledgers, "B/ledger")
+			b.ReportMetric(encodedBytes(b, benchReport(0, sequence)), "B/report")
+			if len(grants) > 0 {
+				b.ReportMetric(encodedBytes(b, grants[0]), "B/grant")
+			}
+			runtime.KeepAlive(all)
+		})
+	}
+}
+
+// benchReport is the report of a holder without requests.
+func benchReport(holder int, sequence uint64) Report {
+	return Report{
+		Endpoint: "endpoint-0001",
+		Holder:   identity.Incarnation{Host: fmt.Sprintf("host-%04d", holder), Number: 1 << 40},
+		Fence:    1, Sequence: sequence, Engine: "endpoint-0001-1",
+	}
+}
