--- a/internal/process/scheduler/decide_bench_test.go
+++ b/internal/process/scheduler/decide_bench_test.go
@@ -30,7 +30,7 @@
 
 // BenchmarkDecision decides on one snapshot from several goroutines at once.
 func BenchmarkDecision(b *testing.B) {
-	for _, size := range []int{23, 1400} {
+	for _, size := range []int{23, 130, 425, 1400} {
 		b.Run(fmt.Sprintf("endpoints=%d", size), func(b *testing.B) {
 			now := time.Now()
 			pool, index := testPool(now, size)
--- a/internal/request/bench_test.go
+++ b/internal/request/bench_test.go
@@ -201,7 +201,12 @@
 // BenchmarkWitnessMemory measures what the witness holds of an ended request,
 // before and after the log has it.
 func BenchmarkWitnessMemory(b *testing.B) {
-	const count = 100_000
+	for _, count := range []int{10_000, 30_000, 100_000} {
+		b.Run(fmt.Sprint("requests=", count), func(b *testing.B) { measureWitness(b, count) })
+	}
+}
+
+func measureWitness(b *testing.B, count int) {
 	p := newPair(b)
 	for b.Loop() {
 		p.register = newRegister(p.witness.Incarnation)
@@ -215,9 +220,9 @@
 			size += len(r.Data)
 		}
 		log.records = nil
-		b.ReportMetric((held-before)/count, "B/request-without-log")
-		b.ReportMetric((heap()-before)/count, "B/request-with-log")
-		b.ReportMetric(float64(size)/count, "B/request-in-log")
+		b.ReportMetric((held-before)/float64(count), "B/request-without-log")
+		b.ReportMetric((heap()-before)/float64(count), "B/request-with-log")
+		b.ReportMetric(float64(size)/float64(count), "B/request-in-log")
 	}
 }
 
@@ -232,7 +237,12 @@
 // BenchmarkOwnerMemory measures what an owner holds of a request in flight,
 // with 2 KiB of its answer.
 func BenchmarkOwnerMemory(b *testing.B) {
-	const count = 50_000
+	for _, count := range []int{5_000, 15_000, 50_000} {
+		b.Run(fmt.Sprint("requests=", count), func(b *testing.B) { measureOwner(b, count) })
+	}
+}
+
+func measureOwner(b *testing.B, count int) {
 	p := newPair(b)
 	for b.Loop() {
 		registry := owner.NewRegistry(owner.Config{
@@ -248,7 +258,7 @@
 			request.Begin(owner.Head{Status: 200})
 			request.Write(answer)
 		}
-		b.ReportMetric((heap()-before)/count, "B/request-in-flight")
+		b.ReportMetric((heap()-before)/float64(count), "B/request-in-flight")
 		runtime.KeepAlive(registry)
 	}
 }
--- a/internal/version/rollout/bench_test.go
+++ b/internal/version/rollout/bench_test.go
@@ -1,6 +1,8 @@
 package rollout
 
 import (
+	"fmt"
+	"runtime"
 	"slices"
 	"strconv"
 	"testing"
@@ -131,10 +133,33 @@
 	})
 }
 
-// BenchmarkDecide judges a move of 16 routes seen by nine hosts.
+// BenchmarkDecide judges a move of 16 routes seen by a number of hosts.
 func BenchmarkDecide(b *testing.B) {
+	for _, hosts := range []uint64{9, 30, maxHosts} {
+		b.Run(fmt.Sprint("hosts=", hosts), func(b *testing.B) {
+			before := heapBytes()
+			e := wideEvidence(b, hosts)
+			after := heapBytes()
+			for b.Loop() {
+				Decide(Input{Complete: time.Minute, Window: recentWindows, Evidence: e})
+			}
+			b.ReportMetric((after-before)/1024, "KiB")
+		})
+	}
+}
+
+// heapBytes is the size of the live heap.
+func heapBytes() float64 {
+	var stats runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&stats)
+	return float64(stats.HeapAlloc)
+}
+
+// wideEvidence is full of windows on 16 routes.
+func wideEvidence(b *testing.B, hosts uint64) *Evidence {
 	e := NewEvidence()
-	for host := range uint64(9) {
+	for host := range hosts {
 		for route := range 16 {
 			for window := range uint64(recentWindows) {
 				for _, isNew := range []bool{false, true} {
@@ -147,7 +172,24 @@
 			}
 		}
 	}
-	for b.Loop() {
-		Decide(Input{Complete: time.Minute, Window: recentWindows, Evidence: e})
+	return e
+}
+
+// BenchmarkEvidenceBytes measures what a host sends to all others while a sound
+// version moves in, by the number of hosts.
+func BenchmarkEvidenceBytes(b *testing.B) {
+	const seeds = 2
+	for _, hosts := range []int{3, 6, 12, 24} {
+		b.Run(fmt.Sprint("hosts=", hosts), func(b *testing.B) {
+			fleet := fakeFleets[1]
+			fleet.hosts = hosts
+			for range b.N {
+				var rates []float64
+				for _, r := range playMoves(fleet, fakeCases[0], moveComplete, seeds) {
+					rates = append(rates, float64(r.sentBytes)/float64(hosts)/r.took.Seconds())
+				}
+				reportWorst(b, rates, "sent-bytes-per-second")
+			}
+		})
 	}
 }
