--- a/internal/process/daemon/idle_bench_test.go
+++ b/internal/process/daemon/idle_bench_test.go
@@ -43,7 +43,7 @@
 	binary := filepath.Join(b.TempDir(), "mustarddoord")
 	output, err := exec.Command("go", "build", "-o", binary, "mustarddoor/cmd/mustarddoord").CombinedOutput()
 	assert.NilError(b, err, "%s", output)
-	for _, size := range []struct{ hosts, endpoints int }{{3, 1}, {6, 1}, {9, 1}, {3, 23}, {6, 23}, {9, 23}, {6, 12}} {
+	for _, size := range []struct{ hosts, endpoints int }{{3, 1}, {6, 1}, {9, 1}, {3, 23}, {6, 23}, {9, 23}, {6, 12}, {6, 46}} {
 		b.Run(fmt.Sprintf("hosts=%d/endpoints=%d", size.hosts, size.endpoints), func(b *testing.B) {
 			for b.Loop() {
 				measureIdle(b, binary, size.hosts, size.endpoints)
