--- a/internal/process/scheduler/decide_bench_test.go
+++ b/internal/process/scheduler/decide_bench_test.go
@@ -37,7 +37,7 @@
 // BenchmarkDecision decides on one snapshot from several goroutines at once and
 // reports what one decision takes on its goroutine.
 func BenchmarkDecision(b *testing.B) {
-	for _, size := range []int{23, 1400} {
+	for _, size := range []int{23, 130, 425, 1400} {
 		b.Run(fmt.Sprintf("endpoints=%d", size), func(b *testing.B) {
 			now := time.Now()
 			pool, index := testPool(now, size)
--- a/internal/request/bench_test.go
+++ b/internal/request/bench_test.go
@@ -201,7 +201,12 @@
 // BenchmarkWitnessMemory measures what the witness holds of an ended request,
 // before and after the log has it.
 func BenchmarkWitnessMemory(b *testing.B) {
-	const count = 100_000
+	for _, count := range []int{10_000, 30_000, 100_000} {
+		b.Run(fmt.Sprint("requests=", count), func(b *testing.B) { measureWitness(b, count) })
+	}
+}
+
+func measureWitness(b *testing.B, count int) {
 	p := newPair(b)
 	for b.Loop() {
 		p.register = newRegister(p.witness.Incarnation)
@@ -215,9 +220,9 @@
 			size += len(r.Data)
 		}
 		log.records = nil
-		b.ReportMetric((held-before)/count, "B/request-without-log")
-		b.ReportMetric((heap()-before)/count, "B/request-with-log")
-		b.ReportMetric(float64(size)/count, "B/request-in-log")
+		b.ReportMetric((held-before)/float64(count), "B/request-without-log")
+		b.ReportMetric((heap()-before)/float64(count), "B/request-with-log")
+		b.ReportMetric(float64(size)/float64(count), "B/request-in-log")
 	}
 }
 
@@ -232,12 +237,13 @@
 // BenchmarkOwnerMemory measures what an owner holds of a request in flight,
 // with 2 KiB of its answer, and of one that ended and whose answer was dropped.
 func BenchmarkOwnerMemory(b *testing.B) {
-	b.Run("in-flight", func(b *testing.B) { measureOwner(b, 2048) })
-	b.Run("ended", func(b *testing.B) { measureOwner(b, 0) })
+	for _, count := range []int{5_000, 15_000, 50_000} {
+		b.Run(fmt.Sprint("in-flight/requests=", count), func(b *testing.B) { measureOwner(b, count, 2048) })
+	}
+	b.Run("ended", func(b *testing.B) { measureOwner(b, 50_000, 0) })
 }
 
-func measureOwner(b *testing.B, answerBytes int) {
-	const count = 50_000
+func measureOwner(b *testing.B, count, answerBytes int) {
 	p := newPair(b)
 	for b.Loop() {
 		registry := owner.NewRegistry(owner.Config{
@@ -253,7 +259,7 @@
 			request.Begin(owner.Head{Status: 200})
 			request.Write(answer)
 		}
-		b.ReportMetric((heap()-before)/count, "B/request")
+		b.ReportMetric((heap()-before)/float64(count), "B/request")
 		runtime.KeepAlive(registry)
 	}
 }
