Other hosts leave a mark's append to the host that issued its stamp

Readers drop the second record by its id; the log paid for it. Change: others wait 2 s longer than the issuer.

--- a/internal/version/config/backfill.go
+++ b/internal/version/config/backfill.go
@@ -16,6 +16,10 @@
 	// staggerSpan is the time over which hosts spread appends that any of them
 	// may do.
 	staggerSpan = 2 * time.Second
+	// issuerLead is how long the other hosts leave a mark's append to the host
+	// that issued its stamp. It is longer than hosts differ in noticing that
+	// the log is back.
+	issuerLead = 2 * time.Second
 	// Snapshots are due at a fraction of the log's retention, at a time that
 	// differs by host within the next fraction.
 	snapshotAge    = 0.4
@@ -116,10 +120,15 @@
 // stagger is how long this host leaves an append to others. The host that
 // issued a mark's stamp does not wait.
 func (f *Follower) stagger(key, issuer string) time.Duration {
-	if issuer == f.options.Host {
+	share := hostShare(f.options.Host, digest64(key), staggerSpan)
+	switch issuer {
+	case f.options.Host:
 		return 0
+	case "":
+		return share
+	default:
+		return issuerLead + share
 	}
-	return hostShare(f.options.Host, digest64(key), staggerSpan)
 }
 
 // append appends an item and reports whether it is off the list.
