Names in placement and flow for a newcomer

office is homeRole, site endpointState, stretch slowdown, line.go job.go; headers and the content type of streams stand once. No behaviour changes.

--- a/internal/connection/caller/names.go
+++ b/internal/connection/caller/names.go
@@ -2,6 +2,8 @@
 // requests, calls of plain services, and the state of earlier requests.
 package caller
 
+import "mustarddoor/internal/request/flow"
+
 // Headers of the caller interface.
 const (
 	// HeaderIdempotencyKey carries the request key; a host makes one if it is
@@ -14,7 +16,7 @@
 	// HeaderRoute names the request's route if the request does not tell.
 	HeaderRoute = "Mustarddoor-Route"
 	// HeaderRelay names the host that sent a request on to its owner.
-	HeaderRelay = "Mustarddoor-Relay"
+	HeaderRelay = flow.HeaderRelay
 )
 
 // Paths of the caller interface.
--- a/internal/process/placement/core.go
+++ b/internal/process/placement/core.go
@@ -22,10 +22,10 @@
 	budget *retry.Budget
 	index  *scheduler.Index
 
-	sites map[string]*site
-	byID  map[uint16]*site
-	// order is the sites by name.
-	order   []*site
+	endpoints map[string]*endpointState
+	byID      map[uint16]*endpointState
+	// order is the endpoints by name.
+	order   []*endpointState
 	lines   map[string]*line
 	lengths map[string]*scheduler.Lengths
 	out     outbox
@@ -43,17 +43,17 @@
 		random = rand.Uint64
 	}
 	c := &core{
-		self:    self.Incarnation,
-		mesh:    self.MeshAddress,
-		homes:   homes,
-		random:  random,
-		budget:  retry.NewBudget(),
-		index:   scheduler.NewIndex(now),
-		sites:   map[string]*site{},
-		byID:    map[uint16]*site{},
-		lines:   map[string]*line{},
-		lengths: map[string]*scheduler.Lengths{},
-		stats:   stats,
+		self:      self.Incarnation,
+		mesh:      self.MeshAddress,
+		homes:     homes,
+		random:    random,
+		budget:    retry.NewBudget(),
+		index:     scheduler.NewIndex(now),
+		endpoints: map[string]*endpointState{},
+		byID:      map[uint16]*endpointState{},
+		lines:     map[string]*line{},
+		lengths:   map[string]*scheduler.Lengths{},
+		stats:     stats,
 	}
 	c.state.Store(&state{})
 	return c
--- a/internal/process/placement/dispatch.go
+++ b/internal/process/placement/dispatch.go
@@ -57,13 +57,13 @@
 
 // dispatch takes the slot that a decision found, or returns nil if it is gone.
 func (c *core) dispatch(now time.Time, p *pool, j *job, d scheduler.Decision) *ticket {
-	s := p.sites[d.Endpoint]
+	s := p.endpoints[d.Endpoint]
 	if !s.holder.TryAcquire(now, j.ask.Tier) {
 		return nil
 	}
 	t := &ticket{
 		core:     c,
-		site:     s,
+		state:    s,
 		job:      j,
 		endpoint: &p.plan.Endpoints()[d.Endpoint],
 		estimate: d.Estimate,
@@ -195,7 +195,7 @@
 		saved := float64(d.Estimate.Cached) / scheduler.DefaultPrefill
 		return saved + ageWeight*now.Sub(j.item.Since).Seconds()
 	case scheduler.ActionAsk:
-		c.ask(now, j, p.sites[d.Endpoint], d.Estimate)
+		c.ask(now, j, p.endpoints[d.Endpoint], d.Estimate)
 	case scheduler.ActionLate:
 		c.markLate(now, j)
 	default:
@@ -204,9 +204,9 @@
 	return notNow
 }
 
-// ask registers a demand at one site; if that brings nothing soon, any site
+// ask registers a demand at one endpoint; if that brings nothing soon, any endpoint
 // will do.
-func (c *core) ask(now time.Time, j *job, s *site, e scheduler.Estimate) {
+func (c *core) ask(now time.Time, j *job, s *endpointState, e scheduler.Estimate) {
 	if j.counted {
 		return
 	}
--- a/internal/process/placement/site.go
+++ b/internal/process/placement/endpoint.go
@@ -28,8 +28,8 @@
 	maxPeers = slot.MaxHolders
 )
 
-// site is what the process keeps of one endpoint, whatever the configuration.
-type site struct {
+// endpointState is what the process keeps of one endpoint, whatever the configuration.
+type endpointState struct {
 	id     uint16
 	spec   bundle.Endpoint
 	holder *slot.Holder
@@ -42,16 +42,16 @@
 	samples samples
 	// plain tells that the endpoint is a plain service, which reports no load.
 	plain bool
-	// inService tells that the site takes new work.
+	// inService tells that the endpoint takes new work.
 	inService bool
 	// home is the endpoint's home, known if hasHome.
 	home    Home
 	hasHome bool
-	// office is the home's part, if this host is the home.
-	office *office
+	// homeRole is the home's part, if this host is the home.
+	homeRole *homeRole
 	// notify is told of the limits that this host sets as the home.
 	notify func(LimitChange)
-	// asked are the requests that wait for a slot of just this site.
+	// asked are the requests that wait for a slot of just this endpoint.
 	asked tier.Counts
 	// engine is the endpoint's incarnation by its last load report, cacheNext
 	// the next cache event.
@@ -71,8 +71,8 @@
 // detachedLife is how long such a slot stays in use at most.
 const detachedLife = 10 * time.Minute
 
-// office is what a home keeps of one endpoint.
-type office struct {
+// homeRole is what a home keeps of one endpoint.
+type homeRole struct {
 	ledger *slot.Ledger
 	limit  *limit.Limit
 	peers  map[identity.Incarnation]string
@@ -86,8 +86,8 @@
 	return limit.Config{Cold: spec.ColdSlots, Max: spec.MaxSlots}
 }
 
-func newSite(id uint16, spec bundle.Endpoint, plain bool, self identity.Incarnation, now time.Time) *site {
-	return &site{
+func newEndpointState(id uint16, spec bundle.Endpoint, plain bool, self identity.Incarnation, now time.Time) *endpointState {
+	return &endpointState{
 		plain:  plain,
 		id:     id,
 		spec:   spec,
@@ -97,12 +97,12 @@
 }
 
 // follow takes the endpoint's present home. self is this host.
-func (s *site) follow(now time.Time, homes Homes, self identity.Incarnation) {
+func (s *endpointState) follow(now time.Time, homes Homes, self identity.Incarnation) {
 	home, found := homes.Home(s.spec.Name)
 	expired := found && home.Host == self && !home.LeaseUntil.IsZero() && !now.Before(home.LeaseUntil)
 	s.hasHome = found && !expired
 	if !s.hasHome || home.Host != self {
-		s.office = nil
+		s.homeRole = nil
 	}
 	if !s.hasHome {
 		return
@@ -112,15 +112,15 @@
 		s.dirty.Store(true)
 	}
 	s.home = home
-	if home.Host == self && s.office == nil {
-		s.office = newOffice(s, now)
-		s.office.ledger.Observe(s.observeLimit)
+	if home.Host == self && s.homeRole == nil {
+		s.homeRole = newHomeRole(s, now)
+		s.homeRole.ledger.Observe(s.observeLimit)
 	}
 }
 
-// newOffice opens a ledger. Unless no other host can have been the home, it
+// newHomeRole opens a ledger. Unless no other host can have been the home, it
 // waits out what an earlier home may have granted.
-func newOffice(s *site, now time.Time) *office {
+func newHomeRole(s *endpointState, now time.Time) *homeRole {
 	closedUntil, unknown, life := now, 0, engineOrphanLife
 	if s.plain {
 		life = plainOrphanLife
@@ -129,7 +129,7 @@
 		closedUntil = now.Add(slot.GrantTTL + slot.LapseMargin)
 		unknown = s.spec.MaxSlots
 	}
-	o := &office{
+	o := &homeRole{
 		ledger: slot.NewLedger(s.spec.Name, s.home.Fence, closedUntil, unknown, life),
 		limit:  limit.New(limitsOf(&s.spec), now),
 		peers:  map[identity.Incarnation]string{},
@@ -144,7 +144,7 @@
 // An idle endpoint may restart unseen, since no request breaks off. Once idle it
 // therefore gets no more than its cold limit until a load report of a later
 // time shows the same incarnation.
-func (o *office) refresh(now time.Time) {
+func (o *homeRole) refresh(now time.Time) {
 	if o.ledger.Used() == 0 {
 		o.idleAt = now
 	}
@@ -157,7 +157,7 @@
 }
 
 // take lets the home learn from a report and returns its grants.
-func (o *office) take(now time.Time, report slot.Report) []slot.Grant {
+func (o *homeRole) take(now time.Time, report slot.Report) []slot.Grant {
 	previous, taken := o.ledger.Take(now, report)
 	if !taken {
 		return nil
@@ -167,21 +167,21 @@
 	}
 	o.seeEngine(now, report.Engine)
 	inFlight := o.ledger.Used()
-	for _, stretch := range report.Stretches {
-		o.limit.Sample(now, stretch, inFlight)
+	for _, slowdown := range report.Slowdowns {
+		o.limit.Sample(now, slowdown, inFlight)
 	}
 	o.refresh(now)
 	return o.ledger.Grants(now, report.Holder)
 }
 
-func (o *office) seeEngine(now time.Time, incarnation string) {
+func (o *homeRole) seeEngine(now time.Time, incarnation string) {
 	if o.limit.SeeEngine(now, incarnation) {
 		o.ledger.Restarted()
 	}
 }
 
 // observe takes a load report.
-func (o *office) observe(now, sampled time.Time, load engine.Load) []slot.Grant {
+func (o *homeRole) observe(now, sampled time.Time, load engine.Load) []slot.Grant {
 	o.seeEngine(now, load.Incarnation)
 	o.limit.SeeCache(now, load.CachedTokens)
 	o.limit.Verify(sampled, load.Incarnation)
@@ -193,7 +193,7 @@
 
 // apply takes a grant for this host and keeps the scheduler's view of the other
 // hosts.
-func (s *site) apply(now time.Time, grant slot.Grant) bool {
+func (s *endpointState) apply(now time.Time, grant slot.Grant) bool {
 	if !s.holder.Apply(now, grant) {
 		return false
 	}
@@ -208,7 +208,7 @@
 }
 
 // isReportDue reports whether the holder has been silent for long enough.
-func (s *site) isReportDue(now time.Time) bool {
+func (s *endpointState) isReportDue(now time.Time) bool {
 	interval := heartbeat
 	if s.holder.Used() == 0 && s.waiting.Sum() == 0 {
 		interval = idleHeartbeat
@@ -217,13 +217,13 @@
 }
 
 // isReachable reports whether the home has answered lately.
-func (s *site) isReachable(now time.Time) bool {
+func (s *endpointState) isReachable(now time.Time) bool {
 	return s.hasHome && now.Sub(s.holder.HeardAt()) < silence
 }
 
 // releaseDetached frees slots of requests that cannot run any more: at the time
 // of the sample the endpoint had only inFlight requests in all.
-func (s *site) releaseDetached(sampled time.Time, inFlight int) {
+func (s *endpointState) releaseDetached(sampled time.Time, inFlight int) {
 	older := 0
 	for older < len(s.detached) && s.detached[older].since.Before(sampled) {
 		older++
@@ -232,7 +232,7 @@
 }
 
 // expireDetached frees slots that have been in use for too long.
-func (s *site) expireDetached(now time.Time) {
+func (s *endpointState) expireDetached(now time.Time) {
 	expired := 0
 	for expired < len(s.detached) && now.Sub(s.detached[expired].since) > detachedLife {
 		expired++
@@ -241,7 +241,7 @@
 }
 
 // dropDetached frees the n oldest slots.
-func (s *site) dropDetached(n int) {
+func (s *endpointState) dropDetached(n int) {
 	for range n {
 		s.holder.Release(s.detached[0].tier)
 		s.detached = s.detached[1:]
--- a/internal/process/placement/line.go
+++ b/internal/process/placement/job.go
@@ -40,9 +40,9 @@
 	deadline time.Time
 	item     queue.Item
 	line     *line
-	// site is the endpoint whose home was asked for a slot, nil if any will
+	// target is the endpoint whose home was asked for a slot, nil if any will
 	// do.
-	site *site
+	target *endpointState
 	// counted tells that the job is part of the demand, since demandSince.
 	counted     bool
 	demandSince time.Time
@@ -61,14 +61,14 @@
 
 func (j *job) class() class { return class{version: j.ask.Version, adapter: j.ask.Adapter} }
 
-// demand makes the job part of the demand: at one site, or at all if site is
+// demand makes the job part of the demand: at one endpoint, or at all if at is
 // nil. It reports whether that is a change.
-func (j *job) demand(now time.Time, at *site) bool {
-	if j.counted && j.site == at {
+func (j *job) demand(now time.Time, at *endpointState) bool {
+	if j.counted && j.target == at {
 		return false
 	}
 	j.withdraw()
-	j.site = at
+	j.target = at
 	j.counted = true
 	j.demandSince = now
 	j.counts()[j.ask.Tier]++
@@ -86,8 +86,8 @@
 
 // counts is where the job's demand is counted.
 func (j *job) counts() *tier.Counts {
-	if j.site != nil {
-		return &j.site.asked
+	if j.target != nil {
+		return &j.target.asked
 	}
 	c := j.class()
 	counts := j.line.classes[c]
@@ -98,8 +98,8 @@
 	return counts
 }
 
-// demandAt is what waits for a site, by tier.
-func (l *line) demandAt(s *site) tier.Counts {
+// demandAt is what waits for a endpoint, by tier.
+func (l *line) demandAt(s *endpointState) tier.Counts {
 	sum := s.asked
 	for c, counts := range l.classes {
 		if !c.fits(s) {
@@ -112,8 +112,8 @@
 	return sum
 }
 
-// fits reports whether a site can serve requests of the class.
-func (c class) fits(s *site) bool {
+// fits reports whether a endpoint can serve requests of the class.
+func (c class) fits(s *endpointState) bool {
 	if c.version != "" && c.version != s.spec.Version {
 		return false
 	}
--- a/internal/process/placement/limitchange.go
+++ b/internal/process/placement/limitchange.go
@@ -15,8 +15,8 @@
 	return c.Limit <= c.Cold && (c.Before == 0 || c.Before > c.Cold)
 }
 
-// observeLimit passes on what the ledger of this host's office says.
-func (s *site) observeLimit(limit, before int) {
+// observeLimit passes on what the ledger of a home on this host says.
+func (s *endpointState) observeLimit(limit, before int) {
 	if s.notify == nil {
 		return
 	}
--- a/internal/process/placement/observe.go
+++ b/internal/process/placement/observe.go
@@ -20,7 +20,7 @@
 
 // observeLoad takes a load report of an endpoint.
 func (c *core) observeLoad(now time.Time, endpoint string, load engine.Load) {
-	s := c.sites[endpoint]
+	s := c.endpoints[endpoint]
 	if s == nil {
 		return
 	}
@@ -34,15 +34,15 @@
 	s.holder.SeeEngine(load.Incarnation)
 	s.releaseDetached(sampled, load.Running+load.Waiting)
 	s.expireDetached(now)
-	if s.office != nil {
-		c.route(now, s, s.office.observe(now, sampled, load))
+	if s.homeRole != nil {
+		c.route(now, s, s.homeRole.observe(now, sampled, load))
 	}
 	c.flush(now)
 }
 
 // observeCache takes cache events of an endpoint: late, perhaps with gaps.
 func (c *core) observeCache(now time.Time, endpoint string, events engine.CacheEvents) {
-	s := c.sites[endpoint]
+	s := c.endpoints[endpoint]
 	if s == nil || events.Incarnation != s.engine && s.engine != "" {
 		return
 	}
@@ -59,7 +59,7 @@
 	s.cacheNext = max(s.cacheNext, events.Next)
 }
 
-func (c *core) takeCacheEvent(now time.Time, s *site, event engine.CacheEvent) {
+func (c *core) takeCacheEvent(now time.Time, s *endpointState, event engine.CacheEvent) {
 	hash, err := strconv.ParseUint(event.Prefix, hashBase, hashBits)
 	if err != nil {
 		return
--- a/internal/process/placement/placement.go
+++ b/internal/process/placement/placement.go
@@ -47,7 +47,7 @@
 		Tier:     t.job.route.tierName,
 
 		PrefillTokens: t.prefill + t.estimate.Backlog,
-		Cold:          t.site.live.IsCold(),
+		Cold:          t.state.live.IsCold(),
 
 		placer: p,
 		ticket: t,
@@ -87,8 +87,8 @@
 	}
 	p.placer.stats.retried.Inc(1)
 	again := *p.ticket.job
-	again.ask.Avoid = int(p.ticket.site.id)
+	again.ask.Avoid = int(p.ticket.state.id)
 	again.ask.Deadline = again.deadline
-	again.late, again.counted, again.site, again.askUntil = false, false, nil, time.Time{}
+	again.late, again.counted, again.target, again.askUntil = false, false, nil, time.Time{}
 	return p.placer.place(ctx, &again)
 }
--- a/internal/process/placement/placer_test.go
+++ b/internal/process/placement/placer_test.go
@@ -173,30 +173,30 @@
 	now := time.Unix(1000, 0)
 	spec := testEndpoint("e1", "a", 2)
 	spec.MaxSlots = 8
-	s := newSite(0, spec, false, testHost("h1").Incarnation, now)
+	s := newEndpointState(0, spec, false, testHost("h1").Incarnation, now)
 	s.follow(now, LocalHomes(testHost("h1")), testHost("h1").Incarnation)
 	report := func(used uint16) {
 		var demand slot.Demand
 		r := s.holder.Report(now, demand)
 		r.Used[0] = used
-		s.office.take(now, r)
+		s.homeRole.take(now, r)
 	}
-	load := func(at time.Time) { s.office.observe(now, at, engine.Load{Incarnation: "A"}) }
+	load := func(at time.Time) { s.homeRole.observe(now, at, engine.Load{Incarnation: "A"}) }
 	for range 100 {
 		now = now.Add(time.Second)
 		report(8)
-		s.office.limit.Sample(now, 100, 8)
+		s.homeRole.limit.Sample(now, 100, 8)
 		load(now)
 	}
-	assert.Equal(t, s.office.ledger.Limit(), 8)
+	assert.Equal(t, s.homeRole.ledger.Limit(), 8)
 	report(0)
-	assert.Equal(t, s.office.ledger.Limit(), 2)
+	assert.Equal(t, s.homeRole.ledger.Limit(), 2)
 	now = now.Add(time.Second)
 	report(1)
 	load(now.Add(-2 * time.Second))
-	assert.Equal(t, s.office.ledger.Limit(), 2)
+	assert.Equal(t, s.homeRole.ledger.Limit(), 2)
 	load(now)
-	assert.Equal(t, s.office.ledger.Limit(), 8)
+	assert.Equal(t, s.homeRole.ledger.Limit(), 8)
 }
 
 // TestWaitEndsWhenNoEndpointIsLeft checks that an urgent request that waits is
--- a/internal/process/placement/report.go
+++ b/internal/process/placement/report.go
@@ -10,9 +10,9 @@
 func (c *core) tick(now time.Time) {
 	for _, s := range c.order {
 		s.follow(now, c.homes, c.self)
-		if s.office != nil {
-			s.office.refresh(now)
-			c.route(now, s, s.office.ledger.Grants(now))
+		if s.homeRole != nil {
+			s.homeRole.refresh(now)
+			c.route(now, s, s.homeRole.ledger.Grants(now))
 		}
 		if s.isReportDue(now) {
 			s.dirty.Store(true)
@@ -50,9 +50,9 @@
 	}
 }
 
-// report sends a site's report if it is due. It returns whether that brought a
+// report sends a endpoint's report if it is due. It returns whether that brought a
 // grant at once.
-func (c *core) report(now time.Time, s *site) bool {
+func (c *core) report(now time.Time, s *endpointState) bool {
 	grant, _ := s.holder.Last()
 	if s.holder.Surrender(grant.Idle) {
 		s.dirty.Store(true)
@@ -66,20 +66,20 @@
 	}
 	s.waiting = demand.Waiting
 	s.reportedAt = now
-	for _, stretch := range s.samples.drain() {
-		s.holder.Sample(stretch)
+	for _, slowdown := range s.samples.drain() {
+		s.holder.Sample(slowdown)
 	}
 	report := s.holder.Report(now, demand)
-	if s.office != nil {
-		return c.route(now, s, s.office.take(now, report))
+	if s.homeRole != nil {
+		return c.route(now, s, s.homeRole.take(now, report))
 	}
 	message := c.out.to(peer{s.home.Host, s.home.MeshAddress})
 	message.Reports = append(message.Reports, report)
 	return false
 }
 
-// demandOf is what this host wants of a site.
-func (c *core) demandOf(now time.Time, s *site) slot.Demand {
+// demandOf is what this host wants of a endpoint.
+func (c *core) demandOf(now time.Time, s *endpointState) slot.Demand {
 	demand := slot.Demand{PrefillTokens: s.live.Pending()}
 	l := c.lines[s.spec.Service]
 	if l == nil || !s.inService {
@@ -98,14 +98,14 @@
 
 // route applies or sends the grants of a home on this host. It returns whether
 // one of them was for this host.
-func (c *core) route(now time.Time, s *site, grants []slot.Grant) bool {
+func (c *core) route(now time.Time, s *endpointState, grants []slot.Grant) bool {
 	own := false
 	for _, grant := range grants {
 		if grant.Holder == c.self {
 			own = s.apply(now, grant) || own
 			continue
 		}
-		address, known := s.office.peers[grant.Holder]
+		address, known := s.homeRole.peers[grant.Holder]
 		if !known {
 			continue
 		}
@@ -118,18 +118,18 @@
 // deliver takes a message from another host.
 func (c *core) deliver(now time.Time, from peer, message Message) {
 	for _, report := range message.Reports {
-		s := c.sites[report.Endpoint]
-		if s == nil || s.office == nil || report.Holder != from.host {
+		s := c.endpoints[report.Endpoint]
+		if s == nil || s.homeRole == nil || report.Holder != from.host {
 			continue
 		}
-		if from.address != "" && (len(s.office.peers) < maxPeers) {
-			s.office.peers[from.host] = from.address
+		if from.address != "" && (len(s.homeRole.peers) < maxPeers) {
+			s.homeRole.peers[from.host] = from.address
 		}
-		c.route(now, s, s.office.take(now, report))
+		c.route(now, s, s.homeRole.take(now, report))
 	}
 	touched := false
 	for _, grant := range message.Grants {
-		s := c.sites[grant.Endpoint]
+		s := c.endpoints[grant.Endpoint]
 		if s != nil && grant.Holder == c.self {
 			touched = s.apply(now, grant) || touched
 		}
--- a/internal/process/placement/shed.go
+++ b/internal/process/placement/shed.go
@@ -19,10 +19,10 @@
 // confirmed reports whether a job may be shed: every home that can be reached
 // has confirmed, since it knows of the demand, that no lower tier is served.
 func (c *core) confirmed(now time.Time, p *pool, j *job) bool {
-	if !j.counted || j.site != nil {
+	if !j.counted || j.target != nil {
 		return false
 	}
-	for _, s := range p.sites {
+	for _, s := range p.endpoints {
 		if !j.class().fits(s) || !s.isReachable(now) {
 			continue
 		}
--- a/internal/process/placement/state.go
+++ b/internal/process/placement/state.go
@@ -36,9 +36,9 @@
 type pool struct {
 	service string
 	plan    *scheduler.Pool
-	// sites are in the order of the plan's endpoints.
-	sites []*site
-	line  *line
+	// endpoints are in the order of the plan's endpoints.
+	endpoints []*endpointState
+	line      *line
 }
 
 // defaultOutput is the length of an answer in tokens of a route that assumes
@@ -53,7 +53,7 @@
 		c.buildPools(now, next)
 		c.setBounds(view.Bundle.Teams)
 	}
-	c.order = slices.SortedFunc(maps.Values(c.sites), func(a, b *site) int {
+	c.order = slices.SortedFunc(maps.Values(c.endpoints), func(a, b *endpointState) int {
 		return strings.Compare(a.spec.Name, b.spec.Name)
 	})
 	c.state.Store(next)
@@ -106,7 +106,7 @@
 		plain[service.Name] = service.Kind == bundle.KindPlain
 	}
 	for _, spec := range next.view.Bundle.Endpoints {
-		s := c.siteOf(now, spec, plain[spec.Service])
+		s := c.stateOf(now, spec, plain[spec.Service])
 		c.setService(now, s, next.view.takes(&spec))
 		if s.inService {
 			members[spec.Service] = append(members[spec.Service], s.endpoint())
@@ -123,26 +123,26 @@
 	return !slices.Contains(v.DomainsOut, spec.Domain) && !slices.Contains(v.EndpointsOut, spec.Name)
 }
 
-// siteOf returns the site of an endpoint, a new one if it is unknown.
-func (c *core) siteOf(now time.Time, spec bundle.Endpoint, plain bool) *site {
-	s := c.sites[spec.Name]
+// stateOf returns the state of an endpoint, a new one if it is unknown.
+func (c *core) stateOf(now time.Time, spec bundle.Endpoint, plain bool) *endpointState {
+	s := c.endpoints[spec.Name]
 	if s == nil {
-		s = newSite(c.newID(), spec, plain, c.self, now)
+		s = newEndpointState(c.newID(), spec, plain, c.self, now)
 		s.notify = c.notifyLimit
-		c.sites[spec.Name] = s
+		c.endpoints[spec.Name] = s
 		c.byID[s.id] = s
 		s.follow(now, c.homes, c.self)
 		return s
 	}
 	s.spec = spec
-	if s.office != nil {
-		s.office.limit.SetConfig(limitsOf(&spec))
-		s.office.refresh(now)
+	if s.homeRole != nil {
+		s.homeRole.limit.SetConfig(limitsOf(&spec))
+		s.homeRole.refresh(now)
 	}
 	return s
 }
 
-// newID returns the least number that no site has.
+// newID returns the least number that no endpoint has.
 func (c *core) newID() uint16 {
 	for id := uint16(0); ; id++ {
 		if c.byID[id] == nil {
@@ -151,8 +151,8 @@
 	}
 }
 
-// setService takes a site in or out. An endpoint that comes back starts cold.
-func (c *core) setService(now time.Time, s *site, inService bool) {
+// setService takes a endpoint in or out. An endpoint that comes back starts cold.
+func (c *core) setService(now time.Time, s *endpointState, inService bool) {
 	if inService == s.inService {
 		return
 	}
@@ -162,23 +162,23 @@
 		s.holder.Surrender(0)
 		return
 	}
-	if s.office != nil {
-		s.office.limit.Return(now)
-		s.office.refresh(now)
+	if s.homeRole != nil {
+		s.homeRole.limit.Return(now)
+		s.homeRole.refresh(now)
 	}
 }
 
 // dropSites forgets the endpoints that are no longer in the bundle and have
 // nothing in flight.
 func (c *core) dropSites(now time.Time, b *bundle.Bundle) {
-	for name, s := range c.sites {
+	for name, s := range c.endpoints {
 		listed := slices.ContainsFunc(b.Endpoints, func(e bundle.Endpoint) bool { return e.Name == name })
 		if listed {
 			continue
 		}
 		c.setService(now, s, false)
 		if s.holder.Used() == 0 {
-			delete(c.sites, name)
+			delete(c.endpoints, name)
 			delete(c.byID, s.id)
 			c.index.Forget(s.id, now)
 		}
@@ -191,7 +191,7 @@
 	}
 	p := &pool{service: service, plan: scheduler.NewPool(endpoints, c.index), line: c.lines[service]}
 	for _, e := range p.plan.Endpoints() {
-		p.sites = append(p.sites, c.byID[e.ID])
+		p.endpoints = append(p.endpoints, c.byID[e.ID])
 	}
 	return p
 }
@@ -204,8 +204,8 @@
 	}
 }
 
-// endpoint is the site as the scheduler sees it.
-func (s *site) endpoint() scheduler.Endpoint {
+// endpoint is the endpoint as the scheduler sees it.
+func (s *endpointState) endpoint() scheduler.Endpoint {
 	return scheduler.Endpoint{
 		ID:       s.id,
 		Name:     s.spec.Name,
--- a/internal/process/placement/ticket.go
+++ b/internal/process/placement/ticket.go
@@ -18,14 +18,14 @@
 	// waits before it counts as very late; overdueFloor is the least wait.
 	overdueFactor = 5
 	overdueFloor  = time.Second
-	// overdueStretch is the sample for such a request, in percent.
-	overdueStretch = 100 * overdueFactor
+	// overdueSlowdown is the sample for such a request, in percent.
+	overdueSlowdown = 100 * overdueFactor
 )
 
 // ticket is one dispatched request.
 type ticket struct {
 	core     *core
-	site     *site
+	state    *endpointState
 	job      *job
 	endpoint *scheduler.Endpoint
 	estimate scheduler.Estimate
@@ -44,13 +44,13 @@
 	if !t.firstAt.CompareAndSwap(0, int64(max(took, 1))) {
 		return
 	}
-	t.site.live.AddPending(-t.prefill)
+	t.state.live.AddPending(-t.prefill)
 	work := t.prefill + t.estimate.Backlog
-	t.site.samples.add(t.site.live.Stretch(work, took))
+	t.state.samples.add(t.state.live.Slowdown(work, took))
 	if work >= enoughPrefill {
-		t.site.live.ObservePrefill(work, took)
+		t.state.live.ObservePrefill(work, took)
 	}
-	t.site.dirty.Store(true)
+	t.state.dirty.Store(true)
 }
 
 // overdueAfter is when a request without a first token counts as very late,
@@ -62,8 +62,8 @@
 // overdue records that the first token is very late.
 func (t *ticket) overdue() {
 	if t.firstAt.Load() == 0 && !t.ended.Load() {
-		t.site.samples.add(overdueStretch)
-		t.site.dirty.Store(true)
+		t.state.samples.add(overdueSlowdown)
+		t.state.dirty.Store(true)
 	}
 }
 
@@ -74,25 +74,25 @@
 	}
 	first := t.firstAt.Swap(1)
 	if first == 0 {
-		t.site.live.AddPending(-t.prefill)
+		t.state.live.AddPending(-t.prefill)
 	}
 	if result.Outcome == OutcomeDone {
 		t.learn(now, time.Duration(first), result)
 	}
 	if result.Outcome != OutcomeDetached {
-		t.site.holder.Release(t.job.ask.Tier)
+		t.state.holder.Release(t.job.ask.Tier)
 	}
-	t.site.dirty.Store(true)
+	t.state.dirty.Store(true)
 	return true
 }
 
-// settle tells the site of an end that is not a plain one.
+// settle tells the endpoint of an end that is not a plain one.
 func (t *ticket) settle(now time.Time, outcome Outcome) {
 	switch outcome {
 	case OutcomeDetached:
-		t.site.detached = append(t.site.detached, detached{t.job.ask.Tier, now})
+		t.state.detached = append(t.state.detached, detached{t.job.ask.Tier, now})
 	case OutcomeFailed, OutcomeNotStarted:
-		t.site.holder.Failed()
+		t.state.holder.Failed()
 	}
 }
 
@@ -103,7 +103,7 @@
 	}
 	t.job.route.lengths.Observe(result.OutputTokens)
 	if first > 1 && result.OutputTokens >= enoughDecode {
-		t.site.live.ObserveDecode(result.OutputTokens, now.Sub(t.at)-first)
+		t.state.live.ObserveDecode(result.OutputTokens, now.Sub(t.at)-first)
 	}
 }
 
@@ -117,9 +117,9 @@
 	slots [sampleRing]atomic.Uint32
 }
 
-func (s *samples) add(stretch uint16) {
+func (s *samples) add(slowdown uint16) {
 	i := s.next.Add(1)
-	s.slots[i%sampleRing].Store(uint32(stretch) + 1)
+	s.slots[i%sampleRing].Store(uint32(slowdown) + 1)
 }
 
 // drain returns the samples since the last call.
--- a/internal/process/scheduler/live.go
+++ b/internal/process/scheduler/live.go
@@ -93,9 +93,9 @@
 	blend(&l.best, measured, l.assumedPrefill, weight)
 }
 
-// Stretch is a first-token time in percent of that of an endpoint at its best,
+// Slowdown is a first-token time in percent of that of an endpoint at its best,
 // with the given prompt tokens to prefill.
-func (l *Live) Stretch(tokens int, took time.Duration) uint16 {
+func (l *Live) Slowdown(tokens int, took time.Duration) uint16 {
 	best := math.Float64frombits(l.best.Load())
 	expected := overhead + seconds(float64(tokens)/best)
 	return uint16(min(100*took.Seconds()/expected.Seconds(), math.MaxUint16))
--- a/internal/process/slot/holder.go
+++ b/internal/process/slot/holder.go
@@ -27,7 +27,7 @@
 	// trusted is the first report whose acknowledgement a grant needs to add
 	// slots: the endpoint has failed since the reports before it.
 	trusted   uint64
-	stretches []uint16
+	slowdowns []uint16
 	engine    string
 }
 
@@ -84,10 +84,10 @@
 		OldestMillis:  demand.OldestMillis,
 		PrefillTokens: demand.PrefillTokens,
 		Failures:      h.failures,
-		Stretches:     h.stretches,
+		Slowdowns:     h.slowdowns,
 		Engine:        h.engine,
 	}
-	h.stretches = nil
+	h.slowdowns = nil
 	return report
 }
 
@@ -125,11 +125,11 @@
 }
 
 // Sample records a first-token time in percent of the expected one.
-func (h *Holder) Sample(stretch uint16) {
-	if len(h.stretches) == MaxSamples {
-		h.stretches = h.stretches[1:]
+func (h *Holder) Sample(slowdown uint16) {
+	if len(h.slowdowns) == MaxSamples {
+		h.slowdowns = h.slowdowns[1:]
 	}
-	h.stretches = append(h.stretches, stretch)
+	h.slowdowns = append(h.slowdowns, slowdown)
 }
 
 // SeeEngine records the endpoint's incarnation. A new one counts as a failure.
--- a/internal/process/slot/message.go
+++ b/internal/process/slot/message.go
@@ -50,9 +50,9 @@
 	PrefillTokens int `cbor:"10,keyasint,omitempty"`
 	// Failures counts the dispatches that ended in a failure, ever.
 	Failures uint64 `cbor:"11,keyasint,omitempty"`
-	// Stretches are the latest first-token times in percent of the expected
+	// Slowdowns are the latest first-token times in percent of the expected
 	// ones, at most MaxSamples, none twice.
-	Stretches []uint16 `cbor:"12,keyasint,omitempty"`
+	Slowdowns []uint16 `cbor:"12,keyasint,omitempty"`
 	// Engine is the endpoint's incarnation as the holder last saw it.
 	Engine string `cbor:"13,keyasint,omitempty"`
 }
--- a/internal/request/flow/copy.go
+++ b/internal/request/flow/copy.go
@@ -6,7 +6,6 @@
 	"errors"
 	"io"
 	"net/http"
-	"strings"
 	"time"
 
 	"mustarddoor/internal/request/outcome"
@@ -98,7 +97,7 @@
 	return &answerWriter{
 		w:          w,
 		controller: http.NewResponseController(w),
-		isStream:   strings.HasPrefix(head.ContentType, "text/event-stream"),
+		isStream:   isEventStream(head.ContentType),
 	}
 }
 
--- a/internal/request/flow/finish.go
+++ b/internal/request/flow/finish.go
@@ -212,7 +212,7 @@
 // An event stream says so itself; other replies have a length that the
 // connection checks.
 func (d *dispatched) isWhole() bool {
-	if !strings.HasPrefix(d.contentType, "text/event-stream") {
+	if !isEventStream(d.contentType) {
 		return true
 	}
 	return bytes.Equal(d.tail, streamEnd)
--- a/internal/request/flow/relay.go
+++ b/internal/request/flow/relay.go
@@ -21,9 +21,6 @@
 	relayIdleTimeout = 60 * time.Second
 )
 
-// headerRelay names the host that asks for an answer on behalf of a caller.
-const headerRelay = "Mustarddoor-Relay"
-
 // pathRequest is where a host answers with a request that it owns.
 const pathRequest = "/v1/requests/"
 
@@ -81,13 +78,13 @@
 		return resume.Broken
 	}
 	defer resp.Body.Close()
-	if resp.Header.Get(headerState) == "" {
+	if resp.Header.Get(HeaderState) == "" {
 		return resume.NoSuchKey
 	}
 	if t.out != nil && resp.StatusCode >= http.StatusMultipleChoices {
 		return resume.Broken
 	}
-	t.w.Header().Set(headerState, resp.Header.Get(headerState))
+	t.w.Header().Set(HeaderState, resp.Header.Get(HeaderState))
 	t.begin(owner.Head{Status: resp.StatusCode, ContentType: resp.Header.Get("Content-Type")})
 	return t.endingOf(t.copy(resp.Body))
 }
@@ -99,7 +96,7 @@
 	if err != nil {
 		return nil, err
 	}
-	req.Header.Set(headerRelay, t.config.Self.Host)
+	req.Header.Set(HeaderRelay, t.config.Self.Host)
 	return t.relays.Do(req)
 }
 
--- a/internal/request/flow/runner.go
+++ b/internal/request/flow/runner.go
@@ -118,13 +118,10 @@
 	}
 	reader := r.running.join(request.Key)
 	defer reader.leave()
-	w.Header().Set(headerState, own.State().String())
+	w.Header().Set(HeaderState, own.State().String())
 	r.copyAnswer(ctx, own, request, w)
 }
 
-// headerState tells the state of a request that is looked up.
-const headerState = "Mustarddoor-State"
-
 // closeAbsent tells what can be said of a key that this host owns and does not
 // hold. If it has not come yet it is closed, so that "not run" stays true.
 func (r *Runner) closeAbsent(k key.Key) outcome.Refusal {
