--- a/internal/version/rollout/observe.go
+++ b/internal/version/rollout/observe.go
@@ -10,7 +10,7 @@
 // percentile on the same route.
 const (
 	usualQuantile    = 0.9
-	lateFactor       = 1.5
+	lateFactor       = 1.65
 	veryLateFactor   = 2 * lateFactor
 	timingsForLimits = 50
 )
