--- a/internal/process/placement/placer.go
+++ b/internal/process/placement/placer.go
@@ -10,6 +10,7 @@
 	"mustarddoor/internal/connection/engine"
 	"mustarddoor/internal/connection/mesh"
 	"mustarddoor/internal/process/identity"
+	"mustarddoor/internal/process/pause"
 )
 
 const (
@@ -89,21 +90,11 @@
 			p.step(ctx, p.core.tick)
 		case <-p.wake:
 			p.step(ctx, p.core.flush)
-			pause(ctx, flushDelay)
+			pause.For(ctx, flushDelay)
 		}
 	}
 }
 
-// pause waits for a time or the context's end.
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 // step runs one step of the core and sends what it says to other hosts.
 func (p *Placer) step(ctx context.Context, run func(time.Time)) {
 	p.mu.Lock()
--- a/internal/request/flow/finish.go
+++ b/internal/request/flow/finish.go
@@ -200,7 +200,7 @@
 	d.offset += int64(len(part))
 	d.events += bytes.Count(part, []byte("data: "))
 	d.watch.Tokens(d.events)
-	d.tail = append(d.tail, part...)
+	d.tail = append(d.tail, part[max(len(part)-len(streamEnd), 0):]...)
 	if excess := len(d.tail) - len(streamEnd); excess > 0 {
 		d.tail = append(d.tail[:0], d.tail[excess:]...)
 	}
--- a/internal/request/flow/forward.go
+++ b/internal/request/flow/forward.go
@@ -9,6 +9,7 @@
 
 	"mustarddoor/internal/connection/mesh"
 	"mustarddoor/internal/process/identity"
+	"mustarddoor/internal/process/pause"
 	"mustarddoor/internal/process/timeline"
 	"mustarddoor/internal/request/key"
 	"mustarddoor/internal/request/outcome"
@@ -174,20 +175,11 @@
 		ending := t.lookUp(ctx, decision.Intent)
 		return t.machine.LookUpEnded(time.Now(), ending)
 	default:
-		waitUntil(ctx, decision.Until)
+		pause.For(ctx, time.Until(decision.Until))
 		return t.machine.Waited(time.Now())
 	}
 }
 
-func waitUntil(ctx context.Context, until time.Time) {
-	timer := time.NewTimer(time.Until(until))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 func (t *retry) askOwner(ctx context.Context) resume.Decision {
 	reply, err := t.locate(ctx, true)
 	if err != nil {
