--- /dev/null
+++ b/cmd/mustarddoor-platform/main.go
@@ -0,0 +1,16 @@
+// Command mustarddoor-platform is the daemon on the users' platform.
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"mustarddoor/platform"
+)
+
+func main() {
+	if err := platform.Main(); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/internal/connection/upstream/pool.go
@@ -0,0 +1,165 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/rotisserie/eris"
+)
+
+const (
+	// idleMargin is left of an endpoint's idle timeout, so that no request
+	// crosses the closing of its connection.
+	idleMargin = 700 * time.Millisecond
+	// idleMost bounds the idle time at endpoints that announce no timeout.
+	idleMost = 4 * time.Second
+	// readBuffer is the size of a connection's read buffer in bytes.
+	readBuffer = 4 << 10
+)
+
+// Pool keeps idle connections to one endpoint's address. It is safe for
+// concurrent use.
+type Pool struct {
+	address string
+	opened  metrics.Counter
+
+	mu     sync.Mutex
+	idle   []*Conn
+	closed bool
+}
+
+// NewPool returns a pool without connections. The counter counts those that it
+// opens.
+func NewPool(address string, opened metrics.Counter) *Pool {
+	return &Pool{address: address, opened: opened}
+}
+
+// Conn is a connection to an endpoint, used for one request at a time.
+type Conn struct {
+	net    net.Conn
+	reader *bufio.Reader
+	pool   *Pool
+	// reused tells that an earlier request was answered on it.
+	reused bool
+	// until is when an idle connection must no longer be used.
+	until time.Time
+}
+
+// Get takes an idle connection or opens one.
+func (p *Pool) Get(ctx context.Context) (*Conn, error) {
+	for {
+		conn := p.take()
+		if conn == nil {
+			break
+		}
+		if time.Now().Before(conn.until) && conn.isQuiet() {
+			return conn, nil
+		}
+		conn.Close()
+	}
+	p.opened.Inc(1)
+	opened, err := Dial(ctx, "tcp", p.address)
+	if err != nil {
+		return nil, eris.Wrapf(err, "connection to %s", p.address)
+	}
+	return &Conn{net: opened, reader: bufio.NewReaderSize(opened, readBuffer), pool: p}, nil
+}
+
+func (p *Pool) take() *Conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.idle) == 0 {
+		return nil
+	}
+	conn := p.idle[len(p.idle)-1]
+	p.idle = p.idle[:len(p.idle)-1]
+	return conn
+}
+
+// isQuiet reports whether the peer has neither sent bytes nor closed.
+func (c *Conn) isQuiet() bool {
+	if c.reader.Buffered() > 0 {
+		return false
+	}
+	raw, err := c.net.(syscall.Conn).SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	err = raw.Read(func(fd uintptr) bool {
+		var one [1]byte
+		_, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		quiet = errors.Is(err, syscall.EAGAIN)
+		return true
+	})
+	return err == nil && quiet
+}
+
+// release puts a connection back after a whole answer. A timeout of 0 is not
+// known.
+func (c *Conn) release(timeout time.Duration) {
+	most := idleMost
+	if timeout > 0 {
+		most = min(most, timeout-idleMargin)
+	}
+	if most <= 0 || c.reader.Buffered() > 0 {
+		c.Close()
+		return
+	}
+	if err := c.net.SetDeadline(time.Time{}); err != nil {
+		c.Close()
+		return
+	}
+	c.reused = true
+	c.until = time.Now().Add(most)
+	p := c.pool
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		c.Close()
+		return
+	}
+	p.idle = append(p.idle, c)
+}
+
+// Close closes the connection; the endpoint drops a request that runs on it.
+func (c *Conn) Close() {
+	// The connection is given up whatever the result.
+	_ = c.net.Close()
+}
+
+// Sweep closes the idle connections whose time is over.
+func (p *Pool) Sweep() {
+	now := time.Now()
+	p.mu.Lock()
+	kept, old := p.idle[:0], []*Conn(nil)
+	for _, conn := range p.idle {
+		if now.Before(conn.until) {
+			kept = append(kept, conn)
+		} else {
+			old = append(old, conn)
+		}
+	}
+	p.idle = kept
+	p.mu.Unlock()
+	for _, conn := range old {
+		conn.Close()
+	}
+}
+
+// Close closes the idle connections and those that come back.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	idle := p.idle
+	p.idle, p.closed = nil, true
+	p.mu.Unlock()
+	for _, conn := range idle {
+		conn.Close()
+	}
+}
--- /dev/null
+++ b/internal/process/admission/admission.go
@@ -0,0 +1,146 @@
+// Package admission decides which requests wait for an endpoint, in which
+// order, and which are turned away at once. It is pure: the time is passed in.
+//
+// The load that it answers: more work than the endpoints can do, in bursts of a
+// few seconds. A request that waits past its aim is worth little and takes the
+// slot of one that could still be on time, so requests that cannot be on time
+// are turned away as they come, with the time at which they are likely to be
+// served. The most urgent rank goes first; the others share what is left in
+// the order in which they must start, so that none of them starves. A caller
+// that comes back after a refusal is late already and has no further try: it is
+// served when no request could still be on time, and waits longer.
+package admission
+
+import (
+	"container/heap"
+	"time"
+)
+
+// Waiter is a request that waits.
+type Waiter struct {
+	// Urgent requests go before all others.
+	Urgent bool
+	// StartBy is when the request must start to be on time, Until when it is
+	// given up.
+	StartBy, Until time.Time
+	// Late tells that the request cannot be on time any more.
+	Late bool
+	// Work is the expected time that the request occupies a slot.
+	Work time.Duration
+	// Data is the caller's own.
+	Data any
+
+	index int
+	order uint64
+}
+
+// Queue holds the waiters of one service. It is not safe for concurrent use.
+type Queue struct {
+	waiting waiters
+	count   uint64
+	// work is the sum of all waiters' work, urgent that of the urgent ones,
+	// late that of the late ones.
+	work, urgent, late time.Duration
+}
+
+// Len is the number of waiters.
+func (q *Queue) Len() int { return len(q.waiting) }
+
+// Push adds a waiter.
+func (q *Queue) Push(w *Waiter) {
+	q.count++
+	w.order = q.count
+	heap.Push(&q.waiting, w)
+	q.account(w, w.Work)
+}
+
+// Peek is the waiter that is next, or nil.
+func (q *Queue) Peek() *Waiter {
+	if len(q.waiting) == 0 {
+		return nil
+	}
+	return q.waiting[0]
+}
+
+// Remove takes a waiter out and reports whether it was in.
+func (q *Queue) Remove(w *Waiter) bool {
+	if w.index < 0 || w.index >= len(q.waiting) || q.waiting[w.index] != w {
+		return false
+	}
+	heap.Remove(&q.waiting, w.index)
+	q.account(w, -w.Work)
+	return true
+}
+
+func (q *Queue) account(w *Waiter, work time.Duration) {
+	q.work += work
+	if w.Urgent {
+		q.urgent += work
+	}
+	if w.Late {
+		q.late += work
+	}
+}
+
+// Ahead is the work that goes before a new waiter.
+func (q *Queue) Ahead(w *Waiter) time.Duration {
+	switch {
+	case w.Urgent:
+		return q.urgent
+	case w.Late:
+		return q.work
+	}
+	return q.work - q.late
+}
+
+// Expire takes out and returns the waiters whose time is over.
+func (q *Queue) Expire(now time.Time) []*Waiter {
+	var over []*Waiter
+	for _, w := range q.waiting {
+		if !now.Before(w.Until) {
+			over = append(over, w)
+		}
+	}
+	for _, w := range over {
+		q.Remove(w)
+	}
+	return over
+}
+
+// waiters is a heap in the order of service.
+type waiters []*Waiter
+
+func (w waiters) Len() int { return len(w) }
+
+func (w waiters) Less(i, j int) bool {
+	a, b := w[i], w[j]
+	switch {
+	case a.Late != b.Late:
+		return !a.Late
+	case a.Urgent != b.Urgent:
+		return a.Urgent
+	case !a.StartBy.Equal(b.StartBy):
+		return a.StartBy.Before(b.StartBy)
+	}
+	return a.order < b.order
+}
+
+func (w waiters) Swap(i, j int) {
+	w[i], w[j] = w[j], w[i]
+	w[i].index, w[j].index = i, j
+}
+
+func (w *waiters) Push(x any) {
+	added := x.(*Waiter)
+	added.index = len(*w)
+	*w = append(*w, added)
+}
+
+func (w *waiters) Pop() any {
+	old := *w
+	last := old[len(old)-1]
+	old[len(old)-1] = nil
+	last.index = -1
+	*w = old[:len(old)-1]
+	return last
+}
--- /dev/null
+++ b/internal/process/dispatch/dispatch.go
@@ -0,0 +1,407 @@
+// Package dispatch gives requests their endpoints: it joins the fleet, the
+// choice of an endpoint and the queue of each service under one lock.
+package dispatch
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/rotisserie/eris"
+
+	"mustarddoor/internal/connection/upstream"
+	"mustarddoor/internal/process/admission"
+	"mustarddoor/internal/process/choose"
+	"mustarddoor/internal/process/fleet"
+	"mustarddoor/internal/version/routing"
+)
+
+// Job is a request as far as its placement needs it.
+type Job struct {
+	// Service is where it goes.
+	Service string
+	Route   *routing.Route
+	// Rank is the request's urgency; 0 is the most urgent.
+	Rank int
+	// Prompt and Output are its expected tokens.
+	Prompt, Output float64
+	// Left is the time until the caller's deadline.
+	Left time.Duration
+	// Returned tells that the caller was refused before.
+	Returned bool
+	// IsRepeat tells that the request was sent to an endpoint before.
+	IsRepeat bool
+	// Excluded are endpoints it must not go to.
+	Excluded []string
+}
+
+// Refusal says why a request got no endpoint.
+type Refusal struct {
+	Reason string
+	// RetryAfter is when the caller should come back.
+	RetryAfter time.Duration
+	// Waited is how long the request waited, Predicted how long it would have.
+	Waited, Predicted time.Duration
+}
+
+// Error implements error.
+func (r *Refusal) Error() string { return r.Reason }
+
+// Reasons of refusals.
+const (
+	ReasonOverload   = "overload"
+	ReasonExpired    = "waited_too_long"
+	ReasonNoEndpoint = "no_endpoint"
+)
+
+// ErrCanceled is returned when the caller has left while waiting.
+var ErrCanceled = eris.New("the caller has left")
+
+// Dispatcher places requests. It is safe for concurrent use.
+type Dispatcher struct {
+	domain string
+	opened metrics.Counter
+	notify func(string, *fleet.Endpoint)
+
+	mu     sync.Mutex
+	fleet  *fleet.Fleet
+	pools  map[*fleet.Endpoint]*upstream.Pool
+	queues map[string]*serviceQueue
+	table  *routing.Table
+	hosts  int
+	// waiting holds what the other hosts say of their queues.
+	waiting map[string]map[string]heardWaiting
+	rand    *rand.Rand
+}
+
+type heardWaiting struct {
+	count int
+	at    time.Time
+}
+
+// serviceQueue is what waits for a service's endpoints.
+type serviceQueue struct {
+	admission.Queue
+	// holds are the learned times that requests of a route occupy a slot.
+	holds map[string]*holdTime
+}
+
+// holdTime learns how long requests of a route take, beside what their tokens
+// explain.
+type holdTime struct {
+	// ratio is the time taken over the time expected.
+	ratio float64
+}
+
+// waiter is a queued request.
+type waiter struct {
+	entry  *admission.Waiter
+	job    *Job
+	result chan *Lease
+	lease  *Lease
+}
+
+// New returns a dispatcher without endpoints. notify is told of changed beliefs
+// about endpoints.
+func New(domain string, opened metrics.Counter, notify func(string, *fleet.Endpoint)) *Dispatcher {
+	return &Dispatcher{
+		domain: domain, opened: opened, notify: notify,
+		fleet: fleet.New(), pools: map[*fleet.Endpoint]*upstream.Pool{},
+		queues: map[string]*serviceQueue{}, hosts: 1,
+		waiting: map[string]map[string]heardWaiting{},
+		rand:    rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+	}
+}
+
+// Lease is a request's right to use an endpoint. It must be ended.
+type Lease struct {
+	// Endpoint, Address and Domain name where the request goes.
+	Endpoint, Address, Domain string
+	// Pool holds connections there.
+	Pool *upstream.Pool
+	// Busy and Slots are the endpoint's load when it was chosen.
+	Busy, Slots int
+	// Waited is the time in the queue.
+	Waited time.Duration
+	// Expected is the expected time to the first answer.
+	Expected time.Duration
+
+	dispatcher *Dispatcher
+	endpoint   *fleet.Endpoint
+	job        *Job
+	begun      time.Time
+	first      bool
+	ended      bool
+}
+
+// Acquire gives the request an endpoint at once, lets it wait, or refuses it.
+func (d *Dispatcher) Acquire(ctx context.Context, job *Job) (*Lease, error) {
+	d.mu.Lock()
+	now := time.Now()
+	queue := d.queue(job.Service)
+	if d.mayPass(queue, job) {
+		if lease := d.place(job, now); lease != nil {
+			d.mu.Unlock()
+			return lease, nil
+		}
+	}
+	supply, usable := d.supply(job.Service, now)
+	if usable == 0 {
+		d.mu.Unlock()
+		return nil, &Refusal{Reason: ReasonNoEndpoint, RetryAfter: admission.Return(job.Left, 0, d.draw())}
+	}
+	verdict := admission.Decide(d.demand(queue, job), &queue.Queue, supply, now)
+	if verdict.Waiter == nil {
+		d.mu.Unlock()
+		return nil, &Refusal{Reason: ReasonOverload, RetryAfter: verdict.RetryAfter, Predicted: verdict.Wait}
+	}
+	w := &waiter{entry: verdict.Waiter, job: job, result: make(chan *Lease, 1)}
+	verdict.Waiter.Data = w
+	queue.Push(verdict.Waiter)
+	d.mu.Unlock()
+	return d.wait(ctx, queue, w, now, verdict)
+}
+
+func (d *Dispatcher) draw() float64 { return rand.Float64() }
+
+// wait waits for a lease.
+func (d *Dispatcher) wait(ctx context.Context, queue *serviceQueue, w *waiter, since time.Time, verdict admission.Verdict) (*Lease, error) {
+	timer := time.NewTimer(time.Until(w.entry.Until))
+	defer timer.Stop()
+	select {
+	case lease := <-w.result:
+		lease.Waited = time.Since(since)
+		return lease, nil
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+	d.mu.Lock()
+	queue.Remove(w.entry)
+	lease := w.lease
+	d.mu.Unlock()
+	if ctx.Err() != nil {
+		if lease != nil {
+			lease.End(fleet.ResultNone)
+		}
+		return nil, ErrCanceled
+	}
+	if lease != nil {
+		lease.Waited = time.Since(since)
+		return lease, nil
+	}
+	left := w.job.Left - time.Since(since)
+	return nil, &Refusal{
+		Reason: ReasonExpired, Waited: time.Since(since), Predicted: verdict.Wait,
+		RetryAfter: admission.Return(left, 0, rand.Float64()),
+	}
+}
+
+func (d *Dispatcher) queue(service string) *serviceQueue {
+	queue := d.queues[service]
+	if queue == nil {
+		queue = &serviceQueue{holds: map[string]*holdTime{}}
+		d.queues[service] = queue
+	}
+	return queue
+}
+
+// mayPass reports whether a new request may go before those that wait.
+func (d *Dispatcher) mayPass(queue *serviceQueue, job *Job) bool {
+	next := queue.Peek()
+	return next == nil || job.IsRepeat || next.Late && !job.Returned || job.Rank == 0 && !next.Urgent
+}
+
+// demand describes a job to the admission.
+func (d *Dispatcher) demand(queue *serviceQueue, job *Job) admission.Demand {
+	demand := choose.Demand{PromptTokens: job.Prompt, OutputTokens: job.Output}
+	typical := choose.Candidate{Pace: 1}
+	return admission.Demand{
+		Rank: job.Rank, Aim: job.Route.Aim, FirstAnswer: choose.FirstToken(typical, demand),
+		Patience: patience(job.Route), Left: job.Left, Returned: job.Returned,
+		Work: queue.hold(job),
+	}
+}
+
+// Callers leave a stream after the longest of these without an event.
+const (
+	patienceLeast = 2 * time.Second
+	patienceAims  = 4
+	patienceGaps  = 8
+)
+
+// patience is how long a caller waits for the first answer.
+func patience(route *routing.Route) time.Duration {
+	if route.Kind != routing.KindStream {
+		return route.Timeout
+	}
+	return max(patienceLeast, patienceAims*route.Aim, patienceGaps*route.GapAim)
+}
+
+// tokenTime is the time that a slot is expected to be occupied for each token
+// of the answer, before anything was learned.
+const tokenTime = 4 * time.Millisecond
+
+// plainTime is the expected time of a request to a plain service.
+const plainTime = 40 * time.Millisecond
+
+func expectedHold(job *Job) time.Duration {
+	if job.Prompt == 0 && job.Output == 0 {
+		return plainTime
+	}
+	return time.Duration(job.Prompt/choose.PrefillRate*float64(time.Millisecond)) + time.Duration(job.Output*float64(tokenTime))
+}
+
+// hold is the learned time that a job occupies a slot.
+func (q *serviceQueue) hold(job *Job) time.Duration {
+	expected := expectedHold(job)
+	if learned := q.holds[job.Route.Name]; learned != nil {
+		return time.Duration(float64(expected) * learned.ratio)
+	}
+	return expected
+}
+
+// holdWeight is the weight of the newest request in the learned hold time.
+const holdWeight = 0.05
+
+func (q *serviceQueue) learn(job *Job, took time.Duration) {
+	learned := q.holds[job.Route.Name]
+	if learned == nil {
+		learned = &holdTime{ratio: 1}
+		q.holds[job.Route.Name] = learned
+	}
+	learned.ratio += (min(float64(took)/float64(expectedHold(job)), 5) - learned.ratio) * holdWeight
+}
+
+// waitingAge is the age from which another host's queue is forgotten.
+const waitingAge = time.Second
+
+// supply is this host's part of the slots of the service's usable endpoints.
+func (d *Dispatcher) supply(service string, now time.Time) (admission.Supply, int) {
+	slots, usable := 0, 0
+	usual := d.fleet.UsualFailures(service)
+	for _, e := range d.fleet.Of(service) {
+		if d.fleet.MayUse(e) {
+			usable++
+			if c := e.Candidate(now, usual, d.domain); !c.Blocked {
+				slots += e.Slots
+			}
+		}
+	}
+	return admission.Supply{Slots: float64(slots) / float64(max(d.hosts, 1)), Draw: d.rand.Float64()}, usable
+}
+
+// place gives a job the best free endpoint, or nil. The caller holds mu.
+func (d *Dispatcher) place(job *Job, now time.Time) *Lease {
+	endpoints := d.fleet.Of(job.Service)
+	candidates := make([]choose.Candidate, len(endpoints))
+	usual := d.fleet.UsualFailures(job.Service)
+	for i, e := range endpoints {
+		candidates[i] = e.Candidate(now, usual, d.domain)
+		if !d.fleet.MayUse(e) || isExcluded(job, e.ID) {
+			candidates[i].Blocked = true
+		}
+	}
+	demand := choose.Demand{PromptTokens: job.Prompt, OutputTokens: job.Output}
+	index := choose.Pick(candidates, demand, d.rand.Float64())
+	if index < 0 {
+		return nil
+	}
+	e := endpoints[index]
+	e.Start(job.Prompt, now)
+	return &Lease{
+		Endpoint: e.ID, Address: e.Address, Domain: e.Domain, Pool: d.pools[e],
+		Busy: candidates[index].Busy, Slots: e.Slots,
+		Expected:   choose.FirstToken(candidates[index], demand),
+		dispatcher: d, endpoint: e, job: job, begun: now,
+	}
+}
+
+func isExcluded(job *Job, id string) bool {
+	for _, excluded := range job.Excluded {
+		if excluded == id {
+			return true
+		}
+	}
+	return false
+}
+
+// pump gives free endpoints to waiters. The caller holds mu.
+func (d *Dispatcher) pump(service string, now time.Time) {
+	queue := d.queues[service]
+	if queue == nil {
+		return
+	}
+	for queue.Len() > 0 {
+		next := queue.Peek()
+		w := next.Data.(*waiter)
+		if !now.Before(next.Until) {
+			queue.Remove(next)
+			continue // its timer answers it
+		}
+		lease := d.place(w.job, now)
+		if lease == nil {
+			return
+		}
+		queue.Remove(next)
+		w.lease = lease
+		w.result <- lease
+	}
+}
+
+// MayStillUse reports whether the request may still be sent: the endpoint's
+// state can change between the choice and the sending.
+func (l *Lease) MayStillUse() bool {
+	l.dispatcher.mu.Lock()
+	defer l.dispatcher.mu.Unlock()
+	return l.dispatcher.fleet.MayUse(l.endpoint)
+}
+
+// FirstEvent notes that the first part of the answer has come.
+func (l *Lease) FirstEvent() {
+	l.dispatcher.mu.Lock()
+	defer l.dispatcher.mu.Unlock()
+	if !l.first {
+		l.first = true
+		l.endpoint.FirstEvent(l.job.Prompt, time.Since(l.begun), l.Expected)
+	}
+}
+
+// TurnCold notes that the endpoint says it is cold.
+func (l *Lease) TurnCold(remaining time.Duration) {
+	l.dispatcher.mu.Lock()
+	defer l.dispatcher.mu.Unlock()
+	l.endpoint.TurnCold(remaining, time.Now())
+}
+
+// Steps notes the time between two tokens of the answer.
+func (l *Lease) Steps(step time.Duration) {
+	l.dispatcher.mu.Lock()
+	defer l.dispatcher.mu.Unlock()
+	l.endpoint.Steps(step)
+}
+
+// End gives the slot back. Further calls have no effect.
+func (l *Lease) End(result fleet.Result) {
+	d := l.dispatcher
+	d.mu.Lock()
+	if l.ended {
+		d.mu.Unlock()
+		return
+	}
+	l.ended = true
+	now := time.Now()
+	suspended := l.endpoint.End(l.job.Prompt, l.first, result, now)
+	if result == fleet.ResultGood {
+		d.queue(l.job.Service).learn(l.job, now.Sub(l.begun))
+	}
+	d.pump(l.job.Service, now)
+	d.mu.Unlock()
+	if suspended {
+		d.notify("suspended", l.endpoint)
+	}
+	if result == fleet.ResultOther {
+		d.notify("address_reused", l.endpoint)
+	}
+}
--- /dev/null
+++ b/internal/process/dispatch/update.go
@@ -0,0 +1,151 @@
+package dispatch
+
+import (
+	"time"
+
+	"mustarddoor/internal/connection/upstream"
+	"mustarddoor/internal/process/fleet"
+	"mustarddoor/internal/version/routing"
+)
+
+// SetEntry takes in an endpoint's entry.
+func (d *Dispatcher) SetEntry(entry fleet.Entry) {
+	d.mu.Lock()
+	now := time.Now()
+	added, replaced := d.fleet.Set(entry, now)
+	if replaced != nil {
+		d.drop(replaced)
+	}
+	if added != nil {
+		d.pools[added] = upstream.NewPool(entry.Address, d.opened)
+		d.shareCold(added, now)
+	}
+	d.pump(entry.Service, now)
+	d.mu.Unlock()
+	if added != nil {
+		d.notify("added", added)
+	}
+}
+
+// RemoveEntry takes in that an endpoint's entry is gone.
+func (d *Dispatcher) RemoveEntry(id string, afterOutage bool) {
+	d.mu.Lock()
+	gone := d.fleet.Remove(id, afterOutage, time.Now())
+	if gone != nil {
+		d.drop(gone)
+	}
+	d.mu.Unlock()
+	if gone != nil {
+		d.notify("removed", gone)
+	}
+}
+
+func (d *Dispatcher) drop(e *fleet.Endpoint) {
+	if pool := d.pools[e]; pool != nil {
+		pool.Close()
+		delete(d.pools, e)
+	}
+}
+
+// SetLeft tells which failure domains get no requests.
+func (d *Dispatcher) SetLeft(domains map[string]bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.fleet.SetLeft(domains)
+	for service := range d.queues {
+		d.pump(service, time.Now())
+	}
+}
+
+// SetTable takes a new version of the configuration.
+func (d *Dispatcher) SetTable(table *routing.Table) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.table = table
+	now := time.Now()
+	d.fleet.All(func(e *fleet.Endpoint) { d.shareCold(e, now) })
+}
+
+// SetHosts tells how many hosts share the endpoints.
+func (d *Dispatcher) SetHosts(hosts int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if hosts == d.hosts {
+		return
+	}
+	d.hosts = hosts
+	now := time.Now()
+	d.fleet.All(func(e *fleet.Endpoint) { d.shareCold(e, now) })
+}
+
+// coldPart is the part of a cold endpoint's rate that all hosts together use;
+// the rest covers the one request that each of them may send at once.
+const coldPart = 0.7
+
+// shareCold bounds this host's requests to an endpoint while it is cold.
+func (d *Dispatcher) shareCold(e *fleet.Endpoint, now time.Time) {
+	rate := 0.0
+	if d.table != nil {
+		if service := d.table.Service(e.Service); service != nil && service.ColdRate > 0 {
+			rate = service.ColdRate
+		}
+	}
+	if rate == 0 {
+		// Nothing is known of a bound: cold endpoints are as good as warm ones.
+		e.SetColdShare(1e6, now)
+		return
+	}
+	e.SetColdShare(rate*coldPart/float64(max(d.hosts, 1)), now)
+}
+
+// Loads are this host's loads by endpoint, and the waiters by service.
+func (d *Dispatcher) Loads() (loads map[uint32]fleet.Load, waiting int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	loads = map[uint32]fleet.Load{}
+	d.fleet.All(func(e *fleet.Endpoint) {
+		if own := e.Own(); own.Running > 0 {
+			loads[e.Hash] = own
+		}
+	})
+	for _, queue := range d.queues {
+		waiting += queue.Len()
+	}
+	return loads, waiting
+}
+
+// Hear takes in another host's loads.
+func (d *Dispatcher) Hear(host string, loads map[uint32]fleet.Load) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := time.Now()
+	d.fleet.All(func(e *fleet.Endpoint) { e.Hear(host, loads[e.Hash], now) })
+	for service := range d.queues {
+		d.pump(service, now)
+	}
+}
+
+// Tick does what is due: it drops endpoints and connections whose time is over
+// and lets waiters try endpoints whose suspension is over.
+func (d *Dispatcher) Tick() {
+	d.mu.Lock()
+	now := time.Now()
+	over := d.fleet.Settle(now)
+	for _, e := range over {
+		d.drop(e)
+	}
+	pools := make([]*upstream.Pool, 0, len(d.pools))
+	for _, pool := range d.pools {
+		pools = append(pools, pool)
+	}
+	for service := range d.queues {
+		d.pump(service, now)
+	}
+	d.mu.Unlock()
+	for _, pool := range pools {
+		pool.Sweep()
+	}
+	for _, e := range over {
+		d.notify("removed", e)
+	}
+}
--- /dev/null
+++ b/internal/process/gateway/gateway.go
@@ -0,0 +1,212 @@
+package gateway
+
+import (
+	"context"
+	"net/netip"
+	"os"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/rotisserie/eris"
+	"github.com/sirupsen/logrus"
+
+	"mustarddoor/internal/process/decisionlog"
+	"mustarddoor/internal/process/dispatch"
+	"mustarddoor/internal/process/fleet"
+	"mustarddoor/internal/process/keyed"
+	"mustarddoor/internal/process/peers"
+	"mustarddoor/internal/request/relay"
+	"mustarddoor/internal/version/routing"
+)
+
+// Gateway is one host's process.
+type Gateway struct {
+	settings Settings
+	ports    Ports
+	log      *decisionlog.Log
+	registry metrics.Registry
+
+	limits     *limits
+	dispatcher *dispatch.Dispatcher
+	relay      *relay.Relay
+	roster     *peers.Roster
+	link       *peers.Link
+	operator   *keyed.Topic
+	endpoints  *keyed.Topic
+	hosts      *keyed.Topic
+
+	table     atomic.Pointer[routing.Table]
+	malformed metrics.Counter
+	// stoppingAt is when the process was asked to stop; nil before.
+	stoppingAt atomic.Pointer[time.Time]
+
+	recordsMu sync.Mutex
+	records   map[string]OperatorRecord
+}
+
+// Paces at which the topics are read.
+var (
+	// operatorPace bounds how late a change is seen when a connection falls
+	// silent; a change ends the wait.
+	operatorPace = keyed.Pace{Wait: 1200 * time.Millisecond, Answer: 700 * time.Millisecond, Retry: 150 * time.Millisecond}
+	// endpointsPace is below the endpoints' own pace of writing. Entries change
+	// all the time, so waiting for a record would mean a call for each.
+	endpointsPace = keyed.Pace{Every: 600 * time.Millisecond, Answer: 700 * time.Millisecond, Retry: 300 * time.Millisecond}
+	// hostsPace is slow, since hosts tell each other of further ones.
+	hostsPace = keyed.Pace{Every: 5 * time.Second, Answer: time.Second, Retry: time.Second}
+)
+
+// New returns a gateway whose parts are not running yet.
+func New(settings Settings, ports Ports) (*Gateway, error) {
+	log := decisionlog.New(os.Stdout, ports.Metrics)
+	g := &Gateway{
+		settings: settings, ports: ports, log: log, registry: ports.Metrics,
+		records:   map[string]OperatorRecord{},
+		malformed: metrics.GetOrRegisterCounter("endpoints.malformed", ports.Metrics),
+	}
+	g.limits = newLimits(&g.settings)
+	g.dispatcher = dispatch.New(settings.Domain, metrics.GetOrRegisterCounter("endpoints.connections_opened", ports.Metrics), g.endpointChanged)
+	g.relay = relay.New(relay.Config{
+		Protocol: ports.Protocol, Dispatcher: g.dispatcher, Limits: g.limits,
+		Table: g.table.Load, IsStopping: g.isStopping, Log: log, Metrics: ports.Metrics,
+	})
+	self := peers.Host{
+		Name: settings.Name, Link: settings.Link, Front: settings.Front,
+		Domain: settings.Domain, Incarnation: time.Now().UnixNano(),
+	}
+	g.roster = peers.NewRoster(self)
+	for _, seed := range settings.Seeds {
+		g.roster.Know(seed, g.now())
+	}
+	link, err := peers.NewLink(g.roster, g.status, g.heard, ports.Metrics)
+	if err != nil {
+		return nil, eris.Wrap(err, "gateway")
+	}
+	g.link = link
+	g.operator = keyed.NewTopic(ports.Topics.Operator, ports.Store, operatorPace, log.Entry(), g.operatorChanged)
+	g.endpoints = keyed.NewTopic(ports.Topics.Endpoints, ports.Store, endpointsPace, log.Entry(), g.endpointsChanged)
+	g.hosts = keyed.NewTopic(ports.Topics.Hosts, ports.Store, hostsPace, log.Entry(), g.hostsChanged)
+	return g, nil
+}
+
+func (g *Gateway) now() time.Time { return time.Now() }
+
+func (g *Gateway) isStopping() bool { return g.stoppingAt.Load() != nil }
+
+// IsReady implements View.
+func (g *Gateway) IsReady() bool { return g.table.Load() != nil && !g.isStopping() }
+
+// Fronts implements View.
+func (g *Gateway) Fronts() []string {
+	fronts := g.roster.Fronts(g.now())
+	if g.IsReady() {
+		fronts = append(fronts, g.settings.Front)
+	}
+	slices.Sort(fronts)
+	return fronts
+}
+
+// endpointChanged logs a changed belief about an endpoint.
+func (g *Gateway) endpointChanged(what string, e *fleet.Endpoint) {
+	failed, inRow := e.Trust()
+	g.log.Entry().WithFields(logrus.Fields{
+		"endpoint": e.ID, "service": e.Service, "domain": e.Domain, "version": e.Version,
+		"sequence": e.Sequence, "failed_share": failed, "failures_in_row": inRow,
+	}).Info("endpoint " + what)
+}
+
+// status is what this host tells the others.
+func (g *Gateway) status() peers.Status {
+	loads, waiting := g.dispatcher.Loads()
+	status := peers.Status{
+		Ready: g.IsReady(), Leaving: g.isStopping(), Waiting: waiting, Spent: g.limits.Spent(),
+	}
+	if next, known := g.operator.Next(); known {
+		status.ConfigNext = next
+	}
+	if next, known := g.endpoints.Next(); known {
+		status.EntriesNext = next
+	}
+	for hash, load := range loads {
+		status.Work = append(status.Work, peers.Work{Endpoint: hash, Running: load.Running, Pending: int(load.Pending)})
+	}
+	return status
+}
+
+// heard takes in a message of another host.
+func (g *Gateway) heard(message peers.Message, isBack bool) {
+	if isBack {
+		g.log.Entry().WithFields(logrus.Fields{"host": message.From.Name, "domain": message.From.Domain, "incarnation": message.From.Incarnation}).
+			Info("host heard")
+	}
+	loads := make(map[uint32]fleet.Load, len(message.Status.Work))
+	for _, work := range message.Status.Work {
+		loads[work.Endpoint] = fleet.Load{Running: work.Running, Pending: float64(work.Pending)}
+	}
+	g.dispatcher.Hear(message.From.Name, loads)
+	g.limits.Hear(message.From.Name, message.From.Incarnation, message.Status.Spent)
+}
+
+// tickEvery is the pause between looks at what is due.
+const tickEvery = 100 * time.Millisecond
+
+// tick does what is due until the context ends.
+func (g *Gateway) tick(ctx context.Context) error {
+	ticker := time.NewTicker(tickEvery)
+	defer ticker.Stop()
+	seen := map[string]bool{}
+	still := newStillness()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+		if stood := still.check(); stood > 0 {
+			g.log.Entry().WithField("stood_ms", stood.Milliseconds()).Warn("the host stood still, what it has heard is forgotten")
+			g.roster.Silence()
+		}
+		now := g.now()
+		hosts, heard := g.roster.Count(now)
+		g.limits.SetHosts(hosts, heard)
+		g.dispatcher.SetHosts(hosts)
+		for _, name := range g.roster.Lost(seen, now) {
+			g.log.Entry().WithFields(logrus.Fields{"host": name, "hosts": hosts, "heard": heard}).Info("host not heard")
+		}
+		g.dispatcher.Tick()
+	}
+}
+
+// parseLink reads a host's record in its topic.
+func parseLink(value []byte) (netip.AddrPort, error) {
+	link, err := netip.ParseAddrPort(string(value))
+	return link, eris.Wrapf(err, "link %q", value)
+}
+
+// announceEvery is the pause between tries to write this host's record.
+const announceEvery = 2 * time.Second
+
+// announce writes where this host is, until it has succeeded. The record is
+// the same each time, so writing it again does no harm.
+func (g *Gateway) announce(ctx context.Context) error {
+	record := keyed.Record{Key: g.settings.Name, Value: []byte(g.settings.Link.String())}
+	for {
+		writing, cancel := context.WithTimeout(ctx, time.Second)
+		_, err := g.ports.Store.Append(writing, g.ports.Topics.Hosts, record, nil)
+		cancel()
+		if err == nil {
+			break
+		}
+		g.log.Entry().WithError(err).Warn("host's record not written")
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-time.After(announceEvery):
+		}
+	}
+	<-ctx.Done()
+	return nil
+}
--- /dev/null
+++ b/internal/process/gateway/settings.go
@@ -0,0 +1,81 @@
+// Package gateway is the daemon's composition for a platform that has a keyed
+// log: it serves callers, follows the platform's records, and shares with the
+// other hosts what must hold over all of them. All names and formats of the
+// platform come from outside, through Ports.
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"mustarddoor/internal/process/fleet"
+	"mustarddoor/internal/process/keyed"
+	"mustarddoor/internal/request/relay"
+	"mustarddoor/internal/version/routing"
+)
+
+// Settings are what a host is told at its start.
+type Settings struct {
+	Name string
+	// Domain is the host's failure domain.
+	Domain string
+	// Front is where callers connect, Metrics where the metrics are served,
+	// Link where the other hosts reach this one.
+	Front, Metrics string
+	Link           netip.AddrPort
+	// Seeds are links of hosts that may be there.
+	Seeds []netip.AddrPort
+	// MemoryMB bounds the process, in MB.
+	MemoryMB int
+	// Cores is the number of processors.
+	Cores int
+	// Grace is the time from a request to stop until the process is killed.
+	Grace time.Duration
+	// RepeatRatio is the number of repeats that each request earns, RepeatSlack
+	// those allowed beside that in each RepeatWindow, over all hosts.
+	RepeatRatio, RepeatSlack float64
+	RepeatWindow             time.Duration
+}
+
+// Topics are the names of the followed topics.
+type Topics struct {
+	// Operator holds the operator's records, Endpoints the endpoints' entries,
+	// Hosts what the hosts say of themselves.
+	Operator, Endpoints, Hosts string
+}
+
+// OperatorRecord is a decoded record of the operator; at most one field is set.
+type OperatorRecord struct {
+	Config *routing.Config
+	// LeftDomain is a failure domain that is to get no requests.
+	LeftDomain string
+}
+
+// Ports are what the platform's side provides.
+type Ports struct {
+	Store    keyed.Store
+	Topics   Topics
+	Protocol relay.Protocol
+	// Operator decodes a record of the operator.
+	Operator func(key string, value []byte) (OperatorRecord, error)
+	// Entry decodes an endpoint's entry.
+	Entry func(id string, value []byte) (fleet.Entry, error)
+	// Servers are further HTTP servers of the platform's side, by address.
+	Servers func(View) map[string]http.Handler
+	// Metrics is where counters are registered.
+	Metrics metrics.Registry
+	// Reload is called on SIGHUP.
+	Reload func(ctx context.Context) error
+}
+
+// View is what the platform's side may ask.
+type View interface {
+	// IsReady reports whether the host takes callers.
+	IsReady() bool
+	// Fronts are the callers' addresses of the hosts that take callers.
+	Fronts() []string
+}
--- /dev/null
+++ b/internal/process/keyed/topic.go
@@ -0,0 +1,210 @@
+package keyed
+
+import (
+	"context"
+	"errors"
+	"maps"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"mustarddoor/internal/process/pause"
+)
+
+// Pace says how often a topic is read.
+type Pace struct {
+	// Wait is how long a read may wait for records.
+	Wait time.Duration
+	// Every is the least time from one read to the next.
+	Every time.Duration
+	// Answer is how long the store may take beyond Wait.
+	Answer time.Duration
+	// Retry is the pause after a failed call.
+	Retry time.Duration
+}
+
+// Topic is a followed topic. It is safe for concurrent use.
+type Topic struct {
+	name  string
+	store Store
+	pace  Pace
+	log   *logrus.Entry
+	// changed is called after each change, without locks held.
+	changed func(Change)
+
+	mu     sync.Mutex
+	known  bool
+	next   uint64
+	values map[string][]byte
+	// readAt is when the store last answered.
+	readAt time.Time
+	// lostAt is when the store ceased to answer; zero while it answers.
+	lostAt time.Time
+}
+
+// Change is what one read or snapshot has changed.
+type Change struct {
+	// Set holds new values, Removed the keys that are gone.
+	Set     map[string][]byte
+	Removed []string
+	// AfterOutage tells that the store had been away before this change.
+	AfterOutage bool
+	Offset      uint64
+}
+
+// NewTopic returns a topic of which nothing is known yet.
+func NewTopic(name string, store Store, pace Pace, log *logrus.Entry, changed func(Change)) *Topic {
+	return &Topic{name: name, store: store, pace: pace, log: log.WithField("topic", name), changed: changed, values: map[string][]byte{}}
+}
+
+// Run follows the topic until the context ends.
+func (t *Topic) Run(ctx context.Context) error {
+	for {
+		begin := time.Now()
+		wait := t.pace.Retry
+		if err := t.step(ctx); err != nil {
+			t.lost(err)
+		} else {
+			wait = t.pace.Every - time.Since(begin)
+		}
+		if !pause.For(ctx, wait) {
+			return nil
+		}
+	}
+}
+
+// step reads once.
+func (t *Topic) step(ctx context.Context) error {
+	t.mu.Lock()
+	known, next := t.known, t.next
+	t.mu.Unlock()
+	if !known {
+		return t.list(ctx)
+	}
+	reading, cancel := context.WithTimeout(ctx, t.pace.Wait+t.pace.Answer)
+	defer cancel()
+	records, end, err := t.store.Read(reading, t.name, next, t.pace.Wait)
+	if errors.Is(err, ErrTrimmed) {
+		t.log.WithField("from", next).Info("records dropped, listing the topic anew")
+		return t.list(ctx)
+	}
+	if err != nil {
+		return err
+	}
+	t.apply(next, end, records)
+	return nil
+}
+
+// list takes the newest record of each key.
+func (t *Topic) list(ctx context.Context) error {
+	reading, cancel := context.WithTimeout(ctx, t.pace.Answer)
+	defer cancel()
+	records, end, err := t.store.Newest(reading, t.name)
+	if err != nil {
+		return err
+	}
+	values := make(map[string][]byte, len(records))
+	for _, record := range records {
+		values[record.Key] = record.Value
+	}
+	t.replace(Snapshot{Next: end, Values: values}, true, t.answered())
+	return nil
+}
+
+// apply takes records in that begin at an offset, if nothing newer is known.
+func (t *Topic) apply(from, end uint64, records []Record) {
+	outage := t.answered()
+	t.mu.Lock()
+	if !t.known || t.next != from || len(records) == 0 {
+		t.mu.Unlock()
+		return
+	}
+	change := Change{Set: map[string][]byte{}, AfterOutage: outage, Offset: end}
+	for _, record := range records {
+		if len(record.Value) == 0 {
+			delete(t.values, record.Key)
+			delete(change.Set, record.Key)
+			change.Removed = append(change.Removed, record.Key)
+			continue
+		}
+		t.values[record.Key] = record.Value
+		change.Set[record.Key] = record.Value
+	}
+	t.next = end
+	t.mu.Unlock()
+	t.changed(change)
+}
+
+// Adopt takes a snapshot that another host has handed over, if it is newer.
+func (t *Topic) Adopt(snapshot Snapshot) { t.replace(snapshot, false, false) }
+
+// replace takes a whole snapshot in. One from the store counts even when it is
+// as old as what is known, since the log may have dropped records.
+func (t *Topic) replace(snapshot Snapshot, fromStore, outage bool) {
+	t.mu.Lock()
+	if t.known && (snapshot.Next < t.next || !fromStore && snapshot.Next == t.next) {
+		t.mu.Unlock()
+		return
+	}
+	change := Change{Set: snapshot.Values, Offset: snapshot.Next, AfterOutage: outage}
+	for key := range t.values {
+		if _, found := snapshot.Values[key]; !found {
+			change.Removed = append(change.Removed, key)
+		}
+	}
+	t.known = true
+	t.next = snapshot.Next
+	t.values = maps.Clone(snapshot.Values)
+	if t.values == nil {
+		t.values = map[string][]byte{}
+	}
+	t.mu.Unlock()
+	t.changed(change)
+}
+
+// answered notes that the store has answered and reports whether it had been
+// away.
+func (t *Topic) answered() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.readAt = time.Now()
+	if t.lostAt.IsZero() {
+		return false
+	}
+	t.log.WithField("away_ms", time.Since(t.lostAt).Milliseconds()).Info("store regained")
+	t.lostAt = time.Time{}
+	return true
+}
+
+// lost notes that the store has not answered.
+func (t *Topic) lost(err error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.lostAt.IsZero() {
+		t.lostAt = time.Now()
+		t.log.WithError(err).WithField("next_offset", t.next).Warn("store lost")
+	}
+}
+
+// Snapshot is all that is known, and false before the first listing.
+func (t *Topic) Snapshot() (Snapshot, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return Snapshot{Next: t.next, Values: maps.Clone(t.values)}, t.known
+}
+
+// Next is the offset up to which the topic is known, and false before the
+// first listing.
+func (t *Topic) Next() (uint64, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.next, t.known
+}
+
+// Age is the time since the store last answered.
+func (t *Topic) Age() time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return time.Since(t.readAt)
+}
--- /dev/null
+++ b/internal/process/peers/message.go
@@ -0,0 +1,84 @@
+// Package peers keeps the hosts of a fleet informed of each other: who is
+// there, how much work each has under way at each endpoint, what it has spent
+// of the teams' limits, and how far it has followed the platform's log.
+//
+// Hosts send each other small datagrams several times a second. All that they
+// carry is advice or a running total, so a lost one costs nothing but time.
+package peers
+
+import (
+	"net/netip"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/rotisserie/eris"
+)
+
+// Host is what hosts know of one of them.
+type Host struct {
+	Name string `cbor:"1,keyasint"`
+	// Link is where its datagrams come from and its state is fetched, Front
+	// where callers connect; both IP:port.
+	Link  netip.AddrPort `cbor:"2,keyasint"`
+	Front string         `cbor:"3,keyasint"`
+	// Domain is its failure domain.
+	Domain string `cbor:"4,keyasint"`
+	// Incarnation tells process starts apart, in Unix nanoseconds.
+	Incarnation int64 `cbor:"5,keyasint"`
+}
+
+// Work is a host's work at an endpoint.
+type Work struct {
+	_        struct{} `cbor:",toarray"`
+	Endpoint uint32
+	Running  int
+	// Pending are prompt tokens that are still to be read.
+	Pending int
+}
+
+// Spending is what a host has charged to a team since its start.
+type Spending struct {
+	_    struct{} `cbor:",toarray"`
+	Team string
+	// Total is in the team's unit.
+	Total float64
+}
+
+// Status is what a host tells of itself.
+type Status struct {
+	// Ready tells that it takes callers, Leaving that it is about to stop.
+	Ready   bool `cbor:"1,keyasint,omitempty"`
+	Leaving bool `cbor:"2,keyasint,omitempty"`
+	// ConfigNext and EntriesNext are the log offsets up to which it knows the
+	// operator's records and the endpoints' entries.
+	ConfigNext  uint64     `cbor:"3,keyasint,omitempty"`
+	EntriesNext uint64     `cbor:"4,keyasint,omitempty"`
+	Work        []Work     `cbor:"5,keyasint,omitempty"`
+	Spent       []Spending `cbor:"6,keyasint,omitempty"`
+	Waiting     int        `cbor:"7,keyasint,omitempty"`
+}
+
+// Message is a datagram.
+type Message struct {
+	From   Host   `cbor:"1,keyasint"`
+	Number uint64 `cbor:"2,keyasint"`
+	Status Status `cbor:"3,keyasint"`
+	// Hosts are links of hosts that the sender has heard lately.
+	Hosts []netip.AddrPort `cbor:"4,keyasint,omitempty"`
+}
+
+// maxDatagram bounds a datagram in bytes; it fits an IP packet.
+const maxDatagram = 60 << 10
+
+// ErrMessage is returned for a datagram that is not a message.
+var ErrMessage = eris.New("malformed datagram")
+
+func decode(data []byte) (Message, error) {
+	message := Message{}
+	if err := cbor.Unmarshal(data, &message); err != nil {
+		return Message{}, eris.Wrapf(ErrMessage, "%v", err)
+	}
+	if !message.From.Link.IsValid() || message.From.Incarnation == 0 {
+		return Message{}, eris.Wrap(ErrMessage, "no sender")
+	}
+	return message, nil
+}
--- /dev/null
+++ b/internal/process/peers/roster.go
@@ -0,0 +1,191 @@
+package peers
+
+import (
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+)
+
+const (
+	// heardAge is the age from which a host counts as not heard, beside the
+	// time between its messages.
+	heardAge = 900 * time.Millisecond
+	// missedMessages is how many messages in a row may be lost before that.
+	missedMessages = 4
+	// keepAge is how long a host that is not heard still counts among those
+	// that may spend: it may be cut off and serve its own callers.
+	keepAge = 20 * time.Second
+	// helloEvery is the pause between messages to hosts that are not heard.
+	helloEvery = time.Second
+	// forgetAge is when a host that was never heard again is forgotten.
+	forgetAge = 2 * time.Minute
+)
+
+// peer is another host.
+type peer struct {
+	link netip.AddrPort
+	host Host
+	// status is from its newest message.
+	status  Status
+	number  uint64
+	heardAt time.Time
+	// sentAt is when it was last sent a message, knownAt when it was first
+	// known of.
+	sentAt, knownAt time.Time
+}
+
+// Roster is what is known of the other hosts. It is safe for concurrent use.
+type Roster struct {
+	self Host
+
+	mu    sync.Mutex
+	peers map[netip.AddrPort]*peer
+	every time.Duration
+}
+
+// NewRoster returns a roster of a host that knows of no other.
+func NewRoster(self Host) *Roster {
+	return &Roster{self: self, peers: map[netip.AddrPort]*peer{}, every: leastEvery}
+}
+
+// Know notes that a host may be at a link.
+func (r *Roster) Know(link netip.AddrPort, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.know(link, now)
+}
+
+func (r *Roster) know(link netip.AddrPort, now time.Time) *peer {
+	if !link.IsValid() || link == r.self.Link {
+		return nil
+	}
+	p := r.peers[link]
+	if p == nil {
+		p = &peer{link: link, knownAt: now}
+		r.peers[link] = p
+	}
+	return p
+}
+
+// isHeard reports whether the host was heard lately.
+func (r *Roster) isHeard(p *peer, now time.Time) bool {
+	return !p.heardAt.IsZero() && now.Sub(p.heardAt) < heardAge+missedMessages*r.every
+}
+
+// hear takes a message in. It reports whether the message is new, and whether
+// the host was not heard before.
+func (r *Roster) hear(message Message, now time.Time) (isNew, isBack bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	p := r.know(message.From.Link, now)
+	if p == nil {
+		return false, false
+	}
+	if message.From.Incarnation < p.host.Incarnation ||
+		message.From.Incarnation == p.host.Incarnation && message.Number <= p.number {
+		return false, false
+	}
+	isBack = !r.isHeard(p, now) || p.host.Incarnation != message.From.Incarnation
+	p.host, p.status, p.number, p.heardAt = message.From, message.Status, message.Number, now
+	for _, link := range message.Hosts {
+		r.know(link, now)
+	}
+	return true, isBack
+}
+
+// due are the links to send a message to now, and those that are heard.
+func (r *Roster) due(now time.Time) (to, heard []netip.AddrPort) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for link, p := range r.peers {
+		switch {
+		case r.isHeard(p, now):
+			heard = append(heard, link)
+		case now.Sub(p.knownAt) > forgetAge && now.Sub(p.heardAt) > forgetAge:
+			delete(r.peers, link)
+			continue
+		case now.Sub(p.sentAt) < helloEvery:
+			continue
+		}
+		p.sentAt = now
+		to = append(to, link)
+	}
+	r.every = max(leastEvery, time.Duration(len(heard))*everyPerHost)
+	return to, heard
+}
+
+// Fronts are the callers' addresses of the other hosts that take callers, in
+// order.
+func (r *Roster) Fronts(now time.Time) []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var fronts []string
+	for _, p := range r.peers {
+		if r.isHeard(p, now) && p.status.Ready && !p.status.Leaving {
+			fronts = append(fronts, p.host.Front)
+		}
+	}
+	slices.Sort(fronts)
+	return fronts
+}
+
+// Count is the number of hosts that may spend, and of those that are heard,
+// this one included.
+func (r *Roster) Count(now time.Time) (hosts, heard int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	hosts, heard = 1, 1
+	for _, p := range r.peers {
+		switch {
+		case r.isHeard(p, now):
+			hosts++
+			heard++
+		case p.status.Leaving:
+		case now.Sub(p.heardAt) < keepAge || p.heardAt.IsZero() && now.Sub(p.knownAt) < keepAge:
+			hosts++
+		}
+	}
+	return hosts, heard
+}
+
+// Lost are the names of the hosts that have ceased to be heard since the last
+// call; seen is the caller's memory between calls.
+func (r *Roster) Lost(seen map[string]bool, now time.Time) []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var lost []string
+	for _, p := range r.peers {
+		if p.host.Name == "" {
+			continue
+		}
+		heard := r.isHeard(p, now)
+		if seen[p.host.Name] && !heard {
+			lost = append(lost, p.host.Name)
+		}
+		seen[p.host.Name] = heard
+	}
+	return lost
+}
+
+// Ahead is the link of a heard host whose status satisfies a condition, or the
+// zero link.
+func (r *Roster) Ahead(condition func(Status) bool, now time.Time) netip.AddrPort {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for link, p := range r.peers {
+		if r.isHeard(p, now) && condition(p.status) {
+			return link
+		}
+	}
+	return netip.AddrPort{}
+}
+
+// Silence makes all hosts unheard, after a time in which this host stood still.
+func (r *Roster) Silence() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, p := range r.peers {
+		p.heardAt = time.Time{}
+	}
+}
--- /dev/null
+++ b/internal/request/relay/attempt.go
@@ -0,0 +1,194 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"mustarddoor/internal/connection/upstream"
+	"mustarddoor/internal/process/dispatch"
+	"mustarddoor/internal/process/fleet"
+	"mustarddoor/internal/request/repeat"
+)
+
+// attempt sends the request until it is answered or may not be sent again.
+func (s *serving) attempt() {
+	for {
+		lease, err := s.relay.Dispatcher.Acquire(s.context(), s.job())
+		if err != nil {
+			s.withoutEndpoint(err)
+			return
+		}
+		s.relay.waited.Update(lease.Waited)
+		end := s.send(lease)
+		if s.hasLeft() {
+			return
+		}
+		if end.answered {
+			return
+		}
+		s.excluded = append(s.excluded, lease.Endpoint)
+		decision := repeat.Decide(s.standing(end))
+		if decision.Repeat && end.fate != repeat.FateNotSent && !s.relay.Limits.Repeat(s.service) {
+			decision = repeat.Denied(s.standing(end))
+		}
+		if !decision.Repeat {
+			s.finish(decision, end)
+			return
+		}
+		if end.fate != repeat.FateNotSent {
+			s.relay.repeats.Inc(1)
+		}
+	}
+}
+
+// standing is what a repeat depends on.
+func (s *serving) standing(end sendEnd) repeat.Standing {
+	return repeat.Standing{
+		MayRepeat: s.route.MayRepeat(), Attempts: s.attempts, Sends: s.sends,
+		MaxAttempts: s.route.Attempts, Fate: end.fate,
+		Begun: s.headSent, Left: time.Until(s.deadline),
+	}
+}
+
+// withoutEndpoint answers a request for which there is no endpoint.
+func (s *serving) withoutEndpoint(err error) {
+	var refusal *dispatch.Refusal
+	if !errors.As(err, &refusal) {
+		if !s.hasLeft() {
+			s.fail(http.StatusInternalServerError, err.Error())
+		}
+		return
+	}
+	s.fields["predicted_wait_ms"] = refusal.Predicted.Milliseconds()
+	s.fields["queue_wait_ms"] = refusal.Waited.Milliseconds()
+	if s.attempts > 0 {
+		// It may have run, so nothing can be promised.
+		s.fail(http.StatusBadGateway, refusal.Reason)
+		return
+	}
+	s.refuse(http.StatusServiceUnavailable, refusal.Reason, refusal.RetryAfter)
+}
+
+// finish answers a request that is not sent again.
+func (s *serving) finish(decision repeat.Decision, end sendEnd) {
+	switch {
+	case s.headSent:
+		s.cut(end.reason)
+	case decision.Promise:
+		s.refuse(http.StatusServiceUnavailable, end.reason, spread(refusedWait))
+	case time.Until(s.deadline) <= 0:
+		s.fail(http.StatusGatewayTimeout, end.reason)
+	default:
+		s.fail(http.StatusBadGateway, end.reason)
+	}
+}
+
+// refusedWait is when callers come back after an endpoint refused: its queue
+// has moved on by then.
+const refusedWait = 300 * time.Millisecond
+
+// sendEnd is how one send ended.
+type sendEnd struct {
+	// answered tells that the caller has its final answer.
+	answered bool
+	fate     repeat.Fate
+	reason   string
+}
+
+// send sends the request to one endpoint and passes its answer on.
+func (s *serving) send(lease *dispatch.Lease) sendEnd {
+	s.fields["endpoint"] = lease.Endpoint
+	s.fields["endpoint_busy"] = lease.Busy
+	s.fields["queue_wait_ms"] = lease.Waited.Milliseconds()
+	s.fields["expected_first_ms"] = lease.Expected.Milliseconds()
+	dialing, cancel := context.WithDeadline(s.context(), s.deadline)
+	conn, err := lease.Pool.Get(dialing)
+	cancel()
+	if err != nil {
+		lease.End(unlessLeft(s, fleet.ResultUnreachable))
+		return sendEnd{fate: repeat.FateNotSent, reason: "endpoint_unreachable"}
+	}
+	if !lease.MayStillUse() {
+		conn.Close()
+		lease.End(fleet.ResultNone)
+		return sendEnd{fate: repeat.FateNotSent, reason: "endpoint_left"}
+	}
+	// Closing the connection makes the endpoint drop the request.
+	stop := context.AfterFunc(s.context(), conn.Close)
+	defer stop()
+	s.sends++
+	s.attempts++
+	answer, err := conn.Do(s.outgoing(lease), s.headBy(lease), func(header http.Header) bool {
+		return s.isStale(conn, header)
+	})
+	if err != nil {
+		conn.Close()
+		return s.noAnswer(lease, err)
+	}
+	said := s.relay.Protocol.Answer(answer.Status, answer.Header)
+	if said.Cold > 0 {
+		lease.TurnCold(said.Cold)
+	}
+	if said.NotRun {
+		s.attempts--
+		s.discard(answer)
+		if answer.Status == http.StatusMisdirectedRequest {
+			lease.End(fleet.ResultOther)
+			return sendEnd{fate: repeat.FateNotRun, reason: "other_endpoint"}
+		}
+		lease.End(fleet.ResultRefused)
+		return sendEnd{fate: repeat.FateNotRun, reason: "endpoint_refused"}
+	}
+	return s.pass(lease, answer, said)
+}
+
+// unlessLeft is the result, or none if the caller has left meanwhile.
+func unlessLeft(s *serving, result fleet.Result) fleet.Result {
+	if s.context().Err() != nil {
+		return fleet.ResultNone
+	}
+	return result
+}
+
+func (s *serving) outgoing(lease *dispatch.Lease) upstream.Request {
+	send := Send{Endpoint: lease.Endpoint, Deadline: time.Until(s.deadline), LastEvent: s.events.last}
+	if s.team != nil {
+		send.Team = s.team.Name
+	}
+	return upstream.Request{
+		Method: s.request.Method, Target: s.request.RequestURI, Host: s.request.Host,
+		Header: s.relay.Protocol.Forward(s.request.Header, send), Body: s.body,
+	}
+}
+
+// isStale reports whether an answer belongs to an earlier request.
+func (s *serving) isStale(conn *upstream.Conn, header http.Header) bool {
+	id := s.relay.Protocol.Answer(http.StatusOK, header).ID
+	if id == "" {
+		return conn.WasUsed()
+	}
+	return id != s.caller.ID
+}
+
+// noAnswer ends a send whose answer did not come.
+func (s *serving) noAnswer(lease *dispatch.Lease, err error) sendEnd {
+	if errors.Is(err, upstream.ErrNotSent) {
+		s.attempts--
+		s.sends--
+		lease.End(unlessLeft(s, fleet.ResultUnreachable))
+		return sendEnd{fate: repeat.FateNotSent, reason: "connection_failed"}
+	}
+	result, reason := fleet.ResultBroken, "answer_lost"
+	if isTimeout(err) {
+		result, reason = fleet.ResultSilent, "endpoint_silent"
+	}
+	lease.End(unlessLeft(s, result))
+	return sendEnd{fate: repeat.FateUnknown, reason: reason}
+}
+
+func isTimeout(err error) bool {
+	var timeout interface{ Timeout() bool }
+	return errors.As(err, &timeout) && timeout.Timeout()
+}
