--- /dev/null
+++ b/internal/process/allowance/allowance_test.go
@@ -0,0 +1,125 @@
+package allowance_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"mustarddoor/internal/process/allowance"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+const window = 8 * time.Second
+
+// A team that sends all the time gets what its rate and burst give in each
+// window, not the rate alone.
+func TestTeamGetsRateAndBurstInEachWindow(t *testing.T) {
+	team := allowance.NewTeam(100, 200, window, true, start)
+	used := map[int]float64{}
+	for step := range 4000 {
+		now := start.Add(time.Duration(step) * 10 * time.Millisecond)
+		if team.Take(10, now) {
+			used[step/800] += 10
+		}
+	}
+	for index := 1; index < 5; index++ {
+		assert.Assert(t, used[index] <= 1000, "window %d: %v", index, used[index])
+		assert.Assert(t, used[index] >= 900, "window %d: %v", index, used[index])
+	}
+}
+
+// Two hosts that hear each other share one limit; cut off from each other, they
+// stay within it together.
+func TestTeamHoldsOverHosts(t *testing.T) {
+	for _, cut := range []bool{false, true} {
+		hosts := []*allowance.Team{
+			allowance.NewTeam(100, 200, window, true, start),
+			allowance.NewTeam(100, 200, window, true, start),
+		}
+		heard := 2
+		if cut {
+			heard = 1
+		}
+		total := 0.0
+		for step := range 800 {
+			now := start.Add(time.Duration(step) * 10 * time.Millisecond)
+			for i, host := range hosts {
+				host.SetHosts(2, heard)
+				if !cut && step%6 == 0 {
+					host.Heard("other", 1, hosts[1-i].Spent(), now)
+				}
+				if host.Take(10, now) {
+					total += 10
+				}
+			}
+		}
+		assert.Assert(t, total <= 1000*1.1, "cut %v: %v", cut, total)
+		assert.Assert(t, total >= 900, "cut %v: %v", cut, total)
+	}
+}
+
+// After a restart of all hosts the limit still holds over the window that
+// reaches back before it.
+func TestTeamAfterRestart(t *testing.T) {
+	before := allowance.NewTeam(100, 200, window, true, start)
+	used := 0.0
+	for used < 1000 && before.Take(10, start) {
+		used += 10
+	}
+	after := allowance.NewTeam(100, 200, window, false, start.Add(time.Second))
+	for step := range 700 {
+		if after.Take(10, start.Add(time.Second+time.Duration(step)*10*time.Millisecond)) {
+			used += 10
+		}
+	}
+	assert.Assert(t, used <= 2000, "%v", used)
+	assert.Assert(t, after.Spent() >= 700, "%v", after.Spent())
+}
+
+func TestTeamReturnsAndWaits(t *testing.T) {
+	team := allowance.NewTeam(100, 0, window, true, start)
+	assert.Assert(t, team.Take(800, start))
+	assert.Assert(t, !team.Take(1, start))
+	assert.Assert(t, team.Wait(1, start) > 7*time.Second)
+	team.Return(800, start)
+	assert.Assert(t, team.Take(800, start))
+	free := allowance.NewTeam(0, 0, window, true, start)
+	assert.Assert(t, free.Take(1e9, start))
+}
+
+// All endpoints fail: repeats stay within the stated budget over all hosts.
+func TestRepeatsHoldOverHosts(t *testing.T) {
+	const hosts, ratio, slack = 6, 0.2, 52.0
+	budgets := make([]*allowance.Repeats, hosts)
+	for i := range budgets {
+		budgets[i] = allowance.NewRepeats(ratio, slack, 10*time.Second, hosts, start)
+	}
+	requests, repeats := 0, 0
+	for step := range 1000 {
+		now := start.Add(time.Duration(step) * 10 * time.Millisecond)
+		for _, budget := range budgets {
+			budget.Request(now)
+			requests++
+			if budget.Take(now) {
+				repeats++
+			}
+		}
+	}
+	assert.Assert(t, float64(repeats) <= ratio*float64(requests)+slack, "%d repeats", repeats)
+	assert.Assert(t, float64(repeats) >= 0.7*ratio*float64(requests), "%d repeats", repeats)
+}
+
+func TestBucket(t *testing.T) {
+	bucket := allowance.NewBucket(10, 1, 1, start)
+	taken := 0
+	for step := range 1000 {
+		if bucket.Take(1, start.Add(time.Duration(step)*time.Millisecond)) {
+			taken++
+		}
+	}
+	assert.Assert(t, taken >= 10 && taken <= 11, "%d", taken)
+	bucket.Resize(0, 1, start.Add(2*time.Second))
+	assert.Equal(t, bucket.Level(start.Add(time.Minute)), 1.0)
+}
--- a/internal/process/allowance/team.go
+++ b/internal/process/allowance/team.go
@@ -2,89 +2,94 @@
 
 import "time"
 
-// Team is a team's limit over all hosts.
+// Team is a team's limit over all hosts: in each window of time it may use what
+// its rate gives in the window, and its burst.
 //
 // The load that it answers: one team sends many times its usual through all
-// hosts, some of which cannot hear the others. Hosts that hear each other share
-// one bucket, whose level each host follows from the others' spending; a part
-// of the rate is set aside for each host that is not heard, as large as what
-// that host allows itself when it hears nobody.
+// hosts, some of which cannot hear the others. Hosts that hear each other count
+// each other's use against one limit. A part of the limit is set aside for each
+// host that is not heard, as large as what that host allows itself when it
+// hears nobody.
 type Team struct {
-	bucket Bucket
-	// rate and burst are the team's limits.
-	rate, burst float64
+	length time.Duration
+	// limit is what all hosts together may use in a window.
+	limit float64
 	// hosts is the number of hosts that may spend, heard of those that are
 	// heard, this one included.
 	hosts, heard int
+	own          Window
 	spent        float64
-	seen         map[string]spending
+	others       map[string]*spender
 }
 
-// spending is what another host has said of its spending.
-type spending struct {
+// spender is another host, as far as its use is known.
+type spender struct {
 	incarnation int64
 	total       float64
+	window      Window
+	heardAt     time.Time
 }
 
-// startShare is the part of the burst that a starting host takes as unspent:
-// what was spent before its start is not known.
-const startShare = 0.0
-
-// NewTeam returns a team's limit at a host that knows of no other host's
-// spending yet.
-func NewTeam(rate, burst float64, now time.Time) *Team {
-	return &Team{
-		bucket: NewBucket(rate, burst, burst*startShare, now),
-		rate:   rate, burst: burst, hosts: 1, heard: 1,
-		seen: map[string]spending{},
+// NewTeam returns a team's limit. Unless the fleet starts for the first time,
+// the limit counts as used up in the window before, since what was used is not
+// known.
+func NewTeam(rate, burst float64, window time.Duration, firstStart bool, now time.Time) *Team {
+	t := &Team{length: window, hosts: 1, heard: 1, own: NewWindow(window, now), others: map[string]*spender{}}
+	t.Resize(rate, burst)
+	if !firstStart {
+		t.own.Fill(t.limit, now)
 	}
+	return t
 }
 
-// Resize takes new limits.
-func (t *Team) Resize(rate, burst float64, now time.Time) {
-	if rate == t.rate && burst == t.burst {
-		return
+// Resize takes new limits; a rate of 0 is no limit.
+func (t *Team) Resize(rate, burst float64) {
+	t.limit = 0
+	if rate > 0 {
+		t.limit = rate*t.length.Seconds() + burst
 	}
-	t.rate, t.burst = rate, burst
-	t.share(now)
 }
 
 // SetHosts tells how many hosts may spend and how many of them are heard, this
 // one included.
-func (t *Team) SetHosts(hosts, heard int, now time.Time) {
-	hosts = max(hosts, 1)
-	heard = min(max(heard, 1), hosts)
-	if hosts == t.hosts && heard == t.heard {
-		return
-	}
-	t.hosts, t.heard = hosts, heard
-	t.share(now)
+func (t *Team) SetHosts(hosts, heard int) {
+	t.hosts = max(hosts, 1)
+	t.heard = min(max(heard, 1), t.hosts)
 }
 
-func (t *Team) share(now time.Time) {
-	part := float64(t.heard) / float64(t.hosts)
-	t.bucket.Resize(t.rate*part, t.burst*part, now)
+// spenderAge is the age from which another host's use no longer counts: its
+// part of the limit is set aside instead.
+const spenderAge = 2 * time.Second
+
+// used is what the heard hosts have used in the window.
+func (t *Team) used(now time.Time) float64 {
+	sum := t.own.Sum(now)
+	for _, other := range t.others {
+		if now.Sub(other.heardAt) < spenderAge {
+			sum += other.window.Sum(now)
+		}
+	}
+	return sum
 }
 
-// Take charges an amount if the limit allows it.
+// allowed is what the heard hosts may use in a window.
+func (t *Team) allowed() float64 { return t.limit * float64(t.heard) / float64(t.hosts) }
+
+// Take charges an amount if the limit covers it.
 func (t *Team) Take(amount float64, now time.Time) bool {
-	if t.rate <= 0 {
-		return true
-	}
-	if !t.bucket.Take(amount, now) {
+	if t.limit > 0 && t.used(now)+amount > t.allowed() {
 		return false
 	}
-	t.spent += amount
+	t.add(amount, now)
 	return true
 }
 
 // Return gives back what was charged for a request that did not run.
-func (t *Team) Return(amount float64, now time.Time) {
-	if t.rate <= 0 {
-		return
-	}
-	t.spent -= amount
-	t.bucket.Draw(-amount, now)
+func (t *Team) Return(amount float64, now time.Time) { t.add(-amount, now) }
+
+func (t *Team) add(amount float64, now time.Time) {
+	t.spent += amount
+	t.own.Add(amount, now)
 }
 
 // Spent is all that this host has charged since its start.
@@ -92,24 +97,24 @@
 
 // Heard takes in what another host has charged since its start.
 func (t *Team) Heard(host string, incarnation int64, total float64, now time.Time) {
-	last, known := t.seen[host]
-	t.seen[host] = spending{incarnation: incarnation, total: total}
-	switch {
-	case !known:
-		// Its spending before this host's start is in no bucket of this host.
+	other := t.others[host]
+	if other == nil {
+		// What it used before it was first heard lies before this host's start,
+		// or before its own.
+		t.others[host] = &spender{incarnation: incarnation, total: total, window: NewWindow(t.length, now), heardAt: now}
 		return
-	case last.incarnation != incarnation:
-		t.bucket.Draw(total, now)
-	default:
-		t.bucket.Draw(total-last.total, now)
 	}
+	if other.incarnation != incarnation {
+		other.incarnation, other.total = incarnation, 0
+	}
+	if total != other.total {
+		other.window.Add(total-other.total, now)
+	}
+	other.total, other.heardAt = total, now
 }
 
-// Wait is how long the bucket takes to cover an amount.
+// Wait is how long it takes until the limit covers an amount, if nothing more
+// is used.
 func (t *Team) Wait(amount float64, now time.Time) time.Duration {
-	missing := min(amount, t.bucket.Burst) - t.bucket.Level(now)
-	if missing <= 0 || t.bucket.Rate <= 0 {
-		return 0
-	}
-	return time.Duration(missing / t.bucket.Rate * float64(time.Second))
+	return t.own.Wait((t.used(now)+amount-t.allowed())/float64(t.heard), now)
 }
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -71,7 +71,7 @@
 	g.dispatcher = dispatch.New(settings.Domain, metrics.GetOrRegisterCounter("endpoints.connections_opened", ports.Metrics), g.endpointChanged)
 	g.relay = relay.New(relay.Config{
 		Protocol: ports.Protocol, Dispatcher: g.dispatcher, Limits: g.limits,
-		Table: g.table.Load, IsStopping: g.isStopping, Log: log, Metrics: ports.Metrics,
+		Table: g.table.Load, StopsAt: g.stopsAt, Log: log, Metrics: ports.Metrics,
 	})
 	self := peers.Host{
 		Name: settings.Name, Link: settings.Link, Front: settings.Front,
@@ -94,6 +94,15 @@
 
 func (g *Gateway) now() time.Time { return time.Now() }
 
+// stopsAt is when the process will have stopped, or the zero time.
+func (g *Gateway) stopsAt() time.Time {
+	asked := g.stoppingAt.Load()
+	if asked == nil {
+		return time.Time{}
+	}
+	return asked.Add(g.settings.Grace - stopMargin)
+}
+
 func (g *Gateway) isStopping() bool { return g.stoppingAt.Load() != nil }
 
 // IsReady implements View.
--- a/internal/process/gateway/limits.go
+++ b/internal/process/gateway/limits.go
@@ -31,8 +31,8 @@
 func (l *limits) team(team *routing.Team, now time.Time) *allowance.Team {
 	t := l.teams[team.Name]
 	if t == nil {
-		t = allowance.NewTeam(team.Rate, team.Burst, now)
-		t.SetHosts(l.hosts, l.heard, now)
+		t = allowance.NewTeam(team.Rate, team.Burst, l.settings.TeamWindow, l.settings.FirstStart, now)
+		t.SetHosts(l.hosts, l.heard)
 		l.teams[team.Name] = t
 	}
 	return t
@@ -44,7 +44,7 @@
 	defer l.mu.Unlock()
 	now := time.Now()
 	for i := range teams {
-		l.team(&teams[i], now).Resize(teams[i].Rate, teams[i].Burst, now)
+		l.team(&teams[i], now).Resize(teams[i].Rate, teams[i].Burst)
 	}
 }
 
@@ -58,7 +58,7 @@
 	l.hosts, l.heard = hosts, heard
 	now := time.Now()
 	for _, team := range l.teams {
-		team.SetHosts(hosts, heard, now)
+		team.SetHosts(hosts, heard)
 	}
 	for _, repeats := range l.repeats {
 		repeats.Resize(l.settings.RepeatSlack, l.settings.RepeatWindow, hosts, now)
--- a/internal/process/gateway/run.go
+++ b/internal/process/gateway/run.go
@@ -158,10 +158,9 @@
 	g.stoppingAt.Store(&now)
 	g.link.Urge()
 	g.log.Entry().WithField("busy_connections", fronts.busy()).Info("stopping")
-	end := now.Add(g.settings.Grace - stopMargin)
 	ticker := time.NewTicker(tickEvery)
 	defer ticker.Stop()
-	for g.now().Before(end) {
+	for g.now().Before(g.stopsAt()) {
 		select {
 		case <-ctx.Done():
 			return nil
--- a/internal/process/gateway/settings.go
+++ b/internal/process/gateway/settings.go
@@ -39,6 +39,10 @@
 	// those allowed beside that in each RepeatWindow, over all hosts.
 	RepeatRatio, RepeatSlack float64
 	RepeatWindow             time.Duration
+	// TeamWindow is the stretch of time over which teams' limits hold.
+	TeamWindow time.Duration
+	// FirstStart tells that the whole fleet starts for the first time.
+	FirstStart bool
 }
 
 // Topics are the names of the followed topics.
--- a/internal/request/relay/relay.go
+++ b/internal/request/relay/relay.go
@@ -34,10 +34,11 @@
 	Limits     Limits
 	// Table is the configuration in force, or nil while none is known.
 	Table func() *routing.Table
-	// IsStopping reports whether the process is about to stop.
-	IsStopping func() bool
-	Log        *decisionlog.Log
-	Metrics    metrics.Registry
+	// StopsAt is when the process will have stopped; the zero time if it was
+	// not asked to.
+	StopsAt func() time.Time
+	Log     *decisionlog.Log
+	Metrics metrics.Registry
 }
 
 // Relay is the handler for callers' requests.
@@ -76,10 +77,10 @@
 // ServeHTTP implements http.Handler.
 func (r *Relay) ServeHTTP(w http.ResponseWriter, request *http.Request) {
 	begin := time.Now()
-	if r.IsStopping() {
+	s := &serving{relay: r, w: w, request: request, begin: begin, caller: r.Protocol.Caller(request), stopsAt: r.StopsAt()}
+	if !s.stopsAt.IsZero() {
 		w.Header().Set("Connection", "close")
 	}
-	s := &serving{relay: r, w: w, request: request, begin: begin, caller: r.Protocol.Caller(request)}
 	s.serve()
 	s.report()
 }
@@ -100,7 +101,9 @@
 	body    []byte
 	// deadline is when the final answer is due.
 	deadline time.Time
-	charged  float64
+	// stopsAt is when the process will have stopped; zero if it goes on.
+	stopsAt time.Time
+	charged float64
 
 	// attempts is the number of endpoints to which it was sent and which may
 	// have run it.
@@ -151,6 +154,10 @@
 		return
 	}
 	s.setDeadline()
+	if s.isTooLate() {
+		s.refuse(http.StatusServiceUnavailable, "stopping", spread(stoppingWait))
+		return
+	}
 	if !s.readBody() {
 		return
 	}
@@ -188,6 +195,28 @@
 	s.deadline = s.begin.Add(most)
 }
 
+const (
+	// stoppingWait is when callers come back that a stopping host refuses: they
+	// go to another host.
+	stoppingWait = 20 * time.Millisecond
+	// streamNeeds and plainNeeds are how much time a stopping host must have
+	// left to take a request. Most streams end within the first.
+	streamNeeds = 4500 * time.Millisecond
+	plainNeeds  = 1500 * time.Millisecond
+)
+
+// isTooLate reports whether the process stops before the request would end.
+func (s *serving) isTooLate() bool {
+	if s.stopsAt.IsZero() {
+		return false
+	}
+	needs := plainNeeds
+	if s.route.Kind == routing.KindStream {
+		needs = streamNeeds
+	}
+	return s.begin.Add(needs).After(s.stopsAt)
+}
+
 // returnedBelow is the part of the route's time below which a caller's deadline
 // shows that it comes back after a refusal.
 const returnedBelow = 0.985
