Appends that any host may do are spread anew when the log is back

Cause, from a trace of TestMarkDuringOutage beside load: hosts set the time of a mark's append when it is made. If they try once before they notice that the log is out, the next try is due in the outage, so that all are overdue at the same moment when the log returns, and two append within 200 ms. Ruled out: a lost answer of the log (the log lost none in the test).

--- a/internal/version/config/backfill.go
+++ b/internal/version/config/backfill.go
@@ -29,6 +29,9 @@
 // missingRecord is a record that the log does not have yet.
 type missingRecord struct {
 	record Record
+	// issuer is the host that the other hosts leave the append to; empty if
+	// there is none.
+	issuer string
 	due    time.Time
 	// since is where the record may stand in the log after an append; zero
 	// before the first.
@@ -56,9 +59,19 @@
 func (f *Follower) backfillOnce(ctx context.Context, items map[string]*missingRecord) {
 	state, ready := f.stateToBackfill()
 	if !ready {
+		// All that is due by now would be appended by all hosts at once when
+		// the log is back.
+		for _, item := range items {
+			item.due = time.Time{}
+		}
 		return
 	}
 	f.plan(state, items)
+	for key, item := range items {
+		if item.due.IsZero() {
+			item.due = now().Add(f.stagger(key, item.issuer))
+		}
+	}
 	for key, item := range items {
 		if now().Before(item.due) {
 			continue
@@ -85,7 +98,7 @@
 		wanted[key] = true
 		if items[key] == nil {
 			record := Record{Header: Header{ID: mark.ID}, Raw: mark.Raw}
-			items[key] = &missingRecord{record: record, due: now().Add(f.stagger(key, mark.Stamp.Host))}
+			items[key] = &missingRecord{record: record, issuer: mark.Stamp.Host}
 		}
 	}
 	for _, move := range state.unloggedVerdicts() {
@@ -94,7 +107,7 @@
 		if items[key] == nil {
 			record := f.options.Keys.host(f.options.Host).sign(KindVerdict, f.nextSequence(),
 				VerdictBody{Move: move.ID, State: move.State})
-			items[key] = &missingRecord{record: record, due: now().Add(f.stagger(key, ""))}
+			items[key] = &missingRecord{record: record}
 		}
 	}
 	for key := range items {
