Callers that come back are told by the longest deadline of their route

Also: a mark's issuer leads by as long as hosts differ in noticing that the log is back, which the trace of the one failure left of TestMarkDuringOutage showed to be up to 3 s.

--- a/internal/process/admission/verdict.go
+++ b/internal/process/admission/verdict.go
@@ -51,8 +51,10 @@
 	// returnPart is the part of its time left that a caller may be told to
 	// wait; callers ignore more than a third.
 	returnPart = 0.32
-	// returnFirst is the earliest return after a refusal.
-	returnFirst = 400 * time.Millisecond
+	// returnLeast is the part of its time left that a caller is told to wait at
+	// least: callers differ by as much in how long they wait at first, so that
+	// one that comes back can be told from one that is new.
+	returnLeast = 0.16
 )
 
 // Decide says whether a request waits.
@@ -92,6 +94,6 @@
 // keep to.
 func Return(left, wait time.Duration, draw float64) time.Duration {
 	latest := time.Duration(float64(left) * returnPart)
-	first := min(max(wait, returnFirst), latest/2)
+	first := min(max(wait, time.Duration(float64(left)*returnLeast)), latest*3/4)
 	return first + time.Duration(draw*float64(latest-first))
 }
--- a/internal/request/relay/relay.go
+++ b/internal/request/relay/relay.go
@@ -48,6 +48,7 @@
 	repeats, resumed                metrics.Counter
 	took, firstEvent, waited        metrics.Timer
 	bodies                          bodies
+	patience                        patience
 }
 
 // maxBodies bounds the memory for callers' bodies in bytes.
@@ -101,6 +102,8 @@
 	body    []byte
 	// deadline is when the final answer is due.
 	deadline time.Time
+	// returned tells that the caller was refused before.
+	returned bool
 	// stopsAt is when the process will have stopped; zero if it goes on.
 	stopsAt time.Time
 	charged float64
@@ -154,6 +157,7 @@
 		return
 	}
 	s.setDeadline()
+	s.returned = s.relay.patience.isReturned(s.route.Name, s.caller.Deadline, s.begin)
 	if s.isTooLate() {
 		s.refuse(http.StatusServiceUnavailable, "stopping", spread(stoppingWait))
 		return
@@ -217,14 +221,6 @@
 	return s.begin.Add(needs).After(s.stopsAt)
 }
 
-// returnedBelow is the part of the route's time below which a caller's deadline
-// shows that it comes back after a refusal.
-const returnedBelow = 0.985
-
-func (s *serving) isReturned() bool {
-	return s.caller.Deadline > 0 && float64(s.caller.Deadline) < returnedBelow*float64(s.route.Timeout)
-}
-
 // charge takes the request's use from its team's limit.
 func (s *serving) charge() bool {
 	if s.team == nil || s.team.Rate <= 0 {
@@ -258,7 +254,7 @@
 func (s *serving) job() *dispatch.Job {
 	job := &dispatch.Job{
 		Service: s.service, Route: s.route, Rank: s.route.Rank,
-		Left: time.Until(s.deadline), Returned: s.isReturned(),
+		Left: time.Until(s.deadline), Returned: s.returned,
 		IsRepeat: s.sends > 0, Excluded: s.excluded,
 	}
 	if s.caller.HasTokens {
@@ -357,7 +353,8 @@
 		f["route"] = s.route.Name
 		f["service"] = s.service
 		f["sends"] = s.sends
-		f["deadline_ms"] = s.deadline.Sub(s.begin).Milliseconds()
+		f["returned"] = s.returned
+		f["deadline_ms"] = s.caller.Deadline.Milliseconds()
 	}
 	if s.team != nil {
 		f["team"] = s.team.Name
--- a/internal/version/config/backfill.go
+++ b/internal/version/config/backfill.go
@@ -17,9 +17,9 @@
 	// may do.
 	staggerSpan = 2 * time.Second
 	// issuerLead is how long the other hosts leave a mark's append to the host
-	// that issued its stamp. It is longer than hosts differ in noticing that
-	// the log is back.
-	issuerLead = 2 * time.Second
+	// that issued its stamp: as long as hosts differ in noticing that the log
+	// is back, and for the time in which the issuer appends.
+	issuerLead = maxReadBackoff*3/2 + 2*backfillInterval
 	// Snapshots are due at a fraction of the log's retention, at a time that
 	// differs by host within the next fraction.
 	snapshotAge    = 0.4
