--- a/internal/process/admission/admission.go
+++ b/internal/process/admission/admission.go
@@ -8,7 +8,9 @@
 // served. The most urgent rank goes first; the others share what is left in
 // the order in which they must start, so that none of them starves. A caller
 // that comes back after a refusal is late already and has no further try: it is
-// served when no request could still be on time, and waits longer.
+// served when no request could still be on time, and waits longer. A late
+// request of the most urgent rank is worth about as much as one of the others
+// that is on time, and shares with those.
 package admission
 
 import (
@@ -38,9 +40,32 @@
 type Queue struct {
 	waiting waiters
 	count   uint64
-	// work is the sum of all waiters' work, urgent that of the urgent ones,
-	// late that of the late ones.
-	work, urgent, late time.Duration
+	// work is the sum of the waiters' work by class.
+	work [classes]time.Duration
+}
+
+// class orders waiters before their other properties do.
+type class int
+
+const (
+	// classFirst holds urgent requests that can be on time.
+	classFirst class = iota
+	// classShared holds other requests that can be on time, and urgent late
+	// ones.
+	classShared
+	// classLate holds late requests that are not urgent.
+	classLate
+	classes
+)
+
+func (w *Waiter) class() class {
+	switch {
+	case w.Late && !w.Urgent:
+		return classLate
+	case w.Late || !w.Urgent:
+		return classShared
+	}
+	return classFirst
 }
 
 // Len is the number of waiters.
@@ -72,25 +97,15 @@
 	return true
 }
 
-func (q *Queue) account(w *Waiter, work time.Duration) {
-	q.work += work
-	if w.Urgent {
-		q.urgent += work
-	}
-	if w.Late {
-		q.late += work
-	}
-}
+func (q *Queue) account(w *Waiter, work time.Duration) { q.work[w.class()] += work }
 
 // Ahead is the work that goes before a new waiter.
 func (q *Queue) Ahead(w *Waiter) time.Duration {
-	switch {
-	case w.Urgent:
-		return q.urgent
-	case w.Late:
-		return q.work
+	sum := time.Duration(0)
+	for c := classFirst; c <= w.class(); c++ {
+		sum += q.work[c]
 	}
-	return q.work - q.late
+	return sum
 }
 
 // Expire takes out and returns the waiters whose time is over.
@@ -115,10 +130,8 @@
 func (w waiters) Less(i, j int) bool {
 	a, b := w[i], w[j]
 	switch {
-	case a.Late != b.Late:
-		return !a.Late
-	case a.Urgent != b.Urgent:
-		return a.Urgent
+	case a.class() != b.class():
+		return a.class() < b.class()
 	case !a.StartBy.Equal(b.StartBy):
 		return a.StartBy.Before(b.StartBy)
 	}
--- a/internal/process/admission/verdict.go
+++ b/internal/process/admission/verdict.go
@@ -22,7 +22,8 @@
 
 // Supply is what this host can count on.
 type Supply struct {
-	// Slots is this host's part of the slots of usable endpoints.
+	// Slots is the work that this host can have done in a unit of time: its
+	// part of the slots of usable endpoints, or less.
 	Slots float64
 	// Draw is uniform in [0, 1) and spreads the callers' returns.
 	Draw float64
@@ -64,15 +65,17 @@
 		StartBy: now.Add(d.Aim - d.FirstAnswer),
 	}
 	v := Verdict{Wait: wait(q.Ahead(w)+d.Work, s)}
-	if budget := time.Duration(float64(d.Aim)*safety) - d.FirstAnswer; !d.Returned && v.Wait <= budget {
-		w.Until = now.Add(time.Duration(float64(d.Aim)*safety) - d.FirstAnswer/2)
+	budget := time.Duration(float64(d.Aim)*safety) - d.FirstAnswer
+	hopeless := budget <= 0
+	if !d.Returned && v.Wait <= budget {
+		w.Until = now.Add(budget + d.FirstAnswer/2)
 		v.Waiter = w
 		return v
 	}
 	w.Late = true
-	late := min(time.Duration(float64(min(d.Patience, d.Left))*latePatience)-d.FirstAnswer, lateMost)
 	v.Wait = wait(q.Ahead(w)+d.Work, s)
-	if d.Returned && v.Wait <= late {
+	late := min(time.Duration(float64(min(d.Patience, d.Left))*latePatience)-d.FirstAnswer, lateMost)
+	if (d.Returned || hopeless && w.Urgent) && v.Wait <= late {
 		w.Until = now.Add(late)
 		v.Waiter = w
 		return v
--- a/internal/process/dispatch/dispatch.go
+++ b/internal/process/dispatch/dispatch.go
@@ -71,14 +71,7 @@
 	queues map[string]*serviceQueue
 	table  *routing.Table
 	hosts  int
-	// waiting holds what the other hosts say of their queues.
-	waiting map[string]map[string]heardWaiting
-	rand    *rand.Rand
-}
-
-type heardWaiting struct {
-	count int
-	at    time.Time
+	rand   *rand.Rand
 }
 
 // serviceQueue is what waits for a service's endpoints.
@@ -86,6 +79,45 @@
 	admission.Queue
 	// holds are the learned times that requests of a route occupy a slot.
 	holds map[string]*holdTime
+	flow  flow
+}
+
+// flow measures how fast waiting work is taken up.
+type flow struct {
+	// since is when the measuring began; zero while nothing waits.
+	since time.Time
+	taken time.Duration
+	// rate is work in a unit of time, over the slots that this host should
+	// have; 0 before the first measure.
+	rate float64
+}
+
+const (
+	// flowTime is how long one measure takes, and flowWeight the weight of the
+	// newest one: a burst lasts a few seconds.
+	flowTime   = 100 * time.Millisecond
+	flowWeight = 0.15
+	flowLeast  = 0.2
+)
+
+// measure takes in what was taken up, given this host's part of the slots.
+func (f *flow) measure(waiting bool, slots float64, now time.Time) {
+	if !waiting {
+		f.since, f.taken = time.Time{}, 0
+		f.rate += (1 - f.rate) * flowWeight
+		return
+	}
+	elapsed := now.Sub(f.since)
+	if f.since.IsZero() {
+		f.since, f.taken = now, 0
+		return
+	}
+	if elapsed < flowTime || slots <= 0 {
+		return
+	}
+	sample := float64(f.taken) / float64(elapsed) / slots
+	f.rate += (min(max(sample, flowLeast), 1) - f.rate) * flowWeight
+	f.since, f.taken = now, 0
 }
 
 // holdTime learns how long requests of a route take, beside what their tokens
@@ -110,8 +142,7 @@
 		domain: domain, opened: opened, notify: notify,
 		fleet: fleet.New(), pools: map[*fleet.Endpoint]*upstream.Pool{},
 		queues: map[string]*serviceQueue{}, hosts: 1,
-		waiting: map[string]map[string]heardWaiting{},
-		rand:    rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 }
 
@@ -201,7 +232,7 @@
 func (d *Dispatcher) queue(service string) *serviceQueue {
 	queue := d.queues[service]
 	if queue == nil {
-		queue = &serviceQueue{holds: map[string]*holdTime{}}
+		queue = &serviceQueue{holds: map[string]*holdTime{}, flow: flow{rate: 1}}
 		d.queues[service] = queue
 	}
 	return queue
@@ -274,22 +305,27 @@
 	learned.ratio += (min(float64(took)/float64(expectedHold(job)), 5) - learned.ratio) * holdWeight
 }
 
-// waitingAge is the age from which another host's queue is forgotten.
-const waitingAge = time.Second
-
-// supply is this host's part of the slots of the service's usable endpoints.
+// supply is what this host can count on, and how many endpoints may be used.
 func (d *Dispatcher) supply(service string, now time.Time) (admission.Supply, int) {
-	slots, usable := 0, 0
-	usual := d.fleet.UsualFailures(service)
+	usable := 0
 	for _, e := range d.fleet.Of(service) {
 		if d.fleet.MayUse(e) {
 			usable++
-			if c := e.Candidate(now, usual, d.domain); !c.Blocked {
-				slots += e.Slots
-			}
 		}
 	}
-	return admission.Supply{Slots: float64(slots) / float64(max(d.hosts, 1)), Draw: d.rand.Float64()}, usable
+	return admission.Supply{Slots: d.part(service, now) * d.queue(service).flow.rate, Draw: d.rand.Float64()}, usable
+}
+
+// part is this host's part of the slots of the service's usable endpoints.
+func (d *Dispatcher) part(service string, now time.Time) float64 {
+	slots := 0
+	usual := d.fleet.UsualFailures(service)
+	for _, e := range d.fleet.Of(service) {
+		if d.fleet.MayUse(e) && !e.Candidate(now, usual, d.domain).Blocked {
+			slots += e.Slots
+		}
+	}
+	return float64(slots) / float64(max(d.hosts, 1))
 }
 
 // place gives a job the best free endpoint, or nil. The caller holds mu.
@@ -345,6 +381,7 @@
 			return
 		}
 		queue.Remove(next)
+		queue.flow.taken += next.Work
 		w.lease = lease
 		w.result <- lease
 	}
--- a/internal/process/dispatch/update.go
+++ b/internal/process/dispatch/update.go
@@ -138,8 +138,9 @@
 	for _, pool := range d.pools {
 		pools = append(pools, pool)
 	}
-	for service := range d.queues {
+	for service, queue := range d.queues {
 		d.pump(service, now)
+		queue.flow.measure(queue.Len() > 0, d.part(service, now), now)
 	}
 	d.mu.Unlock()
 	for _, pool := range pools {
