--- a/internal/process/choose/choose.go
+++ b/internal/process/choose/choose.go
@@ -4,7 +4,9 @@
 // The load that it answers: unlike endpoints near full, whose occupancy is
 // known late, with long prompts that delay every stream beside them. A request
 // goes where its first token is expected first, counting the prompts that are
-// still to be read there, and hosts that see the same figures at the same time
+// still to be read there. A prompt whose reading takes longer than the allowed
+// pause makes every stream beside it late, so long prompts go where they are read
+// fast and few streams run. Hosts that see the same figures at the same time
 // pick among the near-best at random so that they don't all pick one.
 package choose
 
@@ -20,19 +22,15 @@
 	Slots, Busy int
 	// PendingTokens are the prompt tokens that were sent and not yet read.
 	PendingTokens float64
-	// Pace is how much longer the endpoint takes than expected; 1 is as
-	// expected.
-	Pace float64
-	// StepTime is the time between two tokens of a stream.
-	StepTime time.Duration
+	// BaseTime is the time to a first answer beside the reading of prompts,
+	// ReadTime that for one prompt token, StepTime that between two tokens of a
+	// stream.
+	BaseTime, ReadTime, StepTime time.Duration
 	// FailedShare is the part of recent requests that failed there beyond what
 	// is usual for the service.
 	FailedShare float64
 	// Blocked tells that the endpoint must not be used now.
 	Blocked bool
-	// KnownTokens are the request's prompt tokens that the endpoint has read
-	// before and may still keep.
-	KnownTokens float64
 	// Far tells that the endpoint is in another failure domain.
 	Far bool
 }
@@ -40,19 +38,23 @@
 // Demand is what a request asks for.
 type Demand struct {
 	PromptTokens, OutputTokens float64
+	// Aim is the time to the first answer within which the request has its
+	// full value, GapAim that between two events; 0 if there is none.
+	Aim, GapAim time.Duration
 }
 
 const (
-	// PrefillRate is the prompt tokens that an engine of usual speed reads in a
-	// millisecond, before anything was learned.
-	PrefillRate = 50.0
-	// baseTime is the time to a first token beside the reading of prompts.
-	baseTime = 12 * time.Millisecond
 	// decodeWeight weighs the time that a stream occupies its slot against the
 	// time to its first token.
 	decodeWeight = 0.08
 	// failureCost is the time that a certain failure is worth.
 	failureCost = 3 * time.Second
+	// lateCost is the time that it is worth to have the request on time: a
+	// late answer has less than a third of its value.
+	lateCost = 400 * time.Millisecond
+	// delayCost is the time that it is worth not to make one other stream
+	// late by the reading of a long prompt.
+	delayCost = 60 * time.Millisecond
 	// crowdCost is the cost of the last free slot: later long prompts will
 	// delay a stream on a crowded endpoint.
 	crowdCost = 60 * time.Millisecond
@@ -62,17 +64,25 @@
 	farCost = 2 * time.Millisecond
 )
 
-// FirstToken is the expected time to the first token of a request.
-func FirstToken(c Candidate, d Demand) time.Duration {
-	tokens := c.PendingTokens + math.Max(d.PromptTokens-c.KnownTokens, 0)
-	expected := float64(baseTime) + tokens/PrefillRate*float64(time.Millisecond)
-	return time.Duration(expected * c.Pace)
+// reading is the time until the endpoint has read all prompts, the request's
+// included.
+func reading(c Candidate, d Demand) time.Duration {
+	return time.Duration((c.PendingTokens + d.PromptTokens) * float64(c.ReadTime))
 }
 
+// FirstToken is the expected time to the first token of a request.
+func FirstToken(c Candidate, d Demand) time.Duration { return c.BaseTime + reading(c, d) }
+
 // cost is what the choice minimizes.
 func cost(c Candidate, d Demand) time.Duration {
-	sum := FirstToken(c, d)
-	sum += time.Duration(decodeWeight * d.OutputTokens * float64(c.StepTime))
+	first := FirstToken(c, d)
+	sum := first + time.Duration(decodeWeight*d.OutputTokens*float64(c.StepTime))
+	if d.Aim > 0 && first > d.Aim {
+		sum += lateCost
+	}
+	if d.GapAim > 0 && d.PromptTokens > 0 && reading(c, d) > d.GapAim {
+		sum += time.Duration(c.Busy) * delayCost
+	}
 	sum += time.Duration(c.FailedShare * float64(failureCost))
 	if c.Slots > 0 {
 		full := float64(c.Busy) / float64(c.Slots)
--- a/internal/process/dispatch/dispatch.go
+++ b/internal/process/dispatch/dispatch.go
@@ -71,6 +71,9 @@
 	queues map[string]*serviceQueue
 	table  *routing.Table
 	hosts  int
+	// rivals are the other hosts in whose queues requests wait, and when they
+	// said so.
+	rivals map[string]time.Time
 	rand   *rand.Rand
 }
 
@@ -141,7 +144,7 @@
 	return &Dispatcher{
 		domain: domain, opened: opened, notify: notify,
 		fleet: fleet.New(), pools: map[*fleet.Endpoint]*upstream.Pool{},
-		queues: map[string]*serviceQueue{}, hosts: 1,
+		queues: map[string]*serviceQueue{}, hosts: 1, rivals: map[string]time.Time{},
 		rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 }
@@ -173,7 +176,7 @@
 	now := time.Now()
 	queue := d.queue(job.Service)
 	if d.mayPass(queue, job) {
-		if lease := d.place(job, now); lease != nil {
+		if lease := d.place(job, nil, now); lease != nil {
 			d.mu.Unlock()
 			return lease, nil
 		}
@@ -183,7 +186,7 @@
 		d.mu.Unlock()
 		return nil, &Refusal{Reason: ReasonNoEndpoint, RetryAfter: admission.Return(job.Left, 0, d.draw())}
 	}
-	verdict := admission.Decide(d.demand(queue, job), &queue.Queue, supply, now)
+	verdict := admission.Decide(d.wish(queue, job, now), &queue.Queue, supply, now)
 	if verdict.Waiter == nil {
 		d.mu.Unlock()
 		return nil, &Refusal{Reason: ReasonOverload, RetryAfter: verdict.RetryAfter, Predicted: verdict.Wait}
@@ -244,17 +247,40 @@
 	return next == nil || job.IsRepeat || next.Late && !job.Returned || job.Rank == 0 && !next.Urgent
 }
 
-// demand describes a job to the admission.
-func (d *Dispatcher) demand(queue *serviceQueue, job *Job) admission.Demand {
-	demand := choose.Demand{PromptTokens: job.Prompt, OutputTokens: job.Output}
-	typical := choose.Candidate{Pace: 1}
+// demand describes a job to the choice.
+func demand(job *Job) choose.Demand {
+	return choose.Demand{
+		PromptTokens: job.Prompt, OutputTokens: job.Output,
+		Aim: job.Route.Aim, GapAim: job.Route.GapAim,
+	}
+}
+
+// wish describes a job to the admission.
+func (d *Dispatcher) wish(queue *serviceQueue, job *Job, now time.Time) admission.Demand {
 	return admission.Demand{
-		Rank: job.Rank, Aim: job.Route.Aim, FirstAnswer: choose.FirstToken(typical, demand),
+		Rank: job.Rank, Aim: job.Route.Aim, FirstAnswer: d.firstAnswer(job, now),
 		Patience: patience(job.Route), Left: job.Left, Returned: job.Returned,
 		Work: queue.hold(job),
 	}
 }
 
+// firstAnswer is the time to the first answer at the endpoint that would give
+// it first if it had nothing else to do.
+func (d *Dispatcher) firstAnswer(job *Job, now time.Time) time.Duration {
+	best := time.Duration(0)
+	for _, e := range d.fleet.Of(job.Service) {
+		if !d.fleet.MayUse(e) {
+			continue
+		}
+		c := e.Candidate(now, 0, d.domain)
+		c.PendingTokens = 0
+		if first := choose.FirstToken(c, demand(job)); best == 0 || first < best {
+			best = first
+		}
+	}
+	return best
+}
+
 // Callers leave a stream after the longest of these without an event.
 const (
 	patienceLeast = 2 * time.Second
@@ -274,6 +300,9 @@
 // of the answer, before anything was learned.
 const tokenTime = 4 * time.Millisecond
 
+// promptTime is the same for each token of the prompt.
+const promptTime = 20 * time.Microsecond
+
 // plainTime is the expected time of a request to a plain service.
 const plainTime = 40 * time.Millisecond
 
@@ -281,7 +310,7 @@
 	if job.Prompt == 0 && job.Output == 0 {
 		return plainTime
 	}
-	return time.Duration(job.Prompt/choose.PrefillRate*float64(time.Millisecond)) + time.Duration(job.Output*float64(tokenTime))
+	return time.Duration(job.Prompt*float64(promptTime)) + time.Duration(job.Output*float64(tokenTime))
 }
 
 // hold is the learned time that a job occupies a slot.
@@ -328,8 +357,34 @@
 	return float64(slots) / float64(max(d.hosts, 1))
 }
 
-// place gives a job the best free endpoint, or nil. The caller holds mu.
-func (d *Dispatcher) place(job *Job, now time.Time) *Lease {
+const (
+	// rivalAge is the age from which a rival no longer counts.
+	rivalAge = 300 * time.Millisecond
+	// turnTime is how long a drawn turn at a free slot holds: about the time in
+	// which hosts learn that it was taken.
+	turnTime = 50 * time.Millisecond
+)
+
+// hasTurn reports whether this host may take a slot that another host has
+// freed. All hosts see it free at the same time; if requests wait at several of
+// them, about one is to take it.
+func (d *Dispatcher) hasTurn(e *fleet.Endpoint, free int, now time.Time) bool {
+	rivals := 0
+	for _, at := range d.rivals {
+		if now.Sub(at) < rivalAge {
+			rivals++
+		}
+	}
+	if rivals == 0 {
+		return true
+	}
+	draw := e.Turn(now, turnTime, d.rand.Float64)
+	return draw*float64(rivals+1) < float64(free)
+}
+
+// place gives a job the best free endpoint, or nil. The slot that this host has
+// just freed at an endpoint is its own to take. The caller holds mu.
+func (d *Dispatcher) place(job *Job, freed *fleet.Endpoint, now time.Time) *Lease {
 	endpoints := d.fleet.Of(job.Service)
 	candidates := make([]choose.Candidate, len(endpoints))
 	usual := d.fleet.UsualFailures(job.Service)
@@ -338,9 +393,11 @@
 		if !d.fleet.MayUse(e) || isExcluded(job, e.ID) {
 			candidates[i].Blocked = true
 		}
+		if c := &candidates[i]; e != freed && !c.Blocked && c.Busy < c.Slots && !d.hasTurn(e, c.Slots-c.Busy, now) {
+			c.Blocked = true
+		}
 	}
-	demand := choose.Demand{PromptTokens: job.Prompt, OutputTokens: job.Output}
-	index := choose.Pick(candidates, demand, d.rand.Float64())
+	index := choose.Pick(candidates, demand(job), d.rand.Float64())
 	if index < 0 {
 		return nil
 	}
@@ -349,7 +406,7 @@
 	return &Lease{
 		Endpoint: e.ID, Address: e.Address, Domain: e.Domain, Pool: d.pools[e],
 		Busy: candidates[index].Busy, Slots: e.Slots,
-		Expected:   choose.FirstToken(candidates[index], demand),
+		Expected:   choose.FirstToken(candidates[index], demand(job)),
 		dispatcher: d, endpoint: e, job: job, begun: now,
 	}
 }
@@ -364,7 +421,7 @@
 }
 
 // pump gives free endpoints to waiters. The caller holds mu.
-func (d *Dispatcher) pump(service string, now time.Time) {
+func (d *Dispatcher) pump(service string, freed *fleet.Endpoint, now time.Time) {
 	queue := d.queues[service]
 	if queue == nil {
 		return
@@ -376,10 +433,11 @@
 			queue.Remove(next)
 			continue // its timer answers it
 		}
-		lease := d.place(w.job, now)
+		lease := d.place(w.job, freed, now)
 		if lease == nil {
 			return
 		}
+		freed = nil
 		queue.Remove(next)
 		queue.flow.taken += next.Work
 		w.lease = lease
@@ -401,7 +459,7 @@
 	defer l.dispatcher.mu.Unlock()
 	if !l.first {
 		l.first = true
-		l.endpoint.FirstEvent(l.job.Prompt, time.Since(l.begun), l.Expected)
+		l.endpoint.FirstEvent(l.job.Prompt, time.Since(l.begun))
 	}
 }
 
@@ -433,7 +491,7 @@
 	if result == fleet.ResultGood {
 		d.queue(l.job.Service).learn(l.job, now.Sub(l.begun))
 	}
-	d.pump(l.job.Service, now)
+	d.pump(l.job.Service, l.endpoint, now)
 	d.mu.Unlock()
 	if suspended {
 		d.notify("suspended", l.endpoint)
--- a/internal/process/dispatch/update.go
+++ b/internal/process/dispatch/update.go
@@ -20,7 +20,7 @@
 		d.pools[added] = upstream.NewPool(entry.Address, d.opened)
 		d.shareCold(added, now)
 	}
-	d.pump(entry.Service, now)
+	d.pump(entry.Service, nil, now)
 	d.mu.Unlock()
 	if added != nil {
 		d.notify("added", added)
@@ -53,7 +53,7 @@
 	defer d.mu.Unlock()
 	d.fleet.SetLeft(domains)
 	for service := range d.queues {
-		d.pump(service, time.Now())
+		d.pump(service, nil, time.Now())
 	}
 }
 
@@ -114,14 +114,19 @@
 	return loads, waiting
 }
 
-// Hear takes in another host's loads.
-func (d *Dispatcher) Hear(host string, loads map[uint32]fleet.Load) {
+// Hear takes in another host's loads and how many requests wait there.
+func (d *Dispatcher) Hear(host string, loads map[uint32]fleet.Load, waiting int) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := time.Now()
+	if waiting > 0 {
+		d.rivals[host] = now
+	} else {
+		delete(d.rivals, host)
+	}
 	d.fleet.All(func(e *fleet.Endpoint) { e.Hear(host, loads[e.Hash], now) })
 	for service := range d.queues {
-		d.pump(service, now)
+		d.pump(service, nil, now)
 	}
 }
 
@@ -139,7 +144,7 @@
 		pools = append(pools, pool)
 	}
 	for service, queue := range d.queues {
-		d.pump(service, now)
+		d.pump(service, nil, now)
 		queue.flow.measure(queue.Len() > 0, d.part(service, now), now)
 	}
 	d.mu.Unlock()
--- a/internal/process/fleet/endpoint.go
+++ b/internal/process/fleet/endpoint.go
@@ -35,14 +35,17 @@
 	coldUntil time.Time
 	cold      allowance.Bucket
 	trust     trust
-	// pace is how much longer first tokens take than expected, and step the
-	// time between two tokens.
-	pace float64
-	step time.Duration
+	// step is the time between two tokens of a stream, over steps streams;
+	// answer the time to the first answer of a plain request.
+	step   average
+	answer average
 	// doubtUntil is set while an entry that vanished in an outage of the
 	// platform may come back.
 	doubtUntil time.Time
 	gone       bool
+	// turn is a draw that holds until turnUntil.
+	turn      float64
+	turnUntil time.Time
 }
 
 // HashOf is an endpoint's name in messages between hosts.
@@ -51,19 +54,35 @@
 const (
 	// stepUnknown is the time between two tokens before any was seen.
 	stepUnknown = 3500 * time.Microsecond
-	// paceWeight is the weight of the newest stream in pace and step.
-	paceWeight = 0.15
-	paceLeast  = 0.2
-	paceMost   = 6.0
+	// answerUnknown is the time to an answer before any was seen; for streams
+	// it is the time beside the reading of prompts.
+	answerUnknown = 12 * time.Millisecond
+	// averageWeight is the weight of the newest reading in a learned time.
+	averageWeight = 0.12
 	// loadAge is the age from which another host's load is forgotten: a host
 	// that is cut off or dead has its requests answered or dropped by then.
 	loadAge = 2 * time.Second
+	// readPart is the time to read a prompt token over that between two tokens
+	// of a stream: engines read some two hundred in one step.
+	readPart = 1 / 200.0
 )
 
+// average is a learned time. The first readings count alike.
+type average struct {
+	value time.Duration
+	count int
+}
+
+func (a *average) add(reading time.Duration) {
+	a.count++
+	weight := max(averageWeight, 1/float64(a.count+1))
+	a.value += time.Duration(float64(reading-a.value) * weight)
+}
+
 func newEndpoint(entry Entry, now time.Time) *Endpoint {
 	return &Endpoint{
 		Entry: entry, Hash: HashOf(entry.ID), others: map[string]heardLoad{},
-		pace: 1, step: stepUnknown,
+		step: average{value: stepUnknown}, answer: average{value: answerUnknown},
 		// A cold endpoint starts with one request of this host.
 		cold: allowance.NewBucket(0, 1, 1, now),
 	}
@@ -98,7 +117,8 @@
 	load := e.load(now)
 	c := choose.Candidate{
 		Slots: e.Slots, Busy: load.Running, PendingTokens: load.Pending,
-		Pace: e.pace, StepTime: e.step, Far: e.Domain != domain,
+		BaseTime: e.answer.value, StepTime: e.step.value, Far: e.Domain != domain,
+		ReadTime:    time.Duration(float64(e.step.value) * readPart),
 		FailedShare: max(0, e.trust.failed-usualFailures),
 		Blocked:     e.trust.isSuspended(now),
 	}
@@ -134,20 +154,18 @@
 	}
 }
 
-// FirstEvent notes that a request's prompt has been read, after a time for
-// which another one was expected.
-func (e *Endpoint) FirstEvent(prompt float64, took, expected time.Duration) {
+// FirstEvent notes that the first part of an answer has come after a time.
+func (e *Endpoint) FirstEvent(prompt float64, took time.Duration) {
 	e.own.Pending = max(0, e.own.Pending-prompt)
-	if expected > 0 {
-		ratio := float64(took) / (float64(expected) / e.pace)
-		e.pace += (min(max(ratio, paceLeast), paceMost) - e.pace) * paceWeight
+	if prompt == 0 {
+		e.answer.add(took)
 	}
 }
 
 // Steps notes the time between tokens of a stream that has ended.
 func (e *Endpoint) Steps(step time.Duration) {
 	if step > 0 {
-		e.step += time.Duration(float64(step-e.step) * paceWeight)
+		e.step.add(step)
 	}
 }
 
@@ -174,3 +192,11 @@
 
 // FailedShare is the recent share of failures at the endpoint.
 func (e *Endpoint) FailedShare() float64 { return e.trust.failed }
+
+// Turn is a draw that is made anew after a time.
+func (e *Endpoint) Turn(now time.Time, holds time.Duration, draw func() float64) float64 {
+	if !now.Before(e.turnUntil) {
+		e.turn, e.turnUntil = draw(), now.Add(holds)
+	}
+	return e.turn
+}
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -155,8 +155,8 @@
 	for _, work := range message.Status.Work {
 		loads[work.Endpoint] = fleet.Load{Running: work.Running, Pending: float64(work.Pending)}
 	}
-	g.dispatcher.Hear(message.From.Name, loads)
-	g.limits.Hear(message.From.Name, message.From.Incarnation, message.Status.Spent)
+	g.dispatcher.Hear(message.From.Link.String(), loads, message.Status.Waiting)
+	g.limits.Hear(message.From.Link.String(), message.From.Incarnation, message.Status.Spent)
 }
 
 // tickEvery is the pause between looks at what is due.
--- a/internal/process/peers/link.go
+++ b/internal/process/peers/link.go
@@ -103,7 +103,8 @@
 	}
 }
 
-// rosterEvery is how many messages apart hosts tell each other of further ones.
+// rosterEvery is how many messages apart hosts tell each other who they are and
+// of whom else they have heard.
 const rosterEvery = 16
 
 // Urge makes Send send at once.
@@ -121,9 +122,10 @@
 		return nil
 	}
 	l.number++
-	message := Message{From: l.roster.self, Number: l.number, Status: l.status()}
+	self := l.roster.self
+	message := Message{From: Host{Link: self.Link, Incarnation: self.Incarnation}, Number: l.number, Status: l.status()}
 	if l.number%rosterEvery == 1 || len(to) > len(heard) {
-		message.Hosts = heard
+		message.From, message.Hosts = self, heard
 	}
 	data, err := cbor.Marshal(message)
 	if err != nil {
--- a/internal/process/peers/message.go
+++ b/internal/process/peers/message.go
@@ -13,15 +13,16 @@
 	"github.com/rotisserie/eris"
 )
 
-// Host is what hosts know of one of them.
+// Host is what hosts know of one of them. Name, Front and Domain are left out
+// of most messages.
 type Host struct {
-	Name string `cbor:"1,keyasint"`
+	Name string `cbor:"1,keyasint,omitempty"`
 	// Link is where its datagrams come from and its state is fetched, Front
 	// where callers connect; both IP:port.
 	Link  netip.AddrPort `cbor:"2,keyasint"`
-	Front string         `cbor:"3,keyasint"`
+	Front string         `cbor:"3,keyasint,omitempty"`
 	// Domain is its failure domain.
-	Domain string `cbor:"4,keyasint"`
+	Domain string `cbor:"4,keyasint,omitempty"`
 	// Incarnation tells process starts apart, in Unix nanoseconds.
 	Incarnation int64 `cbor:"5,keyasint"`
 }
--- a/internal/process/peers/roster.go
+++ b/internal/process/peers/roster.go
@@ -87,7 +87,10 @@
 		return false, false
 	}
 	isBack = !r.isHeard(p, now) || p.host.Incarnation != message.From.Incarnation
-	p.host, p.status, p.number, p.heardAt = message.From, message.Status, message.Number, now
+	if message.From.Name != "" || p.host.Incarnation != message.From.Incarnation {
+		p.host = message.From
+	}
+	p.status, p.number, p.heardAt = message.Status, message.Number, now
 	for _, link := range message.Hosts {
 		r.know(link, now)
 	}
@@ -122,7 +125,7 @@
 	defer r.mu.Unlock()
 	var fronts []string
 	for _, p := range r.peers {
-		if r.isHeard(p, now) && p.status.Ready && !p.status.Leaving {
+		if r.isHeard(p, now) && p.status.Ready && !p.status.Leaving && p.host.Front != "" {
 			fronts = append(fronts, p.host.Front)
 		}
 	}
--- a/internal/request/relay/pass.go
+++ b/internal/request/relay/pass.go
@@ -116,11 +116,15 @@
 		}
 		n, err := answer.Read(buffer)
 		if whole := s.events.add(buffer[:n]); len(whole) > 0 {
-			last = time.Now()
+			now := time.Now()
 			if first.IsZero() {
-				first = last
+				first = now
 				lease.FirstEvent()
 			}
+			if !last.IsZero() {
+				s.longestGap = max(s.longestGap, now.Sub(last))
+			}
+			last = now
 			if !s.passEvents(control, answer, whole) {
 				answer.Finish()
 				lease.End(fleet.ResultNone)
--- a/internal/request/relay/relay.go
+++ b/internal/request/relay/relay.go
@@ -118,6 +118,8 @@
 	headSent bool
 	// firstAt is when the first part of the answer was passed on.
 	firstAt time.Time
+	// longestGap is the longest pause between events of one send.
+	longestGap time.Duration
 
 	fields  logrus.Fields
 	outcome outcome
@@ -362,6 +364,8 @@
 	if s.events.count > 0 {
 		f["events"] = s.events.count
 		f["last_event"] = s.events.last
+		f["longest_gap_ms"] = s.longestGap.Milliseconds()
+		f["prompt_tokens"] = s.caller.PromptTokens
 		f["first_event_ms"] = s.firstAt.Sub(s.begin).Milliseconds()
 	}
 }
