A host takes its part of the slots that others have freed

Cause: an endpoint that came back was seen with 28 requests at 9 slots: all hosts with waiters filled its nine free slots at once.

--- a/internal/process/dispatch/dispatch.go
+++ b/internal/process/dispatch/dispatch.go
@@ -366,8 +366,9 @@
 )
 
 // hasTurn reports whether this host may take a slot that another host has
-// freed. All hosts see it free at the same time; if requests wait at several of
-// them, about one is to take it.
+// freed. All hosts see the free slots at the same time; if requests wait at
+// several of them, each takes its part, so that together they take about as
+// many as there are.
 func (d *Dispatcher) hasTurn(e *fleet.Endpoint, free int, now time.Time) bool {
 	rivals := 0
 	for _, at := range d.rivals {
@@ -378,8 +379,8 @@
 	if rivals == 0 {
 		return true
 	}
-	draw := e.Turn(now, turnTime, d.rand.Float64)
-	return draw*float64(rivals+1) < float64(free)
+	draw, taken := e.Turn(now, turnTime, d.rand.Float64)
+	return taken < int(float64(free+taken)/float64(rivals+1)+draw)
 }
 
 // place gives a job the best free endpoint, or nil. The slot that this host has
@@ -402,7 +403,7 @@
 		return nil
 	}
 	e := endpoints[index]
-	e.Start(job.Prompt, now)
+	e.Start(job.Prompt, e != freed, now)
 	return &Lease{
 		Endpoint: e.ID, Address: e.Address, Domain: e.Domain, Pool: d.pools[e],
 		Busy: candidates[index].Busy, Slots: e.Slots,
--- a/internal/process/fleet/endpoint.go
+++ b/internal/process/fleet/endpoint.go
@@ -43,9 +43,11 @@
 	// platform may come back.
 	doubtUntil time.Time
 	gone       bool
-	// turn is a draw that holds until turnUntil.
+	// turn is a draw that holds until turnUntil, taken the number of slots that
+	// this host has taken since it was made, beside those it had freed itself.
 	turn      float64
 	turnUntil time.Time
+	taken     int
 }
 
 // HashOf is an endpoint's name in messages between hosts.
@@ -144,8 +146,12 @@
 // SetColdShare bounds this host's requests a second while the endpoint is cold.
 func (e *Endpoint) SetColdShare(rate float64, now time.Time) { e.cold.Resize(rate, 1, now) }
 
-// Start notes that a request is sent.
-func (e *Endpoint) Start(prompt float64, now time.Time) {
+// Start notes that a request is sent; isTaken tells that it takes a slot which
+// this host has not just freed itself.
+func (e *Endpoint) Start(prompt float64, isTaken bool, now time.Time) {
+	if isTaken {
+		e.taken++
+	}
 	e.own.Running++
 	e.own.Pending += prompt
 	e.trust.probing = true
@@ -193,10 +199,11 @@
 // FailedShare is the recent share of failures at the endpoint.
 func (e *Endpoint) FailedShare() float64 { return e.trust.failed }
 
-// Turn is a draw that is made anew after a time.
-func (e *Endpoint) Turn(now time.Time, holds time.Duration, draw func() float64) float64 {
+// Turn is a draw that is made anew after a time, and the number of slots taken
+// since.
+func (e *Endpoint) Turn(now time.Time, holds time.Duration, draw func() float64) (turn float64, taken int) {
 	if !now.Before(e.turnUntil) {
-		e.turn, e.turnUntil = draw(), now.Add(holds)
+		e.turn, e.turnUntil, e.taken = draw(), now.Add(holds), 0
 	}
-	return e.turn
+	return e.turn, e.taken
 }
