--- a/internal/process/allowance/allowance_test.go
+++ b/internal/process/allowance/allowance_test.go
@@ -13,14 +13,17 @@
 
 const window = 8 * time.Second
 
+// terms allow 1,000 units in a window, and 300 beside.
+var terms = allowance.Terms{Rate: 100, Burst: 200, Window: window, Overshoot: 0.1, Slack: 200}
+
 // A team that sends all the time gets what its rate and burst give in each
 // window, not the rate alone.
 func TestTeamGetsRateAndBurstInEachWindow(t *testing.T) {
-	team := allowance.NewTeam(100, 200, window, true, start)
+	team := allowance.NewTeam(terms, true, start)
 	used := map[int]float64{}
 	for step := range 4000 {
 		now := start.Add(time.Duration(step) * 10 * time.Millisecond)
-		if team.Take(10, now) {
+		if team.Take(10, false, now) {
 			used[step/800] += 10
 		}
 	}
@@ -35,8 +38,8 @@
 func TestTeamHoldsOverHosts(t *testing.T) {
 	for _, cut := range []bool{false, true} {
 		hosts := []*allowance.Team{
-			allowance.NewTeam(100, 200, window, true, start),
-			allowance.NewTeam(100, 200, window, true, start),
+			allowance.NewTeam(terms, true, start),
+			allowance.NewTeam(terms, true, start),
 		}
 		heard := 2
 		if cut {
@@ -50,7 +53,7 @@
 				if !cut && step%6 == 0 {
 					host.Heard("other", 1, hosts[1-i].Spent(), now)
 				}
-				if host.Take(10, now) {
+				if host.Take(10, false, now) {
 					total += 10
 				}
 			}
@@ -63,14 +66,14 @@
 // After a restart of all hosts the limit still holds over the window that
 // reaches back before it.
 func TestTeamAfterRestart(t *testing.T) {
-	before := allowance.NewTeam(100, 200, window, true, start)
+	before := allowance.NewTeam(terms, true, start)
 	used := 0.0
-	for used < 1000 && before.Take(10, start) {
+	for used < 1000 && before.Take(10, false, start) {
 		used += 10
 	}
-	after := allowance.NewTeam(100, 200, window, false, start.Add(time.Second))
+	after := allowance.NewTeam(terms, false, start.Add(time.Second))
 	for step := range 700 {
-		if after.Take(10, start.Add(time.Second+time.Duration(step)*10*time.Millisecond)) {
+		if after.Take(10, false, start.Add(time.Second+time.Duration(step)*10*time.Millisecond)) {
 			used += 10
 		}
 	}
@@ -79,14 +82,14 @@
 }
 
 func TestTeamReturnsAndWaits(t *testing.T) {
-	team := allowance.NewTeam(100, 0, window, true, start)
-	assert.Assert(t, team.Take(800, start))
-	assert.Assert(t, !team.Take(1, start))
+	team := allowance.NewTeam(allowance.Terms{Rate: 100, Window: window}, true, start)
+	assert.Assert(t, team.Take(800, false, start))
+	assert.Assert(t, !team.Take(1, false, start))
 	assert.Assert(t, team.Wait(1, start) > 7*time.Second)
 	team.Return(800, start)
-	assert.Assert(t, team.Take(800, start))
-	free := allowance.NewTeam(0, 0, window, true, start)
-	assert.Assert(t, free.Take(1e9, start))
+	assert.Assert(t, team.Take(800, false, start))
+	free := allowance.NewTeam(allowance.Terms{Window: window}, true, start)
+	assert.Assert(t, free.Take(1e9, false, start))
 }
 
 // All endpoints fail: repeats stay within the stated budget over all hosts.
@@ -123,3 +126,20 @@
 	bucket.Resize(0, 1, start.Add(2*time.Second))
 	assert.Equal(t, bucket.Level(start.Add(time.Minute)), 1.0)
 }
+
+// Beyond the limit, requests are served while there is room, but never as much
+// as the operator tolerates at most.
+func TestTeamBeyondItsLimitUsesRoom(t *testing.T) {
+	for _, hasRoom := range []bool{false, true} {
+		team := allowance.NewTeam(terms, true, start)
+		used := 0.0
+		for team.Take(10, hasRoom, start) {
+			used += 10
+		}
+		if hasRoom {
+			assert.Assert(t, used > 1000 && used < 1300, "%v", used)
+		} else {
+			assert.Equal(t, used, 1000.0)
+		}
+	}
+}
--- a/internal/process/allowance/team.go
+++ b/internal/process/allowance/team.go
@@ -10,10 +10,14 @@
 // each other's use against one limit. A part of the limit is set aside for each
 // host that is not heard, as large as what that host allows itself when it
 // hears nobody.
+//
+// The operator tolerates some use beyond the limit. A part of that is given to
+// requests for which there is room that nobody else asks for.
 type Team struct {
 	length time.Duration
-	// limit is what all hosts together may use in a window.
-	limit float64
+	// limit is what all hosts together may use in a window, tolerated what they
+	// may use beside it while there is room.
+	limit, tolerated float64
 	// hosts is the number of hosts that may spend, heard of those that are
 	// heard, this one included.
 	hosts, heard int
@@ -33,20 +37,36 @@
 // NewTeam returns a team's limit. Unless the fleet starts for the first time,
 // the limit counts as used up in the window before, since what was used is not
 // known.
-func NewTeam(rate, burst float64, window time.Duration, firstStart bool, now time.Time) *Team {
-	t := &Team{length: window, hosts: 1, heard: 1, own: NewWindow(window, now), others: map[string]*spender{}}
-	t.Resize(rate, burst)
+func NewTeam(terms Terms, firstStart bool, now time.Time) *Team {
+	t := &Team{length: terms.Window, hosts: 1, heard: 1, own: NewWindow(terms.Window, now), others: map[string]*spender{}}
+	t.Resize(terms)
 	if !firstStart {
 		t.own.Fill(t.limit, now)
 	}
 	return t
 }
 
-// Resize takes new limits; a rate of 0 is no limit.
-func (t *Team) Resize(rate, burst float64) {
-	t.limit = 0
-	if rate > 0 {
-		t.limit = rate*t.length.Seconds() + burst
+// Terms are a team's limit as the operator states it.
+type Terms struct {
+	// Rate is in units a second, Burst in units; a rate of 0 is no limit.
+	Rate, Burst float64
+	// Window is the stretch of time over which the limit holds.
+	Window time.Duration
+	// Overshoot is the part of the limit, and Slack the amount in units, by
+	// which it may be exceeded over all hosts.
+	Overshoot, Slack float64
+}
+
+// toleratedPart is the part of the tolerated excess that is given away; the
+// rest covers what hosts learn late of each other.
+const toleratedPart = 0.5
+
+// Resize takes new terms.
+func (t *Team) Resize(terms Terms) {
+	t.limit, t.tolerated = 0, 0
+	if terms.Rate > 0 {
+		t.limit = terms.Rate*t.length.Seconds() + terms.Burst
+		t.tolerated = (t.limit*terms.Overshoot + terms.Slack) * toleratedPart
 	}
 }
 
@@ -73,11 +93,18 @@
 }
 
 // allowed is what the heard hosts may use in a window.
-func (t *Team) allowed() float64 { return t.limit * float64(t.heard) / float64(t.hosts) }
+func (t *Team) allowed(hasRoom bool) float64 {
+	limit := t.limit
+	if hasRoom {
+		limit += t.tolerated
+	}
+	return limit * float64(t.heard) / float64(t.hosts)
+}
 
-// Take charges an amount if the limit covers it.
-func (t *Team) Take(amount float64, now time.Time) bool {
-	if t.limit > 0 && t.used(now)+amount > t.allowed() {
+// Take charges an amount if the limit covers it. hasRoom tells that what it is
+// for takes nothing from anybody else.
+func (t *Team) Take(amount float64, hasRoom bool, now time.Time) bool {
+	if t.limit > 0 && t.used(now)+amount > t.allowed(hasRoom) {
 		return false
 	}
 	t.add(amount, now)
@@ -116,5 +143,5 @@
 // Wait is how long it takes until the limit covers an amount, if nothing more
 // is used.
 func (t *Team) Wait(amount float64, now time.Time) time.Duration {
-	return t.own.Wait((t.used(now)+amount-t.allowed())/float64(t.heard), now)
+	return t.own.Wait((t.used(now)+amount-t.allowed(false))/float64(t.heard), now)
 }
--- a/internal/process/dispatch/dispatch.go
+++ b/internal/process/dispatch/dispatch.go
@@ -383,6 +383,26 @@
 	return taken < int(float64(free+taken)/float64(rivals+1)+draw)
 }
 
+// roomPart is the part of a service's slots below which there is room: nothing
+// waits then, and a request takes no slot that another one will need soon.
+const roomPart = 0.6
+
+// HasRoom reports whether a service has endpoints to spare.
+func (d *Dispatcher) HasRoom(service string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := time.Now()
+	busy, slots := 0, 0
+	for _, e := range d.fleet.Of(service) {
+		if d.fleet.MayUse(e) {
+			c := e.Candidate(now, 0, d.domain)
+			busy += c.Busy
+			slots += c.Slots
+		}
+	}
+	return d.queue(service).Len() == 0 && float64(busy) < roomPart*float64(slots)
+}
+
 // place gives a job the best free endpoint, or nil. The slot that this host has
 // just freed at an endpoint is its own to take. The caller holds mu.
 func (d *Dispatcher) place(job *Job, freed *fleet.Endpoint, now time.Time) *Lease {
--- a/internal/process/gateway/limits.go
+++ b/internal/process/gateway/limits.go
@@ -31,20 +31,27 @@
 func (l *limits) team(team *routing.Team, now time.Time) *allowance.Team {
 	t := l.teams[team.Name]
 	if t == nil {
-		t = allowance.NewTeam(team.Rate, team.Burst, l.settings.TeamWindow, l.settings.FirstStart, now)
+		t = allowance.NewTeam(l.terms(team), l.settings.FirstStart, now)
 		t.SetHosts(l.hosts, l.heard)
 		l.teams[team.Name] = t
 	}
 	return t
 }
 
+func (l *limits) terms(team *routing.Team) allowance.Terms {
+	return allowance.Terms{
+		Rate: team.Rate, Burst: team.Burst, Window: l.settings.TeamWindow,
+		Overshoot: l.settings.TeamOvershoot, Slack: l.settings.TeamSlack,
+	}
+}
+
 // SetTable takes a new version of the configuration.
 func (l *limits) SetTable(teams []routing.Team) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := time.Now()
 	for i := range teams {
-		l.team(&teams[i], now).Resize(teams[i].Rate, teams[i].Burst)
+		l.team(&teams[i], now).Resize(l.terms(&teams[i]))
 	}
 }
 
@@ -66,12 +73,12 @@
 }
 
 // Charge implements relay.Limits.
-func (l *limits) Charge(team *routing.Team, amount float64) (bool, time.Duration) {
+func (l *limits) Charge(team *routing.Team, amount float64, hasRoom bool) (bool, time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := time.Now()
 	t := l.team(team, now)
-	if t.Take(amount, now) {
+	if t.Take(amount, hasRoom, now) {
 		return true, 0
 	}
 	return false, max(t.Wait(amount, now), time.Second)
--- a/internal/process/gateway/settings.go
+++ b/internal/process/gateway/settings.go
@@ -41,6 +41,9 @@
 	RepeatWindow             time.Duration
 	// TeamWindow is the stretch of time over which teams' limits hold.
 	TeamWindow time.Duration
+	// TeamOvershoot is the part of a team's limit, and TeamSlack the amount in
+	// the team's unit, by which it may be exceeded over all hosts.
+	TeamOvershoot, TeamSlack float64
 	// FirstStart tells that the whole fleet starts for the first time.
 	FirstStart bool
 }
--- a/internal/request/relay/relay.go
+++ b/internal/request/relay/relay.go
@@ -17,8 +17,9 @@
 // Limits are what requests may use; they hold over all hosts.
 type Limits interface {
 	// Charge takes what a request uses from its team's limit. It returns
-	// false, and when to come back, if the limit does not cover it.
-	Charge(team *routing.Team, amount float64) (bool, time.Duration)
+	// false, and when to come back, if the limit does not cover it. hasRoom
+	// tells that an endpoint is free and nothing waits.
+	Charge(team *routing.Team, amount float64, hasRoom bool) (bool, time.Duration)
 	// Return gives back what a request was charged that did not run.
 	Return(team *routing.Team, amount float64)
 	// Request notes a caller's request to a service.
@@ -235,7 +236,7 @@
 			amount = float64(s.caller.PromptTokens + s.caller.MaxTokens)
 		}
 	}
-	allowed, wait := s.relay.Limits.Charge(s.team, amount)
+	allowed, wait := s.relay.Limits.Charge(s.team, amount, s.relay.Dispatcher.HasRoom(s.service))
 	if !allowed {
 		s.refuse(http.StatusTooManyRequests, "team_limit", wait)
 		return false
