--- /dev/null
+++ b/internal/process/gateway/copies.go
@@ -0,0 +1,134 @@
+package gateway
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/rotisserie/eris"
+	"github.com/sirupsen/logrus"
+
+	"mustarddoor/internal/process/keyed"
+	"mustarddoor/internal/process/pause"
+	"mustarddoor/internal/process/peers"
+)
+
+// copies keeps copies of the operator's records in several partitions of the
+// platform's log. Partitions can be out one by one; a host that starts while
+// the operator's own is out, and finds no other host that knows more, begins
+// with a copy.
+type copies struct {
+	gateway *Gateway
+	// written is the offset up to which each copy is known to reach.
+	written [copyParts]uint64
+}
+
+const (
+	// copyParts is the number of copies: with a third of the partitions out,
+	// one start in a hundred finds none.
+	copyParts = 4
+	copyKey   = "operator"
+	// copyEvery is the pause between looks at what is to be copied or read; it
+	// bounds the writes in a quick series of changes.
+	copyEvery = 300 * time.Millisecond
+	// copyTimeout bounds one call.
+	copyTimeout = 800 * time.Millisecond
+)
+
+func newCopies(g *Gateway) *copies { return &copies{gateway: g} }
+
+func (c *copies) part(number int) keyed.Part {
+	return keyed.Part{Topic: c.gateway.ports.Topics.Copies, Number: number}
+}
+
+// run writes and reads copies until the context ends.
+func (c *copies) run(ctx context.Context) error {
+	for pause.For(ctx, copyEvery) {
+		snapshot, known := c.gateway.operator.Snapshot()
+		switch {
+		case !known && c.gateway.operator.IsLost():
+			c.restore(ctx)
+		case known && c.isWriter():
+			c.write(ctx, snapshot)
+		}
+	}
+	return nil
+}
+
+// isWriter reports whether this host is the one that writes copies. Two at a
+// time do no harm, since a copy that is older is not taken.
+func (c *copies) isWriter() bool {
+	return !c.gateway.operator.IsLost() &&
+		c.gateway.roster.IsFirst(func(s peers.Status) bool { return !s.StoreLost && s.ConfigNext > 0 }, c.gateway.now())
+}
+
+// write brings the copies up to date.
+func (c *copies) write(ctx context.Context, snapshot keyed.Snapshot) {
+	var data []byte
+	for number, written := range c.written {
+		if written >= snapshot.Next {
+			continue
+		}
+		if data == nil {
+			encoded, err := cbor.Marshal(snapshot)
+			if err != nil {
+				c.gateway.log.Entry().WithError(err).Error("copy not encoded")
+				return
+			}
+			data = encoded
+		}
+		writing, cancel := context.WithTimeout(ctx, copyTimeout)
+		_, err := c.gateway.ports.Store.Append(writing, c.part(number), keyed.Record{Key: copyKey, Value: data}, nil)
+		cancel()
+		fields := logrus.Fields{"part": number, "operator_next": snapshot.Next, "bytes": len(data)}
+		if err != nil {
+			c.gateway.log.Entry().WithError(err).WithFields(fields).Warn("copy of the operator's records not written")
+			continue
+		}
+		c.written[number] = snapshot.Next
+		c.gateway.log.Entry().WithFields(fields).Info("copy of the operator's records written")
+	}
+}
+
+// restore begins with the newest copy that can be read. The operator's own
+// records replace it as soon as they can be read.
+func (c *copies) restore(ctx context.Context) {
+	var wait sync.WaitGroup
+	for number := range copyParts {
+		wait.Go(func() {
+			reading, cancel := context.WithTimeout(ctx, copyTimeout)
+			defer cancel()
+			snapshot, err := c.read(reading, number)
+			if err != nil {
+				c.gateway.log.Entry().WithError(err).WithField("part", number).Warn("copy of the operator's records not read")
+				return
+			}
+			if snapshot.Next == 0 {
+				return
+			}
+			c.gateway.log.Entry().WithFields(logrus.Fields{"part": number, "operator_next": snapshot.Next}).Info("begun with a copy of the operator's records")
+			c.gateway.operator.Adopt(snapshot)
+		})
+	}
+	wait.Wait()
+}
+
+// read reads one copy; its Next is 0 if there is none.
+func (c *copies) read(ctx context.Context, number int) (keyed.Snapshot, error) {
+	records, _, err := c.gateway.ports.Store.Newest(ctx, c.part(number))
+	if err != nil {
+		return keyed.Snapshot{}, eris.Wrap(err, "copy")
+	}
+	for _, record := range records {
+		if record.Key != copyKey {
+			continue
+		}
+		snapshot := keyed.Snapshot{}
+		if err := cbor.Unmarshal(record.Value, &snapshot); err != nil {
+			return keyed.Snapshot{}, eris.Wrap(err, "copy")
+		}
+		return snapshot, nil
+	}
+	return keyed.Snapshot{}, nil
+}
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -37,6 +37,7 @@
 	operator   *keyed.Topic
 	endpoints  *keyed.Topic
 	hosts      *keyed.Topic
+	copies     *copies
 
 	table     atomic.Pointer[routing.Table]
 	malformed metrics.Counter
@@ -86,9 +87,10 @@
 		return nil, eris.Wrap(err, "gateway")
 	}
 	g.link = link
-	g.operator = keyed.NewTopic(ports.Topics.Operator, ports.Store, operatorPace, log.Entry(), g.operatorChanged)
-	g.endpoints = keyed.NewTopic(ports.Topics.Endpoints, ports.Store, endpointsPace, log.Entry(), g.endpointsChanged)
-	g.hosts = keyed.NewTopic(ports.Topics.Hosts, ports.Store, hostsPace, log.Entry(), g.hostsChanged)
+	g.operator = keyed.NewTopic(keyed.Part{Topic: ports.Topics.Operator}, ports.Store, operatorPace, log.Entry(), g.operatorChanged)
+	g.endpoints = keyed.NewTopic(keyed.Part{Topic: ports.Topics.Endpoints}, ports.Store, endpointsPace, log.Entry(), g.endpointsChanged)
+	g.hosts = keyed.NewTopic(keyed.Part{Topic: ports.Topics.Hosts}, ports.Store, hostsPace, log.Entry(), g.hostsChanged)
+	g.copies = newCopies(g)
 	return g, nil
 }
 
@@ -132,6 +134,7 @@
 	loads, waiting := g.dispatcher.Loads()
 	status := peers.Status{
 		Ready: g.IsReady(), Leaving: g.isStopping(), Waiting: waiting, Spent: g.limits.Spent(),
+		StoreLost: g.operator.IsLost(),
 	}
 	if next, known := g.operator.Next(); known {
 		status.ConfigNext = next
@@ -148,7 +151,7 @@
 // heard takes in a message of another host.
 func (g *Gateway) heard(message peers.Message, isBack bool) {
 	if isBack {
-		g.log.Entry().WithFields(logrus.Fields{"host": message.From.Name, "domain": message.From.Domain, "incarnation": message.From.Incarnation}).
+		g.log.Entry().WithFields(logrus.Fields{"host": message.From.Name, "link": message.From.Link.String(), "incarnation": message.From.Incarnation}).
 			Info("host heard")
 	}
 	loads := make(map[uint32]fleet.Load, len(message.Status.Work))
@@ -204,7 +207,7 @@
 	record := keyed.Record{Key: g.settings.Name, Value: []byte(g.settings.Link.String())}
 	for {
 		writing, cancel := context.WithTimeout(ctx, time.Second)
-		_, err := g.ports.Store.Append(writing, g.ports.Topics.Hosts, record, nil)
+		_, err := g.ports.Store.Append(writing, keyed.Part{Topic: g.ports.Topics.Hosts}, record, nil)
 		cancel()
 		if err == nil {
 			break
--- a/internal/process/gateway/run.go
+++ b/internal/process/gateway/run.go
@@ -57,6 +57,7 @@
 	part(g.announce)
 	part(g.tick)
 	part(g.catchUp)
+	part(g.copies.run)
 	fronts := newConnections(g)
 	part(fronts.sweep)
 	front := &http.Server{
--- a/internal/process/gateway/settings.go
+++ b/internal/process/gateway/settings.go
@@ -53,6 +53,8 @@
 	// Operator holds the operator's records, Endpoints the endpoints' entries,
 	// Hosts what the hosts say of themselves.
 	Operator, Endpoints, Hosts string
+	// Copies holds copies of the operator's records.
+	Copies string
 }
 
 // OperatorRecord is a decoded record of the operator; at most one field is set.
--- a/internal/process/keyed/topic.go
+++ b/internal/process/keyed/topic.go
@@ -26,7 +26,7 @@
 
 // Topic is a followed topic. It is safe for concurrent use.
 type Topic struct {
-	name  string
+	part  Part
 	store Store
 	pace  Pace
 	log   *logrus.Entry
@@ -54,8 +54,8 @@
 }
 
 // NewTopic returns a topic of which nothing is known yet.
-func NewTopic(name string, store Store, pace Pace, log *logrus.Entry, changed func(Change)) *Topic {
-	return &Topic{name: name, store: store, pace: pace, log: log.WithField("topic", name), changed: changed, values: map[string][]byte{}}
+func NewTopic(part Part, store Store, pace Pace, log *logrus.Entry, changed func(Change)) *Topic {
+	return &Topic{part: part, store: store, pace: pace, log: log.WithField("topic", part.Topic), changed: changed, values: map[string][]byte{}}
 }
 
 // Run follows the topic until the context ends.
@@ -84,7 +84,7 @@
 	}
 	reading, cancel := context.WithTimeout(ctx, t.pace.Wait+t.pace.Answer)
 	defer cancel()
-	records, end, err := t.store.Read(reading, t.name, next, t.pace.Wait)
+	records, end, err := t.store.Read(reading, t.part, next, t.pace.Wait)
 	if errors.Is(err, ErrTrimmed) {
 		t.log.WithField("from", next).Info("records dropped, listing the topic anew")
 		return t.list(ctx)
@@ -100,7 +100,7 @@
 func (t *Topic) list(ctx context.Context) error {
 	reading, cancel := context.WithTimeout(ctx, t.pace.Answer)
 	defer cancel()
-	records, end, err := t.store.Newest(reading, t.name)
+	records, end, err := t.store.Newest(reading, t.part)
 	if err != nil {
 		return err
 	}
@@ -202,6 +202,13 @@
 	return t.next, t.known
 }
 
+// IsLost reports whether the store has ceased to answer.
+func (t *Topic) IsLost() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return !t.lostAt.IsZero()
+}
+
 // Age is the time since the store last answered.
 func (t *Topic) Age() time.Duration {
 	t.mu.Lock()
--- a/internal/process/peers/message.go
+++ b/internal/process/peers/message.go
@@ -56,6 +56,8 @@
 	Work        []Work     `cbor:"5,keyasint,omitempty"`
 	Spent       []Spending `cbor:"6,keyasint,omitempty"`
 	Waiting     int        `cbor:"7,keyasint,omitempty"`
+	// StoreLost tells that the platform's log does not answer this host.
+	StoreLost bool `cbor:"8,keyasint,omitempty"`
 }
 
 // Message is a datagram.
--- a/internal/process/peers/roster.go
+++ b/internal/process/peers/roster.go
@@ -171,6 +171,19 @@
 	return lost
 }
 
+// IsFirst reports whether this host has the lowest link among the heard ones
+// whose status satisfies a condition, and itself.
+func (r *Roster) IsFirst(condition func(Status) bool, now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for link, p := range r.peers {
+		if r.isHeard(p, now) && condition(p.status) && link.Compare(r.self.Link) < 0 {
+			return false
+		}
+	}
+	return true
+}
+
 // Ahead is the link of a heard host whose status satisfies a condition, or the
 // zero link.
 func (r *Roster) Ahead(condition func(Status) bool, now time.Time) netip.AddrPort {
--- a/internal/request/relay/attempt.go
+++ b/internal/request/relay/attempt.go
@@ -74,6 +74,8 @@
 // finish answers a request that is not sent again.
 func (s *serving) finish(decision repeat.Decision, end sendEnd) {
 	switch {
+	case end.failure != nil && !s.headSent:
+		s.deliver(end.failure)
 	case s.headSent:
 		s.cut(end.reason)
 	case decision.Promise:
@@ -95,6 +97,9 @@
 	answered bool
 	fate     repeat.Fate
 	reason   string
+	// failure is the endpoint's own answer, which the caller gets if the
+	// request is not sent again; nil if there is none.
+	failure *wholeAnswer
 }
 
 // send sends the request to one endpoint and passes its answer on.
--- a/internal/request/relay/pass.go
+++ b/internal/request/relay/pass.go
@@ -84,22 +84,35 @@
 	}
 	lease.FirstEvent()
 	lease.End(result)
-	if isFailure && s.canMove() && time.Until(s.deadline) > s.route.Aim/2 && s.relay.Limits.Repeat(s.service) {
-		return sendEnd{fate: repeat.FateFailed, reason: "endpoint_failed"}
-	}
 	if !isFailure && !said.Sealed || isPromise(answer.Status) {
 		// Passed on, it would say more than the endpoint has said.
 		return sendEnd{fate: repeat.FateUnknown, reason: "answer_unfit"}
 	}
-	s.relay.Protocol.CopyAnswer(s.w.Header(), answer.Header)
-	s.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
-	s.w.WriteHeader(answer.Status)
+	whole := &wholeAnswer{status: answer.Status, header: answer.Header, body: body}
+	if isFailure && s.canMove() && time.Until(s.deadline) > s.route.Aim/2 {
+		return sendEnd{fate: repeat.FateFailed, reason: "endpoint_failed", failure: whole}
+	}
+	s.deliver(whole)
+	return sendEnd{answered: true}
+}
+
+// wholeAnswer is an endpoint's answer that was read whole.
+type wholeAnswer struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// deliver passes a whole answer on.
+func (s *serving) deliver(answer *wholeAnswer) {
+	s.relay.Protocol.CopyAnswer(s.w.Header(), answer.header)
+	s.w.Header().Set("Content-Length", strconv.Itoa(len(answer.body)))
+	s.w.WriteHeader(answer.status)
 	s.firstAt = time.Now()
-	s.outcome = outcome{outcomeAnswered, answer.Status, ""}
-	if _, err := s.w.Write(body); err != nil {
+	s.outcome = outcome{outcomeAnswered, answer.status, ""}
+	if _, err := s.w.Write(answer.body); err != nil {
 		s.outcome = outcome{outcomeLeft, 0, "caller_left"}
 	}
-	return sendEnd{answered: true}
 }
 
 // passStream passes events on as they come.
