--- a/internal/connection/upstream/exchange.go
+++ b/internal/connection/upstream/exchange.go
@@ -88,7 +88,7 @@
 		if !isStale(answer.Header) {
 			return answer, nil
 		}
-		if skipped == staleAnswers || !answer.framed || answer.close {
+		if !c.reused || skipped == staleAnswers || !answer.framed || answer.close {
 			return nil, eris.Wrap(ErrLost, "the answer belongs to another request")
 		}
 		if _, err := io.CopyN(io.Discard, answer.body, staleBody); err != io.EOF {
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/netip"
-	"os"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -62,7 +61,7 @@
 
 // New returns a gateway whose parts are not running yet.
 func New(settings Settings, ports Ports) (*Gateway, error) {
-	log := decisionlog.New(os.Stdout, ports.Metrics)
+	log := decisionlog.New(ports.Log, ports.Metrics)
 	g := &Gateway{
 		settings: settings, ports: ports, log: log, registry: ports.Metrics,
 		records:   map[string]OperatorRecord{},
--- a/internal/process/gateway/run.go
+++ b/internal/process/gateway/run.go
@@ -37,13 +37,22 @@
 	maxHeaderBytes = 64 << 10
 )
 
-// Run runs the gateway until it is asked to stop.
+// Run runs the gateway as the whole process, until a signal asks it to stop.
 func (g *Gateway) Run() error {
 	runtime.GOMAXPROCS(max(g.settings.Cores, 1))
 	if g.settings.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(float64(g.settings.MemoryMB<<20) * memoryPart))
 	}
-	ctx, cancel := context.WithCancel(context.Background())
+	arrived := make(chan os.Signal, 4)
+	signal.Notify(arrived, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	defer signal.Stop(arrived)
+	return g.RunUntil(context.Background(), arrived)
+}
+
+// RunUntil runs the gateway until the context ends or a signal other than
+// SIGHUP arrives. The context ends it at once, a signal in an orderly way.
+func (g *Gateway) RunUntil(ctx context.Context, arrived <-chan os.Signal) error {
+	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	group := run.Group{}
 	part := func(f func(context.Context) error) {
@@ -81,7 +90,7 @@
 			return err
 		}
 	}
-	part(func(ctx context.Context) error { return g.signals(ctx, fronts) })
+	part(func(ctx context.Context) error { return g.signals(ctx, arrived, fronts) })
 	g.log.Entry().WithFields(logrus.Fields{"host": g.settings.Name, "domain": g.settings.Domain, "front": g.settings.Front, "link": g.settings.Link.String()}).
 		Info("start")
 	logDone := g.startLog()
@@ -134,10 +143,7 @@
 var errStopped = eris.New("stopped")
 
 // signals acts on signals until the process may end.
-func (g *Gateway) signals(ctx context.Context, fronts *connections) error {
-	arrived := make(chan os.Signal, 4)
-	signal.Notify(arrived, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	defer signal.Stop(arrived)
+func (g *Gateway) signals(ctx context.Context, arrived <-chan os.Signal, fronts *connections) error {
 	for {
 		select {
 		case <-ctx.Done():
--- a/internal/process/gateway/settings.go
+++ b/internal/process/gateway/settings.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"net/netip"
 	"time"
@@ -77,6 +78,8 @@
 	Servers func(View) map[string]http.Handler
 	// Metrics is where counters are registered.
 	Metrics metrics.Registry
+	// Log is where log lines go.
+	Log io.Writer
 	// Reload is called on SIGHUP.
 	Reload func(ctx context.Context) error
 }
--- a/internal/request/relay/relay.go
+++ b/internal/request/relay/relay.go
@@ -80,7 +80,9 @@
 func (r *Relay) ServeHTTP(w http.ResponseWriter, request *http.Request) {
 	begin := time.Now()
 	s := &serving{relay: r, w: w, request: request, begin: begin, caller: r.Protocol.Caller(request), stopsAt: r.StopsAt()}
-	if !s.stopsAt.IsZero() {
+	// net/http drops a second framing of a body in chunks without a trace, so
+	// nothing that follows such a body is read as a request.
+	if !s.stopsAt.IsZero() || len(request.TransferEncoding) > 0 {
 		w.Header().Set("Connection", "close")
 	}
 	s.serve()
