One host of each failure domain reads the platform's log for the others

Now the lowest heard host of a domain reads, the others read from it, and each reads for itself at once when that fails. Ruled out: staleness; endpoints' entries are fetched from any host that has been ahead for 0.8 s, the operator's records after 0.25 s.

--- a/internal/process/dispatch/dispatch.go
+++ b/internal/process/dispatch/dispatch.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net/netip"
 	"sync"
 	"time"
 
@@ -88,7 +89,11 @@
 	pools  map[*fleet.Endpoint]*upstream.Pool
 	queues map[string]*serviceQueue
 	table  *routing.Table
-	hosts  int
+	// links are the hosts that share the endpoints, self this one, and hosts
+	// their number.
+	links []netip.AddrPort
+	self  netip.AddrPort
+	hosts int
 	// rivals are the other hosts in whose queues requests wait, and when they
 	// said so.
 	rivals map[string]time.Time
--- a/internal/process/dispatch/update.go
+++ b/internal/process/dispatch/update.go
@@ -1,8 +1,12 @@
 package dispatch
 
 import (
+	"net/netip"
+	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"mustarddoor/internal/connection/upstream"
 	"mustarddoor/internal/process/fleet"
 	"mustarddoor/internal/version/routing"
@@ -70,21 +74,26 @@
 	d.fleet.All(func(e *fleet.Endpoint) { d.shareCold(e, now) })
 }
 
-// SetHosts tells how many hosts share the endpoints.
-func (d *Dispatcher) SetHosts(hosts int) {
+// SetHosts tells which hosts share the endpoints.
+func (d *Dispatcher) SetHosts(self netip.AddrPort, links []netip.AddrPort) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if hosts == d.hosts {
+	if slices.Equal(links, d.links) {
 		return
 	}
-	d.hosts = hosts
+	d.self, d.links, d.hosts = self, links, max(len(links), 1)
 	now := time.Now()
 	d.fleet.All(func(e *fleet.Endpoint) { d.shareCold(e, now) })
 }
 
-// coldPart is the part of a cold endpoint's rate that all hosts together use;
-// the rest covers the one request that each of them may send at once.
-const coldPart = 0.7
+const (
+	// coldPart is the part of a cold endpoint's rate that all hosts together
+	// use; the rest covers the one request that each of them may send at once.
+	coldPart = 0.7
+	// coldUsers is the number of hosts that use a cold endpoint: as many as
+	// leave each of them a request now and then.
+	coldUsers = 8
+)
 
 // shareCold bounds this host's requests to an endpoint while it is cold.
 func (d *Dispatcher) shareCold(e *fleet.Endpoint, now time.Time) {
@@ -94,12 +103,31 @@
 			rate = service.ColdRate
 		}
 	}
-	if rate == 0 {
+	switch {
+	case rate == 0:
 		// Nothing is known of a bound: cold endpoints are as good as warm ones.
-		e.SetColdShare(1e6, now)
-		return
+		e.SetColdShare(1e6, 1, now)
+	case d.usesCold(e):
+		e.SetColdShare(rate*coldPart/float64(min(d.hosts, coldUsers)), 1, now)
+	default:
+		e.SetColdShare(0, 0, now)
+	}
+}
+
+// usesCold reports whether this host is among the users of a cold endpoint. All
+// hosts order them alike.
+func (d *Dispatcher) usesCold(e *fleet.Endpoint) bool {
+	if d.hosts <= coldUsers {
+		return true
+	}
+	order := func(link netip.AddrPort) uint64 { return xxhash.Sum64String(link.String() + e.ID) }
+	own, before := order(d.self), 0
+	for _, link := range d.links {
+		if order(link) < own {
+			before++
+		}
 	}
-	e.SetColdShare(rate*coldPart/float64(max(d.hosts, 1)), now)
+	return before < coldUsers
 }
 
 // Loads are this host's loads by endpoint, and the waiters by service.
--- a/internal/process/fleet/endpoint.go
+++ b/internal/process/fleet/endpoint.go
@@ -143,8 +143,9 @@
 	}
 }
 
-// SetColdShare bounds this host's requests a second while the endpoint is cold.
-func (e *Endpoint) SetColdShare(rate float64, now time.Time) { e.cold.Resize(rate, 1, now) }
+// SetColdShare bounds this host's requests while the endpoint is cold, by a
+// rate a second and the number at once.
+func (e *Endpoint) SetColdShare(rate, burst float64, now time.Time) { e.cold.Resize(rate, burst, now) }
 
 // Start notes that a request is sent; isTaken tells that it takes a slot which
 // this host has not just freed itself.
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -37,6 +37,7 @@
 	endpoints  *keyed.Topic
 	hosts      *keyed.Topic
 	copies     *copies
+	readers    *readers
 
 	table     atomic.Pointer[routing.Table]
 	malformed metrics.Counter
@@ -47,18 +48,6 @@
 	records   map[string]OperatorRecord
 }
 
-// Paces at which the topics are read.
-var (
-	// operatorPace bounds how late a change is seen when a connection falls
-	// silent; a change ends the wait.
-	operatorPace = keyed.Pace{Wait: 1200 * time.Millisecond, Answer: 700 * time.Millisecond, Retry: 150 * time.Millisecond}
-	// endpointsPace is below the endpoints' own pace of writing. Entries change
-	// all the time, so waiting for a record would mean a call for each.
-	endpointsPace = keyed.Pace{Every: 600 * time.Millisecond, Answer: 700 * time.Millisecond, Retry: 300 * time.Millisecond}
-	// hostsPace is slow, since hosts tell each other of further ones.
-	hostsPace = keyed.Pace{Every: 5 * time.Second, Answer: time.Second, Retry: time.Second}
-)
-
 // New returns a gateway whose parts are not running yet.
 func New(settings Settings, ports Ports) (*Gateway, error) {
 	log := decisionlog.New(ports.Log, ports.Metrics)
@@ -86,9 +75,10 @@
 		return nil, eris.Wrap(err, "gateway")
 	}
 	g.link = link
-	g.operator = keyed.NewTopic(keyed.Part{Topic: ports.Topics.Operator}, ports.Store, operatorPace, log.Entry(), g.operatorChanged)
-	g.endpoints = keyed.NewTopic(keyed.Part{Topic: ports.Topics.Endpoints}, ports.Store, endpointsPace, log.Entry(), g.endpointsChanged)
-	g.hosts = keyed.NewTopic(keyed.Part{Topic: ports.Topics.Hosts}, ports.Store, hostsPace, log.Entry(), g.hostsChanged)
+	g.readers = newReaders(g)
+	g.operator = keyed.NewTopic(keyed.Part{Topic: ports.Topics.Operator}, g.readers, g.readers.operatorPace, log.Entry(), g.operatorChanged)
+	g.endpoints = keyed.NewTopic(keyed.Part{Topic: ports.Topics.Endpoints}, g.readers, g.readers.endpointsPace, log.Entry(), g.endpointsChanged)
+	g.hosts = keyed.NewTopic(keyed.Part{Topic: ports.Topics.Hosts}, ports.Store, func() keyed.Pace { return hostsPace }, log.Entry(), g.hostsChanged)
 	g.copies = newCopies(g)
 	return g, nil
 }
@@ -181,9 +171,10 @@
 			g.roster.Silence()
 		}
 		now := g.now()
-		hosts, heard := g.roster.Count(now)
+		links, heard := g.roster.Spenders(now)
+		hosts := len(links)
 		g.limits.SetHosts(hosts, heard)
-		g.dispatcher.SetHosts(hosts)
+		g.dispatcher.SetHosts(g.settings.Link, links)
 		for _, name := range g.roster.Lost(seen, now) {
 			g.log.Entry().WithFields(logrus.Fields{"host": name, "hosts": hosts, "heard": heard}).Info("host not heard")
 		}
--- /dev/null
+++ b/internal/process/gateway/readers.go
@@ -0,0 +1,197 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/netip"
+	"net/url"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/rcrowley/go-metrics"
+	"github.com/rotisserie/eris"
+
+	"mustarddoor/internal/process/keyed"
+)
+
+// recordsPath is where hosts read each other's topics.
+const recordsPath = "/records"
+
+// readers makes one host of each failure domain read the platform's log, and
+// the others read from it, so that the log's load does not grow with the hosts.
+// It implements keyed.Store for the topics that all hosts follow.
+//
+// A host whose reader fails reads the log itself at once, so that a lost reader
+// costs no more than the time-out of one call.
+type readers struct {
+	gateway *Gateway
+	client  *http.Client
+	relayed metrics.Counter
+	failed  metrics.Counter
+
+	mu sync.Mutex
+	// avoided are hosts whose records could not be read, until a time.
+	avoided map[netip.AddrPort]time.Time
+}
+
+const (
+	// relayWait is how long a read at another host waits for records, and
+	// relayAnswer how much longer the answer may take: together well under
+	// the time within which a change must be known.
+	relayWait   = 500 * time.Millisecond
+	relayAnswer = 300 * time.Millisecond
+	// avoidTime is how long a host is passed over that did not answer.
+	avoidTime = 2 * time.Second
+	// maxRecords bounds an answer in bytes.
+	maxRecords = 8 << 20
+)
+
+// Paces at which the topics are read.
+var (
+	// operatorPace bounds how late a change is seen when a connection to the
+	// log falls silent; a change ends the wait.
+	operatorPace = keyed.Pace{Wait: 1200 * time.Millisecond, Answer: 700 * time.Millisecond, Retry: 150 * time.Millisecond}
+	// endpointsPace is below the endpoints' own pace of writing. Entries change
+	// all the time, so waiting for a record would mean a call for each.
+	endpointsPace = keyed.Pace{Every: 600 * time.Millisecond, Answer: 700 * time.Millisecond, Retry: 300 * time.Millisecond}
+	// relayPace is for both topics at another host. The answer may take as long
+	// as the log's, which is asked if the host fails.
+	relayPace = keyed.Pace{Wait: relayWait, Answer: relayAnswer + 700*time.Millisecond, Retry: 100 * time.Millisecond}
+	// hostsPace is slow, since hosts tell each other of further ones.
+	hostsPace = keyed.Pace{Every: 5 * time.Second, Answer: time.Second, Retry: time.Second}
+)
+
+func newReaders(g *Gateway) *readers {
+	return &readers{
+		gateway: g, avoided: map[netip.AddrPort]time.Time{},
+		client:  &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2}},
+		relayed: metrics.GetOrRegisterCounter("store.reads_relayed", g.registry),
+		failed:  metrics.GetOrRegisterCounter("store.relays_failed", g.registry),
+	}
+}
+
+// reader is the host to read from, or the zero link to read the log itself.
+func (r *readers) reader() netip.AddrPort {
+	now := r.gateway.now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	avoid := func(link netip.AddrPort) bool { return now.Before(r.avoided[link]) }
+	link := r.gateway.roster.Reader(avoid, !r.gateway.operator.IsLost(), now)
+	if link == r.gateway.settings.Link {
+		return netip.AddrPort{}
+	}
+	return link
+}
+
+func (r *readers) operatorPace() keyed.Pace {
+	if r.reader().IsValid() {
+		return relayPace
+	}
+	return operatorPace
+}
+
+func (r *readers) endpointsPace() keyed.Pace {
+	if r.reader().IsValid() {
+		return relayPace
+	}
+	return endpointsPace
+}
+
+// Newest implements keyed.Store.
+func (r *readers) Newest(ctx context.Context, part keyed.Part) ([]keyed.Record, uint64, error) {
+	return r.gateway.ports.Store.Newest(ctx, part)
+}
+
+// Append implements keyed.Store.
+func (r *readers) Append(ctx context.Context, part keyed.Part, record keyed.Record, at *uint64) (uint64, error) {
+	return r.gateway.ports.Store.Append(ctx, part, record, at)
+}
+
+// Read implements keyed.Store.
+func (r *readers) Read(ctx context.Context, part keyed.Part, from uint64, wait time.Duration) ([]keyed.Record, uint64, error) {
+	link := r.reader()
+	if !link.IsValid() {
+		return r.gateway.ports.Store.Read(ctx, part, from, wait)
+	}
+	records, next, err := r.readAt(ctx, link, part, from)
+	if err == nil {
+		r.relayed.Inc(1)
+		return records, next, nil
+	}
+	if ctx.Err() != nil && errors.Is(ctx.Err(), context.Canceled) {
+		return nil, 0, eris.Wrap(keyed.ErrUnanswered, "stopped")
+	}
+	r.failed.Inc(1)
+	r.mu.Lock()
+	r.avoided[link] = r.gateway.now().Add(avoidTime)
+	r.mu.Unlock()
+	r.gateway.log.Entry().WithError(err).WithField("link", link.String()).Info("reading the log instead of another host")
+	return r.gateway.ports.Store.Read(ctx, part, from, 0)
+}
+
+// records is an answer to a read at another host.
+type records struct {
+	Records []keyed.Record `cbor:"1,keyasint,omitempty"`
+	Next    uint64         `cbor:"2,keyasint"`
+}
+
+// readAt reads records at another host.
+func (r *readers) readAt(ctx context.Context, link netip.AddrPort, part keyed.Part, from uint64) ([]keyed.Record, uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, relayWait+relayAnswer)
+	defer cancel()
+	query := url.Values{"topic": {part.Topic}, "from": {strconv.FormatUint(from, 10)}}
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+link.String()+recordsPath+"?"+query.Encode(), nil)
+	if err != nil {
+		return nil, 0, eris.Wrap(err, "request")
+	}
+	answer, err := r.client.Do(request)
+	if err != nil {
+		return nil, 0, eris.Wrap(err, "records")
+	}
+	defer answer.Body.Close()
+	if answer.StatusCode != http.StatusOK {
+		return nil, 0, eris.Errorf("records: status %d", answer.StatusCode)
+	}
+	data, err := io.ReadAll(io.LimitReader(answer.Body, maxRecords))
+	if err != nil {
+		return nil, 0, eris.Wrap(err, "records")
+	}
+	decoded := records{}
+	if err := cbor.Unmarshal(data, &decoded); err != nil {
+		return nil, 0, eris.Wrap(err, "records")
+	}
+	return decoded.Records, decoded.Next, nil
+}
+
+// serve answers another host's read.
+func (r *readers) serve(w http.ResponseWriter, request *http.Request) {
+	from, err := strconv.ParseUint(request.URL.Query().Get("from"), 10, 64)
+	if err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	topic := r.gateway.operator
+	if request.URL.Query().Get("topic") == r.gateway.ports.Topics.Endpoints {
+		topic = r.gateway.endpoints
+	}
+	ctx, cancel := context.WithTimeout(request.Context(), relayWait)
+	defer cancel()
+	found, next, err := topic.Since(ctx, from)
+	if err != nil {
+		// The other host reads the log itself.
+		w.WriteHeader(http.StatusGone)
+		return
+	}
+	data, err := cbor.Marshal(records{Records: found, Next: next})
+	if err != nil {
+		r.gateway.log.Entry().WithError(err).Error("records not encoded")
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	// A host that went away while reading asks another one.
+	_, _ = w.Write(data)
+}
--- a/internal/process/gateway/run.go
+++ b/internal/process/gateway/run.go
@@ -78,6 +78,7 @@
 	}
 	linkServer := http.NewServeMux()
 	linkServer.HandleFunc("GET "+statePath, g.serveState)
+	linkServer.HandleFunc("GET "+recordsPath, g.readers.serve)
 	if err := g.serve(&group, g.settings.Link.String(), plainServer(linkServer)); err != nil {
 		return err
 	}
--- a/internal/process/gateway/state.go
+++ b/internal/process/gateway/state.go
@@ -49,9 +49,11 @@
 	// catchUpEvery is the pause between looks at what the others know.
 	catchUpEvery = 100 * time.Millisecond
 	// operatorLag and endpointsLag are how long another host may know more
-	// before its state is fetched: the store's own answer mostly comes first.
+	// before its state is fetched. The log's own answer mostly comes first: at
+	// once for the operator's records, and with endpoints' entries within the
+	// pace at which they are read.
 	operatorLag  = 250 * time.Millisecond
-	endpointsLag = 1500 * time.Millisecond
+	endpointsLag = 800 * time.Millisecond
 	// fetchTimeout bounds the fetching of a state.
 	fetchTimeout = time.Second
 	// maxState bounds a state in bytes.
--- a/internal/process/keyed/keyed.go
+++ b/internal/process/keyed/keyed.go
@@ -28,8 +28,8 @@
 // Record is one record of a keyed topic. A record without a value removes its
 // key.
 type Record struct {
-	Key   string
-	Value []byte
+	Key   string `cbor:"1,keyasint"`
+	Value []byte `cbor:"2,keyasint,omitempty"`
 }
 
 // Part is a partition of a topic. Partitions can be unavailable one by one.
--- a/internal/process/keyed/topic.go
+++ b/internal/process/keyed/topic.go
@@ -28,7 +28,7 @@
 type Topic struct {
 	part  Part
 	store Store
-	pace  Pace
+	pace  func() Pace
 	log   *logrus.Entry
 	// changed is called after each change, without locks held.
 	changed func(Change)
@@ -37,12 +37,19 @@
 	known  bool
 	next   uint64
 	values map[string][]byte
-	// readAt is when the store last answered.
-	readAt time.Time
 	// lostAt is when the store ceased to answer; zero while it answers.
 	lostAt time.Time
+	// recent are the newest records, which begin at the offset recentFrom.
+	recent     []Record
+	recentFrom uint64
+	// moved is closed when next changes.
+	moved chan struct{}
 }
 
+// maxRecent bounds the records that are kept for other hosts: what endpoints
+// write in some ten seconds.
+const maxRecent = 1000
+
 // Change is what one read or snapshot has changed.
 type Change struct {
 	// Records are the new values in their order; one without a value tells that
@@ -54,19 +61,19 @@
 }
 
 // NewTopic returns a topic of which nothing is known yet.
-func NewTopic(part Part, store Store, pace Pace, log *logrus.Entry, changed func(Change)) *Topic {
-	return &Topic{part: part, store: store, pace: pace, log: log.WithField("topic", part.Topic), changed: changed, values: map[string][]byte{}}
+func NewTopic(part Part, store Store, pace func() Pace, log *logrus.Entry, changed func(Change)) *Topic {
+	return &Topic{part: part, store: store, pace: pace, log: log.WithField("topic", part.Topic), changed: changed, values: map[string][]byte{}, moved: make(chan struct{})}
 }
 
 // Run follows the topic until the context ends.
 func (t *Topic) Run(ctx context.Context) error {
 	for {
-		begin := time.Now()
-		wait := t.pace.Retry
-		if err := t.step(ctx); err != nil {
+		begin, pace := time.Now(), t.pace()
+		wait := pace.Retry
+		if err := t.step(ctx, pace); err != nil {
 			t.lost(err)
 		} else {
-			wait = t.pace.Every - time.Since(begin)
+			wait = pace.Every - time.Since(begin)
 		}
 		if !pause.For(ctx, wait) {
 			return nil
@@ -75,19 +82,19 @@
 }
 
 // step reads once.
-func (t *Topic) step(ctx context.Context) error {
+func (t *Topic) step(ctx context.Context, pace Pace) error {
 	t.mu.Lock()
 	known, next := t.known, t.next
 	t.mu.Unlock()
 	if !known {
-		return t.list(ctx)
+		return t.list(ctx, pace)
 	}
-	reading, cancel := context.WithTimeout(ctx, t.pace.Wait+t.pace.Answer)
+	reading, cancel := context.WithTimeout(ctx, pace.Wait+pace.Answer)
 	defer cancel()
-	records, end, err := t.store.Read(reading, t.part, next, t.pace.Wait)
+	records, end, err := t.store.Read(reading, t.part, next, pace.Wait)
 	if errors.Is(err, ErrTrimmed) {
 		t.log.WithField("from", next).Info("records dropped, listing the topic anew")
-		return t.list(ctx)
+		return t.list(ctx, pace)
 	}
 	if err != nil {
 		return err
@@ -97,8 +104,8 @@
 }
 
 // list takes the newest record of each key.
-func (t *Topic) list(ctx context.Context) error {
-	reading, cancel := context.WithTimeout(ctx, t.pace.Answer)
+func (t *Topic) list(ctx context.Context, pace Pace) error {
+	reading, cancel := context.WithTimeout(ctx, pace.Answer)
 	defer cancel()
 	records, end, err := t.store.Newest(reading, t.part)
 	if err != nil {
@@ -128,7 +135,12 @@
 		}
 	}
 	change := Change{Records: records, AfterOutage: outage, Offset: end}
-	t.next = end
+	t.recent = append(t.recent, records...)
+	if over := len(t.recent) - maxRecent; over > 0 {
+		t.recent = append([]Record(nil), t.recent[over:]...)
+		t.recentFrom += uint64(over)
+	}
+	t.moveTo(end)
 	t.mu.Unlock()
 	t.changed(change)
 }
@@ -154,7 +166,8 @@
 		change.Records = append(change.Records, Record{Key: key, Value: value})
 	}
 	t.known = true
-	t.next = snapshot.Next
+	t.recent, t.recentFrom = nil, snapshot.Next
+	t.moveTo(snapshot.Next)
 	t.values = maps.Clone(snapshot.Values)
 	if t.values == nil {
 		t.values = map[string][]byte{}
@@ -168,7 +181,6 @@
 func (t *Topic) answered() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.readAt = time.Now()
 	if t.lostAt.IsZero() {
 		return false
 	}
@@ -187,6 +199,42 @@
 	}
 }
 
+// moveTo notes a new end. The caller holds mu.
+func (t *Topic) moveTo(next uint64) {
+	t.next = next
+	close(t.moved)
+	t.moved = make(chan struct{})
+}
+
+// Since returns the records from an offset on and the offset after them. It
+// waits for records until the context ends. It fails with ErrTrimmed if they
+// are no longer kept, and with ErrRefused if nothing is known.
+func (t *Topic) Since(ctx context.Context, from uint64) ([]Record, uint64, error) {
+	for {
+		t.mu.Lock()
+		known, next, moved := t.known, t.next, t.moved
+		var records []Record
+		if from >= t.recentFrom && from < next {
+			records = append(records, t.recent[from-t.recentFrom:]...)
+		}
+		isKept := from >= t.recentFrom
+		t.mu.Unlock()
+		switch {
+		case !known:
+			return nil, 0, ErrRefused
+		case !isKept:
+			return nil, 0, ErrTrimmed
+		case len(records) > 0:
+			return records, next, nil
+		}
+		select {
+		case <-ctx.Done():
+			return nil, from, nil
+		case <-moved:
+		}
+	}
+}
+
 // Snapshot is all that is known, and false before the first listing.
 func (t *Topic) Snapshot() (Snapshot, bool) {
 	t.mu.Lock()
@@ -208,10 +256,3 @@
 	defer t.mu.Unlock()
 	return !t.lostAt.IsZero()
 }
-
-// Age is the time since the store last answered.
-func (t *Topic) Age() time.Duration {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return time.Since(t.readAt)
-}
--- a/internal/process/peers/roster.go
+++ b/internal/process/peers/roster.go
@@ -133,23 +133,49 @@
 	return fronts
 }
 
-// Count is the number of hosts that may spend, and of those that are heard,
-// this one included.
-func (r *Roster) Count(now time.Time) (hosts, heard int) {
+// Spenders are the links of the hosts that may use what all hosts share, in
+// order, and how many of them are heard; this one is included.
+func (r *Roster) Spenders(now time.Time) (links []netip.AddrPort, heard int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	hosts, heard = 1, 1
-	for _, p := range r.peers {
+	links, heard = append(links, r.self.Link), 1
+	for link, p := range r.peers {
 		switch {
 		case r.isHeard(p, now):
-			hosts++
+			links = append(links, link)
 			heard++
 		case p.status.Leaving:
 		case now.Sub(p.heardAt) < keepAge || p.heardAt.IsZero() && now.Sub(p.knownAt) < keepAge:
-			hosts++
+			links = append(links, link)
 		}
 	}
-	return hosts, heard
+	slices.SortFunc(links, netip.AddrPort.Compare)
+	return links, heard
+}
+
+// Reader is the link of the heard host that reads the platform's log for this
+// host's failure domain: the lowest one that the log answers. It is this host's
+// own if there is no other. Avoided hosts are passed over.
+func (r *Roster) Reader(avoid func(netip.AddrPort) bool, selfReads bool, now time.Time) netip.AddrPort {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	reader := netip.AddrPort{}
+	if selfReads {
+		reader = r.self.Link
+	}
+	for link, p := range r.peers {
+		if !r.isHeard(p, now) || p.status.StoreLost || p.status.Leaving || p.status.ConfigNext == 0 ||
+			p.host.Domain != r.self.Domain || avoid(link) {
+			continue
+		}
+		if !reader.IsValid() || link.Compare(reader) < 0 {
+			reader = link
+		}
+	}
+	if !reader.IsValid() {
+		return r.self.Link
+	}
+	return reader
 }
 
 // Lost are the names of the hosts that have ceased to be heard since the last
