--- /dev/null
+++ b/internal/process/admission/admission_test.go
@@ -0,0 +1,168 @@
+package admission_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"mustarddoor/internal/process/admission"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+// demand is a request of a rank as the users' sheets have them.
+func demand(rank int) admission.Demand {
+	d := admission.Demand{
+		Rank: rank, Aim: 400 * time.Millisecond, FirstAnswer: 40 * time.Millisecond,
+		Patience: 3200 * time.Millisecond, Left: 10 * time.Second, Work: 800 * time.Millisecond,
+	}
+	if rank == 0 {
+		d.Aim, d.FirstAnswer = 800*time.Millisecond, 120*time.Millisecond
+	}
+	return d
+}
+
+// TestBurst replays the worst load: for 2.5 s twice as much work comes as can
+// be done. Requests that are taken are on time, the most urgent ones are nearly
+// all taken, neither of the others starves, and a refused caller comes back
+// when there is room.
+func TestBurst(t *testing.T) {
+	const slots, tick = 20.0, 5 * time.Millisecond
+	random := rand.New(rand.NewPCG(1, 2))
+	queue := &admission.Queue{}
+	var asked, taken, late [3]int
+	type back struct {
+		at   time.Time
+		rank int
+	}
+	var returns []back
+	free := 0.0
+	served := map[bool]int{}
+	arrive := func(d admission.Demand, now time.Time) {
+		v := admission.Decide(d, queue, admission.Supply{Slots: slots, Draw: random.Float64()}, now)
+		switch {
+		case v.Waiter != nil:
+			v.Waiter.Data = d
+			queue.Push(v.Waiter)
+		case !d.Returned:
+			returns = append(returns, back{now.Add(v.RetryAfter), d.Rank})
+		}
+	}
+	for now := start; now.Before(start.Add(10 * time.Second)); now = now.Add(tick) {
+		rate := 20.0 // requests a second; the slots do 25 of mean work
+		if elapsed := now.Sub(start); elapsed > time.Second && elapsed < 3500*time.Millisecond {
+			rate = 50
+		}
+		for _, rank := range []int{0, 1, 1, 2, 2} {
+			if random.Float64() < rate/5*tick.Seconds() {
+				asked[rank]++
+				arrive(demand(rank), now)
+			}
+		}
+		for i := 0; i < len(returns); i++ {
+			if b := returns[i]; !b.at.After(now) {
+				d := demand(b.rank)
+				d.Returned, d.Left = true, 7*time.Second
+				arrive(d, now)
+				returns = append(returns[:i], returns[i+1:]...)
+				i--
+			}
+		}
+		queue.Expire(now)
+		free = min(free+slots*tick.Seconds(), 2)
+		for next := queue.Peek(); next != nil && free >= next.Work.Seconds(); next = queue.Peek() {
+			queue.Remove(next)
+			free -= next.Work.Seconds()
+			d := next.Data.(admission.Demand)
+			served[d.Returned]++
+			if d.Returned {
+				continue
+			}
+			taken[d.Rank]++
+			if now.After(next.StartBy) {
+				late[d.Rank]++
+			}
+		}
+	}
+	for rank := range asked {
+		assert.Assert(t, late[rank]*10 <= taken[rank], "rank %d: %d of %d late", rank, late[rank], taken[rank])
+		assert.Assert(t, taken[rank]*4 >= asked[rank], "rank %d starves: %d of %d", rank, taken[rank], asked[rank])
+	}
+	assert.Assert(t, taken[0]*10 >= asked[0]*9, "urgent: %d of %d", taken[0], asked[0])
+	assert.Assert(t, served[true] > 0)
+}
+
+// Refused callers come back spread over the time that they keep to, and late
+// enough to be told from new ones.
+func TestReturn(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		left := time.Duration(rapid.Int64Range(0, int64(12*time.Second)).Draw(t, "left"))
+		wait := time.Duration(rapid.Int64Range(0, int64(time.Minute)).Draw(t, "wait"))
+		draw := rapid.Float64Range(0, 0.999).Draw(t, "draw")
+		got := admission.Return(left, wait, draw)
+		if got > left/3+1 {
+			t.Fatalf("%v of %v left", got, left)
+		}
+		if got < time.Duration(0.159*float64(left)) {
+			t.Fatalf("%v of %v left is too early", got, left)
+		}
+	})
+}
+
+// The order: urgent before others, late ones last, urgent late ones beside the
+// others that are on time, and otherwise by when they must start.
+func TestOrder(t *testing.T) {
+	queue := &admission.Queue{}
+	push := func(name string, urgent, late bool, startBy time.Duration) {
+		queue.Push(&admission.Waiter{Urgent: urgent, Late: late, StartBy: start.Add(startBy), Work: time.Second, Data: name})
+	}
+	push("late", false, true, 0)
+	push("second", false, false, 20)
+	push("first", false, false, 10)
+	push("urgent late", true, true, 15)
+	push("urgent", true, false, 99)
+	var got []string
+	for next := queue.Peek(); next != nil; next = queue.Peek() {
+		assert.Assert(t, queue.Remove(next))
+		assert.Assert(t, !queue.Remove(next))
+		got = append(got, next.Data.(string))
+	}
+	assert.DeepEqual(t, got, []string{"urgent", "first", "urgent late", "second", "late"})
+}
+
+// The work ahead of a request is that of the ones that go before it.
+func TestAhead(t *testing.T) {
+	queue := &admission.Queue{}
+	waiter := func(urgent, late bool) *admission.Waiter {
+		return &admission.Waiter{Urgent: urgent, Late: late, Work: time.Second, Until: start}
+	}
+	for _, w := range []*admission.Waiter{waiter(true, false), waiter(false, false), waiter(true, true), waiter(false, true)} {
+		queue.Push(w)
+	}
+	assert.Equal(t, queue.Ahead(waiter(true, false)), time.Second)
+	assert.Equal(t, queue.Ahead(waiter(false, false)), 3*time.Second)
+	assert.Equal(t, queue.Ahead(waiter(false, true)), 4*time.Second)
+	assert.Equal(t, len(queue.Expire(start)), 4)
+	assert.Equal(t, queue.Ahead(waiter(false, true)), time.Duration(0))
+}
+
+// Without usable slots nothing waits.
+func TestNoSlots(t *testing.T) {
+	v := admission.Decide(demand(0), &admission.Queue{}, admission.Supply{}, start)
+	assert.Assert(t, v.Waiter == nil)
+	assert.Assert(t, v.RetryAfter > 0)
+}
+
+// A large prompt of the most urgent rank that cannot be on time at all still
+// waits; one of another rank is refused.
+func TestHopeless(t *testing.T) {
+	for rank, want := range []bool{true, false} {
+		d := demand(rank)
+		d.FirstAnswer = d.Aim * 2
+		v := admission.Decide(d, &admission.Queue{}, admission.Supply{Slots: 20}, start)
+		assert.Equal(t, v.Waiter != nil, want)
+	}
+}
--- a/internal/process/choose/choose.go
+++ b/internal/process/choose/choose.go
@@ -6,7 +6,8 @@
 // goes where its first token is expected first, counting the prompts that are
 // still to be read there. A prompt whose reading takes longer than the allowed
 // pause makes every stream beside it late, so long prompts go where they are read
-// fast and few streams run. Hosts that see the same figures at the same time
+// fast and few streams run; and long answers go where they end before the
+// deadline. Hosts that see the same figures at the same time
 // pick among the near-best at random so that they don't all pick one.
 package choose
 
@@ -41,6 +42,8 @@
 	// Aim is the time to the first answer within which the request has its
 	// full value, GapAim that between two events; 0 if there is none.
 	Aim, GapAim time.Duration
+	// Left is the time until the caller's deadline; 0 if there is none.
+	Left time.Duration
 }
 
 const (
@@ -52,6 +55,12 @@
 	// lateCost is the time that it is worth to have the request on time: a
 	// late answer has less than a third of its value.
 	lateCost = 400 * time.Millisecond
+	// unfinishedCost is the time that it is worth to end the answer before the
+	// caller's deadline: a cut one is worth nothing and has kept a slot busy.
+	unfinishedCost = 3 * time.Second
+	// lengthDoubt is how much longer answers are than expected, often enough
+	// to count with it: callers' guesses are right in the middle only.
+	lengthDoubt = 1.4
 	// delayCost is the time that it is worth not to make one other stream
 	// late by the reading of a long prompt.
 	delayCost = 60 * time.Millisecond
@@ -80,6 +89,9 @@
 	if d.Aim > 0 && first > d.Aim {
 		sum += lateCost
 	}
+	if d.Left > 0 && first+time.Duration(lengthDoubt*d.OutputTokens*float64(c.StepTime)) > d.Left {
+		sum += unfinishedCost
+	}
 	if d.GapAim > 0 && d.PromptTokens > 0 && reading(c, d) > d.GapAim {
 		sum += time.Duration(c.Busy) * delayCost
 	}
--- a/internal/process/dispatch/dispatch.go
+++ b/internal/process/dispatch/dispatch.go
@@ -274,7 +274,7 @@
 func demand(job *Job) choose.Demand {
 	return choose.Demand{
 		PromptTokens: job.Prompt, OutputTokens: job.Output,
-		Aim: job.Route.Aim, GapAim: job.Route.GapAim,
+		Aim: job.Route.Aim, GapAim: job.Route.GapAim, Left: job.Left,
 	}
 }
 
