--- /dev/null
+++ b/internal/connection/upstream/upstream_test.go
@@ -0,0 +1,176 @@
+package upstream_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"gotest.tools/v3/assert"
+
+	"mustarddoor/internal/connection/upstream"
+)
+
+// serve starts an endpoint that answers the requests of each connection with
+// the given texts, in order, and then closes it.
+func serve(t *testing.T, answers ...string) string {
+	t.Helper()
+	return serveAndTell(t, make(chan bool, 100), answers...)
+}
+
+// serveAndTell does as serve and tells of each connection that it has closed.
+func serveAndTell(t *testing.T, closed chan<- bool, answers ...string) string {
+	t.Helper()
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() {
+					_ = conn.Close()
+					closed <- true
+				}()
+				reader := bufio.NewReader(conn)
+				for _, answer := range answers {
+					request, err := http.ReadRequest(reader)
+					if err != nil {
+						return
+					}
+					if _, err := io.Copy(io.Discard, request.Body); err != nil {
+						return
+					}
+					_, _ = io.WriteString(conn, answer)
+				}
+			}()
+		}
+	}()
+	return listener.Addr().String()
+}
+
+func notStale(http.Header) bool { return false }
+
+// exchange sends one request and reads its answer whole.
+func exchange(pool *upstream.Pool, stale func(http.Header) bool) (body string, err error) {
+	conn, err := pool.Get(context.Background())
+	if err != nil {
+		return "", err
+	}
+	answer, err := conn.Do(upstream.Request{Method: "POST", Target: "/x?y=%20", Host: "h", Body: []byte("q")}, time.Now().Add(5*time.Second), stale)
+	if err != nil {
+		conn.Close()
+		return "", err
+	}
+	data, err := io.ReadAll(answer)
+	answer.Finish()
+	return string(data), err
+}
+
+func whole(id, body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
+}
+
+// Which answers keep their connection in use.
+func TestReuse(t *testing.T) {
+	cases := []struct {
+		name   string
+		answer string
+		opened int64
+	}{
+		{"whole", whole("a", "good"), 1},
+		{"announced close", strings.Replace(whole("a", "good"), "Id: a", "Connection: close", 1), 2},
+		{"short idle time", strings.Replace(whole("a", "good"), "Id: a", "Keep-Alive: timeout=0, max=5", 1), 1},
+		{"idle time within the margin", strings.Replace(whole("a", "good"), "Id: a", "Keep-Alive: timeout=1", 1), 1},
+		{"bytes after the answer", whole("a", "good") + "extra", 2},
+		{"early hints first", "HTTP/1.1 103 Early Hints\r\n\r\n" + whole("a", "good"), 1},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			opened := metrics.NewCounter()
+			pool := upstream.NewPool(serve(t, test.answer, test.answer), opened)
+			defer pool.Close()
+			for range 2 {
+				body, err := exchange(pool, notStale)
+				assert.NilError(t, err)
+				assert.Equal(t, body, "good")
+			}
+			assert.Equal(t, opened.Count(), test.opened)
+		})
+	}
+}
+
+// A late second answer to an earlier request is skipped.
+func TestStaleAnswer(t *testing.T) {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer listener.Close()
+	go func() {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		defer conn.Close()
+		reader := bufio.NewReader(conn)
+		for _, answer := range []string{whole("a", "first"), whole("a", "again") + whole("b", "second")} {
+			request, err := http.ReadRequest(reader)
+			if err != nil {
+				return
+			}
+			_, _ = io.Copy(io.Discard, request.Body)
+			_, _ = io.WriteString(conn, answer)
+		}
+	}()
+	pool := upstream.NewPool(listener.Addr().String(), metrics.NewCounter())
+	defer pool.Close()
+	for id, want := range []string{"first", "second"} {
+		body, err := exchange(pool, func(h http.Header) bool { return h.Get("Id") != string(rune('a'+id)) })
+		assert.NilError(t, err)
+		assert.Equal(t, body, want)
+	}
+}
+
+// What is known of a request whose answer does not come.
+func TestFailures(t *testing.T) {
+	closed, err := net.Listen("tcp4", "127.0.0.1:0")
+	assert.NilError(t, err)
+	address := closed.Addr().String()
+	assert.NilError(t, closed.Close())
+	_, err = exchange(upstream.NewPool(address, metrics.NewCounter()), notStale)
+	assert.Assert(t, err != nil && !errors.Is(err, upstream.ErrLost))
+	for name, answer := range map[string]string{
+		"no answer": "", "garbage": "\x00\xff", "half a head": "HTTP/1.1 200 OK\r\nContent-",
+		"other protocol": "HTTP/2.0 200 OK\r\nContent-Length: 0\r\n\r\n",
+		"of another":     whole("z", "other"),
+	} {
+		_, err := exchange(upstream.NewPool(serve(t, answer), metrics.NewCounter()), func(h http.Header) bool { return h.Get("Id") == "z" })
+		assert.Assert(t, errors.Is(err, upstream.ErrLost), "%s: %v", name, err)
+	}
+	_, err = exchange(upstream.NewPool(serve(t, "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\npart"), metrics.NewCounter()), notStale)
+	assert.Assert(t, errors.Is(err, io.ErrUnexpectedEOF), "%v", err)
+}
+
+// An idle connection that its peer has closed is not used.
+func TestClosedIdleConnection(t *testing.T) {
+	opened, closed := metrics.NewCounter(), make(chan bool, 3)
+	pool := upstream.NewPool(serveAndTell(t, closed, whole("a", "good")), opened)
+	defer pool.Close()
+	for range 3 {
+		body, err := exchange(pool, notStale)
+		assert.NilError(t, err)
+		assert.Equal(t, body, "good")
+		<-closed
+		pool.Sweep()
+	}
+	assert.Equal(t, opened.Count(), int64(3))
+}
--- /dev/null
+++ b/internal/process/fleet/fleet_test.go
@@ -0,0 +1,161 @@
+package fleet_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"mustarddoor/internal/process/fleet"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+func entry(id string) fleet.Entry {
+	return fleet.Entry{ID: id, Service: "svc", Address: "10.0.0.1:1", Domain: "z1", Slots: 4, Sequence: 1}
+}
+
+func TestEntries(t *testing.T) {
+	f := fleet.New()
+	added, replaced := f.Set(entry("a"), start)
+	assert.Assert(t, added != nil && replaced == nil)
+	e := f.Get("a")
+	assert.Assert(t, f.MayUse(e))
+
+	newer := entry("a")
+	newer.Sequence, newer.Draining = 5, true
+	added, _ = f.Set(newer, start)
+	assert.Assert(t, added == nil)
+	assert.Assert(t, !f.MayUse(e))
+
+	old := entry("a")
+	old.Sequence = 3
+	f.Set(old, start)
+	assert.Assert(t, !f.MayUse(e), "an older entry replaced a newer one")
+
+	reborn := entry("a")
+	reborn.Born = 1_700_000_000_000
+	added, replaced = f.Set(reborn, start)
+	assert.Assert(t, added != nil && replaced == e)
+	assert.Assert(t, f.MayUse(added) && !f.MayUse(e))
+}
+
+// What vanishes in an outage of the platform gets nothing at once, and is gone
+// only if it does not come back.
+func TestDoubt(t *testing.T) {
+	f := fleet.New()
+	e, _ := f.Set(entry("a"), start)
+	assert.Assert(t, f.Remove("a", true, start) == nil)
+	assert.Assert(t, !f.MayUse(e))
+	f.Set(entry("a"), start.Add(time.Second))
+	assert.Assert(t, f.MayUse(e))
+	f.Remove("a", true, start.Add(2*time.Second))
+	assert.Equal(t, len(f.Settle(start.Add(3*time.Second))), 0)
+	assert.Equal(t, len(f.Settle(start.Add(5*time.Second))), 1)
+	assert.Assert(t, f.Get("a") == nil && f.ByHash(e.Hash) == nil && len(f.Of("svc")) == 0)
+}
+
+func TestLeftDomain(t *testing.T) {
+	f := fleet.New()
+	e, _ := f.Set(entry("a"), start)
+	f.SetLeft(map[string]bool{"z1": true})
+	assert.Assert(t, !f.MayUse(e))
+	f.SetLeft(nil)
+	assert.Assert(t, f.MayUse(e))
+}
+
+func busy(e *fleet.Endpoint, now time.Time) int { return e.Candidate(now, 0, "z1").Busy }
+
+// The work of other hosts counts until they have not been heard for a while.
+func TestLoads(t *testing.T) {
+	f := fleet.New()
+	e, _ := f.Set(entry("a"), start)
+	e.Start(100, true, start)
+	e.Hear("b", fleet.Load{Running: 2, Pending: 50}, start)
+	assert.Equal(t, busy(e, start), 3)
+	assert.Equal(t, e.Candidate(start, 0, "z1").PendingTokens, 150.0)
+	e.FirstEvent(100, time.Millisecond)
+	assert.Equal(t, e.Candidate(start, 0, "z1").PendingTokens, 50.0)
+	assert.Equal(t, busy(e, start.Add(3*time.Second)), 1)
+	e.End(100, true, fleet.ResultGood, start)
+	e.Hear("b", fleet.Load{}, start)
+	assert.Equal(t, busy(e, start), 0)
+}
+
+// An endpoint that breaks requests in a row is left alone for a while, then
+// tried with one request at a time, and trusted again when one is answered.
+func TestSuspension(t *testing.T) {
+	f := fleet.New()
+	e, _ := f.Set(entry("a"), start)
+	now := start
+	try := func(result fleet.Result) bool {
+		e.Start(0, true, now)
+		return e.End(0, false, result, now)
+	}
+	blocked := func() bool { return e.Candidate(now, 0, "z1").Blocked }
+	assert.Assert(t, !try(fleet.ResultBroken))
+	assert.Assert(t, !blocked())
+	assert.Assert(t, try(fleet.ResultSilent))
+	assert.Assert(t, blocked())
+	now = now.Add(600 * time.Millisecond)
+	assert.Assert(t, !blocked())
+	e.Start(0, true, now)
+	assert.Assert(t, blocked(), "a second request goes to an endpoint on trial")
+	assert.Assert(t, e.End(0, false, fleet.ResultUnreachable, now))
+	now = now.Add(600 * time.Millisecond)
+	assert.Assert(t, blocked(), "the second suspension is not longer")
+	now = now.Add(600 * time.Millisecond)
+	assert.Assert(t, !try(fleet.ResultGood))
+	e.Start(0, true, now)
+	assert.Assert(t, !blocked())
+}
+
+// Failures that all endpoints share speak against none of them.
+func TestUsualFailures(t *testing.T) {
+	f := fleet.New()
+	for _, id := range []string{"a", "b", "c"} {
+		e, _ := f.Set(entry(id), start)
+		for range 20 {
+			e.Start(0, true, start)
+			e.End(0, true, fleet.ResultFailed, start)
+		}
+	}
+	usual := f.UsualFailures("svc")
+	assert.Assert(t, usual > 0.8)
+	assert.Equal(t, f.Get("a").Candidate(start, usual, "z1").FailedShare, 0.0)
+}
+
+// A cold endpoint gets this host's part of what it bears, and no more at once.
+func TestColdShare(t *testing.T) {
+	f := fleet.New()
+	cold := entry("a")
+	cold.Cold = 10 * time.Second
+	e, _ := f.Set(cold, start)
+	e.SetColdShare(2, 1, start)
+	sent := 0
+	for step := range 3000 {
+		now := start.Add(time.Duration(step) * time.Millisecond)
+		if !e.Candidate(now, 0, "z1").Blocked {
+			e.Start(0, true, now)
+			e.End(0, true, fleet.ResultGood, now)
+			sent++
+		}
+	}
+	assert.Assert(t, sent >= 6 && sent <= 7, "%d", sent)
+	assert.Assert(t, !e.IsCold(start.Add(11*time.Second)))
+	e.TurnCold(5*time.Second, start.Add(12*time.Second))
+	assert.Assert(t, e.IsCold(start.Add(13*time.Second)))
+}
+
+// The learned speed of an endpoint follows its streams.
+func TestSteps(t *testing.T) {
+	f := fleet.New()
+	e, _ := f.Set(entry("a"), start)
+	before := e.Candidate(start, 0, "z1")
+	for range 30 {
+		e.Steps(10 * time.Millisecond)
+	}
+	after := e.Candidate(start, 0, "z1")
+	assert.Assert(t, after.StepTime > 9*time.Millisecond)
+	assert.Assert(t, after.ReadTime > 2*before.ReadTime)
+}
--- /dev/null
+++ b/internal/process/keyed/topic_test.go
@@ -0,0 +1,207 @@
+package keyed_test
+
+import (
+	"context"
+	"io"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"gotest.tools/v3/assert"
+
+	"mustarddoor/internal/process/keyed"
+)
+
+// memoryStore is a store in memory.
+type memoryStore struct {
+	mu      sync.Mutex
+	records []keyed.Record
+	first   uint64
+	fail    error
+	reads   int
+}
+
+func (s *memoryStore) put(key, value string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	record := keyed.Record{Key: key}
+	if value != "" {
+		record.Value = []byte(value)
+	}
+	s.records = append(s.records, record)
+}
+
+func (s *memoryStore) set(fail error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.fail = fail
+}
+
+func (s *memoryStore) Newest(context.Context, keyed.Part) ([]keyed.Record, uint64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	newest := map[string]keyed.Record{}
+	for _, record := range s.records {
+		newest[record.Key] = record
+		if record.Value == nil {
+			delete(newest, record.Key)
+		}
+	}
+	var list []keyed.Record
+	for _, record := range newest {
+		list = append(list, record)
+	}
+	return list, uint64(len(s.records)), s.fail
+}
+
+func (s *memoryStore) Read(_ context.Context, _ keyed.Part, from uint64, _ time.Duration) ([]keyed.Record, uint64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.reads++
+	if s.fail != nil {
+		return nil, 0, s.fail
+	}
+	if from < s.first {
+		return nil, 0, keyed.ErrTrimmed
+	}
+	return s.records[from:], uint64(len(s.records)), nil
+}
+
+func (s *memoryStore) Append(context.Context, keyed.Part, keyed.Record, *uint64) (uint64, error) {
+	return 0, keyed.ErrRefused
+}
+
+var pace = func() keyed.Pace {
+	return keyed.Pace{Every: 100 * time.Millisecond, Answer: time.Second, Retry: 50 * time.Millisecond}
+}
+
+// follow runs a test with a topic that follows a store.
+func follow(t *testing.T, store *memoryStore, test func(topic *keyed.Topic, changes func() []keyed.Change)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		logger := logrus.New()
+		logger.SetOutput(io.Discard)
+		var mu sync.Mutex
+		var seen []keyed.Change
+		topic := keyed.NewTopic(keyed.Part{Topic: "t"}, store, pace, logrus.NewEntry(logger), func(change keyed.Change) {
+			mu.Lock()
+			defer mu.Unlock()
+			seen = append(seen, change)
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan error, 1)
+		go func() { done <- topic.Run(ctx) }()
+		test(topic, func() []keyed.Change {
+			mu.Lock()
+			defer mu.Unlock()
+			changes := seen
+			seen = nil
+			return changes
+		})
+		cancel()
+		assert.NilError(t, <-done)
+	})
+}
+
+// settle lets the topic read a few times in virtual time.
+func settle() {
+	time.Sleep(time.Second)
+	synctest.Wait()
+}
+
+func TestTopicFollows(t *testing.T) {
+	store := &memoryStore{}
+	store.put("a", "1")
+	follow(t, store, func(topic *keyed.Topic, changes func() []keyed.Change) {
+		settle()
+		assert.DeepEqual(t, changes()[0].Records, []keyed.Record{{Key: "a", Value: []byte("1")}})
+		store.put("b", "2")
+		store.put("b", "3")
+		store.put("a", "")
+		settle()
+		got := changes()
+		assert.Equal(t, len(got), 1)
+		assert.Equal(t, len(got[0].Records), 3)
+		snapshot, known := topic.Snapshot()
+		assert.Assert(t, known)
+		assert.DeepEqual(t, snapshot, keyed.Snapshot{Next: 4, Values: map[string][]byte{"b": []byte("3")}})
+	})
+}
+
+func TestTopicListsAnewWhenTrimmed(t *testing.T) {
+	store := &memoryStore{}
+	store.put("a", "1")
+	follow(t, store, func(topic *keyed.Topic, changes func() []keyed.Change) {
+		settle()
+		changes()
+		store.mu.Lock()
+		store.records = append(store.records, keyed.Record{Key: "a"}, keyed.Record{Key: "c", Value: []byte("4")})
+		store.first = 3
+		store.mu.Unlock()
+		settle()
+		got := changes()
+		assert.Equal(t, len(got), 1)
+		assert.Assert(t, !got[0].AfterOutage)
+		snapshot, _ := topic.Snapshot()
+		assert.Equal(t, len(snapshot.Values), 1)
+	})
+}
+
+func TestTopicKnowsOutages(t *testing.T) {
+	store := &memoryStore{}
+	follow(t, store, func(topic *keyed.Topic, changes func() []keyed.Change) {
+		settle()
+		assert.Assert(t, !topic.IsLost())
+		store.set(keyed.ErrUnanswered)
+		settle()
+		assert.Assert(t, topic.IsLost())
+		store.set(nil)
+		store.put("a", "1")
+		settle()
+		assert.Assert(t, !topic.IsLost())
+		got := changes()
+		assert.Assert(t, got[len(got)-1].AfterOutage)
+	})
+}
+
+// What another host hands over counts only if it is newer.
+func TestTopicAdopts(t *testing.T) {
+	store := &memoryStore{fail: keyed.ErrUnanswered}
+	follow(t, store, func(topic *keyed.Topic, changes func() []keyed.Change) {
+		_, known := topic.Next()
+		assert.Assert(t, !known)
+		topic.Adopt(keyed.Snapshot{Next: 7, Values: map[string][]byte{"a": []byte("1")}})
+		topic.Adopt(keyed.Snapshot{Next: 7, Values: map[string][]byte{"a": []byte("2")}})
+		topic.Adopt(keyed.Snapshot{Next: 6})
+		next, known := topic.Next()
+		assert.Assert(t, known)
+		assert.Equal(t, next, uint64(7))
+		assert.Equal(t, len(changes()), 1)
+	})
+}
+
+// Other hosts read what the topic has read, and wait for more.
+func TestTopicServesOthers(t *testing.T) {
+	store := &memoryStore{}
+	store.put("a", "1")
+	follow(t, store, func(topic *keyed.Topic, _ func() []keyed.Change) {
+		_, _, err := topic.Since(context.Background(), 0)
+		assert.ErrorIs(t, err, keyed.ErrRefused)
+		settle()
+		_, _, err = topic.Since(context.Background(), 0)
+		assert.ErrorIs(t, err, keyed.ErrTrimmed)
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		records, next, err := topic.Since(ctx, 1)
+		assert.NilError(t, err)
+		assert.Equal(t, len(records), 0)
+		assert.Equal(t, next, uint64(1))
+		store.put("b", "2")
+		records, next, err = topic.Since(context.Background(), 1)
+		assert.NilError(t, err)
+		assert.Equal(t, len(records), 1)
+		assert.Equal(t, next, uint64(2))
+	})
+}
--- /dev/null
+++ b/internal/process/peers/roster_test.go
@@ -0,0 +1,135 @@
+package peers
+
+import (
+	"context"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+func host(name string) Host {
+	return Host{Name: name, Link: link(name), Front: name + ":1", Domain: "z1", Incarnation: 1}
+}
+
+// link gives the host "1" the link 10.0.0.1:7600.
+func link(name string) netip.AddrPort { return netip.MustParseAddrPort("10.0.0." + name + ":7600") }
+
+func heardHost(r *Roster, h Host, number uint64, status Status, now time.Time) {
+	r.hear(Message{From: h, Number: number, Status: status}, now)
+}
+
+func TestFrontsOfHeardHosts(t *testing.T) {
+	r := NewRoster(host("9"))
+	heardHost(r, host("1"), 1, Status{Ready: true}, start)
+	heardHost(r, host("2"), 1, Status{}, start)
+	heardHost(r, host("3"), 1, Status{Ready: true, Leaving: true}, start)
+	assert.DeepEqual(t, r.Fronts(start), []string{"1:1"})
+	assert.Equal(t, len(r.Fronts(start.Add(2*time.Second))), 0)
+}
+
+// Short messages keep what a full one has told, but for a new incarnation.
+func TestShortMessages(t *testing.T) {
+	r := NewRoster(host("9"))
+	heardHost(r, host("1"), 1, Status{Ready: true}, start)
+	short := Host{Link: link("1"), Incarnation: 1}
+	heardHost(r, short, 2, Status{Ready: true}, start)
+	assert.Equal(t, len(r.Fronts(start)), 1)
+	heardHost(r, short, 2, Status{}, start) // the same number again
+	assert.Equal(t, len(r.Fronts(start)), 1)
+	short.Incarnation = 2
+	heardHost(r, short, 1, Status{Ready: true}, start)
+	assert.Equal(t, len(r.Fronts(start)), 0)
+}
+
+// A host that is not heard still counts among those that may spend, unless it
+// has said that it leaves, and not for ever.
+func TestSpenders(t *testing.T) {
+	r := NewRoster(host("9"))
+	r.Know(link("5"), start)
+	heardHost(r, host("1"), 1, Status{}, start)
+	heardHost(r, host("2"), 1, Status{Leaving: true}, start)
+	links, heard := r.Spenders(start)
+	assert.Equal(t, len(links), 4)
+	assert.Equal(t, heard, 3)
+	links, heard = r.Spenders(start.Add(5 * time.Second))
+	assert.Equal(t, len(links), 3)
+	assert.Equal(t, heard, 1)
+	links, _ = r.Spenders(start.Add(time.Minute))
+	assert.Equal(t, len(links), 1)
+}
+
+// The reader of a failure domain is the lowest host there that the log answers.
+func TestReader(t *testing.T) {
+	r := NewRoster(host("5"))
+	nobody := func(netip.AddrPort) bool { return false }
+	assert.Equal(t, r.Reader(nobody, true, start), link("5"))
+	far := host("1")
+	far.Domain = "z2"
+	heardHost(r, far, 1, Status{ConfigNext: 1}, start)
+	heardHost(r, host("2"), 1, Status{ConfigNext: 1, StoreLost: true}, start)
+	heardHost(r, host("3"), 1, Status{ConfigNext: 1}, start)
+	heardHost(r, host("7"), 1, Status{ConfigNext: 1}, start)
+	assert.Equal(t, r.Reader(nobody, true, start), link("3"))
+	assert.Equal(t, r.Reader(func(l netip.AddrPort) bool { return l == link("3") }, true, start), link("5"))
+	assert.Equal(t, r.Reader(func(l netip.AddrPort) bool { return l == link("3") }, false, start), link("7"))
+	assert.Equal(t, r.Reader(nobody, false, start.Add(time.Minute)), link("5"))
+	assert.Assert(t, !r.IsFirst(func(s Status) bool { return !s.StoreLost }, start))
+	assert.Assert(t, r.IsFirst(func(s Status) bool { return s.Waiting > 0 }, start))
+}
+
+// After a time in which the host stood still, nothing that it heard counts.
+func TestSilence(t *testing.T) {
+	r := NewRoster(host("9"))
+	heardHost(r, host("1"), 1, Status{Ready: true}, start)
+	r.Silence()
+	assert.Equal(t, len(r.Fronts(start)), 0)
+}
+
+// Hosts find each other through one that both know.
+func TestHostsFindEachOther(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	var rosters []*Roster
+	for _, name := range []string{"1", "2", "3"} {
+		h := host(name)
+		h.Link = netip.MustParseAddrPort("127.0.77." + name + ":17600")
+		r := NewRoster(h)
+		r.Know(netip.MustParseAddrPort("127.0.77.1:17600"), time.Now())
+		l, err := NewLink(r, func(bool) Status { return Status{Ready: true} }, func(Message, bool) {}, metrics.NewRegistry())
+		assert.NilError(t, err)
+		done := make(chan error, 2)
+		go func() { done <- l.Receive(ctx) }()
+		go func() { done <- l.Send(ctx) }()
+		t.Cleanup(func() {
+			cancel()
+			assert.NilError(t, <-done)
+			assert.NilError(t, <-done)
+		})
+		rosters = append(rosters, r)
+	}
+	for _, r := range rosters {
+		poll.WaitOn(t, func(poll.LogT) poll.Result {
+			if fronts := r.Fronts(time.Now()); len(fronts) != 2 {
+				return poll.Continue("%v", fronts)
+			}
+			return poll.Success()
+		}, poll.WithTimeout(30*time.Second))
+	}
+}
+
+func FuzzDecode(f *testing.F) {
+	f.Add([]byte{})
+	f.Add([]byte{0xa1, 0x01, 0xa0})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		message, err := decode(data)
+		if err == nil && (!message.From.Link.IsValid() || message.From.Incarnation == 0) {
+			t.Fatalf("%+v names no sender", message)
+		}
+	})
+}
--- /dev/null
+++ b/internal/request/relay/events_test.go
@@ -0,0 +1,54 @@
+package relay
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+func TestSplitter(t *testing.T) {
+	s := splitter{}
+	assert.Equal(t, string(s.add([]byte("id: 1\ndata: a\n"))), "")
+	assert.Assert(t, !s.isAtBorder())
+	assert.Equal(t, string(s.add([]byte("\nid: 2\ndata: b\n\nid: 3"))), "id: 1\ndata: a\n\nid: 2\ndata: b\n\n")
+	assert.Equal(t, s.last, "2")
+	assert.Equal(t, s.count, 2)
+	assert.Equal(t, string(s.add([]byte("\n\n"))), "id: 3\n\n")
+	assert.Equal(t, s.last, "3")
+	assert.Assert(t, s.isAtBorder())
+}
+
+// However a stream is cut into reads, its whole events come out as they are.
+func FuzzSplitter(f *testing.F) {
+	f.Add("id: 1\ndata: a\n\nid: 2\ndata: b\n\nrest", uint8(3))
+	f.Fuzz(func(t *testing.T, stream string, step uint8) {
+		s, got := splitter{}, ""
+		for rest := stream; rest != ""; {
+			n := min(int(step)+1, len(rest))
+			got += string(s.add([]byte(rest[:n])))
+			rest = rest[n:]
+		}
+		if end := strings.LastIndex(stream, "\n\n"); end < 0 {
+			assert.Equal(t, got, "")
+		} else {
+			assert.Equal(t, got, stream[:end+2])
+		}
+		assert.Equal(t, got+string(s.pending), stream)
+	})
+}
+
+func TestPatience(t *testing.T) {
+	p := patience{}
+	now := start
+	assert.Assert(t, !p.isReturned("r", 12000, now))
+	assert.Assert(t, !p.isReturned("r", 10400, now))
+	assert.Assert(t, p.isReturned("r", 10000, now))
+	assert.Assert(t, !p.isReturned("r", 0, now))
+	assert.Assert(t, !p.isReturned("other", 10000, now))
+	assert.Assert(t, !p.isReturned("r", 10000, now.Add(2*patienceAge)))
+	assert.Assert(t, p.isReturned("r", 8000, now.Add(2*patienceAge)))
+}
