Moves of a service to another version on the platform

A new version gets 5% of the requests, by each host on its own, until the order's time is nearly over; what all hosts saw of both versions is compared; a version that is bad is taken back and the operator told by a conditional write.

--- a/internal/process/dispatch/dispatch.go
+++ b/internal/process/dispatch/dispatch.go
@@ -16,6 +16,7 @@
 	"mustarddoor/internal/process/admission"
 	"mustarddoor/internal/process/choose"
 	"mustarddoor/internal/process/fleet"
+	"mustarddoor/internal/version/canary"
 	"mustarddoor/internal/version/routing"
 )
 
@@ -97,7 +98,9 @@
 	// rivals are the other hosts in whose queues requests wait, and when they
 	// said so.
 	rivals map[string]time.Time
-	rand   *rand.Rand
+	// moves are the services' moves to other versions.
+	moves map[string]*canary.Move
+	rand  *rand.Rand
 }
 
 // serviceQueue is what waits for a service's endpoints.
@@ -168,7 +171,8 @@
 		domain: domain, opened: opened, notify: notify,
 		fleet: fleet.New(), pools: map[*fleet.Endpoint]*upstream.Pool{},
 		queues: map[string]*serviceQueue{}, hosts: 1, rivals: map[string]time.Time{},
-		rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		moves: map[string]*canary.Move{},
+		rand:  rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 }
 
@@ -431,21 +435,25 @@
 func (d *Dispatcher) place(job *Job, freed *fleet.Endpoint, now time.Time) *Lease {
 	endpoints := d.fleet.Of(job.Service)
 	candidates := make([]choose.Candidate, len(endpoints))
+	versions := d.versions(job.Service, endpoints)
 	usual := d.fleet.UsualFailures(job.Service)
 	for i, e := range endpoints {
 		candidates[i] = e.Candidate(now, usual, d.domain)
-		if !d.fleet.MayUse(e) || isExcluded(job, e.ID) {
+		if !d.fleet.MayUse(e) || isExcluded(job, e.ID) || !versions.allow(e.Version) {
 			candidates[i].Blocked = true
 		}
 		if c := &candidates[i]; e != freed && !c.Blocked && c.Busy < c.Slots && !d.hasTurn(e, c.Slots-c.Busy, now) {
 			c.Blocked = true
 		}
 	}
-	index := choose.Pick(candidates, demand(job), d.rand.Float64())
+	index := versions.pick(endpoints, candidates, demand(job), d.rand.Float64())
 	if index < 0 {
 		return nil
 	}
 	e := endpoints[index]
+	if move := d.moves[job.Service]; move != nil {
+		move.Sent(e.Version)
+	}
 	e.Start(job.Prompt, e != freed, now)
 	return &Lease{
 		Endpoint: e.ID, Address: e.Address, Domain: e.Domain, Pool: d.pools[e],
@@ -538,6 +546,7 @@
 	if result == fleet.ResultOther {
 		beliefs = append(beliefs, believe("address_reused", l.endpoint))
 	}
+	d.noteVersion(l, result, now)
 	if result == fleet.ResultGood {
 		d.queue(l.job.Service).learn(l.job, now.Sub(l.begun))
 	}
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -38,6 +38,7 @@
 	hosts      *keyed.Topic
 	copies     *copies
 	readers    *readers
+	moves      *moves
 
 	table     atomic.Pointer[routing.Table]
 	malformed metrics.Counter
@@ -80,6 +81,7 @@
 	g.endpoints = keyed.NewTopic(keyed.Part{Topic: ports.Topics.Endpoints}, g.readers, g.readers.endpointsPace, log.Entry(), g.endpointsChanged)
 	g.hosts = keyed.NewTopic(keyed.Part{Topic: ports.Topics.Hosts}, ports.Store, func() keyed.Pace { return hostsPace }, log.Entry(), g.hostsChanged)
 	g.copies = newCopies(g)
+	g.moves = newMoves(g)
 	return g, nil
 }
 
@@ -131,6 +133,9 @@
 	if next, known := g.endpoints.Next(); known {
 		status.EntriesNext = next
 	}
+	for _, move := range g.moves.states() {
+		status.Moves = append(status.Moves, peers.Move{Service: move.Order.Service, Target: move.Order.Target, Stage: move.Stage, Evidence: move.Evidence})
+	}
 	for hash, load := range loads {
 		status.Work = append(status.Work, peers.Work{Endpoint: hash, Running: load.Running, Pending: int(load.Pending)})
 	}
@@ -148,6 +153,11 @@
 		loads[work.Endpoint] = fleet.Load{Running: work.Running, Pending: float64(work.Pending)}
 	}
 	g.dispatcher.Hear(message.From.Link.String(), loads, message.Status.Waiting)
+	for _, move := range message.Status.Moves {
+		if g.dispatcher.HearMove(message.From.Link.String(), move.Service, move.Target, move.Stage, move.Evidence) {
+			g.moves.raised(move.Service, move.Target, move.Stage, message.From.Link.String())
+		}
+	}
 	g.limits.Hear(message.From.Link.String(), message.From.Incarnation, message.Status.Spent)
 }
 
--- a/internal/process/gateway/records.go
+++ b/internal/process/gateway/records.go
@@ -4,6 +4,7 @@
 	"github.com/sirupsen/logrus"
 
 	"mustarddoor/internal/process/keyed"
+	"mustarddoor/internal/version/canary"
 	"mustarddoor/internal/version/routing"
 )
 
@@ -14,13 +15,17 @@
 	for _, changed := range change.Records {
 		g.recordChanged(changed, change.Offset)
 	}
-	left := map[string]bool{}
+	left, orders := map[string]bool{}, []canary.Order(nil)
 	for _, record := range g.records {
 		if record.LeftDomain != "" {
 			left[record.LeftDomain] = true
 		}
+		if record.Move != nil {
+			orders = append(orders, *record.Move)
+		}
 	}
 	g.dispatcher.SetLeft(left)
+	g.dispatcher.SetOrders(orders)
 }
 
 // recordChanged takes in one record of the operator. The caller holds
@@ -42,6 +47,10 @@
 	if record.LeftDomain != "" && known.LeftDomain == "" {
 		g.log.Entry().WithFields(logrus.Fields{"domain": record.LeftDomain, "offset": offset}).Info("failure domain out of use")
 	}
+	if record.Move != nil {
+		g.log.Entry().WithFields(logrus.Fields{"service": record.Move.Service, "target": record.Move.Target, "duration_ms": record.Move.Duration.Milliseconds(), "offset": offset}).
+			Info("move to a version ordered")
+	}
 	if record.Config != nil {
 		g.apply(*record.Config, offset)
 	}
--- a/internal/process/gateway/run.go
+++ b/internal/process/gateway/run.go
@@ -67,6 +67,7 @@
 	part(g.tick)
 	part(g.catchUp)
 	part(g.copies.run)
+	part(g.moves.run)
 	fronts := newConnections(g)
 	part(fronts.sweep)
 	front := &http.Server{
--- a/internal/process/gateway/settings.go
+++ b/internal/process/gateway/settings.go
@@ -16,6 +16,7 @@
 	"mustarddoor/internal/process/fleet"
 	"mustarddoor/internal/process/keyed"
 	"mustarddoor/internal/request/relay"
+	"mustarddoor/internal/version/canary"
 	"mustarddoor/internal/version/routing"
 )
 
@@ -56,6 +57,8 @@
 	Operator, Endpoints, Hosts string
 	// Copies holds copies of the operator's records.
 	Copies string
+	// Reports holds what the operator is told.
+	Reports string
 }
 
 // OperatorRecord is a decoded record of the operator; at most one field is set.
@@ -63,6 +66,8 @@
 	Config *routing.Config
 	// LeftDomain is a failure domain that is to get no requests.
 	LeftDomain string
+	// Move asks for a service to move to another version.
+	Move *canary.Order
 }
 
 // Ports are what the platform's side provides.
@@ -72,6 +77,10 @@
 	Protocol relay.Protocol
 	// Operator decodes a record of the operator.
 	Operator func(key string, value []byte) (OperatorRecord, error)
+	// Report encodes what the operator is told of a move, and DecodeReport
+	// reads it.
+	Report       func(order canary.Order, stage canary.Stage) (keyed.Record, error)
+	DecodeReport func(record keyed.Record) (service, target string, stage canary.Stage, err error)
 	// Entry decodes an endpoint's entry.
 	Entry func(id string, value []byte) (fleet.Entry, error)
 	// Servers are further HTTP servers of the platform's side, by address.
--- a/internal/process/peers/message.go
+++ b/internal/process/peers/message.go
@@ -11,6 +11,8 @@
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/rotisserie/eris"
+
+	"mustarddoor/internal/version/canary"
 )
 
 // Host is what hosts know of one of them. Name, Front and Domain are left out
@@ -44,6 +46,14 @@
 	Total float64
 }
 
+// Move is what a host says of a service's move to another version.
+type Move struct {
+	_               struct{} `cbor:",toarray"`
+	Service, Target string
+	Stage           canary.Stage
+	Evidence        canary.Evidence
+}
+
 // Status is what a host tells of itself.
 type Status struct {
 	// Ready tells that it takes callers, Leaving that it is about to stop.
@@ -58,6 +68,8 @@
 	Waiting     int        `cbor:"7,keyasint,omitempty"`
 	// StoreLost tells that the platform's log does not answer this host.
 	StoreLost bool `cbor:"8,keyasint,omitempty"`
+	// Moves are the moves of services to other versions.
+	Moves []Move `cbor:"9,keyasint,omitempty"`
 }
 
 // Message is a datagram.
--- /dev/null
+++ b/internal/version/canary/canary_test.go
@@ -0,0 +1,114 @@
+package canary_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"mustarddoor/internal/version/canary"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+// version is how a version behaves after a time.
+type version func(elapsed time.Duration) (failed float64, slow float64)
+
+func sound(time.Duration) (float64, float64) { return 0.02, 1 }
+
+// play moves a service of a hundred requests a second on several hosts, which
+// hear each other every 100 ms.
+func play(t *testing.T, hosts int, old, fresh version, duration time.Duration, seed uint64) (stage canary.Stage, exposed, asked int, ended time.Duration) {
+	t.Helper()
+	random := rand.New(rand.NewPCG(seed, 1))
+	order := canary.Order{Service: "s", Target: "v2", Duration: duration}
+	moves := make([]*canary.Move, hosts)
+	for i := range moves {
+		moves[i] = canary.NewMove(order, start)
+	}
+	for elapsed := time.Duration(0); elapsed < duration; elapsed += 10 * time.Millisecond {
+		now := start.Add(elapsed)
+		m := moves[random.IntN(hosts)]
+		asked++
+		name, behaves := "v1", old
+		if toNew, toOld := m.Gate(hosts); toNew && (m.WantsTrial() || !toOld || m.Own().New == canary.Counts{}) {
+			name, behaves = "v2", fresh
+			exposed++
+		}
+		m.Sent(name)
+		failed, slow := behaves(elapsed)
+		took := time.Duration(slow * (0.5 + random.Float64()) * float64(time.Second))
+		m.Result(name, random.Float64() >= failed, took, time.Second)
+		if elapsed%(100*time.Millisecond) != 0 {
+			continue
+		}
+		for i, m := range moves {
+			for j, other := range moves {
+				if i != j {
+					m.Hear(fmt.Sprint(j), other.Own())
+					m.Raise(other.Stage())
+				}
+			}
+			if m.Judge(now) && m.Stage().IsFinal() && ended == 0 {
+				ended, stage = elapsed, m.Stage()
+			}
+		}
+	}
+	return stage, exposed, asked, ended
+}
+
+// A sound version gets the service in time; bad ones are taken back, and never
+// get more than a tenth of the requests and some.
+func TestMoves(t *testing.T) {
+	cases := []struct {
+		name  string
+		old   version
+		fresh version
+		want  canary.Stage
+	}{
+		{"sound", sound, sound, canary.StageDone},
+		{"sound among failing ones", func(time.Duration) (float64, float64) { return 0.14, 1 }, func(time.Duration) (float64, float64) { return 0.14, 1 }, canary.StageDone},
+		{"fails", sound, func(time.Duration) (float64, float64) { return 0.5, 1 }, canary.StageBad},
+		{"slow", sound, func(time.Duration) (float64, float64) { return 0.02, 5 }, canary.StageBad},
+		{"fails later", sound, func(e time.Duration) (float64, float64) {
+			if e < 6*time.Second {
+				return 0.02, 1
+			}
+			return 0.8, 1
+		}, canary.StageBad},
+	}
+	for _, test := range cases {
+		for _, hosts := range []int{1, 6, 40} {
+			t.Run(fmt.Sprintf("%s, %d hosts", test.name, hosts), func(t *testing.T) {
+				for seed := range uint64(20) {
+					stage, exposed, asked, ended := play(t, hosts, test.old, test.fresh, 14*time.Second, seed)
+					assert.Equal(t, stage, test.want, "seed %d", seed)
+					assert.Assert(t, ended < 14*time.Second)
+					if test.want == canary.StageBad {
+						assert.Assert(t, float64(exposed) <= 0.1*float64(asked)+50, "seed %d: %d of %d", seed, exposed, asked)
+					}
+				}
+			})
+		}
+	}
+}
+
+// Stages only rise, and a verdict against the version is final.
+func TestRaise(t *testing.T) {
+	m := canary.NewMove(canary.Order{Target: "v2", Duration: time.Second}, start)
+	assert.Assert(t, m.Raise(canary.StageBad))
+	assert.Assert(t, !m.Raise(canary.StageDone))
+	assert.Assert(t, !m.Judge(start.Add(time.Hour)))
+	toNew, toOld := m.Gate(1)
+	assert.Assert(t, !toNew && toOld)
+	assert.Equal(t, m.Stage().String(), "bad")
+}
+
+// Without results the version is not judged.
+func TestNoEvidence(t *testing.T) {
+	m := canary.NewMove(canary.Order{Target: "v2", Duration: time.Second}, start)
+	assert.Assert(t, !m.Judge(start.Add(time.Hour)))
+	assert.Equal(t, m.Stage(), canary.StageTrial)
+}
