--- a/internal/connection/upstream/exchange.go
+++ b/internal/connection/upstream/exchange.go
@@ -44,6 +44,12 @@
 	ErrLost = eris.New("no answer to a request that was sent")
 )
 
+// lostError is an ErrLost with its cause, which may be a time-out.
+type lostError struct{ cause error }
+
+func (e *lostError) Error() string   { return ErrLost.Error() + ": " + e.cause.Error() }
+func (e *lostError) Unwrap() []error { return []error{ErrLost, e.cause} }
+
 const (
 	// inlineBody is the greatest body written before the answer is read; larger
 	// ones could block on a peer that answers first. In bytes.
@@ -118,7 +124,7 @@
 	for {
 		response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 		if err != nil {
-			return nil, eris.Wrapf(ErrLost, "answer: %v", err)
+			return nil, &lostError{cause: err}
 		}
 		if response.StatusCode < http.StatusOK {
 			continue
--- a/internal/process/dispatch/dispatch.go
+++ b/internal/process/dispatch/dispatch.go
@@ -46,6 +46,10 @@
 	RetryAfter time.Duration
 	// Waited is how long the request waited, Predicted how long it would have.
 	Waited, Predicted time.Duration
+	// Slots is this host's part of the usable slots, Queued the number of
+	// requests that waited before this one.
+	Slots  float64
+	Queued int
 }
 
 // Error implements error.
@@ -182,8 +186,13 @@
 	Endpoint, Address, Domain string
 	// Pool holds connections there.
 	Pool *upstream.Pool
-	// Busy and Slots are the endpoint's load when it was chosen.
+	// Busy and Slots are the endpoint's load when it was chosen, LoadAge the
+	// age of the oldest figure in it, Sequence the number of its entry and
+	// Hosts that of the hosts that share it.
 	Busy, Slots int
+	LoadAge     time.Duration
+	Sequence    uint64
+	Hosts       int
 	// Waited is the time in the queue.
 	Waited time.Duration
 	// Expected is the expected time to the first answer.
@@ -215,8 +224,12 @@
 	}
 	verdict := admission.Decide(d.wish(queue, job, now), &queue.Queue, supply, now)
 	if verdict.Waiter == nil {
+		queued := queue.Len()
 		d.mu.Unlock()
-		return nil, &Refusal{Reason: ReasonOverload, RetryAfter: verdict.RetryAfter, Predicted: verdict.Wait}
+		return nil, &Refusal{
+			Reason: ReasonOverload, RetryAfter: verdict.RetryAfter, Predicted: verdict.Wait,
+			Slots: supply.Slots, Queued: queued,
+		}
 	}
 	w := &waiter{entry: verdict.Waiter, job: job, result: make(chan *Lease, 1)}
 	verdict.Waiter.Data = w
@@ -457,7 +470,7 @@
 	e.Start(job.Prompt, e != freed, now)
 	return &Lease{
 		Endpoint: e.ID, Address: e.Address, Domain: e.Domain, Pool: d.pools[e],
-		Busy: candidates[index].Busy, Slots: e.Slots,
+		Busy: candidates[index].Busy, Slots: e.Slots, LoadAge: e.LoadAge(now), Sequence: e.Sequence, Hosts: d.hosts,
 		Expected:   choose.FirstToken(candidates[index], demand(job)),
 		dispatcher: d, endpoint: e, job: job, begun: now,
 	}
--- a/internal/process/fleet/endpoint.go
+++ b/internal/process/fleet/endpoint.go
@@ -102,6 +102,17 @@
 	return sum
 }
 
+// LoadAge is the age of the oldest of the other hosts' loads that count.
+func (e *Endpoint) LoadAge(now time.Time) time.Duration {
+	oldest := time.Duration(0)
+	for _, other := range e.others {
+		if age := now.Sub(other.at); age < loadAge {
+			oldest = max(oldest, age)
+		}
+	}
+	return oldest
+}
+
 // Own is this host's work at the endpoint.
 func (e *Endpoint) Own() Load { return e.own }
 
--- a/internal/request/relay/attempt.go
+++ b/internal/request/relay/attempt.go
@@ -6,7 +6,10 @@
 	"net/http"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"mustarddoor/internal/connection/upstream"
+	"mustarddoor/internal/process/decisionlog"
 	"mustarddoor/internal/process/dispatch"
 	"mustarddoor/internal/process/fleet"
 	"mustarddoor/internal/request/repeat"
@@ -37,12 +40,25 @@
 			s.finish(decision, end)
 			return
 		}
+		s.logRepeat(lease, end)
 		if end.fate != repeat.FateNotSent {
 			s.relay.repeats.Inc(1)
 		}
 	}
 }
 
+// logRepeat tells why the request is sent again.
+func (s *serving) logRepeat(lease *dispatch.Lease, end sendEnd) {
+	s.relay.Log.Request(decisionlog.Failure, func() (string, logrus.Fields) {
+		return "request repeated", logrus.Fields{
+			"request": s.caller.ID, "route": s.route.Name, "reason": end.reason, "endpoint": lease.Endpoint,
+			"endpoint_sequence": lease.Sequence, "sends": s.sends, "attempts": s.attempts,
+			"events": s.events.count, "last_event": s.events.last,
+			"after_ms": time.Since(s.begin).Milliseconds(),
+		}
+	})
+}
+
 // standing is what a repeat depends on.
 func (s *serving) standing(end sendEnd) repeat.Standing {
 	return repeat.Standing{
@@ -62,6 +78,8 @@
 		return
 	}
 	s.fields["predicted_wait_ms"] = refusal.Predicted.Milliseconds()
+	s.fields["queued"] = refusal.Queued
+	s.fields["slots"] = refusal.Slots
 	s.fields["queue_wait_ms"] = refusal.Waited.Milliseconds()
 	if s.attempts > 0 {
 		// It may have run, so nothing can be promised.
@@ -106,6 +124,10 @@
 func (s *serving) send(lease *dispatch.Lease) sendEnd {
 	s.fields["endpoint"] = lease.Endpoint
 	s.fields["endpoint_busy"] = lease.Busy
+	s.fields["endpoint_slots"] = lease.Slots
+	s.fields["endpoint_sequence"] = lease.Sequence
+	s.fields["loads_age_ms"] = lease.LoadAge.Milliseconds()
+	s.fields["hosts"] = lease.Hosts
 	s.fields["queue_wait_ms"] = lease.Waited.Milliseconds()
 	s.fields["expected_first_ms"] = lease.Expected.Milliseconds()
 	dialing, cancel := context.WithDeadline(s.context(), s.deadline)
@@ -125,12 +147,13 @@
 	defer stop()
 	s.sends++
 	s.attempts++
+	sent := time.Now()
 	answer, err := conn.Do(s.outgoing(lease), s.headBy(lease), func(header http.Header) bool {
 		return s.isStale(conn, header)
 	})
 	if err != nil {
 		conn.Close()
-		return s.noAnswer(lease, err)
+		return s.noAnswer(lease, sent, err)
 	}
 	said := s.relay.Protocol.Answer(answer.Status, answer.Header)
 	if said.Cold > 0 {
@@ -178,7 +201,7 @@
 }
 
 // noAnswer ends a send whose answer did not come.
-func (s *serving) noAnswer(lease *dispatch.Lease, err error) sendEnd {
+func (s *serving) noAnswer(lease *dispatch.Lease, sent time.Time, err error) sendEnd {
 	if errors.Is(err, upstream.ErrNotSent) {
 		s.attempts--
 		s.sends--
@@ -187,12 +210,24 @@
 	}
 	result, reason := fleet.ResultBroken, "answer_lost"
 	if isTimeout(err) {
-		result, reason = fleet.ResultSilent, "endpoint_silent"
+		result, reason = silence(time.Since(sent)), "endpoint_silent"
 	}
 	lease.End(unlessLeft(s, result))
 	return sendEnd{fate: repeat.FateUnknown, reason: reason}
 }
 
+// silenceLeast is the silence from which a time-out speaks against an endpoint;
+// sound ones are slower than a caller's deadline at times.
+const silenceLeast = time.Second
+
+// silence is what a silence of a length tells of an endpoint.
+func silence(length time.Duration) fleet.Result {
+	if length < silenceLeast {
+		return fleet.ResultNone
+	}
+	return fleet.ResultSilent
+}
+
 func isTimeout(err error) bool {
 	var timeout interface{ Timeout() bool }
 	return errors.As(err, &timeout) && timeout.Timeout()
--- a/internal/request/relay/pass.go
+++ b/internal/request/relay/pass.go
@@ -45,6 +45,13 @@
 	return earlier(s.deadline, time.Now().Add(wait))
 }
 
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 func earlier(a, b time.Time) time.Time {
 	if a.Before(b) {
 		return a
@@ -120,7 +127,7 @@
 	control := http.NewResponseController(s.w)
 	buffer := make([]byte, readStep)
 	s.events.pending = nil
-	begun, first, last := s.events.count, time.Time{}, time.Time{}
+	begun, begin, first, last := s.events.count, time.Now(), time.Time{}, time.Time{}
 	for {
 		if err := answer.SetDeadline(s.eventBy()); err != nil {
 			lease.End(unlessLeft(s, fleet.ResultBroken))
@@ -159,7 +166,7 @@
 		}
 		result, reason := fleet.ResultBroken, "stream_broken"
 		if err != nil && isTimeout(err) {
-			result, reason = fleet.ResultSilent, "stream_silent"
+			result, reason = silence(time.Since(later(last, begin))), "stream_silent"
 		}
 		lease.End(unlessLeft(s, result))
 		if s.canMove() {
