--- a/internal/process/keyed/topic.go
+++ b/internal/process/keyed/topic.go
@@ -70,7 +70,9 @@
 	for {
 		begin, pace := time.Now(), t.pace()
 		wait := pace.Retry
-		if err := t.step(ctx, pace); err != nil {
+		if err := t.step(ctx, pace); ctx.Err() != nil {
+			return nil
+		} else if err != nil {
 			t.lost(err)
 		} else {
 			wait = pace.Every - time.Since(begin)
--- a/internal/version/canary/canary.go
+++ b/internal/version/canary/canary.go
@@ -49,12 +49,12 @@
 	_            struct{} `cbor:",toarray"`
 	Good, Failed int
 	// Slowness is the sum of the logarithms of the times taken over the times
-	// expected, of the good ones.
-	Slowness float64
+	// expected, of the good ones, and Squares that of their squares.
+	Slowness, Squares float64
 }
 
 func (c Counts) plus(other Counts) Counts {
-	return Counts{Good: c.Good + other.Good, Failed: c.Failed + other.Failed, Slowness: c.Slowness + other.Slowness}
+	return Counts{Good: c.Good + other.Good, Failed: c.Failed + other.Failed, Slowness: c.Slowness + other.Slowness, Squares: c.Squares + other.Squares}
 }
 
 func (c Counts) all() int { return c.Good + c.Failed }
@@ -66,11 +66,14 @@
 	return float64(c.Failed) / float64(c.all())
 }
 
-func (c Counts) slowness() float64 {
-	if c.Good == 0 {
-		return 0
+// slowness is the mean of the logarithms and the variance of that mean.
+func (c Counts) slowness() (mean, variance float64) {
+	if c.Good < 2 {
+		return 0, 0
 	}
-	return c.Slowness / float64(c.Good)
+	n := float64(c.Good)
+	mean = c.Slowness / n
+	return mean, max(c.Squares/n-mean*mean, 0) / (n - 1)
 }
 
 // Evidence is what a host saw of both versions.
@@ -94,16 +97,18 @@
 	// done.
 	leastTrials = 12
 	// leastFailures is the number of failures from which a version can be bad.
-	// It is, if there are more than failuresDeviations standard deviations over
-	// what failuresTimes the old version's share and failuresOver would give.
-	leastFailures      = 4
-	failuresTimes      = 1.5
-	failuresOver       = 0.03
-	failuresDeviations = 4.0
-	// leastSlow and slowTimes say the same of slow answers: "several times
-	// slower" is the least that counts as bad.
+	// It is, if there are more than so many deviations over what failuresTimes
+	// the old version's share and failuresOver would give.
+	leastFailures = 4
+	failuresTimes = 1.5
+	failuresOver  = 0.03
+	// leastSlow and slowTimes say the same of slow answers: bad versions are
+	// several times slower.
 	leastSlow = 10
 	slowTimes = 2.0
+	// deviations is how many standard deviations a verdict needs. Versions are
+	// compared many times in a move, so that few would be exceeded by chance.
+	deviations = 4.0
 )
 
 // Move is a move as one host sees it.
@@ -176,7 +181,9 @@
 	}
 	counts.Good++
 	if took > 0 && expected > 0 {
-		counts.Slowness += math.Log(float64(took) / float64(expected))
+		slowness := math.Log(float64(took) / float64(expected))
+		counts.Slowness += slowness
+		counts.Squares += slowness * slowness
 	}
 }
 
@@ -221,9 +228,13 @@
 func isBad(e Evidence) bool {
 	usual := min(failuresTimes*e.Old.failedShare()+failuresOver, 1)
 	n := float64(e.New.all())
-	if e.New.Failed >= leastFailures && float64(e.New.Failed) > n*usual+failuresDeviations*math.Sqrt(n*usual*(1-usual)) {
+	if e.New.Failed >= leastFailures && float64(e.New.Failed) > n*usual+deviations*math.Sqrt(n*usual*(1-usual)) {
 		return true
 	}
-	return e.New.Good >= leastSlow && e.Old.Good >= leastSlow &&
-		e.New.slowness() > e.Old.slowness()+math.Log(slowTimes)
+	if e.New.Good < leastSlow || e.Old.Good < leastSlow {
+		return false
+	}
+	fresh, freshVariance := e.New.slowness()
+	old, oldVariance := e.Old.slowness()
+	return fresh-old > math.Log(slowTimes)+deviations*math.Sqrt(freshVariance+oldVariance)
 }
