--- /dev/null
+++ b/internal/command/host.go
@@ -0,0 +1,77 @@
+package command
+
+import (
+	"fmt"
+	"io"
+
+	"mustarddoor/internal/process/gateway"
+)
+
+// hostVerb tells what a host of mustarddoor-platform knows and believes.
+type hostVerb struct {
+	adminOptions
+	outputOptions
+	out io.Writer
+}
+
+func newHost(out io.Writer) verb {
+	return verb{"host", "Tell what a host on the users' platform believes",
+		"Tells what a host of mustarddoor-platform knows of the configuration, the platform's log, the other hosts " +
+			"and each endpoint. The admin address is the one of its metrics.",
+		&hostVerb{out: out}}
+}
+
+// Execute implements flags.Commander.
+func (v *hostVerb) Execute([]string) error {
+	state := gateway.HostState{}
+	if err := v.get(gateway.PathHost, nil, &state); err != nil {
+		return err
+	}
+	return v.print(v.out, state, func() *table { return hostTable(state) })
+}
+
+func hostTable(state gateway.HostState) *table {
+	t := &table{header: []string{"WHAT", "NAME", "STATE", "DETAIL"}}
+	t.add("host", state.Host, hostReadiness(state), "domain "+state.Domain)
+	t.add("configuration", fmt.Sprint(state.ConfigVersion), "", fmt.Sprintf("log read up to %d", state.OperatorNext))
+	log := "answers"
+	if state.LogLost {
+		log = "lost"
+	}
+	reader := state.Reader
+	if reader == "" {
+		reader = "itself"
+	}
+	t.add("log", "", log, "read by "+reader)
+	t.add("hosts", fmt.Sprint(state.Hosts), "", fmt.Sprintf("%d heard", state.Heard))
+	for _, e := range state.Endpoints {
+		t.add("endpoint", e.Endpoint, endpointState(e.Usable, e.Blocked, e.Cold),
+			fmt.Sprintf("%s %s in %s, %d of %d slots (%d own), %d tokens to read, step %d us, %.0f%% failed",
+				e.Service, e.Version, e.Domain, e.Busy, e.Slots, e.Own, e.PendingTokens, e.StepMicros, e.FailedShare*100))
+	}
+	return t
+}
+
+func hostReadiness(state gateway.HostState) string {
+	switch {
+	case state.Stopping:
+		return "stopping"
+	case state.Ready:
+		return "ready"
+	}
+	return "not ready"
+}
+
+func endpointState(usable, blocked, cold bool) string {
+	switch {
+	case !usable:
+		return "leaving"
+	case blocked && cold:
+		return "cold, blocked"
+	case blocked:
+		return "blocked"
+	case cold:
+		return "cold"
+	}
+	return "in use"
+}
--- a/internal/command/main.go
+++ b/internal/command/main.go
@@ -63,10 +63,11 @@
 
 // Main runs the tool and returns its exit code.
 func Main(args []string) int {
-	return run(args, os.Stdout, os.Stderr)
+	return Run(args, os.Stdout, os.Stderr)
 }
 
-func run(args []string, out, errOut io.Writer) int {
+// Run does as Main with the given outputs.
+func Run(args []string, out, errOut io.Writer) int {
 	parser := flags.NewNamedParser("mustarddoor", flags.HelpFlag|flags.PassDoubleDash)
 	parser.LongDescription = overview
 	for _, v := range verbs(out) {
@@ -90,6 +91,7 @@
 		newStatus(out),
 		newTimeline(out),
 		newMetrics(out),
+		newHost(out),
 		newEntry(out),
 		newRequest(out),
 		newGate(out),
--- /dev/null
+++ b/internal/process/dispatch/state.go
@@ -0,0 +1,56 @@
+package dispatch
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"mustarddoor/internal/process/fleet"
+)
+
+// EndpointState is what is believed of an endpoint, for people.
+type EndpointState struct {
+	Endpoint string `json:"endpoint"`
+	Service  string `json:"service"`
+	Domain   string `json:"domain"`
+	Version  string `json:"version"`
+	Address  string `json:"address"`
+	// Usable tells that requests may go there at all, Blocked that none may
+	// now.
+	Usable  bool `json:"usable"`
+	Blocked bool `json:"blocked"`
+	Cold    bool `json:"cold"`
+	// Busy are the slots taken by all hosts, Own by this one.
+	Busy  int `json:"busy"`
+	Own   int `json:"own"`
+	Slots int `json:"slots"`
+	// PendingTokens are prompt tokens that are still to be read, StepMicros is
+	// the time between two tokens in microseconds.
+	PendingTokens int     `json:"pending_tokens"`
+	StepMicros    int64   `json:"step_us"`
+	FailedShare   float64 `json:"failed_share"`
+	FailuresInRow int     `json:"failures_in_row"`
+}
+
+// Endpoints are the beliefs about all endpoints, by service and name.
+func (d *Dispatcher) Endpoints() []EndpointState {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := time.Now()
+	states := []EndpointState{}
+	d.fleet.All(func(e *fleet.Endpoint) {
+		c := e.Candidate(now, d.fleet.UsualFailures(e.Service), d.domain)
+		state := EndpointState{
+			Endpoint: e.ID, Service: e.Service, Domain: e.Domain, Version: e.Version, Address: e.Address,
+			Usable: d.fleet.MayUse(e), Blocked: c.Blocked, Cold: e.IsCold(now),
+			Busy: c.Busy, Own: e.Own().Running, Slots: c.Slots,
+			PendingTokens: int(c.PendingTokens), StepMicros: c.StepTime.Microseconds(),
+		}
+		state.FailedShare, state.FailuresInRow = e.Trust()
+		states = append(states, state)
+	})
+	slices.SortFunc(states, func(a, b EndpointState) int {
+		return strings.Compare(a.Service+" "+a.Endpoint, b.Service+" "+b.Endpoint)
+	})
+	return states
+}
--- a/internal/process/gateway/run.go
+++ b/internal/process/gateway/run.go
@@ -85,7 +85,10 @@
 	}
 	handlers := g.ports.Servers(g)
 	if g.settings.Metrics != "" {
-		handlers[g.settings.Metrics] = http.HandlerFunc(g.serveMetrics)
+		admin := http.NewServeMux()
+		admin.HandleFunc("GET /metrics", g.serveMetrics)
+		admin.HandleFunc("GET "+PathHost, g.serveHost)
+		handlers[g.settings.Metrics] = admin
 	}
 	for address, handler := range handlers {
 		if err := g.serve(&group, address, plainServer(handler)); err != nil {
