Hosts of a large fleet bundle their messages by failure domain

Each host now also sends its message to one host of its domain every 80 ms, which sends bundles to its domain and to one host of each other one.

--- a/internal/process/dispatch/dispatch.go
+++ b/internal/process/dispatch/dispatch.go
@@ -400,9 +400,9 @@
 const (
 	// rivalAge is the age from which a rival no longer counts.
 	rivalAge = 300 * time.Millisecond
-	// turnTime is how long a drawn turn at a free slot holds: about the time in
-	// which hosts learn that it was taken.
-	turnTime = 50 * time.Millisecond
+	// turnLeast is how long a drawn turn at free slots holds, beside the age of
+	// the loads: about the time in which hosts learn that a slot was taken.
+	turnLeast = 30 * time.Millisecond
 )
 
 // hasTurn reports whether this host may take a slot that another host has
@@ -419,7 +419,7 @@
 	if rivals == 0 {
 		return true
 	}
-	draw, taken := e.Turn(now, turnTime, d.rand.Float64)
+	draw, taken := e.Turn(now, turnLeast+e.LoadAge(now), d.rand.Float64)
 	return taken < int(float64(free+taken)/float64(rivals+1)+draw)
 }
 
--- a/internal/process/gateway/run.go
+++ b/internal/process/gateway/run.go
@@ -60,6 +60,7 @@
 	}
 	part(g.link.Receive)
 	part(g.link.Send)
+	part(g.link.SendBundles)
 	part(g.operator.Run)
 	part(g.endpoints.Run)
 	part(g.hosts.Run)
--- a/internal/process/peers/link.go
+++ b/internal/process/peers/link.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"net/netip"
+	"sync/atomic"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -19,6 +20,15 @@
 	// everyPerHost bounds the messages a host receives to some hundred a
 	// second, however many hosts there are.
 	everyPerHost = 8 * time.Millisecond
+	// bundleAbove is the number of heard hosts from which messages to all of
+	// them would be too far apart: the hosts of a failure domain then send
+	// theirs to one of them, which sends them on in bundles.
+	bundleAbove = 16
+	// bundleEvery is the pause between bundles; a load is two to three of them
+	// old when it arrives.
+	bundleEvery = 80 * time.Millisecond
+	// bundleBytes bounds a bundle to what fits one packet.
+	bundleBytes = 1300
 )
 
 // Link sends and receives messages.
@@ -32,8 +42,10 @@
 	conn  *net.UDPConn
 
 	sent, received, malformed, failed metrics.Counter
-	number                            uint64
-	urgent                            chan struct{}
+	number                            atomic.Uint64
+	// told counts the messages to all hosts.
+	told   uint64
+	urgent chan struct{}
 }
 
 // NewLink opens the socket for a roster's host.
@@ -77,12 +89,114 @@
 			continue
 		}
 		l.received.Inc(1)
-		if isNew, isBack := l.roster.hear(message, time.Now()); isNew {
+		l.take(message)
+	}
+}
+
+// take takes in a message, or those of a bundle.
+func (l *Link) take(message Message) {
+	now := time.Now()
+	if len(message.Bundle) == 0 {
+		if isNew, isBack := l.roster.hear(message, now); isNew {
 			l.heard(message, isBack)
 		}
+		return
+	}
+	for _, one := range message.Bundle {
+		if one.From.Link.IsValid() && one.From.Incarnation != 0 && len(one.Bundle) == 0 {
+			l.take(one)
+		}
+	}
+	if !message.PassOn {
+		return
+	}
+	message.PassOn = false
+	data, err := cbor.Marshal(message)
+	if err != nil {
+		l.malformed.Inc(1)
+		return
+	}
+	for _, link := range l.roster.bundling(now).members {
+		l.send(data, link)
+	}
+}
+
+// SendBundles sends bundles, or this host's message to the host that bundles,
+// until the context ends.
+func (l *Link) SendBundles(ctx context.Context) error {
+	ticker := time.NewTicker(bundleEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+		if err := l.bundle(l.roster.bundling(time.Now())); err != nil {
+			return err
+		}
 	}
 }
 
+// bundle sends what is due.
+func (l *Link) bundle(b bundling) error {
+	if !b.relay.IsValid() {
+		return nil
+	}
+	own := l.message(false)
+	if b.relay != l.roster.self.Link {
+		data, err := cbor.Marshal(own)
+		if err != nil {
+			return eris.Wrap(err, "message")
+		}
+		l.send(data, b.relay)
+		return nil
+	}
+	messages := append([]Message{own}, b.latest...)
+	for len(messages) > 0 {
+		size, count := 0, 0
+		for count < len(messages) {
+			// The hosts that a message names are not passed on.
+			messages[count].Hosts = nil
+			encoded, err := cbor.Marshal(messages[count])
+			if err != nil {
+				return eris.Wrap(err, "message")
+			}
+			if count > 0 && size+len(encoded) > bundleBytes {
+				break
+			}
+			size += len(encoded)
+			count++
+		}
+		if err := l.sendBundle(messages[:count], b); err != nil {
+			return err
+		}
+		messages = messages[count:]
+	}
+	return nil
+}
+
+// sendBundle sends messages to the hosts of this domain, and to those that pass
+// them on in the others.
+func (l *Link) sendBundle(messages []Message, b bundling) error {
+	self := l.roster.self
+	bundle := Message{From: Host{Link: self.Link, Incarnation: self.Incarnation}, Bundle: messages}
+	for _, to := range []struct {
+		links  []netip.AddrPort
+		passOn bool
+	}{{b.members, false}, {b.relays, true}} {
+		bundle.PassOn = to.passOn
+		data, err := cbor.Marshal(bundle)
+		if err != nil {
+			return eris.Wrap(err, "bundle")
+		}
+		for _, link := range to.links {
+			l.send(data, link)
+		}
+	}
+	return nil
+}
+
 // Send sends messages until the context ends.
 func (l *Link) Send(ctx context.Context) error {
 	for {
@@ -104,6 +218,16 @@
 	}
 }
 
+// message is this host's next message.
+func (l *Link) message(isFull bool) Message {
+	self := l.roster.self
+	message := Message{From: Host{Link: self.Link, Incarnation: self.Incarnation}, Number: l.number.Add(1), Status: l.status(isFull)}
+	if isFull {
+		message.From = self
+	}
+	return message
+}
+
 // rosterEvery is how many messages apart hosts tell each other who they are and
 // of whom else they have heard.
 const rosterEvery = 16
@@ -122,12 +246,11 @@
 	if len(to) == 0 {
 		return nil
 	}
-	l.number++
-	self := l.roster.self
-	isFull := l.number%rosterEvery == 1 || len(to) > len(heard)
-	message := Message{From: Host{Link: self.Link, Incarnation: self.Incarnation}, Number: l.number, Status: l.status(isFull)}
+	l.told++
+	isFull := l.told%rosterEvery == 1 || len(to) > len(heard)
+	message := l.message(isFull)
 	if isFull {
-		message.From, message.Hosts = self, heard
+		message.Hosts = heard
 	}
 	data, err := cbor.Marshal(message)
 	if err != nil {
--- a/internal/process/peers/message.go
+++ b/internal/process/peers/message.go
@@ -79,6 +79,12 @@
 	Status Status `cbor:"3,keyasint"`
 	// Hosts are links of hosts that the sender has heard lately.
 	Hosts []netip.AddrPort `cbor:"4,keyasint,omitempty"`
+	// Bundle are messages of hosts of the sender's failure domain. A bundle's
+	// own status and number are not used.
+	Bundle []Message `cbor:"5,keyasint,omitempty"`
+	// PassOn asks the receiver to hand the bundle to the hosts of its own
+	// failure domain.
+	PassOn bool `cbor:"6,keyasint,omitempty"`
 }
 
 // maxDatagram bounds a datagram in bytes; it fits an IP packet.
--- a/internal/process/peers/roster.go
+++ b/internal/process/peers/roster.go
@@ -30,6 +30,8 @@
 	status  Status
 	number  uint64
 	heardAt time.Time
+	// last is its newest message.
+	last Message
 	// sentAt is when it was last sent a message, knownAt when it was first
 	// known of.
 	sentAt, knownAt time.Time
@@ -90,7 +92,7 @@
 	if message.From.Name != "" || p.host.Incarnation != message.From.Incarnation {
 		p.host = message.From
 	}
-	p.status, p.number, p.heardAt = message.Status, message.Number, now
+	p.status, p.number, p.heardAt, p.last = message.Status, message.Number, now, message
 	for _, link := range message.Hosts {
 		r.know(link, now)
 	}
@@ -118,6 +120,51 @@
 	return to, heard
 }
 
+// bundling says which messages a host sends beside those to all hosts.
+type bundling struct {
+	// relay is the host of this failure domain that bundles its messages; the
+	// zero link if they are not bundled.
+	relay netip.AddrPort
+	// members are the other hosts of this domain, and latest their messages.
+	members []netip.AddrPort
+	latest  []Message
+	// relays are those of the other domains.
+	relays []netip.AddrPort
+}
+
+// bundling describes the bundles of a large fleet; it is empty for a small one.
+func (r *Roster) bundling(now time.Time) bundling {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	b := bundling{relay: r.self.Link}
+	lowest := map[string]netip.AddrPort{}
+	heard := 0
+	for link, p := range r.peers {
+		if !r.isHeard(p, now) || p.host.Domain == "" {
+			continue
+		}
+		heard++
+		if p.host.Domain == r.self.Domain {
+			b.members = append(b.members, link)
+			b.latest = append(b.latest, p.last)
+			if link.Compare(b.relay) < 0 && !p.status.Leaving {
+				b.relay = link
+			}
+			continue
+		}
+		if known, found := lowest[p.host.Domain]; (!found || link.Compare(known) < 0) && !p.status.Leaving {
+			lowest[p.host.Domain] = link
+		}
+	}
+	if heard < bundleAbove {
+		return bundling{}
+	}
+	for _, link := range lowest {
+		b.relays = append(b.relays, link)
+	}
+	return b
+}
+
 // Fronts are the callers' addresses of the other hosts that take callers, in
 // order.
 func (r *Roster) Fronts(now time.Time) []string {
