--- a/internal/process/dispatch/dispatch.go
+++ b/internal/process/dispatch/dispatch.go
@@ -99,9 +99,9 @@
 	links []netip.AddrPort
 	self  netip.AddrPort
 	hosts int
-	// rivals are the other hosts in whose queues requests wait, and when they
-	// said so.
-	rivals map[string]time.Time
+	// rivals are the other hosts in whose queues requests wait, by service, and
+	// when they said so.
+	rivals map[uint32]map[string]time.Time
 	// moves are the services' moves to other versions.
 	moves map[string]*canary.Move
 	rand  *rand.Rand
@@ -174,7 +174,7 @@
 	return &Dispatcher{
 		domain: domain, opened: opened, notify: notify,
 		fleet: fleet.New(), pools: map[*fleet.Endpoint]*upstream.Pool{},
-		queues: map[string]*serviceQueue{}, hosts: 1, rivals: map[string]time.Time{},
+		queues: map[string]*serviceQueue{}, hosts: 1, rivals: map[uint32]map[string]time.Time{},
 		moves: map[string]*canary.Move{},
 		rand:  rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
@@ -385,7 +385,8 @@
 	return admission.Supply{Slots: d.part(service, now) * d.queue(service).flow.rate, Draw: d.rand.Float64()}, usable
 }
 
-// part is this host's part of the slots of the service's usable endpoints.
+// part is this host's part of the slots of the service's usable endpoints: as
+// many hosts share them as have requests that wait.
 func (d *Dispatcher) part(service string, now time.Time) float64 {
 	slots := 0
 	usual := d.fleet.UsualFailures(service)
@@ -394,28 +395,35 @@
 			slots += e.Slots
 		}
 	}
-	return float64(slots) / float64(max(d.hosts, 1))
+	return float64(slots) / float64(d.countRivals(service, now)+1)
 }
 
 const (
-	// rivalAge is the age from which a rival no longer counts.
-	rivalAge = 300 * time.Millisecond
+	// rivalAge is the age from which a rival no longer counts; in a large fleet
+	// its messages are some 200 ms old.
+	rivalAge = 500 * time.Millisecond
 	// turnLeast is how long a drawn turn at free slots holds, beside the age of
 	// the loads: about the time in which hosts learn that a slot was taken.
 	turnLeast = 30 * time.Millisecond
 )
 
-// hasTurn reports whether this host may take a slot that another host has
-// freed. All hosts see the free slots at the same time; if requests wait at
-// several of them, each takes its part, so that together they take about as
-// many as there are.
-func (d *Dispatcher) hasTurn(e *fleet.Endpoint, free int, now time.Time) bool {
+// countRivals is the number of other hosts where requests wait for a service.
+func (d *Dispatcher) countRivals(service string, now time.Time) int {
 	rivals := 0
-	for _, at := range d.rivals {
+	for _, at := range d.rivals[fleet.HashOf(service)] {
 		if now.Sub(at) < rivalAge {
 			rivals++
 		}
 	}
+	return rivals
+}
+
+// hasTurn reports whether this host may take a slot that another host has
+// freed. All hosts see the free slots at the same time; if requests wait at
+// several of them, each takes its part, so that together they take about as
+// many as there are.
+func (d *Dispatcher) hasTurn(e *fleet.Endpoint, free int, now time.Time) bool {
+	rivals := d.countRivals(e.Service, now)
 	if rivals == 0 {
 		return true
 	}
--- a/internal/process/dispatch/update.go
+++ b/internal/process/dispatch/update.go
@@ -130,8 +130,9 @@
 	return before < coldUsers
 }
 
-// Loads are this host's loads by endpoint, and the waiters by service.
-func (d *Dispatcher) Loads() (loads map[uint32]fleet.Load, waiting int) {
+// Loads are this host's loads by endpoint, and the services for which requests
+// wait; both are named by their hashes.
+func (d *Dispatcher) Loads() (loads map[uint32]fleet.Load, waiting []uint32) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	loads = map[uint32]fleet.Load{}
@@ -140,21 +141,28 @@
 			loads[e.Hash] = own
 		}
 	})
-	for _, queue := range d.queues {
-		waiting += queue.Len()
+	for service, queue := range d.queues {
+		if queue.Len() > 0 {
+			waiting = append(waiting, fleet.HashOf(service))
+		}
 	}
 	return loads, waiting
 }
 
-// Hear takes in another host's loads and how many requests wait there.
-func (d *Dispatcher) Hear(host string, loads map[uint32]fleet.Load, waiting int) {
+// Hear takes in another host's loads and the services for which requests wait
+// there.
+func (d *Dispatcher) Hear(host string, loads map[uint32]fleet.Load, waiting []uint32) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := time.Now()
-	if waiting > 0 {
-		d.rivals[host] = now
-	} else {
-		delete(d.rivals, host)
+	for _, rivals := range d.rivals {
+		delete(rivals, host)
+	}
+	for _, service := range waiting {
+		if d.rivals[service] == nil {
+			d.rivals[service] = map[string]time.Time{}
+		}
+		d.rivals[service][host] = now
 	}
 	d.fleet.All(func(e *fleet.Endpoint) { e.Hear(host, loads[e.Hash], now) })
 	for service := range d.queues {
--- a/internal/process/fleet/endpoint.go
+++ b/internal/process/fleet/endpoint.go
@@ -50,7 +50,7 @@
 	taken     int
 }
 
-// HashOf is an endpoint's name in messages between hosts.
+// HashOf is the name of an endpoint or a service in messages between hosts.
 func HashOf(id string) uint32 { return uint32(xxhash.Sum64String(id)) }
 
 const (
--- a/internal/process/peers/message.go
+++ b/internal/process/peers/message.go
@@ -65,7 +65,8 @@
 	EntriesNext uint64     `cbor:"4,keyasint,omitempty"`
 	Work        []Work     `cbor:"5,keyasint,omitempty"`
 	Spent       []Spending `cbor:"6,keyasint,omitempty"`
-	Waiting     int        `cbor:"7,keyasint,omitempty"`
+	// Waiting are the services for which requests wait, by their hashes.
+	Waiting []uint32 `cbor:"7,keyasint,omitempty"`
 	// StoreLost tells that the platform's log does not answer this host.
 	StoreLost bool `cbor:"8,keyasint,omitempty"`
 	// Moves are the moves of services to other versions.
--- a/internal/process/peers/roster_test.go
+++ b/internal/process/peers/roster_test.go
@@ -80,7 +80,7 @@
 	assert.Equal(t, r.Reader(func(l netip.AddrPort) bool { return l == link("3") }, false, start), link("7"))
 	assert.Equal(t, r.Reader(nobody, false, start.Add(time.Minute)), link("5"))
 	assert.Assert(t, !r.IsFirst(func(s Status) bool { return !s.StoreLost }, start))
-	assert.Assert(t, r.IsFirst(func(s Status) bool { return s.Waiting > 0 }, start))
+	assert.Assert(t, r.IsFirst(func(s Status) bool { return len(s.Waiting) > 0 }, start))
 }
 
 // After a time in which the host stood still, nothing that it heard counts.
--- a/internal/request/relay/attempt.go
+++ b/internal/request/relay/attempt.go
@@ -137,7 +137,7 @@
 		lease.End(unlessLeft(s, fleet.ResultUnreachable))
 		return sendEnd{fate: repeat.FateNotSent, reason: "endpoint_unreachable"}
 	}
-	if !lease.MayStillUse() {
+	if s.context().Err() != nil || !lease.MayStillUse() {
 		conn.Close()
 		lease.End(fleet.ResultNone)
 		return sendEnd{fate: repeat.FateNotSent, reason: "endpoint_left"}
