--- a/internal/process/gateway/connections.go
+++ b/internal/process/gateway/connections.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"mustarddoor/internal/process/pause"
 )
 
 // connections watches the callers' connections: it closes those that are idle
@@ -55,14 +57,7 @@
 
 // sweep closes idle connections until the context ends.
 func (c *connections) sweep(ctx context.Context) error {
-	ticker := time.NewTicker(sweepEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-		}
+	for pause.For(ctx, sweepEvery) {
 		limit := idleTimeout
 		if table := c.gateway.table.Load(); table != nil && table.Limits.IdleTimeout > 0 {
 			limit = table.Limits.IdleTimeout
@@ -75,6 +70,7 @@
 			}
 		}
 	}
+	return nil
 }
 
 func (c *connections) idleLonger(limit time.Duration) []net.Conn {
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -16,6 +16,7 @@
 	"mustarddoor/internal/process/dispatch"
 	"mustarddoor/internal/process/fleet"
 	"mustarddoor/internal/process/keyed"
+	"mustarddoor/internal/process/pause"
 	"mustarddoor/internal/process/peers"
 	"mustarddoor/internal/request/relay"
 	"mustarddoor/internal/version/routing"
@@ -166,16 +167,9 @@
 
 // tick does what is due until the context ends.
 func (g *Gateway) tick(ctx context.Context) error {
-	ticker := time.NewTicker(tickEvery)
-	defer ticker.Stop()
 	seen := map[string]bool{}
 	still := newStillness()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-		}
+	for pause.For(ctx, tickEvery) {
 		if stood := still.check(); stood > 0 {
 			g.log.Entry().WithField("stood_ms", stood.Milliseconds()).Warn("the host stood still, what it has heard is forgotten")
 			g.roster.Silence()
@@ -190,6 +184,7 @@
 		}
 		g.dispatcher.Tick()
 	}
+	return nil
 }
 
 // parseLink reads a host's record in its topic.
--- a/internal/process/peers/link.go
+++ b/internal/process/peers/link.go
@@ -11,6 +11,8 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/rcrowley/go-metrics"
 	"github.com/rotisserie/eris"
+
+	"mustarddoor/internal/process/pause"
 )
 
 const (
@@ -124,18 +126,12 @@
 // SendBundles sends bundles, or this host's message to the host that bundles,
 // until the context ends.
 func (l *Link) SendBundles(ctx context.Context) error {
-	ticker := time.NewTicker(bundleEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-		}
+	for pause.For(ctx, bundleEvery) {
 		if err := l.bundle(l.roster.bundling(time.Now())); err != nil {
 			return err
 		}
 	}
+	return nil
 }
 
 // bundle sends what is due.
--- a/internal/process/peers/roster_test.go
+++ b/internal/process/peers/roster_test.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"net/netip"
+	"strconv"
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
 	"github.com/rcrowley/go-metrics"
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
@@ -133,3 +135,48 @@
 		}
 	})
 }
+
+// largeFleet is a roster of host 50 that hears hosts 1 to 20 of z1 and 21 to 40
+// of z2.
+func largeFleet() *Roster {
+	r := NewRoster(host("50"))
+	for i := 1; i <= 40; i++ {
+		h := host(strconv.Itoa(i))
+		if i > 20 {
+			h.Domain = "z2"
+		}
+		heardHost(r, h, 1, Status{ConfigNext: 1, Leaving: i == 1}, start)
+	}
+	return r
+}
+
+// In a large fleet the lowest host of each failure domain that stays bundles
+// the messages of its domain; a small one needs no bundles.
+func TestBundling(t *testing.T) {
+	b := largeFleet().bundling(start)
+	assert.Equal(t, b.relay, link("2"))
+	assert.Equal(t, len(b.members), 20)
+	assert.Equal(t, len(b.latest), 20)
+	assert.DeepEqual(t, b.relays, []netip.AddrPort{link("21")}, cmp.Comparer(func(a, b netip.AddrPort) bool { return a == b }))
+	small := NewRoster(host("9"))
+	heardHost(small, host("1"), 1, Status{}, start)
+	assert.Assert(t, !small.bundling(start).relay.IsValid())
+}
+
+// The messages of a bundle count as if they had come from their hosts; nothing
+// within them is a bundle again.
+func TestBundleIsTaken(t *testing.T) {
+	var heard []string
+	r := NewRoster(host("9"))
+	registry := metrics.NewRegistry()
+	l := &Link{
+		roster: r, heard: func(m Message, _ bool) { heard = append(heard, m.From.Name) },
+		malformed: metrics.GetOrRegisterCounter("m", registry), failed: metrics.GetOrRegisterCounter("f", registry), sent: metrics.GetOrRegisterCounter("s", registry),
+	}
+	one := Message{From: host("1"), Number: 5}
+	nested := Message{From: host("2"), Number: 5, Bundle: []Message{{From: host("3"), Number: 1}}}
+	l.take(Message{From: host("4"), Bundle: []Message{one, nested, one, {Number: 1}}})
+	assert.DeepEqual(t, heard, []string{"1"})
+	l.take(Message{From: host("1"), Number: 4})
+	assert.DeepEqual(t, heard, []string{"1"})
+}
