A request that is given up is reset

The connection was closed in the usual way, so that the kernel went on sending. Test first: TestGivenUpRequestIsReset.

--- a/internal/connection/upstream/exchange.go
+++ b/internal/connection/upstream/exchange.go
@@ -182,21 +182,21 @@
 func (a *Answer) WasReused() bool { return a.conn.reused }
 
 // Finish ends the exchange: the connection is kept if the whole answer was read
-// and nothing speaks against it, else closed, which cancels the request.
+// and nothing speaks against it, else aborted, which cancels the request.
 func (a *Answer) Finish() {
 	if !a.whole || a.close || !a.framed {
-		a.conn.Close()
+		a.conn.Abort()
 		return
 	}
 	select {
 	case err := <-a.written:
 		if err != nil {
-			a.conn.Close()
+			a.conn.Abort()
 			return
 		}
 	default:
 		// The answer came before the whole body was sent.
-		a.conn.Close()
+		a.conn.Abort()
 		return
 	}
 	a.conn.release(a.keepAlive)
--- a/internal/connection/upstream/pool.go
+++ b/internal/connection/upstream/pool.go
@@ -128,7 +128,18 @@
 	p.idle = append(p.idle, c)
 }
 
-// Close closes the connection; the endpoint drops a request that runs on it.
+// Abort closes the connection and drops what was sent on it and has not
+// arrived. Closed in the usual way, the kernel would go on sending, and a
+// request that was given up could run seconds later.
+func (c *Conn) Abort() {
+	if tcp, ok := c.net.(*net.TCPConn); ok {
+		// On an error the connection is closed already.
+		_ = tcp.SetLinger(0)
+	}
+	c.Close()
+}
+
+// Close closes a connection on which nothing is under way.
 func (c *Conn) Close() {
 	// The connection is given up whatever the result.
 	_ = c.net.Close()
--- a/internal/connection/upstream/upstream_test.go
+++ b/internal/connection/upstream/upstream_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -174,3 +175,22 @@
 	}
 	assert.Equal(t, opened.Count(), int64(3))
 }
+
+// A request that is given up is reset, so that the kernel drops what has not
+// arrived instead of sending it on.
+func TestGivenUpRequestIsReset(t *testing.T) {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer listener.Close()
+	pool := upstream.NewPool(listener.Addr().String(), metrics.NewCounter())
+	conn, err := pool.Get(context.Background())
+	assert.NilError(t, err)
+	accepted, err := listener.Accept()
+	assert.NilError(t, err)
+	defer accepted.Close()
+	_, err = conn.Do(upstream.Request{Method: "POST", Target: "/", Host: "h"}, time.Now().Add(50*time.Millisecond), notStale)
+	assert.Assert(t, errors.Is(err, upstream.ErrLost))
+	conn.Abort()
+	_, err = io.Copy(io.Discard, accepted)
+	assert.Assert(t, errors.Is(err, syscall.ECONNRESET), "%v", err)
+}
--- a/internal/request/relay/attempt.go
+++ b/internal/request/relay/attempt.go
@@ -142,8 +142,8 @@
 		lease.End(fleet.ResultNone)
 		return sendEnd{fate: repeat.FateNotSent, reason: "endpoint_left"}
 	}
-	// Closing the connection makes the endpoint drop the request.
-	stop := context.AfterFunc(s.context(), conn.Close)
+	// Aborting the connection makes the endpoint drop the request.
+	stop := context.AfterFunc(s.context(), conn.Abort)
 	defer stop()
 	s.sends++
 	s.attempts++
@@ -152,7 +152,7 @@
 		return s.isStale(conn, header)
 	})
 	if err != nil {
-		conn.Close()
+		conn.Abort()
 		return s.noAnswer(lease, sent, err)
 	}
 	said := s.relay.Protocol.Answer(answer.Status, answer.Header)
