--- a/internal/process/dispatch/dispatch.go
+++ b/internal/process/dispatch/dispatch.go
@@ -107,59 +107,6 @@
 	rand  *rand.Rand
 }
 
-// serviceQueue is what waits for a service's endpoints.
-type serviceQueue struct {
-	admission.Queue
-	// holds are the learned times that requests of a route occupy a slot.
-	holds map[string]*holdTime
-	flow  flow
-}
-
-// flow measures how fast waiting work is taken up.
-type flow struct {
-	// since is when the measuring began; zero while nothing waits.
-	since time.Time
-	taken time.Duration
-	// rate is work in a unit of time, over the slots that this host should
-	// have; 0 before the first measure.
-	rate float64
-}
-
-const (
-	// flowTime is how long one measure takes, and flowWeight the weight of the
-	// newest one: a burst lasts a few seconds.
-	flowTime   = 100 * time.Millisecond
-	flowWeight = 0.15
-	flowLeast  = 0.2
-)
-
-// measure takes in what was taken up, given this host's part of the slots.
-func (f *flow) measure(waiting bool, slots float64, now time.Time) {
-	if !waiting {
-		f.since, f.taken = time.Time{}, 0
-		f.rate += (1 - f.rate) * flowWeight
-		return
-	}
-	elapsed := now.Sub(f.since)
-	if f.since.IsZero() {
-		f.since, f.taken = now, 0
-		return
-	}
-	if elapsed < flowTime || slots <= 0 {
-		return
-	}
-	sample := float64(f.taken) / float64(elapsed) / slots
-	f.rate += (min(max(sample, flowLeast), 1) - f.rate) * flowWeight
-	f.since, f.taken = now, 0
-}
-
-// holdTime learns how long requests of a route take, beside what their tokens
-// explain.
-type holdTime struct {
-	// ratio is the time taken over the time expected.
-	ratio float64
-}
-
 // waiter is a queued request.
 type waiter struct {
 	entry  *admission.Waiter
@@ -180,32 +127,6 @@
 	}
 }
 
-// Lease is a request's right to use an endpoint. It must be ended.
-type Lease struct {
-	// Endpoint, Address and Domain name where the request goes.
-	Endpoint, Address, Domain string
-	// Pool holds connections there.
-	Pool *upstream.Pool
-	// Busy and Slots are the endpoint's load when it was chosen, LoadAge the
-	// age of the oldest figure in it, Sequence the number of its entry and
-	// Hosts that of the hosts that share it.
-	Busy, Slots int
-	LoadAge     time.Duration
-	Sequence    uint64
-	Hosts       int
-	// Waited is the time in the queue.
-	Waited time.Duration
-	// Expected is the expected time to the first answer.
-	Expected time.Duration
-
-	dispatcher *Dispatcher
-	endpoint   *fleet.Endpoint
-	job        *Job
-	begun      time.Time
-	first      bool
-	ended      bool
-}
-
 // Acquire gives the request an endpoint at once, lets it wait, or refuses it.
 func (d *Dispatcher) Acquire(ctx context.Context, job *Job) (*Lease, error) {
 	d.mu.Lock()
@@ -220,7 +141,7 @@
 	supply, usable := d.supply(job.Service, now)
 	if usable == 0 {
 		d.mu.Unlock()
-		return nil, &Refusal{Reason: ReasonNoEndpoint, RetryAfter: admission.Return(job.Left, 0, d.draw())}
+		return nil, &Refusal{Reason: ReasonNoEndpoint, RetryAfter: admission.Return(job.Left, 0, supply.Draw)}
 	}
 	verdict := admission.Decide(d.wish(queue, job, now), &queue.Queue, supply, now)
 	if verdict.Waiter == nil {
@@ -238,8 +159,6 @@
 	return d.wait(ctx, queue, w, now, verdict)
 }
 
-func (d *Dispatcher) draw() float64 { return rand.Float64() }
-
 // wait waits for a lease.
 func (d *Dispatcher) wait(ctx context.Context, queue *serviceQueue, w *waiter, since time.Time, verdict admission.Verdict) (*Lease, error) {
 	timer := time.NewTimer(time.Until(w.entry.Until))
@@ -272,15 +191,6 @@
 	}
 }
 
-func (d *Dispatcher) queue(service string) *serviceQueue {
-	queue := d.queues[service]
-	if queue == nil {
-		queue = &serviceQueue{holds: map[string]*holdTime{}, flow: flow{rate: 1}}
-		d.queues[service] = queue
-	}
-	return queue
-}
-
 // mayPass reports whether a new request may go before those that wait.
 func (d *Dispatcher) mayPass(queue *serviceQueue, job *Job) bool {
 	next := queue.Peek()
@@ -336,44 +246,6 @@
 	return max(patienceLeast, patienceAims*route.Aim, patienceGaps*route.GapAim)
 }
 
-// tokenTime is the time that a slot is expected to be occupied for each token
-// of the answer, before anything was learned.
-const tokenTime = 4 * time.Millisecond
-
-// promptTime is the same for each token of the prompt.
-const promptTime = 20 * time.Microsecond
-
-// plainTime is the expected time of a request to a plain service.
-const plainTime = 40 * time.Millisecond
-
-func expectedHold(job *Job) time.Duration {
-	if job.Prompt == 0 && job.Output == 0 {
-		return plainTime
-	}
-	return time.Duration(job.Prompt*float64(promptTime)) + time.Duration(job.Output*float64(tokenTime))
-}
-
-// hold is the learned time that a job occupies a slot.
-func (q *serviceQueue) hold(job *Job) time.Duration {
-	expected := expectedHold(job)
-	if learned := q.holds[job.Route.Name]; learned != nil {
-		return time.Duration(float64(expected) * learned.ratio)
-	}
-	return expected
-}
-
-// holdWeight is the weight of the newest request in the learned hold time.
-const holdWeight = 0.05
-
-func (q *serviceQueue) learn(job *Job, took time.Duration) {
-	learned := q.holds[job.Route.Name]
-	if learned == nil {
-		learned = &holdTime{ratio: 1}
-		q.holds[job.Route.Name] = learned
-	}
-	learned.ratio += (min(float64(took)/float64(expectedHold(job)), 5) - learned.ratio) * holdWeight
-}
-
 // supply is what this host can count on, and how many endpoints may be used.
 func (d *Dispatcher) supply(service string, now time.Time) (admission.Supply, int) {
 	usable := 0
@@ -398,59 +270,6 @@
 	return float64(slots) / float64(d.countRivals(service, now)+1)
 }
 
-const (
-	// rivalAge is the age from which a rival no longer counts; in a large fleet
-	// its messages are some 200 ms old.
-	rivalAge = 500 * time.Millisecond
-	// turnLeast is how long a drawn turn at free slots holds, beside the age of
-	// the loads: about the time in which hosts learn that a slot was taken.
-	turnLeast = 30 * time.Millisecond
-)
-
-// countRivals is the number of other hosts where requests wait for a service.
-func (d *Dispatcher) countRivals(service string, now time.Time) int {
-	rivals := 0
-	for _, at := range d.rivals[fleet.HashOf(service)] {
-		if now.Sub(at) < rivalAge {
-			rivals++
-		}
-	}
-	return rivals
-}
-
-// hasTurn reports whether this host may take a slot that another host has
-// freed. All hosts see the free slots at the same time; if requests wait at
-// several of them, each takes its part, so that together they take about as
-// many as there are.
-func (d *Dispatcher) hasTurn(e *fleet.Endpoint, free int, now time.Time) bool {
-	rivals := d.countRivals(e.Service, now)
-	if rivals == 0 {
-		return true
-	}
-	draw, taken := e.Turn(now, turnLeast+e.LoadAge(now), d.rand.Float64)
-	return taken < int(float64(free+taken)/float64(rivals+1)+draw)
-}
-
-// roomPart is the part of a service's slots below which there is room: nothing
-// waits then, and a request takes no slot that another one will need soon.
-const roomPart = 0.6
-
-// HasRoom reports whether a service has endpoints to spare.
-func (d *Dispatcher) HasRoom(service string) bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	now := time.Now()
-	busy, slots := 0, 0
-	for _, e := range d.fleet.Of(service) {
-		if d.fleet.MayUse(e) {
-			c := e.Candidate(now, 0, d.domain)
-			busy += c.Busy
-			slots += c.Slots
-		}
-	}
-	return d.queue(service).Len() == 0 && float64(busy) < roomPart*float64(slots)
-}
-
 // place gives a job the best free endpoint, or nil. The slot that this host has
 // just freed at an endpoint is its own to take. The caller holds mu.
 func (d *Dispatcher) place(job *Job, freed *fleet.Endpoint, now time.Time) *Lease {
@@ -517,63 +336,3 @@
 		w.result <- lease
 	}
 }
-
-// MayStillUse reports whether the request may still be sent: the endpoint's
-// state can change between the choice and the sending.
-func (l *Lease) MayStillUse() bool {
-	l.dispatcher.mu.Lock()
-	defer l.dispatcher.mu.Unlock()
-	return l.dispatcher.fleet.MayUse(l.endpoint)
-}
-
-// FirstEvent notes that the first part of the answer has come.
-func (l *Lease) FirstEvent() {
-	l.dispatcher.mu.Lock()
-	defer l.dispatcher.mu.Unlock()
-	if !l.first {
-		l.first = true
-		l.endpoint.FirstEvent(l.job.Prompt, time.Since(l.begun))
-	}
-}
-
-// TurnCold notes that the endpoint says it is cold.
-func (l *Lease) TurnCold(remaining time.Duration) {
-	l.dispatcher.mu.Lock()
-	defer l.dispatcher.mu.Unlock()
-	l.endpoint.TurnCold(remaining, time.Now())
-}
-
-// Steps notes the time between two tokens of the answer.
-func (l *Lease) Steps(step time.Duration) {
-	l.dispatcher.mu.Lock()
-	defer l.dispatcher.mu.Unlock()
-	l.endpoint.Steps(step)
-}
-
-// End gives the slot back. Further calls have no effect.
-func (l *Lease) End(result fleet.Result) {
-	d := l.dispatcher
-	d.mu.Lock()
-	if l.ended {
-		d.mu.Unlock()
-		return
-	}
-	l.ended = true
-	now := time.Now()
-	var beliefs []Belief
-	if l.endpoint.End(l.job.Prompt, l.first, result, now) {
-		beliefs = append(beliefs, believe("suspended", l.endpoint))
-	}
-	if result == fleet.ResultOther {
-		beliefs = append(beliefs, believe("address_reused", l.endpoint))
-	}
-	d.noteVersion(l, result, now)
-	if result == fleet.ResultGood {
-		d.queue(l.job.Service).learn(l.job, now.Sub(l.begun))
-	}
-	d.pump(l.job.Service, l.endpoint, now)
-	d.mu.Unlock()
-	for _, b := range beliefs {
-		d.notify(b)
-	}
-}
