--- a/internal/request/relay/pass.go
+++ b/internal/request/relay/pass.go
@@ -62,6 +62,11 @@
 // pass passes an endpoint's answer on.
 func (s *serving) pass(lease *dispatch.Lease, answer *upstream.Answer, said AnswerAttributes) sendEnd {
 	if s.route.Kind == routing.KindStream && answer.Status == http.StatusOK {
+		if !said.Sealed {
+			answer.Finish()
+			lease.End(unlessLeft(s, fleet.ResultBroken))
+			return sendEnd{fate: repeat.FateUnknown, reason: "answer_unfit"}
+		}
 		return s.passStream(lease, answer)
 	}
 	if s.headSent {
