--- a/scenario/process_test.go
+++ b/scenario/process_test.go
@@ -117,6 +117,9 @@
 		if _, err := os.Stat(path); err == nil {
 			command := exec.Command(path, args...)
 			command.Dir = ts.MkAbs(".")
+			// In a process group whose leader has ended, the kernel ends processes
+			// that a test has stopped; whoever starts the tests may end.
+			command.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
 			command.Env = append(os.Environ(), "PATH="+ts.Getenv("PATH"), "GORACE="+ts.Getenv("GORACE"))
 			return command
 		}
