The time of day decides nothing between hosts any more

Found by reading the change again. A team's window counted its parts by the time of day, so that a jump forward forgot what was used. A host's incarnation is a time of day too: one that started again after a jump back was ignored by the others. Mesh links judged idleness and silence by it (older code). Windows and mesh instants now count on the steady clock; a lower incarnation counts once the host has been silent for some of its messages. Tests: TestRestartAfterClockStep failed first.

--- a/internal/connection/mesh/link.go
+++ b/internal/connection/mesh/link.go
@@ -25,8 +25,8 @@
 	failure error
 	pipe    *pipe
 	over    atomic.Bool
-	// usedAt is when the last call began, in Unix nanoseconds.
-	usedAt  atomic.Int64
+	// usedAt is when the last call began.
+	usedAt  instant
 	pinging atomic.Bool
 
 	mutex   sync.Mutex
@@ -40,7 +40,7 @@
 		ready:   make(chan struct{}),
 		pending: map[uint64]chan frame{},
 	}
-	l.usedAt.Store(time.Now().UnixNano())
+	l.usedAt.set()
 	return l
 }
 
@@ -91,7 +91,7 @@
 // call sends one call and waits for its answer. It fails with errNotWritten if
 // the call may be repeated on another connection.
 func (l *link) call(ctx context.Context, call frame) ([]byte, error) {
-	l.usedAt.Store(time.Now().UnixNano())
+	l.usedAt.set()
 	answer := make(chan frame, 1)
 	id, admitted := l.register(answer)
 	if !admitted {
@@ -192,11 +192,11 @@
 	}
 	options := l.pipe.options
 	inFlight := l.inFlight()
-	if inFlight == 0 && now.Sub(time.Unix(0, l.usedAt.Load())) > options.IdleTimeout {
+	if inFlight == 0 && l.usedAt.before(now) > options.IdleTimeout {
 		l.close()
 		return
 	}
-	silence := now.Sub(time.Unix(0, l.pipe.heardAt.Load()))
+	silence := l.pipe.heardAt.before(now)
 	if inFlight > 0 && silence > options.StallTimeout && l.pinging.CompareAndSwap(false, true) {
 		go l.ping(options.StallTimeout)
 	}
@@ -211,7 +211,7 @@
 		l.pipe.close()
 		return
 	}
-	l.pipe.heardAt.Store(time.Now().UnixNano())
+	l.pipe.heardAt.set()
 }
 
 // unpack turns an answer into the response's bytes or ErrRejected.
--- a/internal/connection/mesh/pipe.go
+++ b/internal/connection/mesh/pipe.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"sync/atomic"
-	"time"
 
 	"github.com/coder/websocket"
 	"github.com/rotisserie/eris"
@@ -41,8 +40,8 @@
 	// done is closed when the connection is given up.
 	done   chan struct{}
 	closed atomic.Bool
-	// heardAt is when the last message came, in Unix nanoseconds.
-	heardAt atomic.Int64
+	// heardAt is when the last message came.
+	heardAt instant
 }
 
 func newPipe(conn *websocket.Conn, options Options, counters *counters) *pipe {
@@ -96,7 +95,7 @@
 	}
 	p.options.Clock.Observe(first.Stamp)
 	p.peer = greeting.Host
-	p.heardAt.Store(time.Now().UnixNano())
+	p.heardAt.set()
 	return nil
 }
 
@@ -178,7 +177,7 @@
 		if err != nil {
 			return
 		}
-		p.heardAt.Store(time.Now().UnixNano())
+		p.heardAt.set()
 		p.counters.receivedBytes.Inc(int64(len(message)))
 		if !p.deliver(message, receive) {
 			return
--- a/internal/process/allowance/window.go
+++ b/internal/process/allowance/window.go
@@ -11,19 +11,20 @@
 	// slot is the length of a part.
 	slot  time.Duration
 	slots [windowSlots + 1]float64
-	// newest is the number of the newest part, counted from the Unix epoch.
+	// start is when the window was made; parts are counted from there on the
+	// steady clock, since the time of day jumps.
+	start time.Time
+	// newest is the number of the newest part.
 	newest int64
 	sum    float64
 }
 
 // NewWindow returns a window that has seen nothing.
 func NewWindow(length time.Duration, now time.Time) Window {
-	w := Window{slot: max(length/windowSlots, time.Millisecond)}
-	w.newest = w.number(now)
-	return w
+	return Window{slot: max(length/windowSlots, time.Millisecond), start: now}
 }
 
-func (w *Window) number(now time.Time) int64 { return now.UnixNano() / int64(w.slot) }
+func (w *Window) number(now time.Time) int64 { return int64(now.Sub(w.start) / w.slot) }
 
 // forget drops the parts that have left the window.
 func (w *Window) forget(now time.Time) {
--- a/internal/process/peers/roster.go
+++ b/internal/process/peers/roster.go
@@ -13,6 +13,9 @@
 	heardAge = 900 * time.Millisecond
 	// missedMessages is how many messages in a row may be lost before that.
 	missedMessages = 4
+	// restartSilence is the silence from which a message of a lower incarnation
+	// is that of a new process and not a late one of an old process.
+	restartSilence = 400 * time.Millisecond
 	// keepAge is how long a host that is not heard still counts among those
 	// that may spend: it may be cut off and serve its own callers.
 	keepAge = 20 * time.Second
@@ -84,8 +87,7 @@
 	if p == nil {
 		return false, false
 	}
-	if message.From.Incarnation < p.host.Incarnation ||
-		message.From.Incarnation == p.host.Incarnation && message.Number <= p.number {
+	if !p.isSucceededBy(message, now) {
 		return false, false
 	}
 	isBack = !r.isHeard(p, now) || p.host.Incarnation != message.From.Incarnation
@@ -99,6 +101,19 @@
 	return true, isBack
 }
 
+// isSucceededBy reports whether a message is newer than the last one heard. An
+// incarnation is a time of day, which may jump back before a host starts again:
+// a lower one counts once the host has been silent for some of its messages.
+func (p *peer) isSucceededBy(message Message, now time.Time) bool {
+	switch known := p.host.Incarnation; {
+	case message.From.Incarnation == known:
+		return message.Number > p.number
+	case message.From.Incarnation < known:
+		return now.Sub(p.heardAt) > restartSilence
+	}
+	return true
+}
+
 // due are the links to send a message to now, and those that are heard.
 func (r *Roster) due(now time.Time) (to, heard []netip.AddrPort) {
 	r.mu.Lock()
--- a/internal/process/peers/roster_test.go
+++ b/internal/process/peers/roster_test.go
@@ -49,6 +49,24 @@
 	assert.Equal(t, len(r.Fronts(start)), 0)
 }
 
+// A host whose time of day has jumped back before it started again is heard
+// again; late messages of its old process are not.
+func TestRestartAfterClockStep(t *testing.T) {
+	r := NewRoster(host("9"))
+	old := host("1")
+	old.Incarnation = 5000
+	heardHost(r, old, 70, Status{Ready: true}, start)
+	fresh := host("1")
+	fresh.Incarnation = 3000
+	heardHost(r, fresh, 1, Status{}, start.Add(100*time.Millisecond))
+	assert.Equal(t, len(r.Fronts(start.Add(100*time.Millisecond))), 1, "a late message of an old process counts")
+	back := start.Add(time.Second)
+	heardHost(r, fresh, 2, Status{Ready: true}, back)
+	assert.Equal(t, r.peers[link("1")].host.Incarnation, int64(3000))
+	heardHost(r, fresh, 3, Status{}, back.Add(60*time.Millisecond))
+	assert.Equal(t, len(r.Fronts(back.Add(60*time.Millisecond))), 0)
+}
+
 // A host that is not heard still counts among those that may spend, unless it
 // has said that it leaves, and not for ever.
 func TestSpenders(t *testing.T) {
