Less code for the same decisions

Found by reading the change again; behaviour is the same: - one test of who writes for the fleet (copies and moves had one each), one way to read from another host and to hand over (state and records had one each), with the bounded decoder of connection/codec in place of a bare one; - one walk over a service's usable endpoints in place of five; - prompt parts are no longer parsed for each request, since nothing reads them, and whether there is room is asked only once a team's limit is reached; - pause.For in place of a loop of its own, no wrapper of time.Now, unused methods and fields removed; - a boot clock that cannot be read is logged instead of read as zero.

--- a/internal/connection/upstream/exchange.go
+++ b/internal/connection/upstream/exchange.go
@@ -23,8 +23,6 @@
 type Answer struct {
 	Status int
 	Header http.Header
-	// Length is the body's length, or -1 if it was not announced.
-	Length int64
 
 	conn      *Conn
 	body      io.ReadCloser
@@ -135,7 +133,6 @@
 		return &Answer{
 			Status:    response.StatusCode,
 			Header:    response.Header,
-			Length:    response.ContentLength,
 			conn:      c,
 			body:      response.Body,
 			keepAlive: keepAliveTimeout(response.Header.Get("Keep-Alive")),
@@ -173,14 +170,6 @@
 	return n, err
 }
 
-// IsFramed reports whether the end of the body can be told from the end of the
-// connection.
-func (a *Answer) IsFramed() bool { return a.framed }
-
-// WasReused reports whether the answer came on a connection that had served
-// earlier requests.
-func (a *Answer) WasReused() bool { return a.conn.reused }
-
 // Finish ends the exchange: the connection is kept if the whole answer was read
 // and nothing speaks against it, else aborted, which cancels the request.
 func (a *Answer) Finish() {
@@ -202,7 +191,5 @@
 	a.conn.release(a.keepAlive)
 }
 
-var _ io.Reader = (*Answer)(nil)
-
 // WasUsed reports whether the connection has served earlier requests.
 func (c *Conn) WasUsed() bool { return c.reused }
--- a/internal/process/dispatch/dispatch.go
+++ b/internal/process/dispatch/dispatch.go
@@ -6,6 +6,7 @@
 	"context"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -217,17 +218,13 @@
 // firstAnswer is the time to the first answer at the endpoint that would give
 // it first if it had nothing else to do.
 func (d *Dispatcher) firstAnswer(job *Job, now time.Time) time.Duration {
-	best := time.Duration(0)
-	for _, e := range d.fleet.Of(job.Service) {
-		if !d.fleet.MayUse(e) {
-			continue
-		}
-		c := e.Candidate(now, 0, d.domain)
+	best, asked := time.Duration(0), demand(job)
+	d.eachUsable(job.Service, now, func(_ *fleet.Endpoint, c choose.Candidate) {
 		c.PendingTokens = 0
-		if first := choose.FirstToken(c, demand(job)); best == 0 || first < best {
+		if first := choose.FirstToken(c, asked); best == 0 || first < best {
 			best = first
 		}
-	}
+	})
 	return best
 }
 
@@ -246,28 +243,34 @@
 	return max(patienceLeast, patienceAims*route.Aim, patienceGaps*route.GapAim)
 }
 
-// supply is what this host can count on, and how many endpoints may be used.
-func (d *Dispatcher) supply(service string, now time.Time) (admission.Supply, int) {
-	usable := 0
+// eachUsable calls f for each endpoint of a service that requests may go to.
+func (d *Dispatcher) eachUsable(service string, now time.Time, f func(*fleet.Endpoint, choose.Candidate)) {
+	usual := d.fleet.UsualFailures(service)
 	for _, e := range d.fleet.Of(service) {
 		if d.fleet.MayUse(e) {
-			usable++
+			f(e, e.Candidate(now, usual, d.domain))
 		}
 	}
-	return admission.Supply{Slots: d.part(service, now) * d.queue(service).flow.rate, Draw: d.rand.Float64()}, usable
+}
+
+// supply is what this host can count on, and how many endpoints may be used.
+func (d *Dispatcher) supply(service string, now time.Time) (admission.Supply, int) {
+	part, usable := d.part(service, now)
+	return admission.Supply{Slots: part * d.queue(service).flow.rate, Draw: d.rand.Float64()}, usable
 }
 
 // part is this host's part of the slots of the service's usable endpoints: as
-// many hosts share them as have requests that wait.
-func (d *Dispatcher) part(service string, now time.Time) float64 {
+// many hosts share them as have requests that wait. Endpoints that get nothing
+// now are counted as usable, but not their slots.
+func (d *Dispatcher) part(service string, now time.Time) (part float64, usable int) {
 	slots := 0
-	usual := d.fleet.UsualFailures(service)
-	for _, e := range d.fleet.Of(service) {
-		if d.fleet.MayUse(e) && !e.Candidate(now, usual, d.domain).Blocked {
-			slots += e.Slots
+	d.eachUsable(service, now, func(_ *fleet.Endpoint, c choose.Candidate) {
+		usable++
+		if !c.Blocked {
+			slots += c.Slots
 		}
-	}
-	return float64(slots) / float64(d.countRivals(service, now)+1)
+	})
+	return float64(slots) / float64(d.countRivals(service, now)+1), usable
 }
 
 // place gives a job the best free endpoint, or nil. The slot that this host has
@@ -279,7 +282,7 @@
 	usual := d.fleet.UsualFailures(job.Service)
 	for i, e := range endpoints {
 		candidates[i] = e.Candidate(now, usual, d.domain)
-		if !d.fleet.MayUse(e) || isExcluded(job, e.ID) || !versions.allow(e.Version) {
+		if !d.fleet.MayUse(e) || slices.Contains(job.Excluded, e.ID) || !versions.allow(e.Version) {
 			candidates[i].Blocked = true
 		}
 		if c := &candidates[i]; e != freed && !c.Blocked && c.Busy < c.Slots && !d.hasTurn(e, c.Slots-c.Busy, now) {
@@ -296,22 +299,13 @@
 	}
 	e.Start(job.Prompt, e != freed, now)
 	return &Lease{
-		Endpoint: e.ID, Address: e.Address, Domain: e.Domain, Pool: d.pools[e],
+		Endpoint: e.ID, Pool: d.pools[e],
 		Busy: candidates[index].Busy, Slots: e.Slots, LoadAge: e.LoadAge(now), Sequence: e.Sequence, Hosts: d.hosts,
 		Expected:   choose.FirstToken(candidates[index], demand(job)),
 		dispatcher: d, endpoint: e, job: job, begun: now,
 	}
 }
 
-func isExcluded(job *Job, id string) bool {
-	for _, excluded := range job.Excluded {
-		if excluded == id {
-			return true
-		}
-	}
-	return false
-}
-
 // pump gives free endpoints to waiters. The caller holds mu.
 func (d *Dispatcher) pump(service string, freed *fleet.Endpoint, now time.Time) {
 	queue := d.queues[service]
--- a/internal/process/dispatch/lease.go
+++ b/internal/process/dispatch/lease.go
@@ -9,8 +9,8 @@
 
 // Lease is a request's right to use an endpoint. It must be ended.
 type Lease struct {
-	// Endpoint, Address and Domain name where the request goes.
-	Endpoint, Address, Domain string
+	// Endpoint names where the request goes.
+	Endpoint string
 	// Pool holds connections there.
 	Pool *upstream.Pool
 	// Busy and Slots are the endpoint's load when it was chosen, LoadAge the
--- a/internal/process/dispatch/queue.go
+++ b/internal/process/dispatch/queue.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"mustarddoor/internal/process/admission"
+	"mustarddoor/internal/process/choose"
+	"mustarddoor/internal/process/fleet"
 )
 
 // serviceQueue is what waits for a service's endpoints.
@@ -114,14 +116,10 @@
 func (d *Dispatcher) HasRoom(service string) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	now := time.Now()
 	busy, slots := 0, 0
-	for _, e := range d.fleet.Of(service) {
-		if d.fleet.MayUse(e) {
-			c := e.Candidate(now, 0, d.domain)
-			busy += c.Busy
-			slots += c.Slots
-		}
-	}
+	d.eachUsable(service, time.Now(), func(_ *fleet.Endpoint, c choose.Candidate) {
+		busy += c.Busy
+		slots += c.Slots
+	})
 	return d.queue(service).Len() == 0 && float64(busy) < roomPart*float64(slots)
 }
--- a/internal/process/dispatch/update.go
+++ b/internal/process/dispatch/update.go
@@ -187,7 +187,8 @@
 	}
 	for service, queue := range d.queues {
 		d.pump(service, nil, now)
-		queue.flow.measure(queue.Len() > 0, d.part(service, now), now)
+		part, _ := d.part(service, now)
+		queue.flow.measure(queue.Len() > 0, part, now)
 	}
 	d.mu.Unlock()
 	for _, pool := range pools {
--- a/internal/process/fleet/endpoint.go
+++ b/internal/process/fleet/endpoint.go
@@ -208,9 +208,6 @@
 	return e.trust.failed, e.trust.inRow
 }
 
-// FailedShare is the recent share of failures at the endpoint.
-func (e *Endpoint) FailedShare() float64 { return e.trust.failed }
-
 // Turn is a draw that is made anew after a time, and the number of slots taken
 // since.
 func (e *Endpoint) Turn(now time.Time, holds time.Duration, draw func() float64) (turn float64, taken int) {
--- a/internal/process/fleet/fleet.go
+++ b/internal/process/fleet/fleet.go
@@ -99,9 +99,6 @@
 // SetLeft tells which domains are to get nothing.
 func (f *Fleet) SetLeft(domains map[string]bool) { f.left = domains }
 
-// Left are the domains that get nothing.
-func (f *Fleet) Left() map[string]bool { return f.left }
-
 // Get is an endpoint, or nil.
 func (f *Fleet) Get(id string) *Endpoint { return f.byID[id] }
 
--- a/internal/process/gateway/copies.go
+++ b/internal/process/gateway/copies.go
@@ -5,13 +5,11 @@
 	"sync"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
 
 	"mustarddoor/internal/process/keyed"
 	"mustarddoor/internal/process/pause"
-	"mustarddoor/internal/process/peers"
 )
 
 // copies keeps copies of the operator's records in several partitions of the
@@ -49,20 +47,13 @@
 		switch {
 		case !known && c.gateway.operator.IsLost():
 			c.restore(ctx)
-		case known && c.isWriter():
+		case known && c.gateway.isWriter():
 			c.write(ctx, snapshot)
 		}
 	}
 	return nil
 }
 
-// isWriter reports whether this host is the one that writes copies. Two at a
-// time do no harm, since a copy that is older is not taken.
-func (c *copies) isWriter() bool {
-	return !c.gateway.operator.IsLost() &&
-		c.gateway.roster.IsFirst(func(s peers.Status) bool { return !s.StoreLost && s.ConfigNext > 0 }, c.gateway.now())
-}
-
 // write brings the copies up to date.
 func (c *copies) write(ctx context.Context, snapshot keyed.Snapshot) {
 	var data []byte
@@ -71,7 +62,7 @@
 			continue
 		}
 		if data == nil {
-			encoded, err := cbor.Marshal(snapshot)
+			encoded, err := wire.Marshal(snapshot)
 			if err != nil {
 				c.gateway.log.Entry().WithError(err).Error("copy not encoded")
 				return
@@ -125,7 +116,7 @@
 			continue
 		}
 		snapshot := keyed.Snapshot{}
-		if err := cbor.Unmarshal(record.Value, &snapshot); err != nil {
+		if err := wire.Unmarshal(record.Value, &snapshot); err != nil {
 			return keyed.Snapshot{}, eris.Wrap(err, "copy")
 		}
 		return snapshot, nil
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -70,7 +70,7 @@
 	}
 	g.roster = peers.NewRoster(self)
 	for _, seed := range settings.Seeds {
-		g.roster.Know(seed, g.now())
+		g.roster.Know(seed, time.Now())
 	}
 	link, err := peers.NewLink(g.roster, g.status, g.heard, ports.Metrics)
 	if err != nil {
@@ -86,8 +86,6 @@
 	return g, nil
 }
 
-func (g *Gateway) now() time.Time { return time.Now() }
-
 // stopsAt is when the process will have stopped, or the zero time.
 func (g *Gateway) stopsAt() time.Time {
 	asked := g.stoppingAt.Load()
@@ -104,7 +102,7 @@
 
 // Fronts implements View.
 func (g *Gateway) Fronts() []string {
-	fronts := g.roster.Fronts(g.now())
+	fronts := g.roster.Fronts(time.Now())
 	if g.IsReady() {
 		fronts = append(fronts, g.settings.Front)
 	}
@@ -112,6 +110,14 @@
 	return fronts
 }
 
+// isWriter reports whether this host is the one that writes for the fleet: the
+// lowest link that is heard and reaches the log. Two at a time do no harm: copies
+// that are older are not taken, and reports are written on condition.
+func (g *Gateway) isWriter() bool {
+	return !g.operator.IsLost() &&
+		g.roster.IsFirst(func(s peers.Status) bool { return !s.StoreLost && s.ConfigNext > 0 }, time.Now())
+}
+
 // endpointChanged logs a changed belief about an endpoint.
 func (g *Gateway) endpointChanged(b dispatch.Belief) {
 	g.log.Entry().WithFields(logrus.Fields{
@@ -168,13 +174,13 @@
 // tick does what is due until the context ends.
 func (g *Gateway) tick(ctx context.Context) error {
 	seen := map[string]bool{}
-	still := newStillness()
+	still := newStillness(g.log.Entry())
 	for pause.For(ctx, tickEvery) {
 		if stood := still.check(); stood > 0 {
 			g.log.Entry().WithField("stood_ms", stood.Milliseconds()).Warn("the host stood still, what it has heard is forgotten")
 			g.roster.Silence()
 		}
-		now := g.now()
+		now := time.Now()
 		links, heard := g.roster.Spenders(now)
 		hosts := len(links)
 		g.limits.SetHosts(hosts, heard)
@@ -208,10 +214,8 @@
 			break
 		}
 		g.log.Entry().WithError(err).Warn("host's record not written")
-		select {
-		case <-ctx.Done():
+		if !pause.For(ctx, announceEvery) {
 			return nil
-		case <-time.After(announceEvery):
 		}
 	}
 	<-ctx.Done()
--- a/internal/process/gateway/hoststate.go
+++ b/internal/process/gateway/hoststate.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"time"
 
 	"mustarddoor/internal/process/dispatch"
 )
@@ -35,7 +36,7 @@
 
 // State describes the host.
 func (g *Gateway) State() HostState {
-	links, heard := g.roster.Spenders(g.now())
+	links, heard := g.roster.Spenders(time.Now())
 	s := HostState{
 		Host: g.settings.Name, Domain: g.settings.Domain, Ready: g.IsReady(), Stopping: g.isStopping(),
 		LogLost: g.operator.IsLost(), Hosts: len(links), Heard: heard, Endpoints: g.dispatcher.Endpoints(),
--- a/internal/process/gateway/moves.go
+++ b/internal/process/gateway/moves.go
@@ -12,7 +12,6 @@
 	"mustarddoor/internal/process/dispatch"
 	"mustarddoor/internal/process/keyed"
 	"mustarddoor/internal/process/pause"
-	"mustarddoor/internal/process/peers"
 	"mustarddoor/internal/version/canary"
 )
 
@@ -77,12 +76,6 @@
 		Info("move to a version raised")
 }
 
-// isWriter reports whether this host tells the operator.
-func (m *moves) isWriter() bool {
-	return !m.gateway.operator.IsLost() &&
-		m.gateway.roster.IsFirst(func(s peers.Status) bool { return !s.StoreLost && s.ConfigNext > 0 }, m.gateway.now())
-}
-
 // report brings the operator's side up to date. What stands there counts if it
 // is further; a write happens only on what was read, so that two writers cannot
 // overwrite each other.
@@ -92,7 +85,7 @@
 	if stage == canary.StageShift {
 		stage = canary.StageTrial // the operator knows no stage in between
 	}
-	if m.told[key] >= stage || !m.isWriter() {
+	if m.told[key] >= stage || !m.gateway.isWriter() {
 		return nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
--- a/internal/process/gateway/readers.go
+++ b/internal/process/gateway/readers.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"net/netip"
 	"net/url"
@@ -11,7 +10,6 @@
 	"sync"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/rcrowley/go-metrics"
 	"github.com/rotisserie/eris"
 
@@ -76,7 +74,7 @@
 
 // reader is the host to read from, or the zero link to read the log itself.
 func (r *readers) reader() netip.AddrPort {
-	now := r.gateway.now()
+	now := time.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	avoid := func(link netip.AddrPort) bool { return now.Before(r.avoided[link]) }
@@ -127,7 +125,7 @@
 	}
 	r.failed.Inc(1)
 	r.mu.Lock()
-	r.avoided[link] = r.gateway.now().Add(avoidTime)
+	r.avoided[link] = time.Now().Add(avoidTime)
 	r.mu.Unlock()
 	r.gateway.log.Entry().WithError(err).WithField("link", link.String()).Info("reading the log instead of another host")
 	return r.gateway.ports.Store.Read(ctx, part, from, 0)
@@ -144,25 +142,9 @@
 	ctx, cancel := context.WithTimeout(ctx, relayWait+relayAnswer)
 	defer cancel()
 	query := url.Values{"topic": {part.Topic}, "from": {strconv.FormatUint(from, 10)}}
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+link.String()+recordsPath+"?"+query.Encode(), nil)
-	if err != nil {
-		return nil, 0, eris.Wrap(err, "request")
-	}
-	answer, err := r.client.Do(request)
-	if err != nil {
-		return nil, 0, eris.Wrap(err, "records")
-	}
-	defer answer.Body.Close()
-	if answer.StatusCode != http.StatusOK {
-		return nil, 0, eris.Errorf("records: status %d", answer.StatusCode)
-	}
-	data, err := io.ReadAll(io.LimitReader(answer.Body, maxRecords))
-	if err != nil {
-		return nil, 0, eris.Wrap(err, "records")
-	}
 	decoded := records{}
-	if err := cbor.Unmarshal(data, &decoded); err != nil {
-		return nil, 0, eris.Wrap(err, "records")
+	if err := fetchFrom(ctx, r.client, link, recordsPath+"?"+query.Encode(), maxRecords, &decoded); err != nil {
+		return nil, 0, err
 	}
 	return decoded.Records, decoded.Next, nil
 }
@@ -186,12 +168,5 @@
 		w.WriteHeader(http.StatusGone)
 		return
 	}
-	data, err := cbor.Marshal(records{Records: found, Next: next})
-	if err != nil {
-		r.gateway.log.Entry().WithError(err).Error("records not encoded")
-		w.WriteHeader(http.StatusInternalServerError)
-		return
-	}
-	// A host that went away while reading asks another one.
-	_, _ = w.Write(data)
+	r.gateway.sendTo(w, records{Records: found, Next: next})
 }
--- a/internal/process/gateway/records.go
+++ b/internal/process/gateway/records.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"time"
+
 	"github.com/sirupsen/logrus"
 
 	"mustarddoor/internal/process/keyed"
@@ -99,6 +101,6 @@
 			g.log.Entry().WithError(err).Warn("host's record rejected")
 			continue
 		}
-		g.roster.Know(link, g.now())
+		g.roster.Know(link, time.Now())
 	}
 }
--- a/internal/process/gateway/run.go
+++ b/internal/process/gateway/run.go
@@ -167,19 +167,19 @@
 // stop leaves the directory, serves what still comes and ends when all is
 // answered or the grace is nearly over.
 func (g *Gateway) stop(ctx context.Context, fronts *connections) error {
-	now := g.now()
+	now := time.Now()
 	g.stoppingAt.Store(&now)
 	g.link.Urge()
 	g.log.Entry().WithField("busy_connections", fronts.busy()).Info("stopping")
 	ticker := time.NewTicker(tickEvery)
 	defer ticker.Stop()
-	for g.now().Before(g.stopsAt()) {
+	for time.Now().Before(g.stopsAt()) {
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-ticker.C:
 		}
-		if g.now().Sub(now) > serveWhileStopping && fronts.busy() == 0 {
+		if time.Since(now) > serveWhileStopping && fronts.busy() == 0 {
 			break
 		}
 	}
--- a/internal/process/gateway/state.go
+++ b/internal/process/gateway/state.go
@@ -2,13 +2,10 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"net/netip"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
-	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
 
 	"mustarddoor/internal/process/keyed"
@@ -35,14 +32,7 @@
 	if snapshot, known := g.endpoints.Snapshot(); known {
 		s.Endpoints = &snapshot
 	}
-	data, err := cbor.Marshal(s)
-	if err != nil {
-		g.log.Entry().WithError(err).Error("state not encoded")
-		w.WriteHeader(http.StatusInternalServerError)
-		return
-	}
-	// A host that went away while reading asks another one.
-	_, _ = w.Write(data)
+	g.sendTo(w, s)
 }
 
 const (
@@ -65,7 +55,7 @@
 	client := &http.Client{Timeout: fetchTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
 	operator, endpoints := &lag{allowed: operatorLag}, &lag{allowed: endpointsLag}
 	for pause.For(ctx, catchUpEvery) {
-		now := g.now()
+		now := time.Now()
 		operatorNext, known := g.operator.Next()
 		link := operator.check(g.roster, now, known, operatorNext, func(s peers.Status) uint64 { return s.ConfigNext })
 		if !link.IsValid() {
@@ -111,22 +101,9 @@
 
 // fetch takes over what another host knows.
 func (g *Gateway) fetch(ctx context.Context, client *http.Client, link netip.AddrPort) error {
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+link.String()+statePath, nil)
-	if err != nil {
-		return eris.Wrap(err, "request")
-	}
-	answer, err := client.Do(request)
-	if err != nil {
-		return eris.Wrap(err, "fetch")
-	}
-	defer answer.Body.Close()
-	data, err := io.ReadAll(io.LimitReader(answer.Body, maxState))
-	if err != nil {
-		return eris.Wrap(err, "read")
-	}
 	s := state{}
-	if err := cbor.Unmarshal(data, &s); err != nil {
-		return eris.Wrap(err, "decode")
+	if err := fetchFrom(ctx, client, link, statePath, maxState, &s); err != nil {
+		return err
 	}
 	fields := logrus.Fields{"link": link.String()}
 	if s.Operator != nil {
--- a/internal/process/peers/link.go
+++ b/internal/process/peers/link.go
@@ -8,7 +8,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/rcrowley/go-metrics"
 	"github.com/rotisserie/eris"
 
@@ -113,7 +112,7 @@
 		return
 	}
 	message.PassOn = false
-	data, err := cbor.Marshal(message)
+	data, err := wire.Marshal(message)
 	if err != nil {
 		l.malformed.Inc(1)
 		return
@@ -141,7 +140,7 @@
 	}
 	own := l.message(false)
 	if b.relay != l.roster.self.Link {
-		data, err := cbor.Marshal(own)
+		data, err := wire.Marshal(own)
 		if err != nil {
 			return eris.Wrap(err, "message")
 		}
@@ -154,7 +153,7 @@
 		for count < len(messages) {
 			// The hosts that a message names are not passed on.
 			messages[count].Hosts = nil
-			encoded, err := cbor.Marshal(messages[count])
+			encoded, err := wire.Marshal(messages[count])
 			if err != nil {
 				return eris.Wrap(err, "message")
 			}
@@ -182,7 +181,7 @@
 		passOn bool
 	}{{b.members, false}, {b.relays, true}} {
 		bundle.PassOn = to.passOn
-		data, err := cbor.Marshal(bundle)
+		data, err := wire.Marshal(bundle)
 		if err != nil {
 			return eris.Wrap(err, "bundle")
 		}
@@ -248,7 +247,7 @@
 	if isFull {
 		message.Hosts = heard
 	}
-	data, err := cbor.Marshal(message)
+	data, err := wire.Marshal(message)
 	if err != nil {
 		return eris.Wrap(err, "message")
 	}
--- a/internal/process/peers/message.go
+++ b/internal/process/peers/message.go
@@ -9,9 +9,9 @@
 import (
 	"net/netip"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/rotisserie/eris"
 
+	"mustarddoor/internal/connection/codec"
 	"mustarddoor/internal/version/canary"
 )
 
@@ -94,9 +94,13 @@
 // ErrMessage is returned for a datagram that is not a message.
 var ErrMessage = eris.New("malformed datagram")
 
+// wire encodes messages. Arrays are at most as long as a datagram holds
+// elements of a byte.
+var wire = codec.New(codec.Limits{NestedLevels: 16, ArrayElements: maxDatagram, MapPairs: 64})
+
 func decode(data []byte) (Message, error) {
 	message := Message{}
-	if err := cbor.Unmarshal(data, &message); err != nil {
+	if err := wire.Unmarshal(data, &message); err != nil {
 		return Message{}, eris.Wrapf(ErrMessage, "%v", err)
 	}
 	if !message.From.Link.IsValid() || message.From.Incarnation == 0 {
--- a/internal/request/relay/attempt.go
+++ b/internal/request/relay/attempt.go
@@ -32,9 +32,10 @@
 			return
 		}
 		s.excluded = append(s.excluded, lease.Endpoint)
-		decision := repeat.Decide(s.standing(end))
+		standing := s.standing(end)
+		decision := repeat.Decide(standing)
 		if decision.Repeat && end.fate != repeat.FateNotSent && !s.relay.Limits.Repeat(s.service) {
-			decision = repeat.Denied(s.standing(end))
+			decision = repeat.Denied(standing)
 		}
 		if !decision.Repeat {
 			s.finish(decision, end)
--- a/internal/request/relay/protocol.go
+++ b/internal/request/relay/protocol.go
@@ -23,14 +23,6 @@
 	// PromptTokens is the length of the prompt, MaxTokens the greatest length
 	// of the answer, HintedTokens the caller's guess of it or 0.
 	PromptTokens, MaxTokens, HintedTokens int
-	// Parts are the prompt's parts in order; requests share parts.
-	Parts []Part
-}
-
-// Part is a part of a prompt.
-type Part struct {
-	ID     string
-	Tokens int
 }
 
 // Send is what the system says to an endpoint of a request.
--- a/internal/request/relay/relay.go
+++ b/internal/request/relay/relay.go
@@ -238,7 +238,10 @@
 			amount = float64(s.caller.PromptTokens + s.caller.MaxTokens)
 		}
 	}
-	allowed, wait := s.relay.Limits.Charge(s.team, amount, s.relay.Dispatcher.HasRoom(s.service))
+	allowed, wait := s.relay.Limits.Charge(s.team, amount, false)
+	if !allowed && s.relay.Dispatcher.HasRoom(s.service) {
+		allowed, wait = s.relay.Limits.Charge(s.team, amount, true)
+	}
 	if !allowed {
 		s.refuse(http.StatusTooManyRequests, "team_limit", wait)
 		return false
@@ -306,7 +309,7 @@
 
 // hasLeft reports whether the caller has closed its connection.
 func (s *serving) hasLeft() bool {
-	if s.request.Context().Err() == nil {
+	if s.context().Err() == nil {
 		return false
 	}
 	s.uncharge()
--- a/internal/version/routing/table.go
+++ b/internal/version/routing/table.go
@@ -74,13 +74,6 @@
 // Service is the service of a name, or nil.
 func (t *Table) Service(name string) *Service { return t.services[name] }
 
-// Services calls f for each service.
-func (t *Table) Services(f func(*Service)) {
-	for _, service := range t.services {
-		f(service)
-	}
-}
-
 // Choose picks one of the route's services by their weights. The draw is
 // uniform in [0, 1).
 func (r *Route) Choose(draw float64) string {
