A wait that a scenario gives up shows the daemons' logs

The daemons' logs were not kept, and the time line had dropped 86,654 older events, so nothing says whether the move was held or taken back.

--- a/scenario/process_test.go
+++ b/scenario/process_test.go
@@ -204,9 +204,25 @@
 	pattern, err := regexp.Compile(args[0])
 	ts.Check(err)
 	var last []byte
-	defer func() { ts.Logf("%s", last) }()
+	matches := false
+	defer func() {
+		ts.Logf("%s", last)
+		if !matches {
+			logProcesses(ts)
+		}
+	}()
 	await(ts, fmt.Sprintf("%q", args), func() bool {
 		last, _ = commandOf(ts, args[1], args[2:]).CombinedOutput()
-		return pattern.Match(last) != neg
+		matches = pattern.Match(last) != neg
+		return matches
 	})
 }
+
+// logProcesses shows what the processes have logged, so that a wait that was
+// given up can be traced.
+func logProcesses(ts *testscript.TestScript) {
+	for name, proc := range tableOf(ts).processes {
+		content, err := os.ReadFile(proc.logFile)
+		ts.Logf("log of %s (%v):\n%s", name, err, content)
+	}
+}
