Fewer calls to the store, and bundles by the hosts with the widest links

The host of the GONE request, edge-manisa-yard-3, has a link of 10 Mbit/s and was its failure domain's relay: 61 messages to 20 hosts twelve times a second filled it, its calls to the store and to endpoints timed out from 28 s on, and what it had sent arrived late. The first to serve is now the host with the widest link, and bundles take a quarter of a link at most.

Ruled out for GONE: a request that is sent after its caller left (each sends: 0 in the log has none).

--- a/internal/process/dispatch/update.go
+++ b/internal/process/dispatch/update.go
@@ -164,7 +164,7 @@
 		}
 		d.rivals[service][host] = now
 	}
-	d.fleet.All(func(e *fleet.Endpoint) { e.Hear(host, loads[e.Hash], now) })
+	d.fleet.Hear(host, loads, now)
 	for service := range d.queues {
 		d.pump(service, nil, now)
 	}
--- a/internal/process/fleet/endpoint.go
+++ b/internal/process/fleet/endpoint.go
@@ -116,8 +116,8 @@
 // Own is this host's work at the endpoint.
 func (e *Endpoint) Own() Load { return e.own }
 
-// Hear takes in another host's load.
-func (e *Endpoint) Hear(host string, load Load, at time.Time) {
+// hear takes in another host's load.
+func (e *Endpoint) hear(host string, load Load, at time.Time) {
 	if load == (Load{}) {
 		delete(e.others, host)
 		return
--- a/internal/process/fleet/fleet.go
+++ b/internal/process/fleet/fleet.go
@@ -13,6 +13,8 @@
 	services map[string][]*Endpoint
 	// left are the domains whose endpoints get nothing.
 	left map[string]bool
+	// named are the endpoints with a load in each host's last message, by hash.
+	named map[string][]uint32
 }
 
 // New returns a fleet without endpoints.
@@ -20,6 +22,7 @@
 	return &Fleet{
 		byID: map[string]*Endpoint{}, byHash: map[uint32]*Endpoint{},
 		services: map[string][]*Endpoint{}, left: map[string]bool{},
+		named: map[string][]uint32{},
 	}
 }
 
@@ -105,6 +108,34 @@
 // ByHash is an endpoint by its name in messages, or nil.
 func (f *Fleet) ByHash(hash uint32) *Endpoint { return f.byHash[hash] }
 
+// Hear takes in the loads of another host by the endpoints' names in messages.
+// Endpoints that it has named before and names no more have none of its work.
+// The cost depends on the endpoints that the host uses, not on how many there
+// are.
+func (f *Fleet) Hear(host string, loads map[uint32]Load, at time.Time) {
+	before := f.named[host]
+	for _, hash := range before {
+		if _, found := loads[hash]; found {
+			continue
+		}
+		if e := f.ByHash(hash); e != nil {
+			e.hear(host, Load{}, at)
+		}
+	}
+	now := before[:0]
+	for hash, load := range loads {
+		if e := f.ByHash(hash); e != nil {
+			e.hear(host, load, at)
+		}
+		now = append(now, hash)
+	}
+	if len(now) == 0 {
+		delete(f.named, host)
+		return
+	}
+	f.named[host] = now
+}
+
 // Of are the endpoints of a service.
 func (f *Fleet) Of(service string) []*Endpoint { return f.services[service] }
 
--- a/internal/process/fleet/fleet_test.go
+++ b/internal/process/fleet/fleet_test.go
@@ -71,17 +71,42 @@
 	f := fleet.New()
 	e, _ := f.Set(entry("a"), start)
 	e.Start(100, true, start)
-	e.Hear("b", fleet.Load{Running: 2, Pending: 50}, start)
+	f.Hear("b", map[uint32]fleet.Load{e.Hash: {Running: 2, Pending: 50}}, start)
 	assert.Equal(t, busy(e, start), 3)
 	assert.Equal(t, e.Candidate(start, 0, "z1").PendingTokens, 150.0)
 	e.FirstEvent(100, time.Millisecond)
 	assert.Equal(t, e.Candidate(start, 0, "z1").PendingTokens, 50.0)
 	assert.Equal(t, busy(e, start.Add(3*time.Second)), 1)
 	e.End(100, true, fleet.ResultGood, start)
-	e.Hear("b", fleet.Load{}, start)
+	f.Hear("b", nil, start)
 	assert.Equal(t, busy(e, start), 0)
 }
 
+// A host's message replaces its last one, whatever other hosts have told, and
+// may name endpoints that this host does not know.
+func TestLoadsOfAHostAreReplaced(t *testing.T) {
+	f := fleet.New()
+	first, _ := f.Set(entry("a"), start)
+	second, _ := f.Set(entry("b"), start)
+	third, _ := f.Set(entry("c"), start)
+	hear := func(host string, running int, endpoints ...*fleet.Endpoint) {
+		loads := map[uint32]fleet.Load{7: {Running: 9}}
+		for _, e := range endpoints {
+			loads[e.Hash] = fleet.Load{Running: running}
+		}
+		f.Hear(host, loads, start)
+	}
+	hear("x", 1, first, second, third)
+	hear("y", 3, first)
+	hear("x", 2, second)
+	assert.Equal(t, busy(first, start), 3)
+	assert.Equal(t, busy(second, start), 2)
+	assert.Equal(t, busy(third, start), 0)
+	f.Remove("b", false, start)
+	f.Hear("x", nil, start)
+	assert.Equal(t, busy(first, start), 3)
+}
+
 // An endpoint that breaks requests in a row is left alone for a while, then
 // tried with one request at a time, and trusted again when one is answered.
 func TestSuspension(t *testing.T) {
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -66,7 +66,7 @@
 	})
 	self := peers.Host{
 		Name: settings.Name, Link: settings.Link, Front: settings.Front,
-		Domain: settings.Domain, Incarnation: time.Now().UnixNano(),
+		Domain: settings.Domain, Incarnation: time.Now().UnixNano(), Mbps: settings.LinkMbps,
 	}
 	g.roster = peers.NewRoster(self)
 	for _, seed := range settings.Seeds {
@@ -80,7 +80,7 @@
 	g.readers = newReaders(g)
 	g.operator = keyed.NewTopic(keyed.Part{Topic: ports.Topics.Operator}, g.readers, g.readers.operatorPace, log.Entry(), g.operatorChanged)
 	g.endpoints = keyed.NewTopic(keyed.Part{Topic: ports.Topics.Endpoints}, g.readers, g.readers.endpointsPace, log.Entry(), g.endpointsChanged)
-	g.hosts = keyed.NewTopic(keyed.Part{Topic: ports.Topics.Hosts}, ports.Store, func() keyed.Pace { return hostsPace }, log.Entry(), g.hostsChanged)
+	g.hosts = keyed.NewTopic(keyed.Part{Topic: ports.Topics.Hosts}, ports.Store, g.readers.hostsPace, log.Entry(), g.hostsChanged)
 	g.copies = newCopies(g)
 	g.moves = newMoves(g)
 	return g, nil
@@ -151,21 +151,22 @@
 
 // heard takes in a message of another host.
 func (g *Gateway) heard(message peers.Message, isBack bool) {
+	from := message.From.Link.String()
 	if isBack {
-		g.log.Entry().WithFields(logrus.Fields{"host": message.From.Name, "link": message.From.Link.String(), "incarnation": message.From.Incarnation}).
+		g.log.Entry().WithFields(logrus.Fields{"host": message.From.Name, "link": from, "incarnation": message.From.Incarnation}).
 			Info("host heard")
 	}
 	loads := make(map[uint32]fleet.Load, len(message.Status.Work))
 	for _, work := range message.Status.Work {
 		loads[work.Endpoint] = fleet.Load{Running: work.Running, Pending: float64(work.Pending)}
 	}
-	g.dispatcher.Hear(message.From.Link.String(), loads, message.Status.Waiting)
+	g.dispatcher.Hear(from, loads, message.Status.Waiting)
 	for _, move := range message.Status.Moves {
-		if g.dispatcher.HearMove(message.From.Link.String(), move.Service, move.Target, move.Stage, move.Evidence) {
-			g.moves.raised(move.Service, move.Target, move.Stage, message.From.Link.String())
+		if g.dispatcher.HearMove(from, move.Service, move.Target, move.Stage, move.Evidence) {
+			g.moves.raised(move.Service, move.Target, move.Stage, from)
 		}
 	}
-	g.limits.Hear(message.From.Link.String(), message.From.Incarnation, message.Status.Spent)
+	g.limits.Hear(from, message.From.Incarnation, message.Status.Spent)
 }
 
 // tickEvery is the pause between looks at what is due.
--- a/internal/process/gateway/readers.go
+++ b/internal/process/gateway/readers.go
@@ -59,7 +59,8 @@
 	// relayPace is for both topics at another host. The answer may take as long
 	// as the log's, which is asked if the host fails.
 	relayPace = keyed.Pace{Wait: relayWait, Answer: relayAnswer + 700*time.Millisecond, Retry: 100 * time.Millisecond}
-	// hostsPace is slow, since hosts tell each other of further ones.
+	// hostsPace is slow, since hosts tell each other of further ones. Only the
+	// readers keep to it: hosts that are cut from each other have one each.
 	hostsPace = keyed.Pace{Every: 5 * time.Second, Answer: time.Second, Retry: time.Second}
 )
 
@@ -85,18 +86,36 @@
 	return link
 }
 
-func (r *readers) operatorPace() keyed.Pace {
+func (r *readers) operatorPace() keyed.Pace { return r.pace(operatorPace) }
+
+func (r *readers) endpointsPace() keyed.Pace { return r.pace(endpointsPace) }
+
+// pace is that of reading at another host, or the log's own if there is none.
+func (r *readers) pace(log keyed.Pace) keyed.Pace {
 	if r.reader().IsValid() {
 		return relayPace
 	}
-	return operatorPace
+	log.Retry = lostRetry(log.Retry, r.gateway.roster.InDomain(time.Now()))
+	return log
 }
 
-func (r *readers) endpointsPace() keyed.Pace {
-	if r.reader().IsValid() {
-		return relayPace
-	}
-	return endpointsPace
+func (r *readers) hostsPace() keyed.Pace {
+	pace := hostsPace
+	pace.Idle = r.reader().IsValid()
+	return pace
+}
+
+// lostRetryMost bounds the pause between a host's tries to reach a log that no
+// host of its failure domain reaches: with the time of one call it is well
+// under the time within which a change must be known.
+const lostRetryMost = 1500 * time.Millisecond
+
+// lostRetry is the pause between a host's tries while its whole failure domain
+// has lost the log. It answers the load of an outage, in which each host reads
+// for itself: together they try as often as a single one would, and the first
+// that succeeds reads for all.
+func lostRetry(alone time.Duration, hosts int) time.Duration {
+	return min(alone*time.Duration(max(hosts, 1)), max(alone, lostRetryMost))
 }
 
 // Newest implements keyed.Store.
--- a/internal/process/gateway/settings.go
+++ b/internal/process/gateway/settings.go
@@ -35,6 +35,8 @@
 	MemoryMB int
 	// Cores is the number of processors.
 	Cores int
+	// LinkMbps is what the host's network link carries, in megabits a second.
+	LinkMbps int
 	// Grace is the time from a request to stop until the process is killed.
 	Grace time.Duration
 	// RepeatRatio is the number of repeats that each request earns, RepeatSlack
--- a/internal/process/keyed/topic.go
+++ b/internal/process/keyed/topic.go
@@ -22,6 +22,8 @@
 	Answer time.Duration
 	// Retry is the pause after a failed call.
 	Retry time.Duration
+	// Idle leaves a topic that is known alone, since another host reads it.
+	Idle bool
 }
 
 // Topic is a followed topic. It is safe for concurrent use.
@@ -91,6 +93,9 @@
 	if !known {
 		return t.list(ctx, pace)
 	}
+	if pace.Idle {
+		return nil
+	}
 	reading, cancel := context.WithTimeout(ctx, pace.Wait+pace.Answer)
 	defer cancel()
 	records, end, err := t.store.Read(reading, t.part, next, pace.Wait)
--- a/internal/process/keyed/topic_test.go
+++ b/internal/process/keyed/topic_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -79,6 +80,12 @@
 
 // follow runs a test with a topic that follows a store.
 func follow(t *testing.T, store *memoryStore, test func(topic *keyed.Topic, changes func() []keyed.Change)) {
+	t.Helper()
+	followAt(t, pace, store, test)
+}
+
+// followAt does so at a pace.
+func followAt(t *testing.T, pace func() keyed.Pace, store *memoryStore, test func(topic *keyed.Topic, changes func() []keyed.Change)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		logger := logrus.New()
@@ -130,6 +137,30 @@
 	})
 }
 
+// A topic that another host reads is listed once and costs no further call
+// until this host is to read it.
+func TestIdleTopicCostsNoCalls(t *testing.T) {
+	store := &memoryStore{}
+	store.put("a", "1")
+	var reads atomic.Bool
+	idle := func() keyed.Pace {
+		pace := pace()
+		pace.Idle = !reads.Load()
+		return pace
+	}
+	followAt(t, idle, store, func(topic *keyed.Topic, changes func() []keyed.Change) {
+		settle()
+		assert.Equal(t, len(changes()), 1)
+		store.put("b", "2")
+		settle()
+		assert.Equal(t, len(changes()), 0)
+		assert.Equal(t, store.reads, 0)
+		reads.Store(true)
+		settle()
+		assert.Equal(t, len(changes()), 1)
+	})
+}
+
 func TestTopicListsAnewWhenTrimmed(t *testing.T) {
 	store := &memoryStore{}
 	store.put("a", "1")
--- a/internal/process/peers/link.go
+++ b/internal/process/peers/link.go
@@ -10,6 +10,7 @@
 
 	"github.com/rcrowley/go-metrics"
 	"github.com/rotisserie/eris"
+	"golang.org/x/time/rate"
 
 	"mustarddoor/internal/process/pause"
 )
@@ -30,8 +31,24 @@
 	bundleEvery = 80 * time.Millisecond
 	// bundleBytes bounds a bundle to what fits one packet.
 	bundleBytes = 1300
+	// bundlePart is the part of a host's network link that bundles may fill;
+	// the rest is for requests. Bundles beyond it are dropped, which makes what
+	// the others know older.
+	bundlePart = 0.25
+	// bundleBurst is for how long bundles may come at once.
+	bundleBurst = 500 * time.Millisecond
 )
 
+// newBundleRate bounds the bytes of bundles for a link of so many megabits a
+// second; nothing is bounded if that is not known.
+func newBundleRate(mbps int) *rate.Limiter {
+	if mbps <= 0 {
+		return rate.NewLimiter(rate.Inf, 0)
+	}
+	bytes := float64(mbps) * 1e6 / 8 * bundlePart
+	return rate.NewLimiter(rate.Limit(bytes), int(bytes*bundleBurst.Seconds()))
+}
+
 // Link sends and receives messages.
 type Link struct {
 	roster *Roster
@@ -42,8 +59,10 @@
 	heard func(message Message, isBack bool)
 	conn  *net.UDPConn
 
-	sent, received, malformed, failed metrics.Counter
-	number                            atomic.Uint64
+	bundles *rate.Limiter
+
+	sent, received, malformed, failed, dropped metrics.Counter
+	number                                     atomic.Uint64
 	// told counts the messages to all hosts.
 	told   uint64
 	urgent chan struct{}
@@ -57,10 +76,12 @@
 	}
 	return &Link{
 		roster: roster, status: status, heard: heard, conn: conn, urgent: make(chan struct{}, 1),
+		bundles:   newBundleRate(roster.self.Mbps),
 		sent:      metrics.GetOrRegisterCounter("peers.sent", registry),
 		received:  metrics.GetOrRegisterCounter("peers.received", registry),
 		malformed: metrics.GetOrRegisterCounter("peers.malformed", registry),
 		failed:    metrics.GetOrRegisterCounter("peers.send_failed", registry),
+		dropped:   metrics.GetOrRegisterCounter("peers.bundles_dropped", registry),
 	}, nil
 }
 
@@ -117,8 +138,17 @@
 		l.malformed.Inc(1)
 		return
 	}
-	for _, link := range l.roster.bundling(now).members {
-		l.send(data, link)
+	l.sendTo(data, l.roster.bundling(now).members)
+}
+
+// sendTo sends a bundle to some hosts, unless that would fill the network link.
+func (l *Link) sendTo(bundle []byte, links []netip.AddrPort) {
+	if !l.bundles.AllowN(time.Now(), len(bundle)*len(links)) {
+		l.dropped.Inc(1)
+		return
+	}
+	for _, link := range links {
+		l.send(bundle, link)
 	}
 }
 
@@ -185,9 +215,7 @@
 		if err != nil {
 			return eris.Wrap(err, "bundle")
 		}
-		for _, link := range to.links {
-			l.send(data, link)
-		}
+		l.sendTo(data, to.links)
 	}
 	return nil
 }
--- a/internal/process/peers/message.go
+++ b/internal/process/peers/message.go
@@ -15,8 +15,8 @@
 	"mustarddoor/internal/version/canary"
 )
 
-// Host is what hosts know of one of them. Name, Front and Domain are left out
-// of most messages.
+// Host is what hosts know of one of them. Name, Front, Domain and Mbps are left
+// out of most messages.
 type Host struct {
 	Name string `cbor:"1,keyasint,omitempty"`
 	// Link is where its datagrams come from and its state is fetched, Front
@@ -27,6 +27,18 @@
 	Domain string `cbor:"4,keyasint,omitempty"`
 	// Incarnation tells process starts apart, in Unix nanoseconds.
 	Incarnation int64 `cbor:"5,keyasint"`
+	// Mbps is what its network link carries, in megabits a second.
+	Mbps int `cbor:"6,keyasint,omitempty"`
+}
+
+// servesBefore reports whether a host rather than another one does what one
+// host does for others: the one with the wider link, since what is sent to all
+// hosts of a failure domain fills a narrow one.
+func (h Host) servesBefore(other Host) bool {
+	if h.Mbps != other.Mbps {
+		return h.Mbps > other.Mbps
+	}
+	return h.Link.Compare(other.Link) < 0
 }
 
 // Work is a host's work at an endpoint.
--- a/internal/process/peers/roster.go
+++ b/internal/process/peers/roster.go
@@ -137,8 +137,8 @@
 
 // bundling says which messages a host sends beside those to all hosts.
 type bundling struct {
-	// relay is the host of this failure domain that bundles its messages; the
-	// zero link if they are not bundled.
+	// relay is the host of this failure domain that bundles its messages: the
+	// first to serve. It is the zero link if they are not bundled.
 	relay netip.AddrPort
 	// members are the other hosts of this domain, and latest their messages.
 	members []netip.AddrPort
@@ -151,8 +151,9 @@
 func (r *Roster) bundling(now time.Time) bundling {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	b := bundling{relay: r.self.Link}
-	lowest := map[string]netip.AddrPort{}
+	relay := r.self
+	b := bundling{}
+	others := map[string]Host{}
 	heard := 0
 	for link, p := range r.peers {
 		if !r.isHeard(p, now) || p.host.Domain == "" {
@@ -162,20 +163,21 @@
 		if p.host.Domain == r.self.Domain {
 			b.members = append(b.members, link)
 			b.latest = append(b.latest, p.last)
-			if link.Compare(b.relay) < 0 && !p.status.Leaving {
-				b.relay = link
+			if p.host.servesBefore(relay) && !p.status.Leaving {
+				relay = p.host
 			}
 			continue
 		}
-		if known, found := lowest[p.host.Domain]; (!found || link.Compare(known) < 0) && !p.status.Leaving {
-			lowest[p.host.Domain] = link
+		if known, found := others[p.host.Domain]; (!found || p.host.servesBefore(known)) && !p.status.Leaving {
+			others[p.host.Domain] = p.host
 		}
 	}
 	if heard < bundleAbove {
 		return bundling{}
 	}
-	for _, link := range lowest {
-		b.relays = append(b.relays, link)
+	b.relay = relay.Link
+	for _, other := range others {
+		b.relays = append(b.relays, other.Link)
 	}
 	return b
 }
@@ -216,28 +218,42 @@
 }
 
 // Reader is the link of the heard host that reads the platform's log for this
-// host's failure domain: the lowest one that the log answers. It is this host's
-// own if there is no other. Avoided hosts are passed over.
+// host's failure domain: the first to serve of those that the log answers. It
+// is this host's own if there is no other. Avoided hosts are passed over.
 func (r *Roster) Reader(avoid func(netip.AddrPort) bool, selfReads bool, now time.Time) netip.AddrPort {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	reader := netip.AddrPort{}
+	reader := Host{}
 	if selfReads {
-		reader = r.self.Link
+		reader = r.self
 	}
 	for link, p := range r.peers {
 		if !r.isHeard(p, now) || p.status.StoreLost || p.status.Leaving || p.status.ConfigNext == 0 ||
 			p.host.Domain != r.self.Domain || avoid(link) {
 			continue
 		}
-		if !reader.IsValid() || link.Compare(reader) < 0 {
-			reader = link
+		if !reader.Link.IsValid() || p.host.servesBefore(reader) {
+			reader = p.host
 		}
 	}
-	if !reader.IsValid() {
+	if !reader.Link.IsValid() {
 		return r.self.Link
 	}
-	return reader
+	return reader.Link
+}
+
+// InDomain is the number of heard hosts in this host's failure domain, itself
+// included.
+func (r *Roster) InDomain(now time.Time) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	count := 1
+	for _, p := range r.peers {
+		if p.host.Domain == r.self.Domain && r.isHeard(p, now) {
+			count++
+		}
+	}
+	return count
 }
 
 // Lost are the names of the hosts that have ceased to be heard since the last
--- a/internal/process/peers/roster_test.go
+++ b/internal/process/peers/roster_test.go
@@ -35,6 +35,17 @@
 	assert.Equal(t, len(r.Fronts(start.Add(2*time.Second))), 0)
 }
 
+// Only hosts of the own failure domain that are heard count as in it.
+func TestInDomain(t *testing.T) {
+	r := NewRoster(host("9"))
+	far := host("2")
+	far.Domain = "z2"
+	heardHost(r, host("1"), 1, Status{}, start)
+	heardHost(r, far, 1, Status{}, start)
+	assert.Equal(t, r.InDomain(start), 2)
+	assert.Equal(t, r.InDomain(start.Add(2*time.Second)), 1)
+}
+
 // Short messages keep what a full one has told, but for a new incarnation.
 func TestShortMessages(t *testing.T) {
 	r := NewRoster(host("9"))
@@ -181,6 +192,43 @@
 	assert.Assert(t, !small.bundling(start).relay.IsValid())
 }
 
+// What one host does for others is done by one with a wide link: bundles for a
+// domain of 20 fill a link of 10 Mbit/s.
+func TestWideLinksServe(t *testing.T) {
+	r := largeFleet()
+	wide, far := host("7"), host("30")
+	wide.Mbps, far.Mbps, far.Domain = 200, 200, "z2"
+	heardHost(r, wide, 2, Status{ConfigNext: 1}, start)
+	heardHost(r, far, 2, Status{ConfigNext: 1}, start)
+	b := r.bundling(start)
+	assert.Equal(t, b.relay, link("7"))
+	assert.DeepEqual(t, b.relays, []netip.AddrPort{link("30")}, cmp.Comparer(func(a, b netip.AddrPort) bool { return a == b }))
+	nobody := func(netip.AddrPort) bool { return false }
+	assert.Equal(t, r.Reader(nobody, true, start), link("7"))
+	assert.Equal(t, r.Reader(func(l netip.AddrPort) bool { return l == link("7") }, true, start), link("2"))
+	// A short message keeps what a full one has told.
+	heardHost(r, Host{Link: link("7"), Incarnation: 1}, 3, Status{ConfigNext: 1, Leaving: true}, start)
+	assert.Equal(t, r.bundling(start).relay, link("2"))
+}
+
+// Bundles to 20 hosts of a domain, as often as they come at 61 hosts with much
+// to tell, leave most of a narrow link free and are not held back on a wide one.
+func TestBundlesLeaveTheLinkFree(t *testing.T) {
+	const members, each = 20, bundleBytes
+	perSecond := 12 * 7 // 61 messages of 140 bytes take 7 datagrams
+	for mbps, want := range map[int]float64{10: bundlePart * 10e6 / 8, 200: float64(perSecond * members * each), 0: float64(perSecond * members * each)} {
+		limiter := newBundleRate(mbps)
+		sent := 0
+		for i := range 20 * perSecond {
+			if limiter.AllowN(start.Add(time.Duration(i)*time.Second/time.Duration(perSecond)), members*each) {
+				sent += members * each
+			}
+		}
+		got := float64(sent) / 20
+		assert.Assert(t, got <= want*1.05 && got >= want*0.9, "%d Mbit/s: %.0f bytes a second, %.0f wanted", mbps, got, want)
+	}
+}
+
 // The messages of a bundle count as if they had come from their hosts; nothing
 // within them is a bundle again.
 func TestBundleIsTaken(t *testing.T) {
@@ -189,7 +237,7 @@
 	registry := metrics.NewRegistry()
 	l := &Link{
 		roster: r, heard: func(m Message, _ bool) { heard = append(heard, m.From.Name) },
-		malformed: metrics.GetOrRegisterCounter("m", registry), failed: metrics.GetOrRegisterCounter("f", registry), sent: metrics.GetOrRegisterCounter("s", registry),
+		bundles: newBundleRate(0), malformed: metrics.GetOrRegisterCounter("m", registry), failed: metrics.GetOrRegisterCounter("f", registry), sent: metrics.GetOrRegisterCounter("s", registry),
 	}
 	one := Message{From: host("1"), Number: 5}
 	nested := Message{From: host("2"), Number: 5, Bundle: []Message{{From: host("3"), Number: 1}}}
