A few short requests wait at the endpoint itself

A request of 30 ms is over before word of it has reached the other hosts, 60 to 160 ms later, so slots looked taken that were free; and a host where one request waited counted on its 0.4 slots and refused the rest.

Where work is shorter than the news of it is old, an endpoint gets up to its slots again beyond them, as long as that leaves requests on time.

--- a/internal/process/choose/choose.go
+++ b/internal/process/choose/choose.go
@@ -106,6 +106,29 @@
 	return sum
 }
 
+const (
+	// beyondPart is the part of its aim that a request may spend at an endpoint
+	// before its own work begins and while it is done.
+	beyondPart = 0.6
+	// beyondMost bounds what an endpoint is given beyond its slots, as a part of
+	// these; endpoints keep a few requests waiting and refuse more.
+	beyondMost = 1.0
+)
+
+// Beyond is how many requests more than it has slots an endpoint may be given.
+// It answers the load of short requests from many hosts: when a request takes
+// less time than word of it does to reach the others, all hosts see slots as
+// taken that are free long since, and requests wait at each host while the
+// endpoints stand idle. A few that wait at the endpoint itself are better off,
+// if they are still on time.
+func Beyond(slots int, work, age, aim time.Duration) int {
+	if work <= 0 || work >= age {
+		return 0
+	}
+	rounds := float64(aim)*beyondPart/float64(work) - 1
+	return int(float64(slots) * max(0, min(rounds, beyondMost)))
+}
+
 // Pick is the index of the endpoint to use, or -1 if none is free. The draw is
 // uniform in [0, 1).
 func Pick(candidates []Candidate, d Demand, draw float64) int {
--- a/internal/process/dispatch/dispatch.go
+++ b/internal/process/dispatch/dispatch.go
@@ -282,6 +282,9 @@
 	usual := d.fleet.UsualFailures(job.Service)
 	for i, e := range endpoints {
 		candidates[i] = e.Candidate(now, usual, d.domain)
+		if work, isShort := d.queue(job.Service).shortWork(job); isShort {
+			candidates[i].Slots += choose.Beyond(e.Slots, work, e.LoadAge(now), job.Route.Aim)
+		}
 		if !d.fleet.MayUse(e) || slices.Contains(job.Excluded, e.ID) || !versions.allow(e.Version) {
 			candidates[i].Blocked = true
 		}
--- a/internal/process/dispatch/queue.go
+++ b/internal/process/dispatch/queue.go
@@ -96,6 +96,11 @@
 	return expected
 }
 
+// shortWork is the learned time of a job without tokens; others are long.
+func (q *serviceQueue) shortWork(job *Job) (time.Duration, bool) {
+	return q.hold(job), job.Prompt == 0 && job.Output == 0
+}
+
 // holdWeight is the weight of the newest request in the learned hold time.
 const holdWeight = 0.05
 
