A request that failed at the only endpoint does not wait for another

One endpoint of the service was left; its 500 made the request wait 100 to 440 ms for another endpoint, which could not come, and our 502 then replaced its sealed answer. The caller now gets that answer at once; TestOnlyEndpoint/fails failed first (502, want 500).

Ruled out: load (queued 0, three of six slots free in the log lines).

--- a/internal/process/dispatch/dispatch.go
+++ b/internal/process/dispatch/dispatch.go
@@ -140,7 +140,7 @@
 		}
 	}
 	supply, usable := d.supply(job.Service, now)
-	if usable == 0 {
+	if usable == 0 || !d.hasOther(job) {
 		d.mu.Unlock()
 		return nil, &Refusal{Reason: ReasonNoEndpoint, RetryAfter: admission.Return(job.Left, 0, supply.Draw)}
 	}
@@ -160,6 +160,14 @@
 	return d.wait(ctx, queue, w, now, verdict)
 }
 
+// hasOther reports whether there is an endpoint that has not failed the job
+// yet. Without one it would wait in vain.
+func (d *Dispatcher) hasOther(job *Job) bool {
+	return slices.ContainsFunc(d.fleet.Of(job.Service), func(e *fleet.Endpoint) bool {
+		return d.fleet.MayUse(e) && !slices.Contains(job.Excluded, e.ID)
+	})
+}
+
 // wait waits for a lease.
 func (d *Dispatcher) wait(ctx context.Context, queue *serviceQueue, w *waiter, since time.Time, verdict admission.Verdict) (*Lease, error) {
 	timer := time.NewTimer(time.Until(w.entry.Until))
--- a/internal/request/relay/attempt.go
+++ b/internal/request/relay/attempt.go
@@ -32,6 +32,9 @@
 			return
 		}
 		s.excluded = append(s.excluded, lease.Endpoint)
+		if end.failure != nil {
+			s.failure = end.failure
+		}
 		standing := s.standing(end)
 		decision := repeat.Decide(standing)
 		if decision.Repeat && end.fate != repeat.FateNotSent && !s.relay.Limits.Repeat(s.service) {
@@ -82,6 +85,11 @@
 	s.fields["queued"] = refusal.Queued
 	s.fields["slots"] = refusal.Slots
 	s.fields["queue_wait_ms"] = refusal.Waited.Milliseconds()
+	if s.failure != nil && !s.headSent {
+		// An endpoint has answered; no other one can do better.
+		s.deliver(s.failure)
+		return
+	}
 	if s.attempts > 0 {
 		// It may have run, so nothing can be promised.
 		s.fail(http.StatusBadGateway, refusal.Reason)
@@ -93,8 +101,8 @@
 // finish answers a request that is not sent again.
 func (s *serving) finish(decision repeat.Decision, end sendEnd) {
 	switch {
-	case end.failure != nil && !s.headSent:
-		s.deliver(end.failure)
+	case s.failure != nil && !s.headSent:
+		s.deliver(s.failure)
 	case s.headSent:
 		s.cut(end.reason)
 	case decision.Promise:
@@ -116,8 +124,7 @@
 	answered bool
 	fate     repeat.Fate
 	reason   string
-	// failure is the endpoint's own answer, which the caller gets if the
-	// request is not sent again; nil if there is none.
+	// failure is the endpoint's own answer; nil if there is none.
 	failure *wholeAnswer
 }
 
--- a/internal/request/relay/relay.go
+++ b/internal/request/relay/relay.go
@@ -117,6 +117,9 @@
 	// sends is the number of endpoints to which it was sent.
 	sends    int
 	excluded []string
+	// failure is an endpoint's own answer to an earlier send, which the caller
+	// gets if no other endpoint does better; nil if there is none.
+	failure  *wholeAnswer
 	events   splitter
 	headSent bool
 	// firstAt is when the first part of the answer was passed on.
--- a/soak/endpoint.go
+++ b/soak/endpoint.go
@@ -23,8 +23,8 @@
 
 const (
 	service = "svc"
-	// slots and queue are how many requests an endpoint runs and refuses
-	// beyond; the stand-in's entry names the slots.
+	// slots and queue are how many requests an endpoint takes before it refuses;
+	// the stand-in's entry names the slots.
 	slots = 4
 	queue = 2
 	// work is how long a request takes, events and eventGap how a stream is
@@ -83,14 +83,14 @@
 }
 
 // take works for a time and reports whether the connection is still there.
-func (e *endpoint) take(run *standin.Run, time_ time.Duration) bool {
+func (e *endpoint) take(run *standin.Run, lasts time.Duration) bool {
 	if e.isSlow.Load() {
-		time_ *= slowFactor
+		lasts *= slowFactor
 	}
 	select {
 	case <-run.Closed:
 		return false
-	case <-time.After(time_):
+	case <-time.After(lasts):
 		return true
 	}
 }
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -13,64 +13,91 @@
 // linkDelay is the delay of each piece on a slow connection.
 const linkDelay = 50 * time.Millisecond
 
+// linkPart is whose connections a fault concerns.
+type linkPart int
+
+const (
+	partFront linkPart = iota + 1
+	partStore
+	partEndpoint
+)
+
+// linkFaults are the faults of connections: those with a mode last for a time.
+var linkFaults = map[Kind]struct {
+	part    linkPart
+	mode    Mode
+	isReset bool
+}{
+	FrontDelay:    {part: partFront, mode: Mode{Delay: linkDelay}},
+	FrontCutIn:    {part: partFront, mode: Mode{HoldIn: true}},
+	FrontCutOut:   {part: partFront, mode: Mode{HoldOut: true}},
+	FrontReset:    {part: partFront, isReset: true},
+	StoreCutIn:    {part: partStore, mode: Mode{HoldIn: true}},
+	StoreCutOut:   {part: partStore, mode: Mode{HoldOut: true}},
+	StoreReset:    {part: partStore, isReset: true},
+	EndpointDelay: {part: partEndpoint, mode: Mode{Delay: linkDelay}},
+	EndpointMute:  {part: partEndpoint, mode: Mode{HoldOut: true}},
+	EndpointReset: {part: partEndpoint, isReset: true},
+	EndpointCrash: {part: partEndpoint, mode: Mode{Refuse: true}, isReset: true},
+}
+
+// storeFaults are the faults of the store itself.
+var storeFaults = map[Kind]standin.StoreFaults{
+	LogRefuses: {Status: http.StatusServiceUnavailable},
+	LogSilent:  {Silent: true},
+	LogLoses:   {LoseAnswers: true},
+}
+
 // inject carries out one fault and returns when it is over.
 func (f *fleet) inject(ctx context.Context, fault Fault) {
 	h := f.hosts[fault.Target%len(f.hosts)]
 	e := f.endpoints[fault.Target%len(f.endpoints)]
-	ofHost, ofEndpoint := Scope{ScopeHost, h.number}, Scope{ScopeEndpoint, e.number}
 	switch fault.Kind {
 	case HostKill, HostStop, HostReload:
 		f.injectLife(ctx, h, fault)
 	case HostPause:
-		defer f.record.Disturb(ofHost, false)()
+		defer f.record.Disturb(Scope{ScopeHost, h.number}, false)()
 		f.signal(h, syscall.SIGSTOP)
 		time.Sleep(fault.For)
 		f.signal(h, syscall.SIGCONT)
-	case FrontDelay:
-		f.link(ofHost, h.front, Mode{Delay: linkDelay}, fault.For)
-	case FrontCutIn:
-		f.link(ofHost, h.front, Mode{HoldIn: true}, fault.For)
-	case FrontCutOut:
-		f.link(ofHost, h.front, Mode{HoldOut: true}, fault.For)
-	case FrontReset:
-		f.reset(ofHost, h.front)
-	case StoreCutIn:
-		f.link(ofHost, h.store, Mode{HoldIn: true}, fault.For)
-	case StoreCutOut:
-		f.link(ofHost, h.store, Mode{HoldOut: true}, fault.For)
-	case StoreReset:
-		f.reset(ofHost, h.store)
-	case EndpointDelay:
-		f.link(ofEndpoint, e.proxy, Mode{Delay: linkDelay}, fault.For)
-	case EndpointMute:
-		f.link(ofEndpoint, e.proxy, Mode{HoldOut: true}, fault.For)
-	case EndpointReset:
-		f.reset(ofEndpoint, e.proxy)
-	case EndpointCrash:
-		defer f.record.Disturb(ofEndpoint, false)()
-		end := e.proxy.Apply(Mode{Refuse: true})
-		e.proxy.Reset()
-		time.Sleep(fault.For)
-		end()
 	case EndpointSlow:
-		defer f.record.Disturb(ofEndpoint, false)()
+		defer f.record.Disturb(Scope{ScopeEndpoint, e.number}, false)()
 		e.isSlow.Store(true)
 		time.Sleep(fault.For)
 		e.isSlow.Store(false)
-	case LogRefuses:
-		f.storeFault(standin.StoreFaults{Status: http.StatusServiceUnavailable}, fault.For)
-	case LogSilent:
-		f.storeFault(standin.StoreFaults{Silent: true}, fault.For)
-	case LogLoses:
-		f.storeFault(standin.StoreFaults{LoseAnswers: true}, fault.For)
+	case LogRefuses, LogSilent, LogLoses:
+		defer f.record.Disturb(Scope{Kind: ScopeStore}, false)()
+		end := f.applyStore(storeFaults[fault.Kind])
+		time.Sleep(fault.For)
+		end()
 	case LogTrims:
-		f.store.Trim("keyed.op")
-		f.store.Trim("keyed.servers")
+		f.store.TrimAll()
 	case EndpointDrain, Configure, Evacuate:
 		f.injectOrder(e, fault)
+	default:
+		f.injectLink(h, e, fault)
 	}
 }
 
+// injectLink harms connections.
+func (f *fleet) injectLink(h *host, e *endpoint, fault Fault) {
+	link := linkFaults[fault.Kind]
+	proxy, scope := h.front, Scope{ScopeHost, h.number}
+	switch link.part {
+	case partStore:
+		proxy = h.store
+	case partEndpoint:
+		proxy, scope = e.proxy, Scope{ScopeEndpoint, e.number}
+	}
+	defer f.record.Disturb(scope, false)()
+	end := proxy.Apply(link.mode)
+	if link.isReset {
+		proxy.Reset()
+	}
+	time.Sleep(fault.For)
+	end()
+}
+
 // injectLife ends a host's process, or makes it read its settings again. The
 // host is disturbed until it is ready.
 func (f *fleet) injectLife(ctx context.Context, h *host, fault Fault) {
@@ -104,26 +131,6 @@
 	}
 }
 
-// link applies a mode for a time.
-func (f *fleet) link(scope Scope, proxy *Proxy, mode Mode, lasts time.Duration) {
-	defer f.record.Disturb(scope, false)()
-	end := proxy.Apply(mode)
-	time.Sleep(lasts)
-	end()
-}
-
-func (f *fleet) reset(scope Scope, proxy *Proxy) {
-	defer f.record.Disturb(scope, false)()
-	proxy.Reset()
-}
-
-func (f *fleet) storeFault(fault standin.StoreFaults, lasts time.Duration) {
-	defer f.record.Disturb(Scope{Kind: ScopeStore}, false)()
-	end := f.applyStore(fault)
-	time.Sleep(lasts)
-	end()
-}
-
 // injectOrder gives an order and takes it back later. Its bound begins once
 // the store has it.
 func (f *fleet) injectOrder(e *endpoint, fault Fault) {
--- a/soak/plan_test.go
+++ b/soak/plan_test.go
@@ -36,3 +36,15 @@
 	assert.Equal(t, len(seen), len(kinds))
 	assert.Assert(t, overlaps > 0 && series > 0, "%d overlap, %d in series", overlaps, series)
 }
+
+// Each kind of fault is carried out by something.
+func TestKindsAreInjected(t *testing.T) {
+	others := []Kind{
+		HostKill, HostStop, HostReload, HostPause, EndpointSlow, LogRefuses, LogSilent, LogLoses, LogTrims,
+		EndpointDrain, Configure, Evacuate,
+	}
+	assert.Equal(t, len(kinds), len(others)+len(linkFaults))
+	for kind, link := range linkFaults {
+		assert.Assert(t, link.part != 0 && (link.isReset || link.mode != Mode{}), "%s", kind)
+	}
+}
