--- a/soak/endpoint.go
+++ b/soak/endpoint.go
@@ -23,15 +23,15 @@
 
 const (
 	service = "svc"
-	// slots and queue are how many requests an endpoint takes before it refuses;
-	// the stand-in's entry names the slots.
-	slots = 4
-	queue = 2
-	// work is how long a request takes, events and eventGap how a stream is
-	// made: about what a small engine does.
-	work     = 30 * time.Millisecond
-	events   = 8
-	eventGap = 15 * time.Millisecond
+	// endpointSlots and endpointQueue are how many requests an endpoint takes
+	// before it refuses; the stand-in's entry names the slots.
+	endpointSlots = 4
+	endpointQueue = 2
+	// workTime is how long a request takes, streamEvents and eventGap how a
+	// stream is made: about what a small engine does.
+	workTime     = 30 * time.Millisecond
+	streamEvents = 8
+	eventGap     = 15 * time.Millisecond
 	// slowFactor is how much longer a slow endpoint takes.
 	slowFactor = 8
 )
@@ -53,7 +53,7 @@
 // serve is the endpoint's behavior.
 func (e *endpoint) serve(run *standin.Run) bool {
 	defer e.running.Add(-1)
-	isFull := e.running.Add(1) > slots+queue
+	isFull := e.running.Add(1) > endpointSlots+endpointQueue
 	path := run.Target
 	route := strings.Split(path+"/", "/")[1]
 	e.record.Ran(Run{ID: run.ID(), Route: route, Path: path, Body: run.Body, Endpoint: e.number, At: run.At, Refused: isFull})
@@ -63,7 +63,7 @@
 	if route == routeStream || route == routeOnce {
 		return e.stream(run)
 	}
-	if !e.take(run, work) {
+	if !e.take(run, workTime) {
 		return false
 	}
 	return standin.Answer(http.StatusOK, answerOf(route, run.ID()))(run)
@@ -72,7 +72,7 @@
 // stream sends the events that the caller does not have yet.
 func (e *endpoint) stream(run *standin.Run) bool {
 	run.Head(http.StatusOK, -1)
-	for n := run.After() + 1; n <= events; n++ {
+	for n := run.After() + 1; n <= streamEvents; n++ {
 		if !e.take(run, eventGap) {
 			return false
 		}
@@ -104,7 +104,7 @@
 		return route + " " + id + " " + strconv.Itoa(len(id))
 	}
 	var all strings.Builder
-	for n := 1; n <= events; n++ {
+	for n := 1; n <= streamEvents; n++ {
 		all.WriteString(event(id, n))
 	}
 	return all.String()
--- a/soak/rules.go
+++ b/soak/rules.go
@@ -27,10 +27,10 @@
 	configBound     = 3 * time.Second
 	// grace is how long a host may take to stop.
 	grace = 8 * time.Second
-	// few is how many cases some rules allow.
-	few = 3
-	// attempts is the bound of the stand-in's routes.
-	attempts = 2
+	// allowedCases is how many cases some rules allow.
+	allowedCases = 3
+	// routeAttempts is the bound of the stand-in's routes.
+	routeAttempts = 2
 	// repeatWindow, repeatRatio and repeatSlack bound the repeats, as the
 	// stand-in's settings say.
 	repeatWindow = 10 * time.Second
@@ -151,11 +151,11 @@
 		for _, run := range runs {
 			isSound = isSound && seen.isCalm(Scope{ScopeEndpoint, run.Endpoint}, run.At, run.At.Add(deadline), true)
 		}
-		if len(runs) > attempts && isSound {
+		if len(runs) > routeAttempts && isSound {
 			found = append(found, Break{"attempts", fmt.Sprintf("%s ran %d times", ask.ID, len(runs)), ask.Sent})
 		}
 	}
-	return moreThan(few, found)
+	return moreThan(allowedCases, found)
 }
 
 // checkGone finds requests that reached an endpoint long after their callers
@@ -173,7 +173,7 @@
 			}
 		}
 	}
-	return moreThan(few, found)
+	return moreThan(allowedCases, found)
 }
 
 // checkLate finds requests without an answer long after their deadline.
@@ -194,7 +194,7 @@
 			late = append(late, Break{"late", fmt.Sprintf("%s %s has no answer %v after it was sent", ask.Route, ask.ID, end.Sub(ask.Sent)), end})
 		}
 	}
-	if len(late) <= few || 2*len(late) <= unanswered {
+	if len(late) <= allowedCases || 2*len(late) <= unanswered {
 		return nil
 	}
 	return late
@@ -261,7 +261,7 @@
 			found = append(found, Break{"lost", fmt.Sprintf("%s %s at host %d: %v", ask.Route, ask.ID, ask.Host, ask.Reply.Err), ask.Ended})
 		}
 	}
-	return moreThan(few, found)
+	return moreThan(allowedCases, found)
 }
 
 // checkLostAtStop finds requests that a planned stop has cut off.
