--- a/internal/process/dispatch/dispatch.go
+++ b/internal/process/dispatch/dispatch.go
@@ -288,9 +288,10 @@
 	candidates := make([]choose.Candidate, len(endpoints))
 	versions := d.versions(job.Service, endpoints)
 	usual := d.fleet.UsualFailures(job.Service)
+	work, isShort := d.queue(job.Service).shortWork(job)
 	for i, e := range endpoints {
 		candidates[i] = e.Candidate(now, usual, d.domain)
-		if work, isShort := d.queue(job.Service).shortWork(job); isShort {
+		if isShort {
 			candidates[i].Slots += choose.Beyond(e.Slots, work, e.LoadAge(now), job.Route.Aim)
 		}
 		if !d.fleet.MayUse(e) || slices.Contains(job.Excluded, e.ID) || !versions.allow(e.Version) {
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -83,15 +83,23 @@
 	return f, nil
 }
 
+// proxy starts a proxy that ends with the run.
+func (f *fleet) proxy(target string) (*Proxy, error) {
+	proxy, err := NewProxy(target)
+	if err != nil {
+		return nil, eris.Wrapf(err, "proxy of %s", target)
+	}
+	f.lifetime.Cleanup(proxy.Close)
+	return proxy, nil
+}
+
 func (f *fleet) addEndpoint(n int) error {
 	e := &endpoint{number: n, zone: zones[n%len(zones)], record: f.record}
 	e.worker = standin.NewWorker(f.lifetime, e.id(), e.serve)
-	proxy, err := NewProxy(e.worker.Address)
-	if err != nil {
-		return eris.Wrap(err, "endpoint's proxy")
+	var err error
+	if e.proxy, err = f.proxy(e.worker.Address); err != nil {
+		return err
 	}
-	f.lifetime.Cleanup(proxy.Close)
-	e.proxy = proxy
 	f.endpoints = append(f.endpoints, e)
 	f.list(e, false)
 	return nil
@@ -156,14 +164,12 @@
 func (f *fleet) addHost(n int, options Options) error {
 	h := &host{number: n, ip: newAddress(), program: options.Program, dir: options.Dir, record: f.record}
 	var err error
-	if h.store, err = NewProxy(f.store.Address); err != nil {
-		return eris.Wrap(err, "store's proxy")
+	if h.store, err = f.proxy(f.store.Address); err != nil {
+		return err
 	}
-	f.lifetime.Cleanup(h.store.Close)
-	if h.front, err = NewProxy(h.ip + ":" + standin.FrontPort); err != nil {
-		return eris.Wrap(err, "front's proxy")
+	if h.front, err = f.proxy(h.ip + ":" + standin.FrontPort); err != nil {
+		return err
 	}
-	f.lifetime.Cleanup(h.front.Close)
 	f.hosts = append(f.hosts, h)
 	return nil
 }
