--- a/internal/process/dispatch/dispatch.go
+++ b/internal/process/dispatch/dispatch.go
@@ -84,6 +84,13 @@
 	return b
 }
 
+// tell tells of changed beliefs. The caller does not hold mu.
+func (d *Dispatcher) tell(beliefs []Belief) {
+	for _, b := range beliefs {
+		d.notify(b)
+	}
+}
+
 // Dispatcher places requests. It is safe for concurrent use.
 type Dispatcher struct {
 	domain string
--- a/internal/process/dispatch/lease.go
+++ b/internal/process/dispatch/lease.go
@@ -88,7 +88,5 @@
 	}
 	d.pump(l.job.Service, l.endpoint, now)
 	d.mu.Unlock()
-	for _, b := range beliefs {
-		d.notify(b)
-	}
+	d.tell(beliefs)
 }
--- a/internal/process/dispatch/update.go
+++ b/internal/process/dispatch/update.go
@@ -28,9 +28,7 @@
 	}
 	d.pump(entry.Service, nil, now)
 	d.mu.Unlock()
-	for _, b := range beliefs {
-		d.notify(b)
-	}
+	d.tell(beliefs)
 }
 
 // RemoveEntry takes in that an endpoint's entry is gone.
@@ -43,9 +41,7 @@
 		d.drop(gone)
 	}
 	d.mu.Unlock()
-	for _, b := range beliefs {
-		d.notify(b)
-	}
+	d.tell(beliefs)
 }
 
 func (d *Dispatcher) drop(e *fleet.Endpoint) {
@@ -194,7 +190,5 @@
 	for _, pool := range pools {
 		pool.Sweep()
 	}
-	for _, b := range beliefs {
-		d.notify(b)
-	}
+	d.tell(beliefs)
 }
--- a/internal/request/relay/attempt.go
+++ b/internal/request/relay/attempt.go
@@ -85,9 +85,7 @@
 	s.fields["queued"] = refusal.Queued
 	s.fields["slots"] = refusal.Slots
 	s.fields["queue_wait_ms"] = refusal.Waited.Milliseconds()
-	if s.failure != nil && !s.headSent {
-		// An endpoint has answered; no other one can do better.
-		s.deliver(s.failure)
+	if s.deliverFailure() {
 		return
 	}
 	if s.attempts > 0 {
@@ -101,8 +99,7 @@
 // finish answers a request that is not sent again.
 func (s *serving) finish(decision repeat.Decision, end sendEnd) {
 	switch {
-	case s.failure != nil && !s.headSent:
-		s.deliver(s.failure)
+	case s.deliverFailure():
 	case s.headSent:
 		s.cut(end.reason)
 	case decision.Promise:
@@ -114,6 +111,16 @@
 	}
 }
 
+// deliverFailure passes on what an endpoint has answered itself, if there is
+// such an answer and no other one has begun. It reports whether it did.
+func (s *serving) deliverFailure() bool {
+	if s.failure == nil || s.headSent {
+		return false
+	}
+	s.deliver(s.failure)
+	return true
+}
+
 // refusedWait is when callers come back after an endpoint refused: its queue
 // has moved on by then.
 const refusedWait = 300 * time.Millisecond
