Send callers to few, large hosts

Cause: the directory named the 64 addresses that sort first, whatever their capacity.

Change: entryset selects the hosts from capacity and measured load (processor time, link, connections): the largest ones, at least 4 in 2 failure domains, at most 16 unless the load needs more. The set grows at once and shrinks slowly; small hosts join only when the large ones are 85% used or lost.

--- a/internal/process/gateway/connections.go
+++ b/internal/process/gateway/connections.go
@@ -40,6 +40,13 @@
 	}
 }
 
+// openCount returns the number of open connections.
+func (c *callerConnections) openCount() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.active) + len(c.idleSince)
+}
+
 // activeCount returns the number of connections serving a request.
 func (c *callerConnections) activeCount() int {
 	c.mu.Lock()
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/netip"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -26,6 +25,8 @@
 type Gateway struct {
 	settings Settings
 	ports    Ports
+	// self describes this host to the others.
+	self     peers.Host
 	log      *decisionlog.Log
 	registry metrics.Registry
 
@@ -40,8 +41,14 @@
 	snapshotCopies *snapshotCopies
 	sharedReads    *sharedReadStore
 	moveTracker    *moveTracker
-
-	table            atomic.Pointer[routing.Table]
+	callerConns    *callerConnections
+	entryHosts     *entryHosts
+	// usage is used by the periodic tasks only.
+	usage *usageMeter
+
+	table atomic.Pointer[routing.Table]
+	// spent is the latest measurement of usage.
+	spent            atomic.Pointer[peers.Usage]
 	malformedEntries metrics.Counter
 	// stopRequestedAt is when the process was asked to stop; nil before that.
 	stopRequestedAt atomic.Pointer[time.Time]
@@ -64,11 +71,15 @@
 		Protocol: ports.Protocol, Dispatcher: g.dispatcher, Limits: g.limits,
 		Table: g.table.Load, StopsAt: g.stopDeadline, Log: log, Metrics: ports.Metrics,
 	})
-	self := peers.Host{
+	g.self = peers.Host{
 		Name: settings.Name, PeerAddress: settings.PeerAddress, FrontendAddress: settings.FrontendAddress,
-		Domain: settings.Domain, Incarnation: time.Now().UnixNano(), LinkMbps: settings.LinkMbps,
+		Domain: settings.Domain, Incarnation: time.Now().UnixNano(),
+		LinkMbps: settings.LinkMbps, Cores: settings.ProcessorCapacity, Connections: connectionCapacity(&g.settings),
 	}
-	g.membership = peers.NewMembership(self)
+	g.callerConns = newCallerConnections(g)
+	g.usage = &usageMeter{relay: g.relay, conns: g.callerConns, log: log.Entry()}
+	g.entryHosts = &entryHosts{gateway: g}
+	g.membership = peers.NewMembership(g.self)
 	for _, seed := range settings.Seeds {
 		g.membership.AddPeer(seed, time.Now())
 	}
@@ -101,15 +112,8 @@
 // IsReady implements View.
 func (g *Gateway) IsReady() bool { return g.table.Load() != nil && !g.isStopping() }
 
-// FrontendAddresses implements View.
-func (g *Gateway) FrontendAddresses() []string {
-	addresses := g.membership.FrontendAddresses(time.Now())
-	if g.IsReady() {
-		addresses = append(addresses, g.settings.FrontendAddress)
-	}
-	slices.Sort(addresses)
-	return addresses
-}
+// EntryAddresses implements View.
+func (g *Gateway) EntryAddresses() []string { return g.entryHosts.selected() }
 
 // isWriter reports whether this host writes on behalf of the fleet: the
 // reachable host with the lowest address that can access the log. Two writers at
@@ -135,7 +139,7 @@
 	loads, waiting := g.dispatcher.Loads()
 	status := peers.Status{
 		Ready: g.IsReady(), Leaving: g.isStopping(), WaitingServices: waiting, Usage: g.limits.Usage(isFull),
-		StoreUnavailable: g.operator.IsUnavailable(),
+		StoreUnavailable: g.operator.IsUnavailable(), Spent: g.spent.Load(),
 	}
 	if next, known := g.operator.Next(); known {
 		status.OperatorNext = next
@@ -186,6 +190,9 @@
 			g.membership.MarkAllUnreachable()
 		}
 		now := time.Now()
+		g.usage.update(now)
+		g.spent.Store(g.usage.spent)
+		g.entryHosts.update(now)
 		addresses, reachable := g.membership.SharingHosts(now)
 		hosts := len(addresses)
 		g.limits.SetHosts(hosts, reachable)
--- a/internal/process/gateway/run.go
+++ b/internal/process/gateway/run.go
@@ -71,11 +71,10 @@
 	addActor(g.catchUp)
 	addActor(g.snapshotCopies.run)
 	addActor(g.moveTracker.run)
-	callerConns := newCallerConnections(g)
-	addActor(callerConns.closeIdle)
+	addActor(g.callerConns.closeIdle)
 	frontend := &http.Server{
 		Handler: g.relay, ReadHeaderTimeout: defaultHeaderTimeout,
-		MaxHeaderBytes: maxHeaderBytes, ConnState: callerConns.onStateChange, ErrorLog: nil,
+		MaxHeaderBytes: maxHeaderBytes, ConnState: g.callerConns.onStateChange, ErrorLog: nil,
 	}
 	if err := g.serve(&group, g.settings.FrontendAddress, frontend); err != nil {
 		return err
@@ -98,7 +97,7 @@
 			return err
 		}
 	}
-	addActor(func(ctx context.Context) error { return g.handleSignals(ctx, signals, callerConns) })
+	addActor(func(ctx context.Context) error { return g.handleSignals(ctx, signals) })
 	g.log.Entry().WithFields(logrus.Fields{"host": g.settings.Name, "domain": g.settings.Domain, "front": g.settings.FrontendAddress, "link": g.settings.PeerAddress.String()}).
 		Info("start")
 	stopLog := g.startLog()
@@ -151,14 +150,14 @@
 var errStopped = eris.New("stopped")
 
 // handleSignals handles signals until the process may exit.
-func (g *Gateway) handleSignals(ctx context.Context, signals <-chan os.Signal, conns *callerConnections) error {
+func (g *Gateway) handleSignals(ctx context.Context, signals <-chan os.Signal) error {
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case s := <-signals:
 			if s != syscall.SIGHUP {
-				return g.stop(ctx, conns)
+				return g.stop(ctx)
 			}
 			err := g.ports.Reload(ctx)
 			g.log.Entry().WithError(err).Info("reload")
@@ -168,11 +167,12 @@
 
 // stop withdraws the host from the directory and keeps serving until all
 // responses have been sent or the grace period is nearly over.
-func (g *Gateway) stop(ctx context.Context, conns *callerConnections) error {
+func (g *Gateway) stop(ctx context.Context) error {
 	now := time.Now()
 	g.stopRequestedAt.Store(&now)
+	g.entryHosts.update(now)
 	g.transport.SendNow()
-	g.log.Entry().WithField("busy_connections", conns.activeCount()).Info("stopping")
+	g.log.Entry().WithField("busy_connections", g.callerConns.activeCount()).Info("stopping")
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	for time.Now().Before(g.stopDeadline()) {
@@ -181,7 +181,7 @@
 			return nil
 		case <-ticker.C:
 		}
-		if time.Since(now) > minServeAfterStop && conns.activeCount() == 0 {
+		if time.Since(now) > minServeAfterStop && g.callerConns.activeCount() == 0 {
 			break
 		}
 	}
--- a/internal/process/gateway/settings.go
+++ b/internal/process/gateway/settings.go
@@ -35,6 +35,10 @@
 	MemoryMB int
 	// Cores is the number of CPU cores to use.
 	Cores int
+	// ProcessorCapacity is the processor time that the process may use, in
+	// cores, FileDescriptors the number of descriptors; 0 means unknown.
+	ProcessorCapacity float64
+	FileDescriptors   int
 	// LinkMbps is the capacity of the host's network link in Mbit/s.
 	LinkMbps int
 	// GracePeriod is the time from a stop request until the process is killed.
@@ -100,7 +104,7 @@
 type View interface {
 	// IsReady reports whether the host accepts callers.
 	IsReady() bool
-	// FrontendAddresses returns the frontend addresses of the hosts that accept
-	// callers.
-	FrontendAddresses() []string
+	// EntryAddresses returns the frontend addresses of the hosts that callers
+	// are sent to.
+	EntryAddresses() []string
 }
--- a/internal/process/peers/membership.go
+++ b/internal/process/peers/membership.go
@@ -34,6 +34,8 @@
 	status     Status
 	sequence   uint64
 	receivedAt time.Time
+	// reachableSince is when the host became reachable, or restarted.
+	reachableSince time.Time
 	// lastMessage is the newest message.
 	lastMessage Message
 	// sentAt is when the last message was sent to the host; knownAt is when its
@@ -96,6 +98,9 @@
 	if message.From.Name != "" || p.host.Incarnation != message.From.Incarnation {
 		p.host = message.From
 	}
+	if isNewlyReachable {
+		p.reachableSince = now
+	}
 	p.status, p.sequence, p.receivedAt, p.lastMessage = message.Status, message.Sequence, now, message
 	for _, address := range message.KnownHosts {
 		m.addPeer(address, now)
@@ -187,19 +192,31 @@
 	return b
 }
 
-// FrontendAddresses returns the sorted frontend addresses of the other hosts
-// that accept callers.
-func (m *Membership) FrontendAddresses(now time.Time) []string {
+// ReadyHost is another host that accepts callers.
+type ReadyHost struct {
+	Host
+	// Spent is what the host spent on callers lately, ReachableFor the time for
+	// which it has been reachable.
+	Spent        Usage
+	ReachableFor time.Duration
+}
+
+// ReadyHosts returns the other hosts that accept callers.
+func (m *Membership) ReadyHosts(now time.Time) []ReadyHost {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	var addresses []string
+	var hosts []ReadyHost
 	for _, p := range m.peers {
-		if m.isReachable(p, now) && p.status.Ready && !p.status.Leaving && p.host.FrontendAddress != "" {
-			addresses = append(addresses, p.host.FrontendAddress)
+		if !m.isReachable(p, now) || !p.status.Ready || p.status.Leaving || p.host.FrontendAddress == "" {
+			continue
+		}
+		ready := ReadyHost{Host: p.host, ReachableFor: now.Sub(p.reachableSince)}
+		if p.status.Spent != nil {
+			ready.Spent = *p.status.Spent
 		}
+		hosts = append(hosts, ready)
 	}
-	slices.Sort(addresses)
-	return addresses
+	return hosts
 }
 
 // SharingHosts returns the sorted addresses of the hosts that share the limits,
--- a/internal/process/peers/membership_test.go
+++ b/internal/process/peers/membership_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"slices"
 	"strconv"
 	"testing"
 	"time"
@@ -28,13 +29,24 @@
 	m.receive(Message{From: h, Sequence: number, Status: status}, now)
 }
 
+// frontendAddresses returns the sorted addresses of the hosts that accept
+// callers.
+func frontendAddresses(m *Membership, now time.Time) []string {
+	var addresses []string
+	for _, ready := range m.ReadyHosts(now) {
+		addresses = append(addresses, ready.FrontendAddress)
+	}
+	slices.Sort(addresses)
+	return addresses
+}
+
 func TestFrontendAddressesOfReachableHosts(t *testing.T) {
 	m := NewMembership(host("9"))
 	receiveStatus(m, host("1"), 1, Status{Ready: true}, start)
 	receiveStatus(m, host("2"), 1, Status{}, start)
 	receiveStatus(m, host("3"), 1, Status{Ready: true, Leaving: true}, start)
-	assert.DeepEqual(t, m.FrontendAddresses(start), []string{"1:1"})
-	assert.Equal(t, len(m.FrontendAddresses(start.Add(2*time.Second))), 0)
+	assert.DeepEqual(t, frontendAddresses(m, start), []string{"1:1"})
+	assert.Equal(t, len(frontendAddresses(m, start.Add(2*time.Second))), 0)
 }
 
 // Only reachable hosts of the local failure domain are counted.
@@ -55,12 +67,12 @@
 	receiveStatus(m, host("1"), 1, Status{Ready: true}, start)
 	short := Host{PeerAddress: peerAddress("1"), Incarnation: 1}
 	receiveStatus(m, short, 2, Status{Ready: true}, start)
-	assert.Equal(t, len(m.FrontendAddresses(start)), 1)
+	assert.Equal(t, len(frontendAddresses(m, start)), 1)
 	receiveStatus(m, short, 2, Status{}, start) // duplicate sequence number
-	assert.Equal(t, len(m.FrontendAddresses(start)), 1)
+	assert.Equal(t, len(frontendAddresses(m, start)), 1)
 	short.Incarnation = 2
 	receiveStatus(m, short, 1, Status{Ready: true}, start)
-	assert.Equal(t, len(m.FrontendAddresses(start)), 0)
+	assert.Equal(t, len(frontendAddresses(m, start)), 0)
 }
 
 // A host whose clock was set back before it restarted becomes reachable again;
@@ -73,12 +85,12 @@
 	fresh := host("1")
 	fresh.Incarnation = 3000
 	receiveStatus(m, fresh, 1, Status{}, start.Add(100*time.Millisecond))
-	assert.Equal(t, len(m.FrontendAddresses(start.Add(100*time.Millisecond))), 1, "a late message of an old process was accepted")
+	assert.Equal(t, len(frontendAddresses(m, start.Add(100*time.Millisecond))), 1, "a late message of an old process was accepted")
 	back := start.Add(time.Second)
 	receiveStatus(m, fresh, 2, Status{Ready: true}, back)
 	assert.Equal(t, m.peers[peerAddress("1")].host.Incarnation, int64(3000))
 	receiveStatus(m, fresh, 3, Status{}, back.Add(60*time.Millisecond))
-	assert.Equal(t, len(m.FrontendAddresses(back.Add(60*time.Millisecond))), 0)
+	assert.Equal(t, len(frontendAddresses(m, back.Add(60*time.Millisecond))), 0)
 }
 
 // An unreachable host still counts as sharing the limits for a limited time,
@@ -122,7 +134,7 @@
 	m := NewMembership(host("9"))
 	receiveStatus(m, host("1"), 1, Status{Ready: true}, start)
 	m.MarkAllUnreachable()
-	assert.Equal(t, len(m.FrontendAddresses(start)), 0)
+	assert.Equal(t, len(frontendAddresses(m, start)), 0)
 }
 
 // Hosts discover each other through one known seed.
@@ -149,7 +161,7 @@
 	}
 	for _, m := range memberships {
 		poll.WaitOn(t, func(poll.LogT) poll.Result {
-			if addresses := m.FrontendAddresses(time.Now()); len(addresses) != 2 {
+			if addresses := frontendAddresses(m, time.Now()); len(addresses) != 2 {
 				return poll.Continue("%v", addresses)
 			}
 			return poll.Success()
--- a/internal/process/peers/message.go
+++ b/internal/process/peers/message.go
@@ -15,8 +15,8 @@
 	"mustarddoor/internal/version/canary"
 )
 
-// Host describes a host. Most messages omit Name, FrontendAddress, Domain and
-// LinkMbps.
+// Host describes a host. Most messages omit all but PeerAddress and
+// Incarnation.
 type Host struct {
 	Name string `cbor:"1,keyasint,omitempty"`
 	// PeerAddress is the address from which the host sends datagrams and serves
@@ -29,6 +29,10 @@
 	Incarnation int64 `cbor:"5,keyasint"`
 	// LinkMbps is the capacity of the host's network link in Mbit/s.
 	LinkMbps int `cbor:"6,keyasint,omitempty"`
+	// Cores is the processor capacity in cores, Connections the number of
+	// callers' connections that the host can hold.
+	Cores       float64 `cbor:"7,keyasint,omitempty"`
+	Connections int     `cbor:"8,keyasint,omitempty"`
 }
 
 // isPreferredOver reports whether this host rather than another one relays or
@@ -66,6 +70,18 @@
 	Evidence        canary.Evidence
 }
 
+// Usage is what a host spent on callers lately.
+type Usage struct {
+	_ struct{} `cbor:",toarray"`
+	// MilliCores is processor time per time, in thousandths.
+	MilliCores int
+	// LinkKbps is the traffic on the network link in kbit/s, in its busier
+	// direction.
+	LinkKbps int
+	// Connections is the number of callers' connections.
+	Connections int
+}
+
 // Status is the state that a host reports about itself.
 type Status struct {
 	// Ready means that the host accepts callers, Leaving that it is shutting
@@ -84,6 +100,8 @@
 	StoreUnavailable bool `cbor:"8,keyasint,omitempty"`
 	// Moves are the services' moves to other versions.
 	Moves []Move `cbor:"9,keyasint,omitempty"`
+	// Spent is what the host spent on callers lately; nil if it served none.
+	Spent *Usage `cbor:"10,keyasint,omitempty"`
 }
 
 // Message is the content of a datagram.
--- a/internal/request/relay/relay.go
+++ b/internal/request/relay/relay.go
@@ -51,6 +51,7 @@
 	duration, firstEventLatency, queueWait metrics.Timer
 	bodyBudget                             bodyBudget
 	deadlines                              deadlineTracker
+	traffic                                traffic
 }
 
 // maxBodyMemoryBytes is the total memory for request bodies.
@@ -81,6 +82,7 @@
 // ServeHTTP implements http.Handler.
 func (r *Relay) ServeHTTP(w http.ResponseWriter, request *http.Request) {
 	startedAt := time.Now()
+	r.traffic.addRequest()
 	s := &serverRequest{relay: r, w: w, request: request, startedAt: startedAt, caller: r.Protocol.ParseRequest(request), stopsAt: r.StopsAt()}
 	// net/http silently ignores a Content-Length beside a chunked body.
 	// Closing the connection keeps bytes after such a body from being read as
@@ -178,6 +180,7 @@
 		return
 	}
 	defer s.relay.bodyBudget.release(len(s.body))
+	s.relay.traffic.add(len(s.body))
 	s.service = s.route.ChooseService(rand.Float64())
 	s.relay.Limits.CountRequest(s.service)
 	if !s.charge() {
--- a/internal/request/relay/response.go
+++ b/internal/request/relay/response.go
@@ -128,6 +128,7 @@
 	s.w.WriteHeader(response.status)
 	s.firstSentAt = time.Now()
 	s.outcome = outcome{outcomeAnswered, response.status, ""}
+	s.relay.traffic.add(len(response.body))
 	if _, err := s.w.Write(response.body); err != nil {
 		s.outcome = outcome{outcomeCallerLeft, 0, "caller_left"}
 	}
@@ -214,6 +215,7 @@
 		s.relay.Protocol.CopyResponseHeader(s.w.Header(), response.Header)
 		s.w.WriteHeader(response.Status)
 	}
+	s.relay.traffic.add(len(events) + packetOverheadBytes)
 	if _, err := s.w.Write(events); err != nil {
 		return false
 	}
