Only hosts that carry callers exchange loads

Change: hosts that carry callers or relay are active and exchange messages directly, every 60 ms up to 15 of them. The others send one message in 0.4 s to their domain's relay and get summaries from it: the active hosts every 0.2 s, the idle ones every 1.6 s, each with its age. An idle host keeps its view while its relay is silent. Cold endpoints and the slack of retry budgets are shared by the active hosts; a host that was active and fell silent keeps its share for 20 s. The writer is a host that carries no callers.

TestBundling is replaced by TestRoles and TestBundles: which messages go where has changed.

--- a/internal/process/allowance/allowance_test.go
+++ b/internal/process/allowance/allowance_test.go
@@ -99,7 +99,7 @@
 	const hosts, ratio, slack = 6, 0.2, 52.0
 	budgets := make([]*allowance.RetryBudget, hosts)
 	for i := range budgets {
-		budgets[i] = allowance.NewRetryBudget(ratio, slack, 10*time.Second, hosts, start)
+		budgets[i] = allowance.NewRetryBudget(ratio, slack/hosts, 10*time.Second, start)
 	}
 	requests, retries := 0, 0
 	for step := range 1000 {
--- a/internal/process/allowance/retry_budget.go
+++ b/internal/process/allowance/retry_budget.go
@@ -16,10 +16,10 @@
 // rest covers requests that the platform counts in another window.
 const usableBudgetShare = 0.8
 
-// NewRetryBudget returns a budget of ratio retries per request, plus this
-// host's share of slack retries in each window.
-func NewRetryBudget(ratio, slack float64, window time.Duration, hosts int, now time.Time) *RetryBudget {
-	share := slack * usableBudgetShare / float64(max(hosts, 1))
+// NewRetryBudget returns a budget of ratio retries per request, plus slack
+// retries in each window.
+func NewRetryBudget(ratio, slack float64, window time.Duration, now time.Time) *RetryBudget {
+	share := slack * usableBudgetShare
 	// A full bucket plus the refill during one window equals the share.
 	return &RetryBudget{
 		bucket: NewBucket(share/2/window.Seconds(), share/2+1, share/2, now),
@@ -36,8 +36,8 @@
 // Take charges a retry if the budget covers it, and reports whether it did.
 func (r *RetryBudget) Take(now time.Time) bool { return r.bucket.Take(1, now) }
 
-// Resize adapts the budget to the number of hosts.
-func (r *RetryBudget) Resize(slack float64, window time.Duration, hosts int, now time.Time) {
-	share := slack * usableBudgetShare / float64(max(hosts, 1))
+// Resize changes the slack.
+func (r *RetryBudget) Resize(slack float64, window time.Duration, now time.Time) {
+	share := slack * usableBudgetShare
 	r.bucket.Resize(share/2/window.Seconds(), share/2+1, now)
 }
--- a/internal/process/dispatch/update.go
+++ b/internal/process/dispatch/update.go
@@ -70,7 +70,8 @@
 	d.fleet.All(func(e *fleet.Endpoint) { d.limitColdRate(e, now) })
 }
 
-// SetHosts sets the hosts that share the endpoints.
+// SetHosts sets the hosts that share the endpoints. This host may be absent: it
+// then serves few requests.
 func (d *Dispatcher) SetHosts(selfAddr netip.AddrPort, hostAddrs []netip.AddrPort) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -117,6 +118,9 @@
 // endpoint while it is cold. The hosts are selected by rendezvous hashing, so
 // that all hosts agree.
 func (d *Dispatcher) mayUseWhileCold(e *fleet.Endpoint) bool {
+	if !slices.Contains(d.hostAddrs, d.selfAddr) {
+		return len(d.hostAddrs) == 0
+	}
 	if d.hostCount <= maxColdHosts {
 		return true
 	}
--- a/internal/process/gateway/entry.go
+++ b/internal/process/gateway/entry.go
@@ -99,3 +99,10 @@
 	defer e.mu.Unlock()
 	return e.addresses
 }
+
+// includesSelf reports whether callers are sent to this host.
+func (e *entryHosts) includesSelf() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.isSelf
+}
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -47,6 +48,8 @@
 	usage *usageMeter
 
 	table atomic.Pointer[routing.Table]
+	// carries is set if callers are sent to this host or it serves some.
+	carries atomic.Bool
 	// spent is the latest measurement of usage.
 	spent            atomic.Pointer[peers.Usage]
 	malformedEntries metrics.Counter
@@ -139,7 +142,7 @@
 	loads, waiting := g.dispatcher.Loads()
 	status := peers.Status{
 		Ready: g.IsReady(), Leaving: g.isStopping(), WaitingServices: waiting, Usage: g.limits.Usage(isFull),
-		StoreUnavailable: g.operator.IsUnavailable(), Spent: g.spent.Load(),
+		StoreUnavailable: g.operator.IsUnavailable(), Spent: g.spent.Load(), Carries: g.carries.Load(),
 	}
 	if next, known := g.operator.Next(); known {
 		status.OperatorNext = next
@@ -168,7 +171,9 @@
 	for _, load := range message.Status.Loads {
 		loads[load.Endpoint] = fleet.Load{Running: load.Running, PendingTokens: float64(load.PendingTokens)}
 	}
-	g.dispatcher.RecordHostLoads(from, loads, message.Status.WaitingServices)
+	if !message.IsSummary {
+		g.dispatcher.RecordHostLoads(from, loads, message.Status.WaitingServices)
+	}
 	for _, move := range message.Status.Moves {
 		if g.dispatcher.RecordMoveReport(from, move.Service, move.Target, move.Stage, move.Evidence) {
 			g.moveTracker.logRaised(move.Service, move.Target, move.Stage, from)
@@ -193,10 +198,13 @@
 		g.usage.update(now)
 		g.spent.Store(g.usage.spent)
 		g.entryHosts.update(now)
+		g.carries.Store(g.entryHosts.includesSelf() || g.usage.servesCallers(now))
+		g.membership.SetCarries(g.carries.Load())
 		addresses, reachable := g.membership.SharingHosts(now)
 		hosts := len(addresses)
-		g.limits.SetHosts(hosts, reachable)
-		g.dispatcher.SetHosts(g.settings.PeerAddress, addresses)
+		active := g.membership.ActiveHosts(now)
+		g.limits.SetHosts(hosts, reachable, activeShare(g.settings.PeerAddress, active))
+		g.dispatcher.SetHosts(g.settings.PeerAddress, active)
 		for _, name := range g.membership.NewlyUnreachable(seen, now) {
 			g.log.Entry().WithFields(logrus.Fields{"host": name, "hosts": hosts, "heard": reachable}).Info("host not heard")
 		}
@@ -205,6 +213,15 @@
 	return nil
 }
 
+// activeShare returns this host's share of a limit that the active hosts divide
+// evenly. An idle host has none.
+func activeShare(self netip.AddrPort, active []netip.AddrPort) float64 {
+	if !slices.Contains(active, self) {
+		return 0
+	}
+	return 1 / float64(len(active))
+}
+
 // parsePeerAddress parses a host's record in the hosts topic.
 func parsePeerAddress(value []byte) (netip.AddrPort, error) {
 	address, err := netip.ParseAddrPort(string(value))
--- a/internal/process/gateway/limits.go
+++ b/internal/process/gateway/limits.go
@@ -19,11 +19,13 @@
 	retryBudgets map[string]*allowance.RetryBudget
 	hosts        int
 	reachable    int
+	// retryShare is this host's share of the slack of retry budgets.
+	retryShare float64
 }
 
 func newSharedLimits(settings *Settings) *sharedLimits {
 	return &sharedLimits{
-		settings: settings, hosts: 1, reachable: 1,
+		settings: settings, hosts: 1, reachable: 1, retryShare: 1,
 		teams: map[string]*allowance.TeamLimit{}, retryBudgets: map[string]*allowance.RetryBudget{},
 	}
 }
@@ -56,20 +58,21 @@
 	}
 }
 
-// SetHosts sets how many hosts share the limits and how many are reachable.
-func (l *sharedLimits) SetHosts(hosts, reachable int) {
+// SetHosts sets how many hosts share the teams' limits and how many of them are
+// reachable, and this host's share of the slack of retry budgets.
+func (l *sharedLimits) SetHosts(hosts, reachable int, retryShare float64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.hosts == hosts && l.reachable == reachable {
+	if l.hosts == hosts && l.reachable == reachable && l.retryShare == retryShare {
 		return
 	}
-	l.hosts, l.reachable = hosts, reachable
+	l.hosts, l.reachable, l.retryShare = hosts, reachable, retryShare
 	now := time.Now()
 	for _, team := range l.teams {
 		team.SetHosts(hosts, reachable)
 	}
 	for _, budget := range l.retryBudgets {
-		budget.Resize(l.settings.RetryBudgetSlack, l.settings.RetryBudgetWindow, hosts, now)
+		budget.Resize(l.settings.RetryBudgetSlack*retryShare, l.settings.RetryBudgetWindow, now)
 	}
 }
 
@@ -98,7 +101,7 @@
 func (l *sharedLimits) retryBudget(service string, now time.Time) *allowance.RetryBudget {
 	r := l.retryBudgets[service]
 	if r == nil {
-		r = allowance.NewRetryBudget(l.settings.RetryBudgetRatio, l.settings.RetryBudgetSlack, l.settings.RetryBudgetWindow, l.hosts, now)
+		r = allowance.NewRetryBudget(l.settings.RetryBudgetRatio, l.settings.RetryBudgetSlack*l.retryShare, l.settings.RetryBudgetWindow, now)
 		l.retryBudgets[service] = r
 	}
 	return r
--- a/internal/process/gateway/spent.go
+++ b/internal/process/gateway/spent.go
@@ -16,8 +16,11 @@
 	usageInterval = 500 * time.Millisecond
 	// minRequestRate is the rate of requests per second below which a host
 	// counts as serving no callers: its processor time is then spent on the
-	// exchange with other hosts.
-	minRequestRate = 2
+	// exchange with other hosts, and its requests are checks of the
+	// configuration.
+	minRequestRate = 6
+	// servingTime is how long a host counts as serving callers after it did.
+	servingTime = 3 * time.Second
 )
 
 // usageMeter measures what the process spends on callers.
@@ -31,6 +34,8 @@
 	requests, bytes int64
 	// spent is nil while the host serves no callers.
 	spent *peers.Usage
+	// servedAt is when the host last served callers.
+	servedAt time.Time
 	// clockFailed is true once reading the processor time has failed and was
 	// logged.
 	clockFailed bool
@@ -54,10 +59,15 @@
 	m.measuredAt, m.processor, m.requests, m.bytes = now, processor, requests, bytes
 	if isFirst || rate < minRequestRate {
 		spent = nil
+	} else {
+		m.servedAt = now
 	}
 	m.spent = spent
 }
 
+// servesCallers reports whether the host has served callers lately.
+func (m *usageMeter) servesCallers(now time.Time) bool { return now.Sub(m.servedAt) < servingTime }
+
 // processorTime returns the processor time of the process, or the last reading
 // if it cannot be read.
 func (m *usageMeter) processorTime() time.Duration {
--- a/internal/process/peers/membership.go
+++ b/internal/process/peers/membership.go
@@ -13,6 +13,16 @@
 	reachableTimeout = 900 * time.Millisecond
 	// maxMissedMessages is how many consecutive lost messages are tolerated.
 	maxMissedMessages = 4
+	// idleTimeout is how long after its last message an idle host becomes
+	// unreachable. Its messages spend up to bundleRotation bundle intervals at
+	// each of two relays, and longer while a relay is replaced.
+	idleTimeout = 8 * time.Second
+	// maxReadySilence is the silence up to which callers may be sent to an idle
+	// host.
+	maxReadySilence = 4500 * time.Millisecond
+	// maxRelaySilence is how long an idle host that hears no relay keeps its view
+	// of the others: until then, the relay is more likely to be at fault.
+	maxRelaySilence = 3 * time.Second
 	// restartQuietPeriod is how long a host must have been silent before a
 	// message with a lower incarnation is attributed to a new process instead of
 	// being a late message of an old one.
@@ -20,8 +30,11 @@
 	// sharingHostTimeout is how long an unreachable host still counts as sharing
 	// the limits: it may be partitioned and still serve its own callers.
 	sharingHostTimeout = 20 * time.Second
-	// probeInterval is the time between messages to an unreachable host.
-	probeInterval = time.Second
+	// minProbeInterval is the time between messages to an unreachable host.
+	// probeIntervalPerHost lengthens it in a large fleet, of which many hosts may
+	// be down.
+	minProbeInterval     = time.Second
+	probeIntervalPerHost = 10 * time.Millisecond
 	// forgetTimeout is when a host that stays unreachable is removed.
 	forgetTimeout = 2 * time.Minute
 )
@@ -31,16 +44,17 @@
 	address netip.AddrPort
 	host    Host
 	// status is from the newest message.
-	status     Status
-	sequence   uint64
+	status   Status
+	sequence uint64
+	// receivedAt is when the newest message arrived, less its time at relays.
 	receivedAt time.Time
 	// reachableSince is when the host became reachable, or restarted.
 	reachableSince time.Time
-	// lastMessage is the newest message.
-	lastMessage Message
-	// sentAt is when the last message was sent to the host; knownAt is when its
-	// address was first learned.
-	sentAt, knownAt time.Time
+	// activeAt is when the host last said that it is active.
+	activeAt time.Time
+	// sentAt is when the last message was sent to the host, introducedAt when the
+	// last introduction was; knownAt is when its address was first learned.
+	sentAt, introducedAt, knownAt time.Time
 }
 
 // Membership tracks the other hosts of the fleet. It is safe for concurrent
@@ -51,11 +65,19 @@
 	mu           sync.Mutex
 	peers        map[netip.AddrPort]*peer
 	sendInterval time.Duration
+	role         role
+	// carries is set if callers are sent to this host or it serves some.
+	carries bool
+	// announcesIdle is set when this host has become idle, until it has told the
+	// others, who would take it for unreachable.
+	announcesIdle bool
+	// bundleReceivedAt is when the last bundle arrived.
+	bundleReceivedAt time.Time
 }
 
 // NewMembership returns a membership that contains only the local host.
 func NewMembership(self Host) *Membership {
-	return &Membership{self: self, peers: map[netip.AddrPort]*peer{}, sendInterval: minSendInterval}
+	return &Membership{self: self, peers: map[netip.AddrPort]*peer{}, sendInterval: minSendInterval, role: role{isActive: true}}
 }
 
 // AddPeer adds the address of a possible host.
@@ -79,7 +101,30 @@
 
 // isReachable reports whether a message from the host arrived recently.
 func (m *Membership) isReachable(p *peer, now time.Time) bool {
-	return !p.receivedAt.IsZero() && now.Sub(p.receivedAt) < reachableTimeout+maxMissedMessages*m.sendInterval
+	return !p.receivedAt.IsZero() && m.silence(p, now) < m.maxSilence(p)
+}
+
+// silence returns how long a host has been silent. An idle host hears the others
+// through its relay: while the relay is silent, this says nothing about them.
+func (m *Membership) silence(p *peer, now time.Time) time.Duration {
+	isRelayed := !m.role.isActive && p.address != m.role.relay
+	if isRelayed && now.Sub(m.bundleReceivedAt) < maxRelaySilence {
+		return m.bundleReceivedAt.Sub(p.receivedAt)
+	}
+	return now.Sub(p.receivedAt)
+}
+
+// maxSilence returns the silence from which a host is unreachable.
+func (m *Membership) maxSilence(p *peer) time.Duration {
+	switch {
+	case !m.role.isLarge:
+		return reachableTimeout + maxMissedMessages*m.sendInterval
+	case !p.status.Active:
+		return idleTimeout
+	case m.role.isActive:
+		return reachableTimeout + maxMissedMessages*m.sendInterval
+	}
+	return reachableTimeout + maxMissedMessages*bundleInterval
 }
 
 // receive processes a message. It reports whether the message is new and
@@ -101,7 +146,11 @@
 	if isNewlyReachable {
 		p.reachableSince = now
 	}
-	p.status, p.sequence, p.receivedAt, p.lastMessage = message.Status, message.Sequence, now, message
+	p.status, p.sequence = message.Status, message.Sequence
+	p.receivedAt = now.Add(-max(0, time.Duration(message.AgeMillis)*time.Millisecond))
+	if p.status.Active {
+		p.activeAt = p.receivedAt
+	}
 	for _, address := range message.KnownHosts {
 		m.addPeer(address, now)
 	}
@@ -122,76 +171,6 @@
 	return true
 }
 
-// recipients returns the addresses that are due a message, and the reachable
-// ones.
-func (m *Membership) recipients(now time.Time) (to, reachable []netip.AddrPort) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	for address, p := range m.peers {
-		switch {
-		case m.isReachable(p, now):
-			reachable = append(reachable, address)
-		case now.Sub(p.knownAt) > forgetTimeout && now.Sub(p.receivedAt) > forgetTimeout:
-			delete(m.peers, address)
-			continue
-		case now.Sub(p.sentAt) < probeInterval:
-			continue
-		}
-		p.sentAt = now
-		to = append(to, address)
-	}
-	m.sendInterval = max(minSendInterval, time.Duration(len(reachable))*sendIntervalPerHost)
-	return to, reachable
-}
-
-// bundlePlan describes which bundles a host sends in addition to its broadcasts.
-type bundlePlan struct {
-	// relay is the host that bundles the messages of this failure domain. It is
-	// the zero address if messages are not bundled.
-	relay netip.AddrPort
-	// members are the other hosts of this domain; latestMessages are their
-	// newest messages.
-	members        []netip.AddrPort
-	latestMessages []Message
-	// remoteRelays are the relays of the other domains.
-	remoteRelays []netip.AddrPort
-}
-
-// planBundles returns the bundle plan, which is empty for a small fleet.
-func (m *Membership) planBundles(now time.Time) bundlePlan {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	relay := m.self
-	b := bundlePlan{}
-	remoteRelays := map[string]Host{}
-	reachable := 0
-	for address, p := range m.peers {
-		if !m.isReachable(p, now) || p.host.Domain == "" {
-			continue
-		}
-		reachable++
-		if p.host.Domain == m.self.Domain {
-			b.members = append(b.members, address)
-			b.latestMessages = append(b.latestMessages, p.lastMessage)
-			if p.host.isPreferredOver(relay) && !p.status.Leaving {
-				relay = p.host
-			}
-			continue
-		}
-		if known, found := remoteRelays[p.host.Domain]; (!found || p.host.isPreferredOver(known)) && !p.status.Leaving {
-			remoteRelays[p.host.Domain] = p.host
-		}
-	}
-	if reachable < minBundlingHosts {
-		return bundlePlan{}
-	}
-	b.relay = relay.PeerAddress
-	for _, remote := range remoteRelays {
-		b.remoteRelays = append(b.remoteRelays, remote.PeerAddress)
-	}
-	return b
-}
-
 // ReadyHost is another host that accepts callers.
 type ReadyHost struct {
 	Host
@@ -207,7 +186,8 @@
 	defer m.mu.Unlock()
 	var hosts []ReadyHost
 	for _, p := range m.peers {
-		if !m.isReachable(p, now) || !p.status.Ready || p.status.Leaving || p.host.FrontendAddress == "" {
+		isHeard := m.isReachable(p, now) && (p.status.Active || m.silence(p, now) < maxReadySilence)
+		if !isHeard || !p.status.Ready || p.status.Leaving || p.host.FrontendAddress == "" {
 			continue
 		}
 		ready := ReadyHost{Host: p.host, ReachableFor: now.Sub(p.reachableSince)}
@@ -239,32 +219,6 @@
 	return addresses, reachable
 }
 
-// LogReader returns the address of the host that reads the platform's log for
-// this host's failure domain: the preferred reachable host that can read the
-// log, or this host if there is no other. It skips hosts for which avoid returns
-// true.
-func (m *Membership) LogReader(avoid func(netip.AddrPort) bool, selfReads bool, now time.Time) netip.AddrPort {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	reader := Host{}
-	if selfReads {
-		reader = m.self
-	}
-	for address, p := range m.peers {
-		if !m.isReachable(p, now) || p.status.StoreUnavailable || p.status.Leaving || p.status.OperatorNext == 0 ||
-			p.host.Domain != m.self.Domain || avoid(address) {
-			continue
-		}
-		if !reader.PeerAddress.IsValid() || p.host.isPreferredOver(reader) {
-			reader = p.host
-		}
-	}
-	if !reader.PeerAddress.IsValid() {
-		return m.self.PeerAddress
-	}
-	return reader.PeerAddress
-}
-
 // ReachableInDomain returns the number of reachable hosts in this host's failure
 // domain, including itself.
 func (m *Membership) ReachableInDomain(now time.Time) int {
@@ -298,19 +252,6 @@
 	return unreachable
 }
 
-// IsLeader reports whether no reachable host that satisfies a condition has a
-// lower address than this host.
-func (m *Membership) IsLeader(condition func(Status) bool, now time.Time) bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	for address, p := range m.peers {
-		if m.isReachable(p, now) && condition(p.status) && address.Compare(m.self.PeerAddress) < 0 {
-			return false
-		}
-	}
-	return true
-}
-
 // FindReachable returns the address of a reachable host that satisfies a
 // condition, or the zero address.
 func (m *Membership) FindReachable(condition func(Status) bool, now time.Time) netip.AddrPort {
@@ -333,3 +274,24 @@
 		p.receivedAt = time.Time{}
 	}
 }
+
+// recordBundle records that a bundle has arrived.
+func (m *Membership) recordBundle(now time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.bundleReceivedAt = now
+}
+
+// knownCount returns the number of other hosts whose address is known.
+func (m *Membership) knownCount() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return len(m.peers)
+}
+
+// currentSendInterval returns the time between this host's messages.
+func (m *Membership) currentSendInterval() time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.sendInterval
+}
--- a/internal/process/peers/membership_test.go
+++ b/internal/process/peers/membership_test.go
@@ -181,7 +181,7 @@
 }
 
 // largeFleet returns the membership of host 50, which hears from hosts 1 to 20
-// of z1 and 21 to 40 of z2.
+// of z1 and 21 to 40 of z2. Every fifth of them is active.
 func largeFleet() *Membership {
 	m := NewMembership(host("50"))
 	for i := 1; i <= 40; i++ {
@@ -189,48 +189,111 @@
 		if i > 20 {
 			h.Domain = "z2"
 		}
-		receiveStatus(m, h, 1, Status{OperatorNext: 1, Leaving: i == 1}, start)
+		receiveStatus(m, h, 1, Status{OperatorNext: 1, Leaving: i == 1, Active: i%5 == 0, Loads: []EndpointLoad{{Endpoint: 1, Running: 1}}}, start)
 	}
+	m.recipients(start)
 	return m
 }
 
+var sameAddress = cmp.Comparer(func(a, b netip.AddrPort) bool { return a == b })
+
 // In a large fleet the lowest host of each failure domain that is not leaving
-// relays the messages of its domain; a small fleet sends no bundles.
-func TestBundling(t *testing.T) {
-	b := largeFleet().planBundles(start)
-	assert.Equal(t, b.relay, peerAddress("2"))
-	assert.Equal(t, len(b.members), 20)
-	assert.Equal(t, len(b.latestMessages), 20)
-	assert.DeepEqual(t, b.remoteRelays, []netip.AddrPort{peerAddress("21")}, cmp.Comparer(func(a, b netip.AddrPort) bool { return a == b }))
+// relays; an idle host sends its messages to its relay alone. A small fleet has
+// no relays.
+func TestRoles(t *testing.T) {
+	m := largeFleet()
+	assert.DeepEqual(t, m.role, role{isLarge: true, relay: peerAddress("2")}, sameAddress, cmp.AllowUnexported(role{}))
+	to, isProbing := m.recipients(start)
+	assert.DeepEqual(t, to, []netip.AddrPort{peerAddress("2")}, sameAddress)
+	assert.Assert(t, !isProbing)
+	assert.Equal(t, m.currentSendInterval(), idleSendInterval)
+	assert.Equal(t, len(m.planBundles(0, start)), 0)
+	m.SetCarries(true)
+	m.recipients(start)
+	to, _ = m.recipients(start)
+	assert.Equal(t, len(to), 8, "not the active hosts alone: %v", to)
+	assert.Equal(t, len(m.ActiveHosts(start)), 9)
 	small := NewMembership(host("9"))
 	receiveStatus(small, host("1"), 1, Status{}, start)
-	assert.Assert(t, !small.planBundles(start).relay.IsValid())
+	assert.Equal(t, len(small.planBundles(0, start)), 0)
+	to, _ = small.recipients(start)
+	assert.DeepEqual(t, to, []netip.AddrPort{peerAddress("1")}, sameAddress)
+}
+
+// A relay sends the active hosts to the idle ones of its domain in each round,
+// and the idle ones once in a rotation; loads are omitted.
+func TestBundles(t *testing.T) {
+	m := largeFleet()
+	for i := 1; i <= 40; i++ {
+		p := m.peers[peerAddress(strconv.Itoa(i))]
+		p.status.Leaving = p.host.Domain == "z1"
+	}
+	relayed := map[string]int{}
+	for round := range uint64(bundleRotation) {
+		bundles := m.planBundles(round, start)
+		assert.Equal(t, len(bundles), 3)
+		assert.Equal(t, len(bundles[0].to), 16)
+		assert.Equal(t, len(bundles[1].to), 4)
+		assert.DeepEqual(t, bundles[2].to, []netip.AddrPort{peerAddress("21")}, sameAddress)
+		for _, message := range bundles[0].messages {
+			assert.Assert(t, message.IsSummary && len(message.Status.Loads) == 0)
+			relayed[message.From.PeerAddress.String()]++
+		}
+		for _, message := range bundles[1].messages {
+			assert.Assert(t, !message.Status.Active)
+		}
+		for _, message := range bundles[2].messages {
+			assert.Equal(t, message.From.Domain, "z1")
+		}
+	}
+	for i := 1; i <= 40; i++ {
+		want := 1
+		if i%5 == 0 {
+			want = bundleRotation
+		}
+		assert.Equal(t, relayed[peerAddress(strconv.Itoa(i)).String()], want, "host %d", i)
+	}
 }
 
 // Work done for a whole domain goes to a host with a fast network link: bundles
 // for a domain of 20 hosts saturate a link of 10 Mbit/s.
 func TestHigherBandwidthHostIsPreferred(t *testing.T) {
 	m := largeFleet()
-	wide, remote := host("7"), host("30")
-	wide.LinkMbps, remote.LinkMbps, remote.Domain = 200, 200, "z2"
+	wide := host("7")
+	wide.LinkMbps = 200
 	receiveStatus(m, wide, 2, Status{OperatorNext: 1}, start)
-	receiveStatus(m, remote, 2, Status{OperatorNext: 1}, start)
-	b := m.planBundles(start)
-	assert.Equal(t, b.relay, peerAddress("7"))
-	assert.DeepEqual(t, b.remoteRelays, []netip.AddrPort{peerAddress("30")}, cmp.Comparer(func(a, b netip.AddrPort) bool { return a == b }))
+	m.recipients(start)
+	assert.Equal(t, m.role.relay, peerAddress("7"))
 	avoidNone := func(netip.AddrPort) bool { return false }
 	assert.Equal(t, m.LogReader(avoidNone, true, start), peerAddress("7"))
 	assert.Equal(t, m.LogReader(func(transport netip.AddrPort) bool { return transport == peerAddress("7") }, true, start), peerAddress("2"))
 	// A short message keeps the details of the last full one.
 	receiveStatus(m, Host{PeerAddress: peerAddress("7"), Incarnation: 1}, 3, Status{OperatorNext: 1, Leaving: true}, start)
-	assert.Equal(t, m.planBundles(start).relay, peerAddress("2"))
+	m.recipients(start)
+	assert.Equal(t, m.role.relay, peerAddress("2"))
+}
+
+// The leader is a host that carries no callers, so that its loss interrupts no
+// request.
+func TestLeaderCarriesNoCallers(t *testing.T) {
+	m := NewMembership(host("5"))
+	any := func(Status) bool { return true }
+	receiveStatus(m, host("1"), 1, Status{Carries: true}, start)
+	receiveStatus(m, host("7"), 1, Status{}, start)
+	assert.Assert(t, m.IsLeader(any, start))
+	m.SetCarries(true)
+	assert.Assert(t, !m.IsLeader(any, start))
+	receiveStatus(m, host("7"), 2, Status{Carries: true}, start)
+	assert.Assert(t, !m.IsLeader(any, start))
+	receiveStatus(m, host("1"), 2, Status{Carries: true, StoreUnavailable: true}, start)
+	assert.Assert(t, m.IsLeader(func(s Status) bool { return !s.StoreUnavailable }, start))
 }
 
 // Bundles to 20 hosts of a domain, at the rate of a fleet of 61 busy hosts, use
 // at most their share of a slow link and are not limited on a fast one.
 func TestBundleBandwidthLimit(t *testing.T) {
 	const members, each = 20, maxBundleBytes
-	perSecond := 12 * 7 // 61 messages of 140 bytes take 7 datagrams
+	perSecond := 12 * 7 // 12 bundles of 7 datagrams
 	for mbps, want := range map[int]float64{10: bundleBandwidthShare * 10e6 / 8, 200: float64(perSecond * members * each), 0: float64(perSecond * members * each)} {
 		limiter := newBundleLimiter(mbps)
 		sent := 0
@@ -252,6 +315,7 @@
 	registry := metrics.NewRegistry()
 	transport := &Transport{
 		membership: m, onMessage: func(m Message, _ bool) { received = append(received, m.From.Name) },
+		status: func(bool) Status { return Status{} }, write: func(data []byte, _ netip.AddrPort) (int, error) { return len(data), nil },
 		bundleLimiter: newBundleLimiter(0), malformed: metrics.GetOrRegisterCounter("m", registry), failed: metrics.GetOrRegisterCounter("f", registry), sent: metrics.GetOrRegisterCounter("s", registry),
 	}
 	one := Message{From: host("1"), Sequence: 5}
--- a/internal/process/peers/message.go
+++ b/internal/process/peers/message.go
@@ -4,6 +4,8 @@
 //
 // Hosts send each other small datagrams several times a second. All content is
 // either a hint or a cumulative total, so a lost datagram only delays updates.
+// In a large fleet, the hosts that serve callers exchange theirs directly, and
+// the others learn of them, less often, from a relay in their failure domain.
 package peers
 
 import (
@@ -102,6 +104,10 @@
 	Moves []Move `cbor:"9,keyasint,omitempty"`
 	// Spent is what the host spent on callers lately; nil if it served none.
 	Spent *Usage `cbor:"10,keyasint,omitempty"`
+	// Active means that the host exchanges messages with all other active
+	// hosts, Carries that callers are sent to it or that it serves some.
+	Active  bool `cbor:"11,keyasint,omitempty"`
+	Carries bool `cbor:"12,keyasint,omitempty"`
 }
 
 // Message is the content of a datagram.
@@ -109,14 +115,18 @@
 	From     Host   `cbor:"1,keyasint"`
 	Sequence uint64 `cbor:"2,keyasint"`
 	Status   Status `cbor:"3,keyasint"`
-	// KnownHosts are the addresses of the hosts reachable from the sender.
+	// KnownHosts are the addresses of the hosts reachable from the sender,
+	// KnownCount the number of hosts whose address the sender knows.
 	KnownHosts []netip.AddrPort `cbor:"4,keyasint,omitempty"`
-	// Bundle holds messages of hosts in the sender's failure domain. The status
-	// and sequence of a message that carries a bundle are not used.
+	KnownCount int              `cbor:"6,keyasint,omitempty"`
+	// Bundle holds messages of other hosts. The status and sequence of a message
+	// that carries a bundle are not used.
 	Bundle []Message `cbor:"5,keyasint,omitempty"`
-	// Forward asks the receiver to send the bundle to the hosts of its own
-	// failure domain.
-	Forward bool `cbor:"6,keyasint,omitempty"`
+	// IsSummary is set if the status omits loads, and possibly usage.
+	IsSummary bool `cbor:"7,keyasint,omitempty"`
+	// AgeMillis is the time since the host sent the message, as far as it was
+	// spent at relays, in ms.
+	AgeMillis int64 `cbor:"8,keyasint,omitempty"`
 }
 
 // maxDatagramBytes bounds a datagram so that it fits an IP packet.
--- a/internal/process/peers/transport.go
+++ b/internal/process/peers/transport.go
@@ -21,23 +21,10 @@
 	// message.
 	minSendInterval = 60 * time.Millisecond
 	// sendIntervalPerHost limits the messages a host receives to a few hundred a
-	// second regardless of the fleet size.
-	sendIntervalPerHost = 8 * time.Millisecond
-	// minBundlingHosts is the number of reachable hosts from which broadcasts
-	// would be too infrequent. From there on, the hosts of a failure domain send
-	// their messages to a relay, which distributes them in bundles.
-	minBundlingHosts = 16
-	// bundleInterval is the time between bundles. A load report is two to three
-	// intervals old on arrival.
-	bundleInterval = 80 * time.Millisecond
-	// maxBundleBytes bounds a bundle so that it fits one packet.
-	maxBundleBytes = 1300
-	// bundleBandwidthShare is the fraction of a host's network link that bundles
-	// may use; the rest is for requests. Bundles above it are dropped, so that
-	// other hosts' information becomes older.
-	bundleBandwidthShare = 0.25
-	// bundleBurstDuration is how much of that rate may be sent as one burst.
-	bundleBurstDuration = 500 * time.Millisecond
+	// second regardless of the number of hosts that exchange messages.
+	sendIntervalPerHost = 4 * time.Millisecond
+	// idleSendInterval is the time between an idle host's messages.
+	idleSendInterval = 400 * time.Millisecond
 )
 
 // newBundleLimiter limits the bundle bytes for a link capacity in Mbit/s. There
@@ -59,13 +46,15 @@
 	// onMessage is called with each new message.
 	onMessage func(message Message, isNewlyReachable bool)
 	conn      *net.UDPConn
+	// write sends a datagram.
+	write func(data []byte, address netip.AddrPort) (int, error)
 
 	bundleLimiter *rate.Limiter
 
 	sent, received, malformed, failed, dropped metrics.Counter
 	sequence                                   atomic.Uint64
-	// broadcasts counts the messages sent to all hosts.
-	broadcasts    uint64
+	// messages counts the messages that Send has sent.
+	messages      uint64
 	sendRequested chan struct{}
 }
 
@@ -76,7 +65,7 @@
 		return nil, eris.Wrapf(err, "listen for datagrams on %v", membership.self.PeerAddress)
 	}
 	return &Transport{
-		membership: membership, status: status, onMessage: onMessage, conn: conn, sendRequested: make(chan struct{}, 1),
+		membership: membership, status: status, onMessage: onMessage, conn: conn, write: conn.WriteToUDPAddrPort, sendRequested: make(chan struct{}, 1),
 		bundleLimiter: newBundleLimiter(membership.self.LinkMbps),
 		sent:          metrics.GetOrRegisterCounter("peers.sent", registry),
 		received:      metrics.GetOrRegisterCounter("peers.received", registry),
@@ -120,145 +109,95 @@
 func (t *Transport) handle(message Message) {
 	now := time.Now()
 	if len(message.Bundle) == 0 {
-		if isNew, isNewlyReachable := t.membership.receive(message, now); isNew {
-			t.onMessage(message, isNewlyReachable)
+		isNew, isNewlyReachable := t.membership.receive(message, now)
+		if !isNew {
+			return
+		}
+		t.onMessage(message, isNewlyReachable)
+		if !message.IsSummary && t.membership.needsIntroduction(message, isNewlyReachable, now) {
+			t.introduce(message, now)
 		}
 		return
 	}
+	t.membership.recordBundle(now)
 	for _, inner := range message.Bundle {
 		if inner.From.PeerAddress.IsValid() && inner.From.Incarnation != 0 && len(inner.Bundle) == 0 {
 			t.handle(inner)
 		}
 	}
-	if !message.Forward {
-		return
+}
+
+// introduce sends a full message to a host, with the known hosts if it knows
+// fewer.
+func (t *Transport) introduce(received Message, now time.Time) {
+	message := t.newMessage(true, true)
+	reachable := t.membership.reachableAddresses(now)
+	if len(reachable) > received.KnownCount {
+		message.KnownHosts = reachable
 	}
-	message.Forward = false
 	data, err := wire.Marshal(message)
 	if err != nil {
-		t.malformed.Inc(1)
-		return
-	}
-	t.sendBundleTo(data, t.membership.planBundles(now).members)
-}
-
-// sendBundleTo sends a bundle to several hosts, or drops it if that would exceed
-// the bandwidth limit.
-func (t *Transport) sendBundleTo(bundle []byte, addresses []netip.AddrPort) {
-	if !t.bundleLimiter.AllowN(time.Now(), len(bundle)*len(addresses)) {
-		t.dropped.Inc(1)
+		t.failed.Inc(1)
 		return
 	}
-	for _, address := range addresses {
-		t.send(bundle, address)
-	}
+	t.send(data, received.From.PeerAddress)
 }
 
-// SendBundles sends bundles, or this host's message to its relay, until ctx is
-// done.
+// SendBundles sends the bundles of a relay until ctx is done.
 func (t *Transport) SendBundles(ctx context.Context) error {
-	for pause.For(ctx, bundleInterval) {
-		if err := t.sendDueMessages(t.membership.planBundles(time.Now())); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
-// sendDueMessages sends the bundles of a plan if this host is the relay, and
-// this host's message to the relay otherwise.
-func (t *Transport) sendDueMessages(b bundlePlan) error {
-	if !b.relay.IsValid() {
-		return nil
-	}
-	own := t.newMessage(false)
-	if b.relay != t.membership.self.PeerAddress {
-		data, err := wire.Marshal(own)
-		if err != nil {
-			return eris.Wrap(err, "message")
+	for round := uint64(0); pause.For(ctx, bundleInterval); round++ {
+		bundles := t.membership.planBundles(round, time.Now())
+		if len(bundles) == 0 {
+			continue
 		}
-		t.send(data, b.relay)
-		return nil
-	}
-	messages := append([]Message{own}, b.latestMessages...)
-	for len(messages) > 0 {
-		size, count := 0, 0
-		for count < len(messages) {
-			// Bundled messages do not carry known hosts.
-			messages[count].KnownHosts = nil
-			encoded, err := wire.Marshal(messages[count])
-			if err != nil {
-				return eris.Wrap(err, "message")
+		own := t.newMessage(round%detailRotation == 0, false)
+		own.Status.Loads, own.IsSummary = nil, true
+		bundles[0].messages = append([]Message{own}, bundles[0].messages...)
+		for _, b := range bundles {
+			if err := t.sendBundle(b); err != nil {
+				return err
 			}
-			if count > 0 && size+len(encoded) > maxBundleBytes {
-				break
-			}
-			size += len(encoded)
-			count++
-		}
-		if err := t.sendBundle(messages[:count], b); err != nil {
-			return err
 		}
-		messages = messages[count:]
 	}
 	return nil
 }
 
-// sendBundle sends messages to the hosts of this domain, and to the relays of
-// the other domains for forwarding.
-func (t *Transport) sendBundle(messages []Message, b bundlePlan) error {
-	self := t.membership.self
-	bundle := Message{From: Host{PeerAddress: self.PeerAddress, Incarnation: self.Incarnation}, Bundle: messages}
-	for _, to := range []struct {
-		addresses []netip.AddrPort
-		forward   bool
-	}{{b.members, false}, {b.remoteRelays, true}} {
-		bundle.Forward = to.forward
-		data, err := wire.Marshal(bundle)
-		if err != nil {
-			return eris.Wrap(err, "bundle")
-		}
-		t.sendBundleTo(data, to.addresses)
-	}
-	return nil
-}
-
-// Send broadcasts messages until ctx is done.
+// Send sends this host's messages until ctx is done.
 func (t *Transport) Send(ctx context.Context) error {
 	for {
-		t.membership.mu.Lock()
-		interval := t.membership.sendInterval
-		t.membership.mu.Unlock()
-		timer := time.NewTimer(interval)
+		timer := time.NewTimer(t.membership.currentSendInterval())
+		toAll := false
 		select {
 		case <-ctx.Done():
 			timer.Stop()
 			return nil
 		case <-t.sendRequested:
 			timer.Stop()
+			toAll = true
 		case <-timer.C:
 		}
-		if err := t.broadcast(time.Now()); err != nil {
+		if err := t.sendMessage(toAll, time.Now()); err != nil {
 			return err
 		}
 	}
 }
 
-// newMessage returns this host's next message.
-func (t *Transport) newMessage(isFull bool) Message {
-	self := t.membership.self
-	message := Message{From: Host{PeerAddress: self.PeerAddress, Incarnation: self.Incarnation}, Sequence: t.sequence.Add(1), Status: t.status(isFull)}
-	if isFull {
-		message.From = self
+// newMessage returns this host's next message. It describes the host if
+// isDescribed is set, and includes the parts of the status that most messages
+// omit if isFull is set.
+func (t *Transport) newMessage(isDescribed, isFull bool) Message {
+	message := Message{From: t.membership.self, Sequence: t.sequence.Add(1), Status: t.status(isFull), KnownCount: t.membership.knownCount()}
+	message.Status.Active = t.membership.IsActive()
+	if !isDescribed {
+		message.From = Host{PeerAddress: message.From.PeerAddress, Incarnation: message.From.Incarnation}
 	}
 	return message
 }
 
-// fullMessagePeriod is how many broadcasts there are from one with the host's
-// description and known hosts to the next.
+// fullMessagePeriod is how many messages there are from a full one to the next.
 const fullMessagePeriod = 16
 
-// SendNow makes Send broadcast immediately.
+// SendNow makes Send send a message to all reachable hosts immediately.
 func (t *Transport) SendNow() {
 	select {
 	case t.sendRequested <- struct{}{}:
@@ -266,17 +205,20 @@
 	}
 }
 
-// broadcast sends a message to each host that is due one.
-func (t *Transport) broadcast(now time.Time) error {
-	to, reachable := t.membership.recipients(now)
+// sendMessage sends a message to each host that is due one, or to all.
+func (t *Transport) sendMessage(toAll bool, now time.Time) error {
+	to, isProbing := t.membership.recipients(now)
+	if toAll {
+		to = t.membership.reachableAddresses(now)
+	}
 	if len(to) == 0 {
 		return nil
 	}
-	t.broadcasts++
-	isFull := t.broadcasts%fullMessagePeriod == 1 || len(to) > len(reachable)
-	message := t.newMessage(isFull)
+	t.messages++
+	isFull := t.messages%fullMessagePeriod == 1 || isProbing || toAll
+	message := t.newMessage(isFull || !t.membership.IsActive(), isFull)
 	if isFull {
-		message.KnownHosts = reachable
+		message.KnownHosts = t.membership.knownInSmallFleet(now)
 	}
 	data, err := wire.Marshal(message)
 	if err != nil {
@@ -289,7 +231,7 @@
 }
 
 func (t *Transport) send(data []byte, address netip.AddrPort) {
-	if _, err := t.conn.WriteToUDPAddrPort(data, address); err != nil {
+	if _, err := t.write(data, address); err != nil {
 		t.failed.Inc(1)
 		return
 	}
