Sessions avoid a witness that did not reply

Change: the issuer avoids, for 10 s, a witness that did not reply to this host, unless no other is left. TestLostWitnessIsAvoided failed first (both witnesses named after MarkLost existed without effect).

--- a/internal/process/daemon/host.go
+++ b/internal/process/daemon/host.go
@@ -68,6 +68,7 @@
 	register     *witness.Register
 	sender       *witness.Sender
 	registry     *owner.Registry
+	issuer       *session.Issuer
 	journal      *journal.Writer
 	requests     *callerRequests
 	callerServer *caller.Server
--- a/internal/process/daemon/records.go
+++ b/internal/process/daemon/records.go
@@ -7,6 +7,7 @@
 	"mustarddoor/internal/connection/platform"
 	"mustarddoor/internal/request/journal"
 	"mustarddoor/internal/request/owner"
+	"mustarddoor/internal/request/session"
 	"mustarddoor/internal/request/witness"
 )
 
@@ -61,6 +62,7 @@
 
 // initRegistry creates the registry of the requests that this host owns.
 func (h *host) initRegistry() {
+	h.issuer = session.NewIssuer(h.self, h, h.sessionClock)
 	h.registry = owner.NewRegistry(owner.Config{
 		Self: h.self.Incarnation,
 		Limits: owner.Limits{
@@ -68,7 +70,7 @@
 			MaxResponseBytes: h.settings.Limits.MaxHeldResponseBytes,
 			MaxWindowBytes:   maxWindowBytes,
 		},
-		IntentSender:    h.sender,
+		IntentSender:    lostWitnessRecorder{h.sender, h.issuer},
 		OutcomeRecorder: h.sender,
 		Now:             h.sessionClock.Now,
 		Retention:       h.retention,
@@ -76,6 +78,21 @@
 	h.meshServer.Handle(owner.KindLocate, h.registry.Handle)
 }
 
+// lostWitnessRecorder tells the issuer of sessions which witnesses do not reply.
+type lostWitnessRecorder struct {
+	owner.IntentSender
+	issuer *session.Issuer
+}
+
+// SendIntent implements owner.IntentSender.
+func (r lostWitnessRecorder) SendIntent(ctx context.Context, intent witness.Intent) (witness.Verdict, error) {
+	verdict, err := r.IntentSender.SendIntent(ctx, intent)
+	if err != nil && ctx.Err() == nil {
+		r.issuer.MarkLost(intent.Key.Session.Witness)
+	}
+	return verdict, err
+}
+
 // journalInterval returns the append interval of this host. It grows with the
 // number of hosts, which bounds the append rate of the fleet.
 func (h *host) journalInterval() time.Duration {
--- a/internal/process/daemon/requests.go
+++ b/internal/process/daemon/requests.go
@@ -37,7 +37,7 @@
 	h.requests = &callerRequests{
 		self:       h.self,
 		registry:   h.registry,
-		issuer:     session.NewIssuer(h.self, h, h.sessionClock),
+		issuer:     h.issuer,
 		livePeers:  h.Live,
 		entryTTL:   h.entryTTL,
 		isStopping: h.stopping.Load,
--- a/internal/request/session/session.go
+++ b/internal/request/session/session.go
@@ -2,7 +2,10 @@
 package session
 
 import (
+	"maps"
 	"math/rand/v2"
+	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -25,11 +28,20 @@
 	peers Peers
 	clock *Clock
 	nonce atomic.Uint64
+
+	mu sync.Mutex
+	// lost holds the witnesses that did not reply to this host, and when.
+	lost map[identity.Incarnation]time.Time
 }
 
+// lostWitnessTime is how long a witness that did not reply is avoided. By then,
+// membership knows whether the host is dead; it may also be cut off from this
+// host alone.
+const lostWitnessTime = 10 * time.Second
+
 // NewIssuer returns an issuer for the host's own incarnation.
 func NewIssuer(self identity.Host, peers Peers, clock *Clock) *Issuer {
-	issuer := &Issuer{self: self, peers: peers, clock: clock}
+	issuer := &Issuer{self: self, peers: peers, clock: clock, lost: map[identity.Incarnation]time.Time{}}
 	issuer.nonce.Store(rand.Uint64() >> 1)
 	return issuer
 }
@@ -39,12 +51,39 @@
 func (i *Issuer) Issue() key.Session {
 	return key.Session{
 		Owner:        i.self.Incarnation,
-		Witness:      PickWitness(i.self, i.peers.Live(), rand.IntN),
+		Witness:      PickWitness(i.self, i.candidates(), rand.IntN),
 		Nonce:        i.nonce.Add(1),
 		IssuedMillis: i.clock.Now().UnixMilli(),
 	}
 }
 
+// MarkLost records that a witness did not reply to this host. New sessions name
+// another one for a while, so that the caller's next try is not refused for the
+// same reason.
+func (i *Issuer) MarkLost(witness identity.Incarnation) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.lost[witness] = time.Now()
+}
+
+// candidates returns the hosts to choose a witness from: the live ones without
+// those that were lost, unless all were.
+func (i *Issuer) candidates() []identity.Host {
+	live := i.peers.Live()
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	maps.DeleteFunc(i.lost, func(_ identity.Incarnation, at time.Time) bool { return time.Since(at) > lostWitnessTime })
+	if len(i.lost) == 0 {
+		return live
+	}
+	isLost := func(host identity.Host) bool { return !i.lost[host.Incarnation].IsZero() }
+	replying := slices.DeleteFunc(slices.Clone(live), isLost)
+	if len(replying) == 0 {
+		return live
+	}
+	return replying
+}
+
 // maxWitnesses limits the witnesses of one owner's sessions, and with them the
 // mesh connections that the owner keeps open to witnesses.
 const maxWitnesses = 8
--- a/internal/request/session/session_test.go
+++ b/internal/request/session/session_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"math/rand/v2"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -97,3 +99,32 @@
 		})
 	}
 }
+
+// fixedPeers is a fleet that does not change.
+type fixedPeers []identity.Host
+
+func (p fixedPeers) Live() []identity.Host { return p }
+
+// A witness that did not reply is named by no session for a while, unless no
+// other host is left.
+func TestLostWitnessIsAvoided(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fleet := newFleet(3, 3)
+		issuer := NewIssuer(fleet[0], fixedPeers(fleet[1:]), NewClock())
+		named := func() map[identity.Incarnation]bool {
+			witnesses := map[identity.Incarnation]bool{}
+			for range 64 {
+				witnesses[issuer.Issue().Witness] = true
+			}
+			return witnesses
+		}
+		assert.Equal(t, len(named()), 2)
+		issuer.MarkLost(fleet[1].Incarnation)
+		assert.DeepEqual(t, named(), map[identity.Incarnation]bool{fleet[2].Incarnation: true})
+		issuer.MarkLost(fleet[2].Incarnation)
+		assert.Equal(t, len(named()), 2)
+		time.Sleep(lostWitnessTime + time.Second)
+		issuer.MarkLost(fleet[2].Incarnation)
+		assert.DeepEqual(t, named(), map[identity.Incarnation]bool{fleet[1].Incarnation: true})
+	})
+}
