Complete moves well before their time ends

Change: completion a fifth of the duration before its end, 0.5 to 2.5 s. TestOrderSeenLate failed first (15.5 s + 1.4 s + 1 s > 16 s).

--- a/internal/version/canary/canary.go
+++ b/internal/version/canary/canary.go
@@ -97,10 +97,14 @@
 	// the new version beyond that share. It lets hosts with few requests
 	// contribute results.
 	trialBurst = 20.0
-	// shiftDuration is how long StageShift lasts, and completionMargin how
-	// long before the end of the ordered duration StageDone follows.
-	shiftDuration    = 600 * time.Millisecond
-	completionMargin = 500 * time.Millisecond
+	// shiftDuration is how long StageShift lasts.
+	shiftDuration = 600 * time.Millisecond
+	// StageDone follows completionShare of the ordered duration before its end,
+	// within the limits below. Hosts see an order late when the log is
+	// disturbed, and the report takes time too.
+	completionShare     = 0.2
+	minCompletionMargin = 500 * time.Millisecond
+	maxCompletionMargin = 2500 * time.Millisecond
 	// minTrialResults is the number of results of the new version that a move
 	// needs to proceed beyond the trial.
 	minTrialResults = 12
@@ -226,7 +230,7 @@
 	if isBad(all) {
 		return m.AdvanceTo(StageBad)
 	}
-	elapsed, end := now.Sub(m.startedAt), m.Duration-completionMargin
+	elapsed, end := now.Sub(m.startedAt), m.Duration-completionMargin(m.Duration)
 	if all.New.total() < minTrialResults {
 		return false
 	}
@@ -239,6 +243,13 @@
 	return false
 }
 
+// completionMargin returns how long before the end of the ordered duration a move
+// is completed.
+func completionMargin(duration time.Duration) time.Duration {
+	share := time.Duration(completionShare * float64(duration))
+	return min(max(share, minCompletionMargin), maxCompletionMargin)
+}
+
 // isBad reports whether the new version fails more often or is slower than the
 // old one, by the thresholds above.
 func isBad(e Evidence) bool {
--- a/internal/version/canary/canary_test.go
+++ b/internal/version/canary/canary_test.go
@@ -125,3 +125,12 @@
 	assert.Assert(t, !m.Evaluate(start.Add(time.Hour)))
 	assert.Equal(t, m.Stage(), canary.StageTrial)
 }
+
+// A sound move that a host learned of 1.4 s late, as while the log is trimmed, is
+// completed and reported within the ordered duration.
+func TestOrderSeenLate(t *testing.T) {
+	const duration, seenLate, report = 16 * time.Second, 1400 * time.Millisecond, time.Second
+	stage, _, _, ended := simulate(t, 6, healthy, healthy, duration, 1)
+	assert.Equal(t, stage, canary.StageDone)
+	assert.Assert(t, seenLate+ended+report <= duration, "completed %v after it was seen", ended)
+}
