Queue by what a request is worth for its slot time

Cause: among requests that are not most urgent the queue went by latest start.

Change: the order is rank and mean slot time of the route, a late request counting for less; a kind that is served under .45 as often as the others goes first.

--- a/internal/process/admission/admission.go
+++ b/internal/process/admission/admission.go
@@ -6,16 +6,17 @@
 // do. A request that misses its target latency is worth little and takes the
 // slot of one that could still meet it. Requests that cannot meet their target
 // are therefore refused on arrival, with the delay after which they are likely
-// to be served. Requests of the most urgent rank go first. The others share the
-// remaining capacity in the order of their latest start times, so that no rank
-// starves. A caller that comes back after a refusal is late already and will
-// not try again: it is served when no queued request can still be on time, and
-// may wait longer. A late request of the most urgent rank is worth about as
-// much as an on-time request of another rank and is ordered among those.
+// to be served. Requests of the most urgent rank go first. The others go in the
+// order of what they are worth for the time that they occupy a slot: refusing
+// one long response of a low rank serves several short requests of a higher one.
+// A caller that comes back after a refusal is late already, which lowers its
+// worth. No kind of request starves: one that is served much less often than the
+// others goes first until it is not.
 package admission
 
 import (
 	"container/heap"
+	"math"
 	"time"
 )
 
@@ -23,6 +24,8 @@
 type Waiter struct {
 	// Urgent requests go before all others while they can be on time.
 	Urgent bool
+	// Value is what the request is worth for the time that it occupies a slot.
+	Value float64
 	// StartBy is the latest start for the request to be on time, ExpiresAt the
 	// time at which it leaves the queue unserved.
 	StartBy, ExpiresAt time.Time
@@ -40,34 +43,41 @@
 // Queue is the priority queue of one service. It is not safe for concurrent
 // use.
 type Queue struct {
+	// Shares tracks how often each kind of request is served.
+	Shares Shares
+
 	waiting      waiters
 	lastSequence uint64
-	// slotTime is the total slot time of the waiters, by class.
-	slotTime [classCount]time.Duration
 }
 
-// class is the first sort key of the queue.
-type class int
-
 const (
-	// classUrgent holds urgent requests that can be on time.
-	classUrgent class = iota
-	// classShared holds other requests that can be on time, and late urgent
-	// ones.
-	classShared
-	// classLate holds late requests that are not urgent.
-	classLate
-	classCount
+	// rankFactor is how much more a request is worth than one of the next rank.
+	rankFactor = 3
+	// lateFactor is the share of its worth that a late response keeps.
+	lateFactor = 0.3
 )
 
-func (w *Waiter) class() class {
-	switch {
-	case w.Late && !w.Urgent:
-		return classLate
-	case w.Late || !w.Urgent:
-		return classShared
+// Value returns what a request is worth for the time that it occupies a slot,
+// given the mean time of its kind. The time of the request itself does not
+// count, as longer responses of a kind are worth more.
+func Value(rank int, isLate bool, meanSlotTime time.Duration) float64 {
+	value := math.Pow(rankFactor, -float64(rank)) / max(meanSlotTime, time.Millisecond).Seconds()
+	if isLate {
+		value *= lateFactor
 	}
-	return classUrgent
+	return value
+}
+
+// isFirst reports whether the waiter goes before all that are not.
+func (w *Waiter) isFirst() bool { return w.Urgent && !w.Late }
+
+// Precedes reports whether the waiter goes before another one whatever their
+// latest start times.
+func (w *Waiter) Precedes(other *Waiter) bool {
+	if w.isFirst() != other.isFirst() {
+		return w.isFirst()
+	}
+	return !w.isFirst() && w.Value > other.Value
 }
 
 // Len returns the number of waiters.
@@ -78,7 +88,6 @@
 	q.lastSequence++
 	w.sequence = q.lastSequence
 	heap.Push(&q.waiting, w)
-	q.addSlotTime(w, w.SlotTime)
 }
 
 // Peek returns the next waiter, or nil if the queue is empty.
@@ -95,18 +104,17 @@
 		return false
 	}
 	heap.Remove(&q.waiting, w.index)
-	q.addSlotTime(w, -w.SlotTime)
 	return true
 }
 
-func (q *Queue) addSlotTime(w *Waiter, slotTime time.Duration) { q.slotTime[w.class()] += slotTime }
-
-// SlotTimeAhead returns the total slot time of the waiters in the new waiter's
-// class and those before it.
+// SlotTimeAhead returns the total slot time of the waiters that the new waiter
+// does not precede.
 func (q *Queue) SlotTimeAhead(w *Waiter) time.Duration {
 	sum := time.Duration(0)
-	for c := classUrgent; c <= w.class(); c++ {
-		sum += q.slotTime[c]
+	for _, other := range q.waiting {
+		if !w.Precedes(other) {
+			sum += other.SlotTime
+		}
 	}
 	return sum
 }
@@ -133,8 +141,8 @@
 func (w waiters) Less(i, j int) bool {
 	a, b := w[i], w[j]
 	switch {
-	case a.class() != b.class():
-		return a.class() < b.class()
+	case a.Precedes(b), b.Precedes(a):
+		return a.Precedes(b)
 	case !a.StartBy.Equal(b.StartBy):
 		return a.StartBy.Before(b.StartBy)
 	}
--- a/internal/process/admission/decision.go
+++ b/internal/process/admission/decision.go
@@ -1,9 +1,14 @@
 package admission
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Demand describes a request for which no endpoint is free.
 type Demand struct {
+	// Kind names requests that are alike.
+	Kind string
 	// Rank is the request's priority; 0 is the most urgent.
 	Rank int
 	// TargetLatency is the time from arrival to the first response within which
@@ -18,6 +23,21 @@
 	PreviouslyRefused bool
 	// SlotTime is the expected time that the request occupies a slot.
 	SlotTime time.Duration
+	// MeanSlotTime is the mean of that time for the kind of request.
+	MeanSlotTime time.Duration
+}
+
+// NewWaiter returns the waiter for a request.
+func NewWaiter(demand Demand, isLate bool, queue *Queue, now time.Time) *Waiter {
+	w := &Waiter{
+		Urgent: demand.Rank == 0, Late: isLate, SlotTime: demand.SlotTime, index: -1,
+		StartBy: now.Add(demand.TargetLatency - demand.FirstResponseTime),
+		Value:   Value(demand.Rank, isLate, demand.MeanSlotTime),
+	}
+	if !isLate && queue.Shares.IsStarved(demand.Kind) {
+		w.Value = math.Inf(1)
+	}
+	return w
 }
 
 // Capacity is the throughput that this host can expect from a service's
@@ -62,10 +82,7 @@
 
 // Decide returns whether a request is queued or refused.
 func Decide(demand Demand, queue *Queue, capacity Capacity, now time.Time) Decision {
-	w := &Waiter{
-		Urgent: demand.Rank == 0, SlotTime: demand.SlotTime, index: -1,
-		StartBy: now.Add(demand.TargetLatency - demand.FirstResponseTime),
-	}
+	w := NewWaiter(demand, false, queue, now)
 	decision := Decision{PredictedWait: predictWait(queue.SlotTimeAhead(w)+demand.SlotTime, capacity)}
 	waitBudget := time.Duration(float64(demand.TargetLatency)*usableTargetShare) - demand.FirstResponseTime
 	isUnattainable := waitBudget <= 0
@@ -74,7 +91,7 @@
 		decision.Waiter = w
 		return decision
 	}
-	w.Late = true
+	w = NewWaiter(demand, true, queue, now)
 	decision.PredictedWait = predictWait(queue.SlotTimeAhead(w)+demand.SlotTime, capacity)
 	lateWait := min(time.Duration(float64(min(demand.AbandonTimeout, demand.TimeLeft))*lateAbandonShare)-demand.FirstResponseTime, maxLateWait)
 	if (demand.PreviouslyRefused || isUnattainable && w.Urgent) && decision.PredictedWait <= lateWait {
--- a/internal/process/dispatch/dispatch.go
+++ b/internal/process/dispatch/dispatch.go
@@ -149,8 +149,12 @@
 	d.mu.Lock()
 	now := time.Now()
 	queue := d.queue(job.Service)
-	if d.canBypassQueue(queue, job) {
+	if !job.IsRetry && !job.PreviouslyRefused {
+		queue.Shares.RecordAsked(job.Route.Name, now)
+	}
+	if d.canBypassQueue(queue, job, now) {
 		if lease := d.place(job, nil, now); lease != nil {
+			queue.recordServed(job, now)
 			d.mu.Unlock()
 			return lease, nil
 		}
@@ -217,11 +221,14 @@
 	}
 }
 
-// canBypassQueue reports whether a new request may be placed ahead of the
-// queued ones.
-func (d *Dispatcher) canBypassQueue(queue *waitQueue, job *Job) bool {
+// canBypassQueue reports whether a request may be placed ahead of the queued
+// ones.
+func (d *Dispatcher) canBypassQueue(queue *waitQueue, job *Job, now time.Time) bool {
 	next := queue.Peek()
-	return next == nil || job.IsRetry || next.Late && !job.PreviouslyRefused || job.Priority == 0 && !next.Urgent
+	if next == nil || job.IsRetry {
+		return true
+	}
+	return admission.NewWaiter(d.admissionDemand(queue, job, now), job.PreviouslyRefused, &queue.Queue, now).Precedes(next)
 }
 
 // selectionDemand converts a job to the input of endpoint selection.
@@ -235,9 +242,9 @@
 // admissionDemand converts a job to the input of admission control.
 func (d *Dispatcher) admissionDemand(queue *waitQueue, job *Job, now time.Time) admission.Demand {
 	return admission.Demand{
-		Rank: job.Priority, TargetLatency: job.Route.TargetLatency, FirstResponseTime: d.minFirstResponseTime(job, now),
+		Kind: job.Route.Name, Rank: job.Priority, TargetLatency: job.Route.TargetLatency, FirstResponseTime: d.minFirstResponseTime(job, now),
 		AbandonTimeout: abandonTimeout(job.Route), TimeLeft: job.TimeLeft, PreviouslyRefused: job.PreviouslyRefused,
-		SlotTime: queue.slotTime(job),
+		SlotTime: queue.slotTime(job), MeanSlotTime: queue.meanSlotTime(job),
 	}
 }
 
@@ -360,6 +367,7 @@
 		freed = nil
 		queue.Remove(next)
 		queue.dequeueRate.dequeued += next.SlotTime
+		queue.recordServed(pending.job, now)
 		pending.lease = lease
 		pending.result <- lease
 	}
--- a/internal/process/dispatch/queue.go
+++ b/internal/process/dispatch/queue.go
@@ -62,8 +62,10 @@
 // slotTimeEstimate corrects the token-based estimate of a route's slot time by
 // what its requests really took.
 type slotTimeEstimate struct {
-	// ratio is the moving average of actual over estimated slot time.
+	// ratio is the moving average of actual over estimated slot time, mean that
+	// of the actual one.
 	ratio float64
+	mean  time.Duration
 }
 
 func (d *Dispatcher) queue(service string) *waitQueue {
@@ -115,10 +117,27 @@
 func (q *waitQueue) recordSlotTime(job *Job, took time.Duration) {
 	estimate := q.slotTimes[job.Route.Name]
 	if estimate == nil {
-		estimate = &slotTimeEstimate{ratio: 1}
+		estimate = &slotTimeEstimate{ratio: 1, mean: took}
 		q.slotTimes[job.Route.Name] = estimate
 	}
 	estimate.ratio += (min(float64(took)/float64(defaultSlotTime(job)), 5) - estimate.ratio) * slotTimeWeight
+	estimate.mean += time.Duration(float64(took-estimate.mean) * slotTimeWeight)
+}
+
+// meanSlotTime returns the mean time that requests of a job's route occupy a
+// slot, or the job's own before any was measured.
+func (q *waitQueue) meanSlotTime(job *Job) time.Duration {
+	if estimate := q.slotTimes[job.Route.Name]; estimate != nil {
+		return estimate.mean
+	}
+	return defaultSlotTime(job)
+}
+
+// recordServed records that a job got an endpoint.
+func (q *waitQueue) recordServed(job *Job, now time.Time) {
+	if !job.IsRetry {
+		q.Shares.RecordServed(job.Route.Name, now)
+	}
 }
 
 // spareBusyShare is the share of busy slots below which a service has spare
