Limit the header of an endpoint's response

Cause: a response header was read without a limit of its size, and any number of informational responses before it. An endpoint in trouble whose bytes never become a header filled the host's memory until the request's deadline.

Change: 64 KiB for the header with all informational responses before it; then the exchange ends and the connection is aborted.

TestHeaderWithoutEnd failed first in 6 of its 7 cases: 268 MB sent and read, or 30 s passed. Now each ends with less than 32 MB sent (mostly what the kernel buffers) and ErrNoResponse. TestBodyBeyondTheHeaderLimit: bodies are not limited by it.

--- a/internal/connection/upstream/exchange.go
+++ b/internal/connection/upstream/exchange.go
@@ -127,6 +127,8 @@
 // readResponseHeader reads the header of the next final response and skips
 // informational ones.
 func (c *Conn) readResponseHeader(method string) (*Response, error) {
+	c.limited.setLimit(maxResponseHeaderBytes)
+	defer c.limited.removeLimit()
 	for {
 		response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 		if err != nil {
--- a/internal/connection/upstream/pool.go
+++ b/internal/connection/upstream/pool.go
@@ -44,9 +44,11 @@
 
 // Conn is a connection to an endpoint. It carries one request at a time.
 type Conn struct {
-	net    net.Conn
-	reader *bufio.Reader
-	pool   *Pool
+	net net.Conn
+	// reader reads from limited.
+	reader  *bufio.Reader
+	limited *limitedReader
+	pool    *Pool
 	// reused is set if an earlier request has completed on the connection.
 	reused bool
 	// expiresAt is when an idle connection expires.
@@ -70,7 +72,8 @@
 	if err != nil {
 		return nil, eris.Wrapf(err, "connection to %s", p.address)
 	}
-	return &Conn{net: opened, reader: bufio.NewReaderSize(opened, readBufferBytes), pool: p}, nil
+	limited := &limitedReader{Reader: opened, remaining: -1}
+	return &Conn{net: opened, reader: bufio.NewReaderSize(limited, readBufferBytes), limited: limited, pool: p}, nil
 }
 
 func (p *Pool) popIdle() *Conn {
