Predict waits by what will precede

Cause: the predicted wait of a request counted what was queued before it, not what would arrive before it was served and precede it.

--- a/internal/process/admission/admission_test.go
+++ b/internal/process/admission/admission_test.go
@@ -45,7 +45,7 @@
 	served := map[bool]int{}
 	arrive := func(d admission.Demand, now time.Time) {
 		if !d.PreviouslyRefused {
-			queue.Shares.RecordAsked(d.Kind, now)
+			queue.Shares.RecordAsked(d.Kind, d.Rank, d.MeanSlotTime, now)
 		}
 		v := admission.Decide(d, queue, admission.Capacity{Slots: slots, Jitter: random.Float64()}, now)
 		switch {
@@ -83,7 +83,7 @@
 			availableWork -= next.SlotTime.Seconds()
 			d := next.Data.(admission.Demand)
 			served[d.PreviouslyRefused]++
-			queue.Shares.RecordServed(d.Kind, now)
+			queue.Shares.RecordServed(d.Kind, d.SlotTime, now)
 			if d.PreviouslyRefused {
 				continue
 			}
--- a/internal/process/admission/decision.go
+++ b/internal/process/admission/decision.go
@@ -83,7 +83,7 @@
 // Decide returns whether a request is queued or refused.
 func Decide(demand Demand, queue *Queue, capacity Capacity, now time.Time) Decision {
 	w := NewWaiter(demand, false, queue, now)
-	decision := Decision{PredictedWait: predictWait(queue.SlotTimeAhead(w)+demand.SlotTime, capacity)}
+	decision := Decision{PredictedWait: queue.predictWait(w, capacity, now)}
 	waitBudget := time.Duration(float64(demand.TargetLatency)*usableTargetShare) - demand.FirstResponseTime
 	isUnattainable := waitBudget <= 0
 	if !demand.PreviouslyRefused && decision.PredictedWait <= waitBudget {
@@ -92,7 +92,7 @@
 		return decision
 	}
 	w = NewWaiter(demand, true, queue, now)
-	decision.PredictedWait = predictWait(queue.SlotTimeAhead(w)+demand.SlotTime, capacity)
+	decision.PredictedWait = queue.predictWait(w, capacity, now)
 	lateWait := min(time.Duration(float64(min(demand.AbandonTimeout, demand.TimeLeft))*lateAbandonShare)-demand.FirstResponseTime, maxLateWait)
 	if (demand.PreviouslyRefused || isUnattainable && w.Urgent) && decision.PredictedWait <= lateWait {
 		w.ExpiresAt = now.Add(lateWait)
@@ -103,13 +103,19 @@
 	return decision
 }
 
-// predictWait returns the predicted time in which the capacity serves the given
-// slot time.
-func predictWait(slotTime time.Duration, capacity Capacity) time.Duration {
-	if capacity.Slots <= 0 {
+// minRemainingCapacity is the least share of the capacity that is expected to
+// remain for a waiter whatever precedes it.
+const minRemainingCapacity = 0.1
+
+// predictWait returns the predicted time until a new waiter is served. Requests
+// that precede it will go on arriving and take the part of the capacity that they
+// took lately.
+func (q *Queue) predictWait(w *Waiter, capacity Capacity, now time.Time) time.Duration {
+	slots := capacity.Slots * max(1-q.Shares.precedingWork(w, now), minRemainingCapacity)
+	if slots <= 0 {
 		return time.Hour
 	}
-	return time.Duration(float64(slotTime) / capacity.Slots)
+	return time.Duration(float64(q.SlotTimeAhead(w)+w.SlotTime) / slots)
 }
 
 // RetryDelay returns when a refused caller should try again: spread evenly
--- a/internal/process/admission/shares.go
+++ b/internal/process/admission/shares.go
@@ -18,7 +18,8 @@
 )
 
 // Shares tracks, by kind of request, how many of the recent requests were
-// served. The zero value is ready for use.
+// served and what part of the slot time they took. The zero value is ready for
+// use.
 type Shares struct {
 	kinds map[string]*share
 	total share
@@ -27,34 +28,48 @@
 // share counts requests with exponentially decaying weight.
 type share struct {
 	asked, served float64
-	updatedAt     time.Time
+	// work is the slot time of the served requests, in seconds.
+	work      float64
+	updatedAt time.Time
+	// example is a waiter of this kind that is on time.
+	example *Waiter
 }
 
-func (s *share) add(asked, served float64, now time.Time) {
+func (s *share) decay(now time.Time) {
 	if elapsed := now.Sub(s.updatedAt); elapsed > 0 {
-		decay := math.Exp(-elapsed.Seconds() / shareWindow.Seconds())
-		s.asked, s.served, s.updatedAt = s.asked*decay, s.served*decay, now
+		factor := math.Exp(-elapsed.Seconds() / shareWindow.Seconds())
+		s.asked, s.served, s.work, s.updatedAt = s.asked*factor, s.served*factor, s.work*factor, now
 	}
-	s.asked += asked
-	s.served += served
 }
 
-func (s *Shares) add(kind string, asked, served float64, now time.Time) {
+func (s *Shares) kind(name string, now time.Time) *share {
 	if s.kinds == nil {
 		s.kinds = map[string]*share{}
 	}
-	if s.kinds[kind] == nil {
-		s.kinds[kind] = &share{}
+	if s.kinds[name] == nil {
+		s.kinds[name] = &share{}
 	}
-	s.kinds[kind].add(asked, served, now)
-	s.total.add(asked, served, now)
+	s.kinds[name].decay(now)
+	s.total.decay(now)
+	return s.kinds[name]
 }
 
 // RecordAsked records a request that is no return after a refusal.
-func (s *Shares) RecordAsked(kind string, now time.Time) { s.add(kind, 1, 0, now) }
+func (s *Shares) RecordAsked(kind string, rank int, meanSlotTime time.Duration, now time.Time) {
+	k := s.kind(kind, now)
+	k.asked++
+	k.example = &Waiter{Urgent: rank == 0, Value: Value(rank, false, meanSlotTime)}
+	s.total.asked++
+}
 
 // RecordServed records that a request got an endpoint.
-func (s *Shares) RecordServed(kind string, now time.Time) { s.add(kind, 0, 1, now) }
+func (s *Shares) RecordServed(kind string, slotTime time.Duration, now time.Time) {
+	k := s.kind(kind, now)
+	k.served++
+	k.work += slotTime.Seconds()
+	s.total.served++
+	s.total.work += slotTime.Seconds()
+}
 
 // IsStarved reports whether a kind of request is served much less often than all
 // requests of the service.
@@ -65,3 +80,20 @@
 	}
 	return k.served/k.asked < starvedShare*s.total.served/s.total.asked
 }
+
+// precedingWork returns the share of the recent slot time that went to waiters
+// that precede the given one.
+func (s *Shares) precedingWork(w *Waiter, now time.Time) float64 {
+	s.total.decay(now)
+	if s.total.work <= 0 {
+		return 0
+	}
+	sum := 0.0
+	for _, k := range s.kinds {
+		k.decay(now)
+		if k.example != nil && k.example.Precedes(w) {
+			sum += k.work
+		}
+	}
+	return min(sum/s.total.work, 1)
+}
--- a/internal/process/admission/value_test.go
+++ b/internal/process/admission/value_test.go
@@ -36,6 +36,7 @@
 		{name: "draft", rank: 2, rate: 170, worth: 1.1, slotTime: 1100 * time.Millisecond, target: 250 * time.Millisecond},
 	}
 	queue := &admission.Queue{}
+	inVain := 0
 	free := slots
 	type end struct{ at time.Time }
 	var running []end
@@ -52,7 +53,7 @@
 		for _, k := range kinds {
 			for k.due += 2 * random.Float64() * k.rate * tick.Seconds(); k.due >= 1; k.due-- {
 				k.asked++
-				queue.Shares.RecordAsked(k.name, now)
+				queue.Shares.RecordAsked(k.name, k.rank, k.slotTime, now)
 				decision := admission.Decide(admission.Demand{
 					Kind: k.name, Rank: k.rank, TargetLatency: k.target, FirstResponseTime: 70 * time.Millisecond, AbandonTimeout: 2 * time.Second,
 					TimeLeft: 4 * time.Second, SlotTime: k.slotTime, MeanSlotTime: k.slotTime,
@@ -63,12 +64,12 @@
 				}
 			}
 		}
-		queue.Expire(now)
+		inVain += len(queue.Expire(now))
 		for next := queue.Peek(); next != nil && free >= 1; next = queue.Peek() {
 			queue.Remove(next)
 			free--
 			k := next.Data.(*kind)
-			queue.Shares.RecordServed(k.name, now)
+			queue.Shares.RecordServed(k.name, k.slotTime, now)
 			running = append(running, end{now.Add(k.slotTime)})
 			if !now.After(next.StartBy) {
 				k.onTime++
@@ -80,9 +81,11 @@
 		earned, owed = earned+k.worth*k.onTime, owed+k.worth*k.asked
 		t.Logf("%s: %.0f of %.0f on time", k.name, k.onTime, k.asked)
 	}
-	t.Logf("%.3f of the worth", earned/owed)
+	t.Logf("%.3f of the worth; %d waited in vain", earned/owed, inVain)
 	review, brief, draft := kinds[0], kinds[1], kinds[2]
 	assert.Assert(t, review.onTime > 0.97*review.asked)
 	assert.Assert(t, brief.onTime > 0.9*brief.asked)
 	assert.Assert(t, draft.onTime > 0.2*draft.asked)
+	// Most of those that cannot be served are told on arrival.
+	assert.Assert(t, float64(inVain) < 0.5*(draft.asked-draft.onTime), "%d waited in vain", inVain)
 }
--- a/internal/process/dispatch/dispatch.go
+++ b/internal/process/dispatch/dispatch.go
@@ -150,7 +150,7 @@
 	now := time.Now()
 	queue := d.queue(job.Service)
 	if !job.IsRetry && !job.PreviouslyRefused {
-		queue.Shares.RecordAsked(job.Route.Name, now)
+		queue.Shares.RecordAsked(job.Route.Name, job.Priority, queue.meanSlotTime(job), now)
 	}
 	if d.canBypassQueue(queue, job, now) {
 		if lease := d.place(job, nil, now); lease != nil {
--- a/internal/process/dispatch/queue.go
+++ b/internal/process/dispatch/queue.go
@@ -136,7 +136,7 @@
 // recordServed records that a job got an endpoint.
 func (q *waitQueue) recordServed(job *Job, now time.Time) {
 	if !job.IsRetry {
-		q.Shares.RecordServed(job.Route.Name, now)
+		q.Shares.RecordServed(job.Route.Name, q.slotTime(job), now)
 	}
 }
 
