--- a/internal/command/host.go
+++ b/internal/command/host.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"strings"
 
 	"mustarddoor/internal/process/gateway"
 )
@@ -43,7 +44,17 @@
 		reader = "itself"
 	}
 	t.add("log", "", logState, "read by "+reader)
-	t.add("hosts", fmt.Sprint(state.Hosts), "", fmt.Sprintf("%d heard", state.Reachable))
+	heard := fmt.Sprintf("%d heard", state.Reachable)
+	if state.Relay != "" {
+		heard += " through " + state.Relay
+	}
+	t.add("hosts", fmt.Sprint(state.Hosts), "", heard)
+	carries := "carries callers"
+	if !state.Carries {
+		carries = "carries no callers"
+	}
+	t.add("callers", fmt.Sprint(len(state.EntryAddresses)), carries, fmt.Sprintf("sent to %s; need %.2f cores, %.1f Mbit/s, %.0f connections",
+		strings.Join(state.EntryAddresses, " "), state.Demand.Cores, state.Demand.LinkMbps, state.Demand.Connections))
 	for _, e := range state.Endpoints {
 		t.add("endpoint", e.Endpoint, endpointState(e.Usable, e.Blocked, e.Cold),
 			fmt.Sprintf("%s %s in %s, %d of %d slots in use (%d local), %d pending tokens, step %d us, %.0f%% failed",
--- a/internal/process/entryset/entryset.go
+++ b/internal/process/entryset/entryset.go
@@ -21,12 +21,12 @@
 // Resources are amounts of what hosts need to serve callers.
 type Resources struct {
 	// Cores is processor time per time.
-	Cores float64
+	Cores float64 `json:"cores"`
 	// LinkMbps is the traffic on the network link in Mbit/s, in its busier
 	// direction.
-	LinkMbps float64
+	LinkMbps float64 `json:"link_mbps"`
 	// Connections is the number of callers' connections.
-	Connections float64
+	Connections float64 `json:"connections"`
 }
 
 // Host is a host that accepts callers.
--- a/internal/process/gateway/entry.go
+++ b/internal/process/gateway/entry.go
@@ -106,3 +106,10 @@
 	defer e.mu.Unlock()
 	return e.isSelf
 }
+
+// demand returns what callers need of all hosts.
+func (e *entryHosts) demand() entryset.Resources {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.selector.Demand()
+}
--- a/internal/process/gateway/hoststate.go
+++ b/internal/process/gateway/hoststate.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"mustarddoor/internal/process/dispatch"
+	"mustarddoor/internal/process/entryset"
 )
 
 // PathHost is the path at the metrics address that serves a HostState.
@@ -29,8 +30,19 @@
 	Reader string `json:"reader"`
 	// Hosts is the number of hosts that share the limits, Heard the number of
 	// those that are reachable.
-	Hosts     int                      `json:"hosts"`
-	Reachable int                      `json:"heard"`
+	Hosts     int `json:"hosts"`
+	Reachable int `json:"heard"`
+	// Carries is set if callers are sent to this host or it serves some.
+	// EntryAddresses are the hosts that it sends callers to; Demand is what they
+	// need of all hosts, as far as this host has heard.
+	Carries        bool               `json:"carries"`
+	EntryAddresses []string           `json:"entry"`
+	Demand         entryset.Resources `json:"demand"`
+	// Active is the number of hosts that share cold endpoints and the slack of
+	// retry budgets, Relay the host from which this one hears of the others;
+	// empty if it hears them itself.
+	Active    int                      `json:"active"`
+	Relay     string                   `json:"relay"`
 	Endpoints []dispatch.EndpointState `json:"endpoints"`
 }
 
@@ -46,6 +58,11 @@
 	}
 	s.OperatorNext, _ = g.operator.Next()
 	s.EndpointsNext, _ = g.endpoints.Next()
+	s.Carries, s.EntryAddresses, s.Demand = g.carries.Load(), g.entryHosts.selected(), g.entryHosts.demand()
+	s.Active = len(g.membership.ActiveHosts(time.Now()))
+	if relay := g.membership.Relay(); relay.IsValid() {
+		s.Relay = relay.String()
+	}
 	if reader := g.sharedReads.readerAddress(); reader.IsValid() {
 		s.Reader = reader.String()
 	}
--- a/internal/process/gateway/shared_read_store.go
+++ b/internal/process/gateway/shared_read_store.go
@@ -157,10 +157,14 @@
 	return s.gateway.ports.Store.Read(ctx, partition, from, 0)
 }
 
-// recordsReply is the reply to a read from another host.
+// recordsReply is the reply to a read from another host. It holds a snapshot
+// instead of records if that host no longer has them, as after the log was
+// trimmed: if every host then listed the topic itself, the load on the log would
+// grow with the fleet.
 type recordsReply struct {
-	Records []keyed.Record `cbor:"1,keyasint,omitempty"`
-	Next    uint64         `cbor:"2,keyasint"`
+	Records  []keyed.Record  `cbor:"1,keyasint,omitempty"`
+	Next     uint64          `cbor:"2,keyasint"`
+	Snapshot *keyed.Snapshot `cbor:"3,keyasint,omitempty"`
 }
 
 // readFromHost reads records from another host.
@@ -172,9 +176,20 @@
 	if err := fetchFromHost(ctx, s.client, address, recordsPath+"?"+query.Encode(), maxRecordsBytes, &decoded); err != nil {
 		return nil, 0, err
 	}
+	if decoded.Snapshot != nil {
+		s.topic(partition.Topic).Adopt(*decoded.Snapshot)
+	}
 	return decoded.Records, decoded.Next, nil
 }
 
+// topic returns the followed topic of a name.
+func (s *sharedReadStore) topic(name string) *keyed.Topic {
+	if name == s.gateway.ports.Topics.Endpoints {
+		return s.gateway.endpoints
+	}
+	return s.gateway.operator
+}
+
 // serveRecords serves records to another host.
 func (s *sharedReadStore) serveRecords(w http.ResponseWriter, request *http.Request) {
 	from, err := strconv.ParseUint(request.URL.Query().Get("from"), 10, 64)
@@ -182,17 +197,20 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	topic := s.gateway.operator
-	if request.URL.Query().Get("topic") == s.gateway.ports.Topics.Endpoints {
-		topic = s.gateway.endpoints
-	}
+	topic := s.topic(request.URL.Query().Get("topic"))
 	ctx, cancel := context.WithTimeout(request.Context(), relayMaxWait)
 	defer cancel()
 	records, next, err := topic.Since(ctx, from)
+	reply := recordsReply{Records: records, Next: next}
+	if errors.Is(err, keyed.ErrTrimmed) {
+		if snapshot, known := topic.Snapshot(); known {
+			reply, err = recordsReply{Next: from, Snapshot: &snapshot}, nil
+		}
+	}
 	if err != nil {
 		// The other host then reads the log itself.
 		w.WriteHeader(http.StatusGone)
 		return
 	}
-	s.gateway.writeReply(w, recordsReply{Records: records, Next: next})
+	s.gateway.writeReply(w, reply)
 }
--- a/internal/process/gateway/shared_read_store_test.go
+++ b/internal/process/gateway/shared_read_store_test.go
@@ -1,10 +1,16 @@
 package gateway
 
 import (
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
 	"testing"
 	"time"
 
+	"github.com/sirupsen/logrus"
 	"gotest.tools/v3/assert"
+
+	"mustarddoor/internal/process/keyed"
 )
 
 // During an outage, the hosts of a failure domain together retry about as often
@@ -21,3 +27,29 @@
 	assert.Equal(t, outageRetryDelay(base, 0), base)
 	assert.Equal(t, outageRetryDelay(2*time.Second, 9), 2*time.Second)
 }
+
+// newTopicStore returns a store whose operator topic holds a snapshot.
+func newTopicStore(snapshot keyed.Snapshot) *sharedReadStore {
+	g := &Gateway{ports: Ports{Topics: Topics{Operator: "op", Endpoints: "endpoints"}}}
+	policy := func() keyed.PollPolicy { return keyed.PollPolicy{} }
+	g.operator = keyed.NewTopic(keyed.Partition{Topic: "op"}, nil, policy, logrus.NewEntry(logrus.New()), func(keyed.Change) {})
+	g.operator.Adopt(snapshot)
+	return &sharedReadStore{gateway: g, client: http.DefaultClient}
+}
+
+// A host that needs records which its reader no longer has gets the reader's
+// snapshot, and does not read the log itself.
+func TestReaderServesSnapshot(t *testing.T) {
+	reader := newTopicStore(keyed.Snapshot{Next: 40, Values: map[string][]byte{"config": []byte("new")}})
+	server := httptest.NewServer(http.HandlerFunc(reader.serveRecords))
+	defer server.Close()
+	behind := newTopicStore(keyed.Snapshot{Next: 7, Values: map[string][]byte{"config": []byte("old"), "gone": []byte("x")}})
+	address := netip.MustParseAddrPort(server.Listener.Addr().String())
+	records, next, err := behind.readFromHost(t.Context(), address, keyed.Partition{Topic: "op"}, 7)
+	assert.NilError(t, err)
+	assert.Equal(t, len(records), 0)
+	assert.Equal(t, next, uint64(7))
+	snapshot, known := behind.gateway.operator.Snapshot()
+	assert.Assert(t, known)
+	assert.DeepEqual(t, snapshot, keyed.Snapshot{Next: 40, Values: map[string][]byte{"config": []byte("new")}})
+}
--- a/internal/process/peers/roles.go
+++ b/internal/process/peers/roles.go
@@ -79,6 +79,17 @@
 	return m.role.isActive
 }
 
+// Relay returns the relay of this host's failure domain if this host hears the
+// others through it, and the zero address otherwise.
+func (m *Membership) Relay() netip.AddrPort {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.role.isActive {
+		return netip.AddrPort{}
+	}
+	return m.role.relay
+}
+
 // recipients returns the addresses that are due a message: the hosts that this
 // one exchanges messages with, or all reachable ones when it has become idle, and
 // unreachable ones to probe. isProbing is set if there are any of the latter.
