End stalled streams that send a byte now and then

Cause: the deadline for the next event of a resumable stream was set anew by each read, so an engine that sent a byte now and then without completing an event held the request until the caller's deadline: one of the failures that operators of similar systems report.

TestRetriesByKindAndFault, "resumable, a byte now and then" (after two events, and from the start): failed first (broken stream and 504 after 4.3 s), now 200 from the other endpoint.

--- a/internal/request/relay/response.go
+++ b/internal/request/relay/response.go
@@ -141,7 +141,7 @@
 	s.events.pending = nil
 	countBefore, startedAt, firstEventAt, lastEventAt := s.events.count, time.Now(), time.Time{}, time.Time{}
 	for {
-		if err := response.SetDeadline(s.nextEventDeadline()); err != nil {
+		if err := response.SetDeadline(s.nextEventDeadline(later(lastEventAt, startedAt))); err != nil {
 			lease.Release(resultUnlessCallerLeft(s, fleet.ResultIncomplete))
 			response.Finish()
 			return sendResult{outcome: repeat.OutcomeUnknown, reason: "stream_broken"}
@@ -197,12 +197,14 @@
 	return 1
 }
 
-// nextEventDeadline returns when the next event must have arrived.
-func (s *serverRequest) nextEventDeadline() time.Time {
+// nextEventDeadline returns when the next event must be complete. Bytes that
+// complete no event do not extend it: a stalled endpoint may send some now and
+// then.
+func (s *serverRequest) nextEventDeadline(lastEventAt time.Time) time.Time {
 	if !s.canFailOver() {
 		return s.deadline
 	}
-	return earlier(s.deadline, time.Now().Add(max(minStallTimeout, stallTargetFactor*s.route.TargetGap)))
+	return earlier(s.deadline, lastEventAt.Add(max(minStallTimeout, stallTargetFactor*s.route.TargetGap)))
 }
 
 // writeEvents forwards complete events and reports whether the caller accepted
