--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -24,8 +24,9 @@
 
 // Gateway serves callers on one host and exchanges state with the other hosts.
 type Gateway struct {
-	settings Settings
-	ports    Ports
+	settings  Settings
+	ports     Ports
+	startedAt time.Time
 	// self describes this host to the others.
 	self     peers.Host
 	log      *decisionlog.Log
@@ -64,7 +65,7 @@
 func New(settings Settings, ports Ports) (*Gateway, error) {
 	log := decisionlog.New(ports.Log, ports.Metrics)
 	g := &Gateway{
-		settings: settings, ports: ports, log: log, registry: ports.Metrics,
+		settings: settings, ports: ports, log: log, registry: ports.Metrics, startedAt: time.Now(),
 		operatorRecords:  map[string]OperatorRecord{},
 		malformedEntries: metrics.GetOrRegisterCounter("endpoints.malformed", ports.Metrics),
 	}
@@ -123,8 +124,8 @@
 // a time are harmless: older copies are ignored, and reports are written with a
 // conditional append.
 func (g *Gateway) isWriter() bool {
-	return !g.operator.IsUnavailable() &&
-		g.membership.IsLeader(func(s peers.Status) bool { return !s.StoreUnavailable && s.OperatorNext > 0 }, time.Now())
+	return g.uptime() >= minWriterUptime && !g.operator.IsUnavailable() &&
+		g.membership.IsLeader(func(s peers.Status) bool { return !s.StoreUnavailable && s.Loaded }, time.Now())
 }
 
 // logEndpointChange logs a change in an endpoint's state.
@@ -144,12 +145,9 @@
 		Ready: g.IsReady(), Leaving: g.isStopping(), WaitingServices: waiting, Usage: g.limits.Usage(isFull),
 		StoreUnavailable: g.operator.IsUnavailable(), Spent: g.spent.Load(), Carries: g.carries.Load(),
 	}
-	if next, known := g.operator.Next(); known {
-		status.OperatorNext = next
-	}
-	if next, known := g.endpoints.Next(); known {
-		status.EndpointsNext = next
-	}
+	operatorNext, isOperatorKnown := g.operator.Next()
+	endpointsNext, areEndpointsKnown := g.endpoints.Next()
+	status.OperatorNext, status.EndpointsNext, status.Loaded = operatorNext, endpointsNext, isOperatorKnown && areEndpointsKnown
 	for _, move := range g.moveTracker.states() {
 		status.Moves = append(status.Moves, peers.Move{Service: move.Order.Service, Target: move.Order.Target, Stage: move.Stage, Evidence: move.Evidence})
 	}
@@ -227,26 +225,3 @@
 	address, err := netip.ParseAddrPort(string(value))
 	return address, eris.Wrapf(err, "peer address %q", value)
 }
-
-// registerRetryDelay is the delay between attempts to write this host's record.
-const registerRetryDelay = 2 * time.Second
-
-// registerHost writes this host's address to the hosts topic, retrying until it
-// succeeds. The record is always the same, so a repeated write is harmless.
-func (g *Gateway) registerHost(ctx context.Context) error {
-	record := keyed.Record{Key: g.settings.Name, Value: []byte(g.settings.PeerAddress.String())}
-	for {
-		callCtx, cancel := context.WithTimeout(ctx, time.Second)
-		_, err := g.ports.Store.Append(callCtx, keyed.Partition{Topic: g.ports.Topics.Hosts}, record, nil)
-		cancel()
-		if err == nil {
-			break
-		}
-		g.log.Entry().WithError(err).Warn("cannot write this host's record")
-		if !pause.For(ctx, registerRetryDelay) {
-			return nil
-		}
-	}
-	<-ctx.Done()
-	return nil
-}
--- a/internal/process/gateway/shared_read_store.go
+++ b/internal/process/gateway/shared_read_store.go
@@ -90,15 +90,23 @@
 	return address
 }
 
-func (s *sharedReadStore) operatorPolicy() keyed.PollPolicy { return s.pollPolicy(operatorPollPolicy) }
+func (s *sharedReadStore) operatorPolicy() keyed.PollPolicy {
+	return s.pollPolicy(s.gateway.operator, operatorPollPolicy)
+}
 
 func (s *sharedReadStore) endpointsPolicy() keyed.PollPolicy {
-	return s.pollPolicy(endpointsPollPolicy)
+	return s.pollPolicy(s.gateway.endpoints, endpointsPollPolicy)
 }
 
+// startPollPolicy is for a topic that others are to read first.
+var startPollPolicy = keyed.PollPolicy{MinInterval: 50 * time.Millisecond, Paused: true, Deferred: true}
+
 // pollPolicy returns the policy for reading from another host, or the given one
 // if this host reads the log itself.
-func (s *sharedReadStore) pollPolicy(direct keyed.PollPolicy) keyed.PollPolicy {
+func (s *sharedReadStore) pollPolicy(topic *keyed.Topic, direct keyed.PollPolicy) keyed.PollPolicy {
+	if _, known := topic.Next(); !known && s.gateway.awaitsReader() {
+		return startPollPolicy
+	}
 	if s.readerAddress().IsValid() {
 		return relayPollPolicy
 	}
@@ -127,7 +135,24 @@
 
 // Newest implements keyed.Store.
 func (s *sharedReadStore) Newest(ctx context.Context, partition keyed.Partition) ([]keyed.Record, uint64, error) {
-	return s.gateway.ports.Store.Newest(ctx, partition)
+	address := s.readerAddress()
+	if !address.IsValid() {
+		return s.gateway.ports.Store.Newest(ctx, partition)
+	}
+	reply, err := s.fetchRecords(ctx, address, partition, url.Values{"snapshot": {"1"}})
+	if err == nil && reply.Snapshot == nil {
+		err = eris.New("no snapshot in the reply")
+	}
+	if err != nil {
+		s.avoid(address, err)
+		return s.gateway.ports.Store.Newest(ctx, partition)
+	}
+	s.relayedReads.Inc(1)
+	var records []keyed.Record
+	for key, value := range reply.Snapshot.Values {
+		records = append(records, keyed.Record{Key: key, Value: value})
+	}
+	return records, reply.Snapshot.Next, nil
 }
 
 // Append implements keyed.Store.
@@ -149,12 +174,17 @@
 	if ctx.Err() != nil && errors.Is(ctx.Err(), context.Canceled) {
 		return nil, 0, eris.Wrap(keyed.ErrUnanswered, "stopped")
 	}
+	s.avoid(address, err)
+	return s.gateway.ports.Store.Read(ctx, partition, from, 0)
+}
+
+// avoid records that a host did not serve its records.
+func (s *sharedReadStore) avoid(address netip.AddrPort, err error) {
 	s.failedRelays.Inc(1)
 	s.mu.Lock()
 	s.avoidedUntil[address] = time.Now().Add(avoidDuration)
 	s.mu.Unlock()
 	s.gateway.log.Entry().WithError(err).WithField("link", address.String()).Info("cannot read from another host, reading the log directly")
-	return s.gateway.ports.Store.Read(ctx, partition, from, 0)
 }
 
 // recordsReply is the reply to a read from another host. It holds a snapshot
@@ -167,19 +197,27 @@
 	Snapshot *keyed.Snapshot `cbor:"3,keyasint,omitempty"`
 }
 
-// readFromHost reads records from another host.
+// readFromHost reads records from another host. If that host replies with a
+// snapshot instead, the topic adopts it.
 func (s *sharedReadStore) readFromHost(ctx context.Context, address netip.AddrPort, partition keyed.Partition, from uint64) ([]keyed.Record, uint64, error) {
-	ctx, cancel := context.WithTimeout(ctx, relayMaxWait+relayReplyTimeout)
-	defer cancel()
-	query := url.Values{"topic": {partition.Topic}, "from": {strconv.FormatUint(from, 10)}}
-	decoded := recordsReply{}
-	if err := fetchFromHost(ctx, s.client, address, recordsPath+"?"+query.Encode(), maxRecordsBytes, &decoded); err != nil {
+	reply, err := s.fetchRecords(ctx, address, partition, url.Values{"from": {strconv.FormatUint(from, 10)}})
+	if err != nil {
 		return nil, 0, err
 	}
-	if decoded.Snapshot != nil {
-		s.topic(partition.Topic).Adopt(*decoded.Snapshot)
+	if reply.Snapshot != nil {
+		s.topic(partition.Topic).Adopt(*reply.Snapshot)
 	}
-	return decoded.Records, decoded.Next, nil
+	return reply.Records, reply.Next, nil
+}
+
+// fetchRecords requests a topic's records from another host.
+func (s *sharedReadStore) fetchRecords(ctx context.Context, address netip.AddrPort, partition keyed.Partition, query url.Values) (recordsReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, relayMaxWait+relayReplyTimeout)
+	defer cancel()
+	query.Set("topic", partition.Topic)
+	reply := recordsReply{}
+	err := fetchFromHost(ctx, s.client, address, recordsPath+"?"+query.Encode(), maxRecordsBytes, &reply)
+	return reply, err
 }
 
 // topic returns the followed topic of a name.
@@ -190,27 +228,39 @@
 	return s.gateway.operator
 }
 
-// serveRecords serves records to another host.
+// serveRecords serves records, or a snapshot, to another host.
 func (s *sharedReadStore) serveRecords(w http.ResponseWriter, request *http.Request) {
-	from, err := strconv.ParseUint(request.URL.Query().Get("from"), 10, 64)
+	query := request.URL.Query()
+	topic := s.topic(query.Get("topic"))
+	if query.Get("snapshot") != "" {
+		s.serveSnapshot(w, topic, 0)
+		return
+	}
+	from, err := strconv.ParseUint(query.Get("from"), 10, 64)
 	if err != nil {
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	topic := s.topic(request.URL.Query().Get("topic"))
 	ctx, cancel := context.WithTimeout(request.Context(), relayMaxWait)
 	defer cancel()
 	records, next, err := topic.Since(ctx, from)
-	reply := recordsReply{Records: records, Next: next}
-	if errors.Is(err, keyed.ErrTrimmed) {
-		if snapshot, known := topic.Snapshot(); known {
-			reply, err = recordsReply{Next: from, Snapshot: &snapshot}, nil
-		}
-	}
-	if err != nil {
+	switch {
+	case errors.Is(err, keyed.ErrTrimmed):
+		s.serveSnapshot(w, topic, from)
+	case err != nil:
 		// The other host then reads the log itself.
 		w.WriteHeader(http.StatusGone)
+	default:
+		s.gateway.writeReply(w, recordsReply{Records: records, Next: next})
+	}
+}
+
+// serveSnapshot serves a topic's content.
+func (s *sharedReadStore) serveSnapshot(w http.ResponseWriter, topic *keyed.Topic, next uint64) {
+	snapshot, known := topic.Snapshot()
+	if !known {
+		w.WriteHeader(http.StatusGone)
 		return
 	}
-	s.gateway.writeReply(w, reply)
+	s.gateway.writeReply(w, recordsReply{Next: next, Snapshot: &snapshot})
 }
--- a/internal/process/peers/membership_test.go
+++ b/internal/process/peers/membership_test.go
@@ -117,10 +117,10 @@
 	assert.Equal(t, m.LogReader(avoidNone, true, start), peerAddress("5"))
 	remote := host("1")
 	remote.Domain = "z2"
-	receiveStatus(m, remote, 1, Status{OperatorNext: 1}, start)
-	receiveStatus(m, host("2"), 1, Status{OperatorNext: 1, StoreUnavailable: true}, start)
-	receiveStatus(m, host("3"), 1, Status{OperatorNext: 1}, start)
-	receiveStatus(m, host("7"), 1, Status{OperatorNext: 1}, start)
+	receiveStatus(m, remote, 1, Status{OperatorNext: 1, Loaded: true}, start)
+	receiveStatus(m, host("2"), 1, Status{OperatorNext: 1, Loaded: true, StoreUnavailable: true}, start)
+	receiveStatus(m, host("3"), 1, Status{OperatorNext: 1, Loaded: true}, start)
+	receiveStatus(m, host("7"), 1, Status{OperatorNext: 1, Loaded: true}, start)
 	assert.Equal(t, m.LogReader(avoidNone, true, start), peerAddress("3"))
 	assert.Equal(t, m.LogReader(func(transport netip.AddrPort) bool { return transport == peerAddress("3") }, true, start), peerAddress("5"))
 	assert.Equal(t, m.LogReader(func(transport netip.AddrPort) bool { return transport == peerAddress("3") }, false, start), peerAddress("7"))
@@ -189,7 +189,7 @@
 		if i > 20 {
 			h.Domain = "z2"
 		}
-		receiveStatus(m, h, 1, Status{OperatorNext: 1, Leaving: i == 1, Active: i%5 == 0, Loads: []EndpointLoad{{Endpoint: 1, Running: 1}}}, start)
+		receiveStatus(m, h, 1, Status{OperatorNext: 1, Loaded: true, Leaving: i == 1, Active: i%5 == 0, Loads: []EndpointLoad{{Endpoint: 1, Running: 1}}}, start)
 	}
 	m.recipients(start)
 	return m
@@ -261,14 +261,14 @@
 	m := largeFleet()
 	wide := host("7")
 	wide.LinkMbps = 200
-	receiveStatus(m, wide, 2, Status{OperatorNext: 1}, start)
+	receiveStatus(m, wide, 2, Status{OperatorNext: 1, Loaded: true}, start)
 	m.recipients(start)
 	assert.Equal(t, m.role.relay, peerAddress("7"))
 	avoidNone := func(netip.AddrPort) bool { return false }
 	assert.Equal(t, m.LogReader(avoidNone, true, start), peerAddress("7"))
 	assert.Equal(t, m.LogReader(func(transport netip.AddrPort) bool { return transport == peerAddress("7") }, true, start), peerAddress("2"))
 	// A short message keeps the details of the last full one.
-	receiveStatus(m, Host{PeerAddress: peerAddress("7"), Incarnation: 1}, 3, Status{OperatorNext: 1, Leaving: true}, start)
+	receiveStatus(m, Host{PeerAddress: peerAddress("7"), Incarnation: 1}, 3, Status{OperatorNext: 1, Loaded: true, Leaving: true}, start)
 	m.recipients(start)
 	assert.Equal(t, m.role.relay, peerAddress("2"))
 }
--- a/internal/process/peers/message.go
+++ b/internal/process/peers/message.go
@@ -108,6 +108,8 @@
 	// hosts, Carries that callers are sent to it or that it serves some.
 	Active  bool `cbor:"11,keyasint,omitempty"`
 	Carries bool `cbor:"12,keyasint,omitempty"`
+	// Loaded means that the host has read both topics, which may be empty.
+	Loaded bool `cbor:"13,keyasint,omitempty"`
 }
 
 // Message is the content of a datagram.
