Read the log at once after a start

Change: the wait is gone, and with it PollPolicy.Deferred and its test TestDeferredTopicIsNotLoaded. What saved most calls stays: empty topics count as read, topics are listed from a reader that is known, and no host writes for the fleet in its first 3 s.

--- a/internal/process/gateway/copies.go
+++ b/internal/process/gateway/copies.go
@@ -45,7 +45,7 @@
 	for pause.For(ctx, copyInterval) {
 		snapshot, known := c.gateway.operator.Snapshot()
 		switch {
-		case !known && c.gateway.operator.IsUnavailable() && !c.gateway.awaitsReader():
+		case !known && c.gateway.operator.IsUnavailable():
 			c.restore(ctx)
 		case known && c.gateway.isWriter():
 			c.write(ctx, snapshot)
--- a/internal/process/gateway/shared_read_store.go
+++ b/internal/process/gateway/shared_read_store.go
@@ -90,23 +90,15 @@
 	return address
 }
 
-func (s *sharedReadStore) operatorPolicy() keyed.PollPolicy {
-	return s.pollPolicy(s.gateway.operator, operatorPollPolicy)
-}
+func (s *sharedReadStore) operatorPolicy() keyed.PollPolicy { return s.pollPolicy(operatorPollPolicy) }
 
 func (s *sharedReadStore) endpointsPolicy() keyed.PollPolicy {
-	return s.pollPolicy(s.gateway.endpoints, endpointsPollPolicy)
+	return s.pollPolicy(endpointsPollPolicy)
 }
 
-// startPollPolicy is for a topic that others are to read first.
-var startPollPolicy = keyed.PollPolicy{MinInterval: 50 * time.Millisecond, Paused: true, Deferred: true}
-
 // pollPolicy returns the policy for reading from another host, or the given one
 // if this host reads the log itself.
-func (s *sharedReadStore) pollPolicy(topic *keyed.Topic, direct keyed.PollPolicy) keyed.PollPolicy {
-	if _, known := topic.Next(); !known && s.gateway.awaitsReader() {
-		return startPollPolicy
-	}
+func (s *sharedReadStore) pollPolicy(direct keyed.PollPolicy) keyed.PollPolicy {
 	if s.readerAddress().IsValid() {
 		return relayPollPolicy
 	}
--- a/internal/process/gateway/startup.go
+++ b/internal/process/gateway/startup.go
@@ -9,14 +9,6 @@
 )
 
 const (
-	// firstContactTime is how long after its start a host waits to hear from
-	// others before it reads the platform's log itself: hosts with the records
-	// serve them, and when a whole fleet starts, one host of each failure domain
-	// reads for all.
-	firstContactTime = 250 * time.Millisecond
-	// maxReaderWait is how long after its start a host waits for a preferred
-	// host of its failure domain that has not read the log yet.
-	maxReaderWait = 1500 * time.Millisecond
 	// minWriterUptime is how long after its start a host may write on behalf of
 	// the fleet: before that, it may not have heard of the host that does.
 	minWriterUptime = 3 * time.Second
@@ -28,14 +20,6 @@
 // uptime returns the time since the start.
 func (g *Gateway) uptime() time.Duration { return time.Since(g.startedAt) }
 
-// awaitsReader reports whether this host has just started and leaves it to others
-// to read the platform's log.
-func (g *Gateway) awaitsReader() bool {
-	uptime := g.uptime()
-	return uptime < firstContactTime ||
-		uptime < maxReaderWait && g.membership.HasPreferredInDomain(time.Now()) && !g.sharedReads.readerAddress().IsValid()
-}
-
 // registerHost writes this host's address to the hosts topic, retrying until it
 // succeeds: without seeds, this is how hosts that start together find each other.
 // The record is always the same, so a repeated write is harmless.
--- a/internal/process/keyed/topic.go
+++ b/internal/process/keyed/topic.go
@@ -26,9 +26,6 @@
 	// Paused stops polling once the topic is loaded, because another host reads
 	// it.
 	Paused bool
-	// Deferred keeps the topic from being loaded, because another host is
-	// expected to do so and to serve it.
-	Deferred bool
 }
 
 // Topic is a local copy of a keyed topic that follows the store. It is safe for
@@ -97,9 +94,6 @@
 	t.mu.Lock()
 	loaded, next := t.loaded, t.next
 	t.mu.Unlock()
-	if !loaded && policy.Deferred {
-		return nil
-	}
 	if !loaded {
 		return t.reload(ctx, policy)
 	}
--- a/internal/process/keyed/topic_test.go
+++ b/internal/process/keyed/topic_test.go
@@ -137,27 +137,6 @@
 	})
 }
 
-// A deferred topic makes no call at all until it is no longer deferred.
-func TestDeferredTopicIsNotLoaded(t *testing.T) {
-	store := &memoryStore{}
-	store.put("a", "1")
-	var loads atomic.Bool
-	deferred := func() keyed.PollPolicy {
-		policy := policy()
-		policy.Deferred = !loads.Load()
-		return policy
-	}
-	followAt(t, deferred, store, func(topic *keyed.Topic, changes func() []keyed.Change) {
-		settle()
-		assert.Equal(t, len(changes()), 0)
-		_, known := topic.Next()
-		assert.Assert(t, !known)
-		loads.Store(true)
-		settle()
-		assert.Equal(t, len(changes()), 1)
-	})
-}
-
 // A paused topic, which another host reads, is listed once and then makes no
 // calls until it is resumed.
 func TestPausedTopicMakesNoCalls(t *testing.T) {
--- a/internal/process/peers/roles.go
+++ b/internal/process/peers/roles.go
@@ -231,19 +231,6 @@
 	return reader.PeerAddress
 }
 
-// HasPreferredInDomain reports whether a reachable host of this host's failure
-// domain is preferred as the reader of the platform's log.
-func (m *Membership) HasPreferredInDomain(now time.Time) bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	for _, p := range m.peers {
-		if m.isReachable(p, now) && p.host.Domain == m.self.Domain && !p.status.Leaving && p.host.isPreferredOver(m.self) {
-			return true
-		}
-	}
-	return false
-}
-
 // IsLeader reports whether this host is the preferred one of the reachable hosts
 // that satisfy a condition: the lowest address of those that carry no callers,
 // so that losing the leader interrupts no request, or else the lowest address.
