Count the usage of idle hosts between their reports

Cause, by reading: since idle hosts of a large fleet are heard through relays, up to 4 s late, their usage of the teams' limits counted only for 2 s after each report, so that all hosts together could have passed a limit.

Change: usage counts for 4.5 s. TestUsageOfIdleHostCounts failed first (taken 3 s after the report).

--- a/internal/process/allowance/allowance_test.go
+++ b/internal/process/allowance/allowance_test.go
@@ -145,3 +145,15 @@
 		}
 	}
 }
+
+// The usage of a host that is heard only every 4 s, through relays, counts all
+// the time.
+func TestUsageOfIdleHostCounts(t *testing.T) {
+	team := allowance.NewTeamLimit(allowance.LimitConfig{Rate: 100, Window: window}, true, start)
+	team.SetHosts(2, 2)
+	team.RecordRemoteUsage("idle", 1, 0, start)
+	team.RecordRemoteUsage("idle", 1, 790, start.Add(time.Second))
+	for late := time.Second; late <= 5*time.Second; late += 100 * time.Millisecond {
+		assert.Assert(t, !team.Take(20, false, start.Add(late)), "taken after %v", late)
+	}
+}
--- a/internal/process/allowance/team.go
+++ b/internal/process/allowance/team.go
@@ -80,8 +80,9 @@
 }
 
 // maxRemoteUsageAge is the age at which another host's usage no longer counts:
-// a share of the limit is set aside for that host instead.
-const maxRemoteUsageAge = 2 * time.Second
+// a share of the limit is set aside for that host instead. In a large fleet, an
+// idle host's usage arrives through two relays, up to 4 s late.
+const maxRemoteUsageAge = 4500 * time.Millisecond
 
 // used returns the usage of the reachable hosts in the window.
 func (t *TeamLimit) used(now time.Time) float64 {
