A relay's silence does not count as that of the hosts behind it

When a relay is lost, the next one may send its first bundle before it has heard the active hosts itself; the idle hosts then counted the whole time without bundles as these hosts' silence, and lost sight of them for 0.2 s. It depends on the order of two messages in the same millisecond.

Change: a gap between bundles is added to the time at which the active hosts were last heard, except for the relay that was silent.

--- a/internal/process/peers/membership.go
+++ b/internal/process/peers/membership.go
@@ -71,8 +71,10 @@
 	// announcesIdle is set when this host has become idle, until it has told the
 	// others, who would take it for unreachable.
 	announcesIdle bool
-	// bundleReceivedAt is when the last bundle arrived.
-	bundleReceivedAt time.Time
+	// bundleReceivedAt is when the last bundle arrived, bundleReceivedFrom the
+	// relay that sent it.
+	bundleReceivedAt   time.Time
+	bundleReceivedFrom netip.AddrPort
 }
 
 // NewMembership returns a membership that contains only the local host.
@@ -275,11 +277,21 @@
 	}
 }
 
-// recordBundle records that a bundle has arrived.
-func (m *Membership) recordBundle(now time.Time) {
+// recordBundle records that a bundle has arrived. The time in which none did, as
+// while a relay is replaced, does not count as silence of the active hosts, except
+// for the relay that was silent: the new relay may have nothing newer of them in its first bundle.
+func (m *Membership) recordBundle(from netip.AddrPort, now time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.bundleReceivedAt = now
+	gap := now.Sub(m.bundleReceivedAt)
+	if !m.role.isActive && gap > 2*bundleInterval && gap < maxRelaySilence {
+		for _, p := range m.peers {
+			if p.status.Active && p.address != m.bundleReceivedFrom && m.isReachable(p, now) {
+				p.receivedAt = p.receivedAt.Add(gap)
+			}
+		}
+	}
+	m.bundleReceivedAt, m.bundleReceivedFrom = now, from
 }
 
 // knownCount returns the number of other hosts whose address is known.
--- a/internal/process/peers/transport.go
+++ b/internal/process/peers/transport.go
@@ -119,7 +119,7 @@
 		}
 		return
 	}
-	t.membership.recordBundle(now)
+	t.membership.recordBundle(message.From.PeerAddress, now)
 	for _, inner := range message.Bundle {
 		if inner.From.PeerAddress.IsValid() && inner.From.Incarnation != 0 && len(inner.Bundle) == 0 {
 			t.handle(inner)
