--- a/internal/process/admission/admission.go
+++ b/internal/process/admission/admission.go
@@ -24,7 +24,8 @@
 type Waiter struct {
 	// Urgent requests go before all others while they can be on time.
 	Urgent bool
-	// Value is what the request is worth for the time that it occupies a slot.
+	// Value is what the request is worth for each second that it occupies a
+	// slot, relative to a request of the most urgent rank that takes one second.
 	Value float64
 	// StartBy is the latest start for the request to be on time, ExpiresAt the
 	// time at which it leaves the queue unserved.
--- a/internal/process/admission/shares.go
+++ b/internal/process/admission/shares.go
@@ -6,8 +6,8 @@
 )
 
 const (
-	// shareWindow is the time over which the served shares are measured: some
-	// bursts long.
+	// shareWindow is the time in which the weight of a request in the served
+	// shares falls to 1/e: some bursts long.
 	shareWindow = 5 * time.Second
 	// starvedShare is the share of the mean served share below which a kind of
 	// request starves.
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -119,9 +119,9 @@
 // EntryAddresses implements View.
 func (g *Gateway) EntryAddresses() []string { return g.entryHosts.selected() }
 
-// isWriter reports whether this host writes on behalf of the fleet: the
-// reachable host with the lowest address that can access the log. Two writers at
-// a time are harmless: older copies are ignored, and reports are written with a
+// isWriter reports whether this host writes on behalf of the fleet: the leader of
+// the reachable hosts that can access the log, once it has run for
+// minWriterUptime. Two writers at a time are harmless: older copies are ignored, and reports are written with a
 // conditional append.
 func (g *Gateway) isWriter() bool {
 	return g.uptime() >= minWriterUptime && !g.operator.IsUnavailable() &&
