--- a/internal/process/gateway/copies.go
+++ b/internal/process/gateway/copies.go
@@ -58,7 +58,7 @@
 func (c *snapshotCopies) write(ctx context.Context, snapshot keyed.Snapshot) {
 	var data []byte
 	for number, written := range c.writtenOffsets {
-		if written >= snapshot.Next {
+		if written >= snapshot.Next.Offset {
 			continue
 		}
 		if data == nil {
@@ -72,12 +72,12 @@
 		callCtx, cancel := context.WithTimeout(ctx, copyTimeout)
 		_, err := c.gateway.ports.Store.Append(callCtx, c.partition(number), keyed.Record{Key: copyKey, Value: data}, nil)
 		cancel()
-		fields := logrus.Fields{"part": number, "operator_next": snapshot.Next, "bytes": len(data)}
+		fields := logrus.Fields{"part": number, "operator_next": snapshot.Next.Offset, "bytes": len(data)}
 		if err != nil {
 			c.gateway.log.Entry().WithError(err).WithFields(fields).Warn("cannot write copy of the operator's records")
 			continue
 		}
-		c.writtenOffsets[number] = snapshot.Next
+		c.writtenOffsets[number] = snapshot.Next.Offset
 		c.gateway.log.Entry().WithFields(fields).Info("wrote copy of the operator's records")
 	}
 }
@@ -95,10 +95,10 @@
 				c.gateway.log.Entry().WithError(err).WithField("part", number).Warn("cannot read copy of the operator's records")
 				return
 			}
-			if snapshot.Next == 0 {
+			if snapshot.Next.Offset == 0 {
 				return
 			}
-			c.gateway.log.Entry().WithFields(logrus.Fields{"part": number, "operator_next": snapshot.Next}).Info("started from a copy of the operator's records")
+			c.gateway.log.Entry().WithFields(logrus.Fields{"part": number, "operator_next": snapshot.Next.Offset}).Info("started from a copy of the operator's records")
 			c.gateway.operator.Adopt(snapshot)
 		})
 	}
@@ -107,19 +107,13 @@
 
 // read reads one copy. Next is 0 if there is none.
 func (c *snapshotCopies) read(ctx context.Context, number int) (keyed.Snapshot, error) {
-	records, _, err := c.gateway.ports.Store.Newest(ctx, c.partition(number))
+	newest, err := c.gateway.ports.Store.Newest(ctx, c.partition(number))
 	if err != nil {
 		return keyed.Snapshot{}, eris.Wrap(err, "copy")
 	}
-	for _, record := range records {
-		if record.Key != copyKey {
-			continue
-		}
-		snapshot := keyed.Snapshot{}
-		if err := wire.Unmarshal(record.Value, &snapshot); err != nil {
-			return keyed.Snapshot{}, eris.Wrap(err, "copy")
-		}
-		return snapshot, nil
+	snapshot := keyed.Snapshot{}
+	if value, found := newest.Values[copyKey]; found {
+		err = wire.Unmarshal(value, &snapshot)
 	}
-	return keyed.Snapshot{}, nil
+	return snapshot, eris.Wrap(err, "copy")
 }
--- a/internal/process/gateway/hoststate.go
+++ b/internal/process/gateway/hoststate.go
@@ -24,6 +24,8 @@
 	// OperatorNext and EndpointsNext are the log offsets read so far.
 	OperatorNext  uint64 `json:"operator_next"`
 	EndpointsNext uint64 `json:"endpoints_next"`
+	// StoreEra rises each time the log is restored from an older copy.
+	StoreEra uint64 `json:"store_era"`
 	// LogUnavailable is set if this host cannot access the platform's log.
 	LogUnavailable bool `json:"log_lost"`
 	// Reader is the host that reads the log on behalf of this one; empty if it
@@ -59,8 +61,9 @@
 	if table := g.table.Load(); table != nil {
 		s.ConfigVersion = table.Version
 	}
-	s.OperatorNext, _ = g.operator.Next()
-	s.EndpointsNext, _ = g.endpoints.Next()
+	operatorNext, _ := g.operator.Next()
+	endpointsNext, _ := g.endpoints.Next()
+	s.OperatorNext, s.EndpointsNext, s.StoreEra = operatorNext.Offset, endpointsNext.Offset, operatorNext.Era
 	s.Carries, s.EntryAddresses, s.Demand = g.carries.Load(), g.entryHosts.selected(), g.entryHosts.demand()
 	s.Active = len(g.membership.ActiveHosts(time.Now()))
 	s.QuarantinedParts = g.quarantine.tracker.Quarantined()
--- a/internal/process/gateway/moves.go
+++ b/internal/process/gateway/moves.go
@@ -97,12 +97,12 @@
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
 	partition := keyed.Partition{Topic: m.gateway.ports.Topics.Reports}
-	records, end, err := m.gateway.ports.Store.Newest(ctx, partition)
+	reports, err := m.gateway.ports.Store.Newest(ctx, partition)
 	if err != nil {
 		return eris.Wrap(err, "read reports")
 	}
-	for _, record := range records {
-		service, target, storedStage, err := m.gateway.ports.DecodeReport(record)
+	for recordKey, value := range reports.Values {
+		service, target, storedStage, err := m.gateway.ports.DecodeReport(keyed.Record{Key: recordKey, Value: value})
 		if err != nil || service != state.Order.Service || target != state.Order.Target {
 			continue // not a move's record, or that of another move
 		}
@@ -118,7 +118,7 @@
 	if err != nil {
 		return eris.Wrap(err, "encode report")
 	}
-	if _, err := m.gateway.ports.Store.Append(ctx, partition, record, &end); err != nil {
+	if _, err := m.gateway.ports.Store.Append(ctx, partition, record, &reports.Next.Offset); err != nil {
 		if errors.Is(err, keyed.ErrConflict) {
 			return nil // another host wrote; the next evaluation reads its record
 		}
--- a/internal/process/gateway/records.go
+++ b/internal/process/gateway/records.go
@@ -15,7 +15,7 @@
 	g.operatorRecordsMu.Lock()
 	defer g.operatorRecordsMu.Unlock()
 	for _, changed := range change.Records {
-		g.applyOperatorRecord(changed, change.Offset)
+		g.applyOperatorRecord(changed, change.Position.Offset)
 	}
 	evacuated, orders := map[string]bool{}, []canary.Order(nil)
 	for _, record := range g.operatorRecords {
@@ -82,7 +82,7 @@
 		entry, err := g.ports.DecodeEntry(changed.Key, changed.Value)
 		if err != nil {
 			g.malformedEntries.Inc(1)
-			g.log.Entry().WithError(err).WithField("offset", change.Offset).Warn("rejected an endpoint's entry")
+			g.log.Entry().WithError(err).WithField("offset", change.Position.Offset).Warn("rejected an endpoint's entry")
 			g.dispatcher.RemoveEntry(changed.Key, false)
 			continue
 		}
@@ -97,7 +97,7 @@
 			continue // a stopped host is detected by its missing messages
 		}
 		if err := g.applyHostsRecord(changed); err != nil {
-			g.log.Entry().WithError(err).WithField("offset", change.Offset).Warn("rejected a record of the hosts")
+			g.log.Entry().WithError(err).WithField("offset", change.Position.Offset).Warn("rejected a record of the hosts")
 		}
 	}
 }
--- a/internal/process/gateway/shared_read_store.go
+++ b/internal/process/gateway/shared_read_store.go
@@ -126,7 +126,7 @@
 }
 
 // Newest implements keyed.Store.
-func (s *sharedReadStore) Newest(ctx context.Context, partition keyed.Partition) ([]keyed.Record, uint64, error) {
+func (s *sharedReadStore) Newest(ctx context.Context, partition keyed.Partition) (keyed.Snapshot, error) {
 	address := s.readerAddress()
 	if !address.IsValid() {
 		return s.gateway.ports.Store.Newest(ctx, partition)
@@ -140,20 +140,16 @@
 		return s.gateway.ports.Store.Newest(ctx, partition)
 	}
 	s.relayedReads.Inc(1)
-	var records []keyed.Record
-	for key, value := range reply.Snapshot.Values {
-		records = append(records, keyed.Record{Key: key, Value: value})
-	}
-	return records, reply.Snapshot.Next, nil
+	return *reply.Snapshot, nil
 }
 
 // Append implements keyed.Store.
-func (s *sharedReadStore) Append(ctx context.Context, partition keyed.Partition, record keyed.Record, expectedEnd *uint64) (uint64, error) {
+func (s *sharedReadStore) Append(ctx context.Context, partition keyed.Partition, record keyed.Record, expectedEnd *uint64) (keyed.Position, error) {
 	return s.gateway.ports.Store.Append(ctx, partition, record, expectedEnd)
 }
 
 // Read implements keyed.Store.
-func (s *sharedReadStore) Read(ctx context.Context, partition keyed.Partition, from uint64, wait time.Duration) ([]keyed.Record, uint64, error) {
+func (s *sharedReadStore) Read(ctx context.Context, partition keyed.Partition, from keyed.Position, wait time.Duration) ([]keyed.Record, keyed.Position, error) {
 	address := s.readerAddress()
 	if !address.IsValid() {
 		return s.gateway.ports.Store.Read(ctx, partition, from, wait)
@@ -164,7 +160,7 @@
 		return records, next, nil
 	}
 	if ctx.Err() != nil && errors.Is(ctx.Err(), context.Canceled) {
-		return nil, 0, eris.Wrap(keyed.ErrUnanswered, "stopped")
+		return nil, keyed.Position{}, eris.Wrap(keyed.ErrUnanswered, "stopped")
 	}
 	s.avoid(address, err)
 	return s.gateway.ports.Store.Read(ctx, partition, from, 0)
@@ -185,16 +181,16 @@
 // grow with the fleet.
 type recordsReply struct {
 	Records  []keyed.Record  `cbor:"1,keyasint,omitempty"`
-	Next     uint64          `cbor:"2,keyasint"`
+	Next     keyed.Position  `cbor:"2,keyasint"`
 	Snapshot *keyed.Snapshot `cbor:"3,keyasint,omitempty"`
 }
 
 // readFromHost reads records from another host. If that host replies with a
 // snapshot instead, the topic adopts it.
-func (s *sharedReadStore) readFromHost(ctx context.Context, address netip.AddrPort, partition keyed.Partition, from uint64) ([]keyed.Record, uint64, error) {
-	reply, err := s.fetchRecords(ctx, address, partition, url.Values{"from": {strconv.FormatUint(from, 10)}})
+func (s *sharedReadStore) readFromHost(ctx context.Context, address netip.AddrPort, partition keyed.Partition, from keyed.Position) ([]keyed.Record, keyed.Position, error) {
+	reply, err := s.fetchRecords(ctx, address, partition, url.Values{"from": {strconv.FormatUint(from.Offset, 10)}, "era": {strconv.FormatUint(from.Era, 10)}})
 	if err != nil {
-		return nil, 0, err
+		return nil, keyed.Position{}, err
 	}
 	if reply.Snapshot != nil {
 		s.topic(partition.Topic).Adopt(*reply.Snapshot)
@@ -225,14 +221,16 @@
 	query := request.URL.Query()
 	topic := s.topic(query.Get("topic"))
 	if query.Get("snapshot") != "" {
-		s.serveSnapshot(w, topic, 0)
+		s.serveSnapshot(w, topic, keyed.Position{})
 		return
 	}
-	from, err := strconv.ParseUint(query.Get("from"), 10, 64)
-	if err != nil {
+	offset, offsetErr := strconv.ParseUint(query.Get("from"), 10, 64)
+	era, eraErr := strconv.ParseUint(query.Get("era"), 10, 64)
+	if offsetErr != nil || eraErr != nil {
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	from := keyed.Position{Era: era, Offset: offset}
 	ctx, cancel := context.WithTimeout(request.Context(), relayMaxWait)
 	defer cancel()
 	records, next, err := topic.Since(ctx, from)
@@ -248,7 +246,7 @@
 }
 
 // serveSnapshot serves a topic's content.
-func (s *sharedReadStore) serveSnapshot(w http.ResponseWriter, topic *keyed.Topic, next uint64) {
+func (s *sharedReadStore) serveSnapshot(w http.ResponseWriter, topic *keyed.Topic, next keyed.Position) {
 	snapshot, known := topic.Snapshot()
 	if !known {
 		w.WriteHeader(http.StatusGone)
--- a/internal/process/gateway/shared_read_store_test.go
+++ b/internal/process/gateway/shared_read_store_test.go
@@ -28,6 +28,9 @@
 	assert.Equal(t, outageRetryDelay(2*time.Second, 9), 2*time.Second)
 }
 
+// at returns a position of a store that was never restored.
+func at(offset uint64) keyed.Position { return keyed.Position{Offset: offset} }
+
 // newTopicStore returns a store whose operator topic holds a snapshot.
 func newTopicStore(snapshot keyed.Snapshot) *sharedReadStore {
 	g := &Gateway{ports: Ports{Topics: Topics{Operator: "op", Endpoints: "endpoints"}}}
@@ -40,16 +43,16 @@
 // A host that needs records which its reader no longer has gets the reader's
 // snapshot, and does not read the log itself.
 func TestReaderServesSnapshot(t *testing.T) {
-	reader := newTopicStore(keyed.Snapshot{Next: 40, Values: map[string][]byte{"config": []byte("new")}})
+	reader := newTopicStore(keyed.Snapshot{Next: at(40), Values: map[string][]byte{"config": []byte("new")}})
 	server := httptest.NewServer(http.HandlerFunc(reader.serveRecords))
 	defer server.Close()
-	behind := newTopicStore(keyed.Snapshot{Next: 7, Values: map[string][]byte{"config": []byte("old"), "gone": []byte("x")}})
+	behind := newTopicStore(keyed.Snapshot{Next: at(7), Values: map[string][]byte{"config": []byte("old"), "gone": []byte("x")}})
 	address := netip.MustParseAddrPort(server.Listener.Addr().String())
-	records, next, err := behind.readFromHost(t.Context(), address, keyed.Partition{Topic: "op"}, 7)
+	records, next, err := behind.readFromHost(t.Context(), address, keyed.Partition{Topic: "op"}, at(7))
 	assert.NilError(t, err)
 	assert.Equal(t, len(records), 0)
-	assert.Equal(t, next, uint64(7))
+	assert.Equal(t, next, at(7))
 	snapshot, known := behind.gateway.operator.Snapshot()
 	assert.Assert(t, known)
-	assert.DeepEqual(t, snapshot, keyed.Snapshot{Next: 40, Values: map[string][]byte{"config": []byte("new")}})
+	assert.DeepEqual(t, snapshot, keyed.Snapshot{Next: at(40), Values: map[string][]byte{"config": []byte("new")}})
 }
--- a/internal/process/gateway/state.go
+++ b/internal/process/gateway/state.go
@@ -56,10 +56,10 @@
 	for pause.For(ctx, catchUpInterval) {
 		now := time.Now()
 		operatorNext, known := g.operator.Next()
-		address := operator.check(g.membership, now, known, operatorNext, func(s peers.Status) uint64 { return s.OperatorNext })
+		address := operator.check(g.membership, now, known, operatorNext.Offset, func(s peers.Status) uint64 { return s.OperatorNext })
 		if !address.IsValid() {
 			endpointsNext, known := g.endpoints.Next()
-			address = endpoints.check(g.membership, now, known, endpointsNext, func(s peers.Status) uint64 { return s.EndpointsNext })
+			address = endpoints.check(g.membership, now, known, endpointsNext.Offset, func(s peers.Status) uint64 { return s.EndpointsNext })
 		}
 		if !address.IsValid() {
 			continue
@@ -107,11 +107,11 @@
 	}
 	fields := logrus.Fields{"link": address.String()}
 	if s.Operator != nil {
-		fields["operator_next"] = s.Operator.Next
+		fields["operator_next"] = s.Operator.Next.Offset
 		g.operator.Adopt(*s.Operator)
 	}
 	if s.Endpoints != nil {
-		fields["endpoints_next"] = s.Endpoints.Next
+		fields["endpoints_next"] = s.Endpoints.Next.Offset
 		g.endpoints.Adopt(*s.Endpoints)
 	}
 	g.log.Entry().WithFields(fields).Info("adopted the state of another host")
--- a/internal/process/keyed/keyed.go
+++ b/internal/process/keyed/keyed.go
@@ -39,23 +39,33 @@
 	Number int
 }
 
+// Position is an offset in a partition, and the era in which the store issued it.
+//
+// The store may be restored from an older copy. Its era then rises, the records
+// after the copy are gone, and their offsets are issued again.
+type Position struct {
+	_      struct{} `cbor:",toarray"`
+	Era    uint64
+	Offset uint64
+}
+
 // Store is a client of the shared log.
 type Store interface {
-	// Newest returns the newest record of each key and an end offset. The result
-	// reflects every record before end and may reflect later ones.
-	Newest(ctx context.Context, partition Partition) (records []Record, end uint64, err error)
-	// Read returns the records starting at offset from, and the offset that
+	// Newest returns the newest record of each key. The result reflects every
+	// record before its position and may reflect later ones.
+	Newest(ctx context.Context, partition Partition) (Snapshot, error)
+	// Read returns the records starting at a position, and the position that
 	// follows them. If there are none, it waits up to wait for new ones. It
-	// fails with ErrTrimmed if the log has dropped the records.
-	Read(ctx context.Context, partition Partition, from uint64, wait time.Duration) (records []Record, next uint64, err error)
+	// fails with ErrTrimmed if the log does not have the records.
+	Read(ctx context.Context, partition Partition, from Position, wait time.Duration) (records []Record, next Position, err error)
 	// Append adds a record and returns the new end of the partition. If
 	// expectedEnd is not nil, it fails with ErrConflict unless the partition
 	// ends at that offset.
-	Append(ctx context.Context, partition Partition, record Record, expectedEnd *uint64) (end uint64, err error)
+	Append(ctx context.Context, partition Partition, record Record, expectedEnd *uint64) (end Position, err error)
 }
 
-// Snapshot holds the value of each key as of offset Next.
+// Snapshot holds the value of each key as of position Next.
 type Snapshot struct {
-	Next   uint64            `cbor:"1,keyasint"`
+	Next   Position          `cbor:"1,keyasint"`
 	Values map[string][]byte `cbor:"2,keyasint"`
 }
--- a/internal/process/keyed/topic.go
+++ b/internal/process/keyed/topic.go
@@ -40,7 +40,7 @@
 
 	mu     sync.Mutex
 	loaded bool
-	next   uint64
+	next   Position
 	values map[string][]byte
 	// unavailableSince is when the store stopped answering; zero while it
 	// answers.
@@ -63,7 +63,7 @@
 	Records []Record
 	// AfterOutage is true if the store was unavailable before this change.
 	AfterOutage bool
-	Offset      uint64
+	Position    Position
 }
 
 // NewTopic returns a topic that is not loaded yet.
@@ -104,12 +104,15 @@
 	defer cancel()
 	records, end, err := t.store.Read(reading, t.partition, next, policy.MaxWait)
 	if errors.Is(err, ErrTrimmed) {
-		t.log.WithField("from", next).Info("records trimmed from the log, reloading the topic")
+		t.log.WithFields(logrus.Fields{"from": next.Offset, "era": next.Era}).Info("the log does not have the records, reloading the topic")
 		return t.reload(ctx, policy)
 	}
 	if err != nil {
 		return err
 	}
+	if end.Era != next.Era {
+		t.log.WithFields(logrus.Fields{"from": next.Offset, "era": next.Era, "store_era": end.Era}).Info("read from a store of another era")
+	}
 	t.apply(next, end, records)
 	return nil
 }
@@ -118,21 +121,17 @@
 func (t *Topic) reload(ctx context.Context, policy PollPolicy) error {
 	reading, cancel := context.WithTimeout(ctx, policy.ResponseTimeout)
 	defer cancel()
-	records, end, err := t.store.Newest(reading, t.partition)
+	snapshot, err := t.store.Newest(reading, t.partition)
 	if err != nil {
 		return err
 	}
-	values := make(map[string][]byte, len(records))
-	for _, record := range records {
-		values[record.Key] = record.Value
-	}
-	t.replace(Snapshot{Next: end, Values: values}, true, t.markAvailable())
+	t.replace(snapshot, true, t.markAvailable())
 	return nil
 }
 
 // apply applies records that start at an offset, unless the topic has moved
 // past it.
-func (t *Topic) apply(from, end uint64, records []Record) {
+func (t *Topic) apply(from, end Position, records []Record) {
 	outage := t.markAvailable()
 	t.mu.Lock()
 	if !t.loaded || t.next != from || len(records) == 0 {
@@ -146,7 +145,7 @@
 			t.values[record.Key] = record.Value
 		}
 	}
-	change := Change{Records: records, AfterOutage: outage, Offset: end}
+	change := Change{Records: records, AfterOutage: outage, Position: end}
 	t.recent = append(t.recent, records...)
 	if over := len(t.recent) - maxRecentRecords; over > 0 {
 		t.recent = append([]Record(nil), t.recent[over:]...)
@@ -165,11 +164,14 @@
 // records.
 func (t *Topic) replace(snapshot Snapshot, fromStore, outage bool) {
 	t.mu.Lock()
-	if t.loaded && (snapshot.Next < t.next || !fromStore && snapshot.Next == t.next) {
+	known := t.next
+	if t.loaded && (snapshot.Next.Offset < known.Offset || !fromStore && snapshot.Next.Offset == known.Offset) {
 		t.mu.Unlock()
+		t.log.WithFields(logrus.Fields{"next_offset": known.Offset, "era": known.Era, "snapshot_next": snapshot.Next.Offset, "snapshot_era": snapshot.Next.Era}).
+			Info("discarded an older snapshot")
 		return
 	}
-	change := Change{Offset: snapshot.Next, AfterOutage: outage}
+	change := Change{Position: snapshot.Next, AfterOutage: outage}
 	for key := range t.values {
 		if _, found := snapshot.Values[key]; !found {
 			change.Records = append(change.Records, Record{Key: key})
@@ -179,7 +181,7 @@
 		change.Records = append(change.Records, Record{Key: key, Value: value})
 	}
 	t.loaded = true
-	t.recent, t.recentFrom = nil, snapshot.Next
+	t.recent, t.recentFrom = nil, snapshot.Next.Offset
 	t.advanceTo(snapshot.Next)
 	t.values = maps.Clone(snapshot.Values)
 	if t.values == nil {
@@ -208,37 +210,37 @@
 	defer t.mu.Unlock()
 	if t.unavailableSince.IsZero() {
 		t.unavailableSince = time.Now()
-		t.log.WithError(err).WithField("next_offset", t.next).Warn("store lost")
+		t.log.WithError(err).WithField("next_offset", t.next.Offset).Warn("store lost")
 	}
 }
 
-// advanceTo sets the next offset and wakes waiting readers. The caller holds
+// advanceTo sets the next position and wakes waiting readers. The caller holds
 // mu.
-func (t *Topic) advanceTo(next uint64) {
+func (t *Topic) advanceTo(next Position) {
 	t.next = next
 	close(t.advanced)
 	t.advanced = make(chan struct{})
 }
 
-// Since returns the records starting at offset from, and the offset that
+// Since returns the records starting at a position, and the position that
 // follows them. If there are none, it waits for new ones until ctx is done. It
 // fails with ErrTrimmed if the records are no longer kept, and with ErrRefused
 // if the topic is not loaded.
-func (t *Topic) Since(ctx context.Context, from uint64) ([]Record, uint64, error) {
+func (t *Topic) Since(ctx context.Context, from Position) ([]Record, Position, error) {
 	for {
 		t.mu.Lock()
 		loaded, next, advanced := t.loaded, t.next, t.advanced
 		var records []Record
-		if from >= t.recentFrom && from < next {
-			records = append(records, t.recent[from-t.recentFrom:]...)
+		if from.Offset >= t.recentFrom && from.Offset < next.Offset {
+			records = append(records, t.recent[from.Offset-t.recentFrom:]...)
 		}
-		isKept := from >= t.recentFrom
+		isKept := from.Offset >= t.recentFrom
 		t.mu.Unlock()
 		switch {
 		case !loaded:
-			return nil, 0, ErrRefused
+			return nil, Position{}, ErrRefused
 		case !isKept:
-			return nil, 0, ErrTrimmed
+			return nil, Position{}, ErrTrimmed
 		case len(records) > 0:
 			return records, next, nil
 		}
@@ -258,9 +260,9 @@
 	return Snapshot{Next: t.next, Values: maps.Clone(t.values)}, t.loaded
 }
 
-// Next returns the offset up to which the topic has been read, and false until
+// Next returns the position up to which the topic has been read, and false until
 // the topic is loaded.
-func (t *Topic) Next() (uint64, bool) {
+func (t *Topic) Next() (Position, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return t.next, t.loaded
--- a/internal/process/keyed/topic_test.go
+++ b/internal/process/keyed/topic_test.go
@@ -20,6 +20,7 @@
 	mu      sync.Mutex
 	records []keyed.Record
 	first   uint64
+	era     uint64
 	fail    error
 	reads   int
 }
@@ -40,40 +41,44 @@
 	s.fail = fail
 }
 
-func (s *memoryStore) Newest(context.Context, keyed.Partition) ([]keyed.Record, uint64, error) {
+func (s *memoryStore) Newest(context.Context, keyed.Partition) (keyed.Snapshot, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	newest := map[string]keyed.Record{}
+	newest := map[string][]byte{}
 	for _, record := range s.records {
-		newest[record.Key] = record
+		newest[record.Key] = record.Value
 		if record.Value == nil {
 			delete(newest, record.Key)
 		}
 	}
-	var list []keyed.Record
-	for _, record := range newest {
-		list = append(list, record)
-	}
-	return list, uint64(len(s.records)), s.fail
+	return keyed.Snapshot{Next: s.end(), Values: newest}, s.fail
+}
+
+// end returns the end of the log. The caller holds mu.
+func (s *memoryStore) end() keyed.Position {
+	return keyed.Position{Era: s.era, Offset: uint64(len(s.records))}
 }
 
-func (s *memoryStore) Read(_ context.Context, _ keyed.Partition, from uint64, _ time.Duration) ([]keyed.Record, uint64, error) {
+func (s *memoryStore) Read(_ context.Context, _ keyed.Partition, from keyed.Position, _ time.Duration) ([]keyed.Record, keyed.Position, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.reads++
 	if s.fail != nil {
-		return nil, 0, s.fail
+		return nil, keyed.Position{}, s.fail
 	}
-	if from < s.first {
-		return nil, 0, keyed.ErrTrimmed
+	if from.Offset < s.first || from.Offset > uint64(len(s.records)) {
+		return nil, keyed.Position{}, keyed.ErrTrimmed
 	}
-	return s.records[from:], uint64(len(s.records)), nil
+	return s.records[from.Offset:], s.end(), nil
 }
 
-func (s *memoryStore) Append(context.Context, keyed.Partition, keyed.Record, *uint64) (uint64, error) {
-	return 0, keyed.ErrRefused
+func (s *memoryStore) Append(context.Context, keyed.Partition, keyed.Record, *uint64) (keyed.Position, error) {
+	return keyed.Position{}, keyed.ErrRefused
 }
 
+// at returns a position of a store that was never restored.
+func at(offset uint64) keyed.Position { return keyed.Position{Offset: offset} }
+
 var policy = func() keyed.PollPolicy {
 	return keyed.PollPolicy{MinInterval: 100 * time.Millisecond, ResponseTimeout: time.Second, RetryDelay: 50 * time.Millisecond}
 }
@@ -133,7 +138,7 @@
 		assert.Equal(t, len(got[0].Records), 3)
 		snapshot, known := topic.Snapshot()
 		assert.Assert(t, known)
-		assert.DeepEqual(t, snapshot, keyed.Snapshot{Next: 4, Values: map[string][]byte{"b": []byte("3")}})
+		assert.DeepEqual(t, snapshot, keyed.Snapshot{Next: at(4), Values: map[string][]byte{"b": []byte("3")}})
 	})
 }
 
@@ -203,12 +208,12 @@
 	follow(t, store, func(topic *keyed.Topic, changes func() []keyed.Change) {
 		_, known := topic.Next()
 		assert.Assert(t, !known)
-		topic.Adopt(keyed.Snapshot{Next: 7, Values: map[string][]byte{"a": []byte("1")}})
-		topic.Adopt(keyed.Snapshot{Next: 7, Values: map[string][]byte{"a": []byte("2")}})
-		topic.Adopt(keyed.Snapshot{Next: 6})
+		topic.Adopt(keyed.Snapshot{Next: at(7), Values: map[string][]byte{"a": []byte("1")}})
+		topic.Adopt(keyed.Snapshot{Next: at(7), Values: map[string][]byte{"a": []byte("2")}})
+		topic.Adopt(keyed.Snapshot{Next: at(6)})
 		next, known := topic.Next()
 		assert.Assert(t, known)
-		assert.Equal(t, next, uint64(7))
+		assert.Equal(t, next, at(7))
 		assert.Equal(t, len(changes()), 1)
 	})
 }
@@ -218,21 +223,21 @@
 	store := &memoryStore{}
 	store.put("a", "1")
 	follow(t, store, func(topic *keyed.Topic, _ func() []keyed.Change) {
-		_, _, err := topic.Since(context.Background(), 0)
+		_, _, err := topic.Since(context.Background(), at(0))
 		assert.ErrorIs(t, err, keyed.ErrRefused)
 		settle()
-		_, _, err = topic.Since(context.Background(), 0)
+		_, _, err = topic.Since(context.Background(), at(0))
 		assert.ErrorIs(t, err, keyed.ErrTrimmed)
 		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 		defer cancel()
-		records, next, err := topic.Since(ctx, 1)
+		records, next, err := topic.Since(ctx, at(1))
 		assert.NilError(t, err)
 		assert.Equal(t, len(records), 0)
-		assert.Equal(t, next, uint64(1))
+		assert.Equal(t, next, at(1))
 		store.put("b", "2")
-		records, next, err = topic.Since(context.Background(), 1)
+		records, next, err = topic.Since(context.Background(), at(1))
 		assert.NilError(t, err)
 		assert.Equal(t, len(records), 1)
-		assert.Equal(t, next, uint64(2))
+		assert.Equal(t, next, at(2))
 	})
 }
