--- a/internal/process/keyed/topic_test.go
+++ b/internal/process/keyed/topic_test.go
@@ -35,6 +35,15 @@
 	s.records = append(s.records, record)
 }
 
+// restore drops the records from an offset on, as a store does that is restored
+// from an older copy.
+func (s *memoryStore) restore(end uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.records = s.records[:end:end]
+	s.era++
+}
+
 func (s *memoryStore) set(fail error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
