--- a/internal/process/gateway/copies.go
+++ b/internal/process/gateway/copies.go
@@ -18,8 +18,8 @@
 // with newer data, starts from a copy.
 type snapshotCopies struct {
 	gateway *Gateway
-	// writtenOffsets holds the offset that each copy is known to reach.
-	writtenOffsets [copyCount]uint64
+	// written holds the position that each copy is known to reach.
+	written [copyCount]keyed.Position
 }
 
 const (
@@ -57,8 +57,8 @@
 // write updates the copies that are behind the snapshot.
 func (c *snapshotCopies) write(ctx context.Context, snapshot keyed.Snapshot) {
 	var data []byte
-	for number, written := range c.writtenOffsets {
-		if written >= snapshot.Next.Offset {
+	for number, written := range c.written {
+		if written.Compare(snapshot.Next) >= 0 {
 			continue
 		}
 		if data == nil {
@@ -77,7 +77,7 @@
 			c.gateway.log.Entry().WithError(err).WithFields(fields).Warn("cannot write copy of the operator's records")
 			continue
 		}
-		c.writtenOffsets[number] = snapshot.Next.Offset
+		c.written[number] = snapshot.Next
 		c.gateway.log.Entry().WithFields(fields).Info("wrote copy of the operator's records")
 	}
 }
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -156,7 +156,8 @@
 	}
 	operatorNext, isOperatorKnown := g.operator.Next()
 	endpointsNext, areEndpointsKnown := g.endpoints.Next()
-	status.OperatorNext, status.EndpointsNext, status.Loaded = operatorNext.Offset, endpointsNext.Offset, isOperatorKnown && areEndpointsKnown
+	status.SetPositions(operatorNext, endpointsNext)
+	status.Loaded = isOperatorKnown && areEndpointsKnown
 	for _, move := range g.moveTracker.states() {
 		status.Moves = append(status.Moves, peers.Move{Service: move.Order.Service, Target: move.Order.Target, Stage: move.Stage, Evidence: move.Evidence})
 		status.MoveSlowdowns = append(status.MoveSlowdowns, peers.MoveSlowdowns{New: move.Evidence.New.Slowdowns, Old: move.Evidence.Old.Slowdowns})
--- a/internal/process/gateway/shared_read_store.go
+++ b/internal/process/gateway/shared_read_store.go
@@ -135,6 +135,9 @@
 	if err == nil && reply.Snapshot == nil {
 		err = eris.New("no snapshot in the reply")
 	}
+	if known, _ := s.topic(partition.Topic).Next(); err == nil && reply.Snapshot.Next.Compare(known) < 0 {
+		err = keyed.ErrOutdated
+	}
 	if err != nil {
 		s.avoid(address, err)
 		return s.gateway.ports.Store.Newest(ctx, partition)
--- a/internal/process/gateway/shared_read_store_test.go
+++ b/internal/process/gateway/shared_read_store_test.go
@@ -56,3 +56,23 @@
 	assert.Assert(t, known)
 	assert.DeepEqual(t, snapshot, keyed.Snapshot{Next: at(40), Values: map[string][]byte{"config": []byte("new")}})
 }
+
+// A host that reads from one which has read the restored store gets its snapshot, even
+// if that ends at a lower offset; one that is ahead of its reader waits for it.
+func TestReaderServesRestoredStore(t *testing.T) {
+	inEra := func(era, offset uint64) keyed.Position { return keyed.Position{Era: era, Offset: offset} }
+	newest := keyed.Snapshot{Next: inEra(2, 3), Values: map[string][]byte{"config": []byte("new")}}
+	reader := newTopicStore(newest)
+	server := httptest.NewServer(http.HandlerFunc(reader.serveRecords))
+	defer server.Close()
+	address := netip.MustParseAddrPort(server.Listener.Addr().String())
+	follower := newTopicStore(keyed.Snapshot{Next: inEra(1, 7), Values: map[string][]byte{"config": []byte("old")}})
+	for _, from := range []keyed.Position{inEra(1, 7), inEra(2, 3), inEra(3, 1)} {
+		records, next, err := follower.readFromHost(t.Context(), address, keyed.Partition{Topic: "op"}, from)
+		assert.NilError(t, err)
+		assert.Equal(t, len(records), 0)
+		assert.Equal(t, next, from)
+		snapshot, _ := follower.gateway.operator.Snapshot()
+		assert.DeepEqual(t, snapshot, newest)
+	}
+}
--- a/internal/process/gateway/state.go
+++ b/internal/process/gateway/state.go
@@ -56,10 +56,10 @@
 	for pause.For(ctx, catchUpInterval) {
 		now := time.Now()
 		operatorNext, known := g.operator.Next()
-		address := operator.check(g.membership, now, known, operatorNext.Offset, func(s peers.Status) uint64 { return s.OperatorNext })
+		address := operator.check(g.membership, now, known, operatorNext, func(s peers.Status) keyed.Position { return s.OperatorPosition() })
 		if !address.IsValid() {
 			endpointsNext, known := g.endpoints.Next()
-			address = endpoints.check(g.membership, now, known, endpointsNext.Offset, func(s peers.Status) uint64 { return s.EndpointsNext })
+			address = endpoints.check(g.membership, now, known, endpointsNext, func(s peers.Status) keyed.Position { return s.EndpointsPosition() })
 		}
 		if !address.IsValid() {
 			continue
@@ -74,14 +74,14 @@
 // lagDetector detects that another host has been ahead for too long.
 type lagDetector struct {
 	allowed time.Duration
-	next    uint64
+	next    keyed.Position
 	since   time.Time
 }
 
 // check returns the address of a host that is ahead once the lag exceeds the
 // allowed time.
-func (d *lagDetector) check(membership *peers.Membership, now time.Time, known bool, next uint64, nextOf func(peers.Status) uint64) netip.AddrPort {
-	address := membership.FindReachable(func(s peers.Status) bool { return nextOf(s) > next }, now)
+func (d *lagDetector) check(membership *peers.Membership, now time.Time, known bool, next keyed.Position, nextOf func(peers.Status) keyed.Position) netip.AddrPort {
+	address := membership.FindReachable(func(s peers.Status) bool { return nextOf(s).Compare(next) > 0 }, now)
 	if !address.IsValid() {
 		d.since = time.Time{}
 		return netip.AddrPort{}
--- a/internal/process/keyed/keyed.go
+++ b/internal/process/keyed/keyed.go
@@ -1,11 +1,12 @@
 // Package keyed follows a keyed topic of the platform's shared log: only the
 // newest record of each key is in force.
 //
-// The offset of a Topic never decreases: records and snapshots are applied only
+// The position of a Topic never decreases: records and snapshots are applied only
 // if they extend past it. Hosts can therefore also exchange snapshots.
 package keyed
 
 import (
+	"cmp"
 	"context"
 	"time"
 
@@ -14,12 +15,14 @@
 
 // Errors returned by a Store.
 var (
-	// ErrTrimmed means that the requested records are no longer in the log.
-	ErrTrimmed = eris.New("the records are no longer in the log")
+	// ErrTrimmed means that the requested records are not in the log, or no longer.
+	ErrTrimmed = eris.New("the records are not in the log")
 	// ErrConflict means that the condition of an append did not hold.
 	ErrConflict = eris.New("the log does not end at the expected offset")
 	// ErrRefused means that the call had no effect.
 	ErrRefused = eris.New("the store refused the call")
+	// ErrOutdated means that a reply is older than what is known.
+	ErrOutdated = eris.New("the reply is older than what is known")
 	// ErrUnanswered means that the outcome is unknown: the call may have taken
 	// effect or may still do so.
 	ErrUnanswered = eris.New("the store did not answer")
@@ -49,6 +52,11 @@
 	Offset uint64
 }
 
+// Compare orders positions by era, then by offset.
+func (p Position) Compare(other Position) int {
+	return cmp.Or(cmp.Compare(p.Era, other.Era), cmp.Compare(p.Offset, other.Offset))
+}
+
 // Store is a client of the shared log.
 type Store interface {
 	// Newest returns the newest record of each key. The result reflects every
--- a/internal/process/keyed/topic.go
+++ b/internal/process/keyed/topic.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
 
 	"mustarddoor/internal/process/pause"
@@ -110,8 +111,12 @@
 	if err != nil {
 		return err
 	}
-	if end.Era != next.Era {
-		t.log.WithFields(logrus.Fields{"from": next.Offset, "era": next.Era, "store_era": end.Era}).Info("read from a store of another era")
+	switch {
+	case end.Era > next.Era:
+		t.log.WithFields(logrus.Fields{"from": next.Offset, "era": next.Era, "store_era": end.Era}).Warn("store restored from an older copy, reloading the topic")
+		return t.reload(ctx, policy)
+	case end.Era < next.Era:
+		return eris.Wrapf(ErrOutdated, "read in era %d", end.Era)
 	}
 	t.apply(next, end, records)
 	return nil
@@ -125,6 +130,9 @@
 	if err != nil {
 		return err
 	}
+	if next, _ := t.Next(); snapshot.Next.Compare(next) < 0 {
+		return eris.Wrapf(ErrOutdated, "list up to offset %d in era %d", snapshot.Next.Offset, snapshot.Next.Era)
+	}
 	t.replace(snapshot, true, t.markAvailable())
 	return nil
 }
@@ -164,11 +172,9 @@
 // records.
 func (t *Topic) replace(snapshot Snapshot, fromStore, outage bool) {
 	t.mu.Lock()
-	known := t.next
-	if t.loaded && (snapshot.Next.Offset < known.Offset || !fromStore && snapshot.Next.Offset == known.Offset) {
+	order := snapshot.Next.Compare(t.next)
+	if t.loaded && (order < 0 || !fromStore && order == 0) {
 		t.mu.Unlock()
-		t.log.WithFields(logrus.Fields{"next_offset": known.Offset, "era": known.Era, "snapshot_next": snapshot.Next.Offset, "snapshot_era": snapshot.Next.Era}).
-			Info("discarded an older snapshot")
 		return
 	}
 	change := Change{Position: snapshot.Next, AfterOutage: outage}
@@ -230,11 +236,11 @@
 	for {
 		t.mu.Lock()
 		loaded, next, advanced := t.loaded, t.next, t.advanced
+		isKept := from.Compare(Position{Era: next.Era, Offset: t.recentFrom}) >= 0
 		var records []Record
-		if from.Offset >= t.recentFrom && from.Offset < next.Offset {
+		if isKept && from.Compare(next) < 0 {
 			records = append(records, t.recent[from.Offset-t.recentFrom:]...)
 		}
-		isKept := from.Offset >= t.recentFrom
 		t.mu.Unlock()
 		switch {
 		case !loaded:
--- a/internal/process/peers/membership_test.go
+++ b/internal/process/peers/membership_test.go
@@ -11,6 +11,8 @@
 	"github.com/google/go-cmp/cmp"
 	"github.com/rcrowley/go-metrics"
 	"gotest.tools/v3/assert"
+
+	"mustarddoor/internal/process/keyed"
 	"gotest.tools/v3/poll"
 
 	"mustarddoor/internal/version/canary"
@@ -347,3 +349,12 @@
 	assert.Equal(t, decoded.Status.Evidences()[0].New.Slowdowns, canary.Histogram{})
 	assert.Equal(t, decoded.Status.Evidences()[0].New.Succeeded, 2)
 }
+
+// The offset of a topic that a host has not read since the store was restored is not
+// mistaken for one in the new era.
+func TestStatusPositions(t *testing.T) {
+	status := Status{}
+	status.SetPositions(keyed.Position{Era: 2, Offset: 3}, keyed.Position{Era: 1, Offset: 9})
+	assert.Equal(t, status.OperatorPosition(), keyed.Position{Era: 2, Offset: 3})
+	assert.Equal(t, status.EndpointsPosition(), keyed.Position{Era: 2})
+}
--- a/internal/process/peers/message.go
+++ b/internal/process/peers/message.go
@@ -14,6 +14,7 @@
 	"github.com/rotisserie/eris"
 
 	"mustarddoor/internal/connection/codec"
+	"mustarddoor/internal/process/keyed"
 	"mustarddoor/internal/process/quarantine"
 	"mustarddoor/internal/version/canary"
 )
@@ -149,6 +150,32 @@
 	RateLimits []EndpointRateLimit `cbor:"15,keyasint,omitempty"`
 	// MoveSlowdowns belong to Moves, in the same order.
 	MoveSlowdowns []MoveSlowdowns `cbor:"16,keyasint,omitempty"`
+	// StoreEra is the highest era in which the host has read the log. OperatorNext
+	// and EndpointsNext are offsets of this era.
+	StoreEra uint64 `cbor:"17,keyasint,omitempty"`
+}
+
+// SetPositions sets how far the host has read. A topic that was not yet read in the
+// highest era counts as read up to its start.
+func (s *Status) SetPositions(operator, endpoints keyed.Position) {
+	s.StoreEra = max(operator.Era, endpoints.Era)
+	s.OperatorNext, s.EndpointsNext = 0, 0
+	if operator.Era == s.StoreEra {
+		s.OperatorNext = operator.Offset
+	}
+	if endpoints.Era == s.StoreEra {
+		s.EndpointsNext = endpoints.Offset
+	}
+}
+
+// OperatorPosition returns how far the host has read the operator's records.
+func (s *Status) OperatorPosition() keyed.Position {
+	return keyed.Position{Era: s.StoreEra, Offset: s.OperatorNext}
+}
+
+// EndpointsPosition returns how far the host has read the endpoints' entries.
+func (s *Status) EndpointsPosition() keyed.Position {
+	return keyed.Position{Era: s.StoreEra, Offset: s.EndpointsNext}
 }
 
 // Message is the content of a datagram.
