--- a/internal/process/peers/membership_test.go
+++ b/internal/process/peers/membership_test.go
@@ -12,8 +12,8 @@
 	"github.com/rcrowley/go-metrics"
 	"gotest.tools/v3/assert"
 
-	"mustarddoor/internal/process/keyed"
 	"gotest.tools/v3/poll"
+	"mustarddoor/internal/process/keyed"
 
 	"mustarddoor/internal/version/canary"
 )
