--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -99,9 +99,9 @@
 	}
 	g.transport = transport
 	g.sharedReads = newSharedReadStore(g)
-	g.operator = keyed.NewTopic(keyed.Partition{Topic: ports.Topics.Operator}, g.sharedReads, g.sharedReads.operatorPolicy, log.Entry(), g.applyOperatorChange)
-	g.endpoints = keyed.NewTopic(keyed.Partition{Topic: ports.Topics.Endpoints}, g.sharedReads, g.sharedReads.endpointsPolicy, log.Entry(), g.applyEndpointsChange)
-	g.hosts = keyed.NewTopic(keyed.Partition{Topic: ports.Topics.Hosts}, ports.Store, g.sharedReads.hostsPolicy, log.Entry(), g.applyHostsChange)
+	g.operator = keyed.NewTopic(keyed.Partition{Topic: ports.Topics.Operator}, g.sharedReads, g.sharedReads.operatorPolicy, g.operatorRestorePolicy(), log.Entry(), g.applyOperatorChange)
+	g.endpoints = keyed.NewTopic(keyed.Partition{Topic: ports.Topics.Endpoints}, g.sharedReads, g.sharedReads.endpointsPolicy, g.endpointsRestorePolicy(), log.Entry(), g.applyEndpointsChange)
+	g.hosts = keyed.NewTopic(keyed.Partition{Topic: ports.Topics.Hosts}, ports.Store, g.sharedReads.hostsPolicy, g.hostsRestorePolicy(), log.Entry(), g.applyHostsChange)
 	g.snapshotCopies = newSnapshotCopies(g)
 	g.moveTracker = newMoveTracker(g)
 	g.usageHistory = &usageHistory{gateway: g}
@@ -157,6 +157,7 @@
 	operatorNext, isOperatorKnown := g.operator.Next()
 	endpointsNext, areEndpointsKnown := g.endpoints.Next()
 	status.SetPositions(operatorNext, endpointsNext)
+	status.OperatorEarlier, status.EndpointsEarlier = earlierPosition(g.operator), earlierPosition(g.endpoints)
 	status.Loaded = isOperatorKnown && areEndpointsKnown
 	for _, move := range g.moveTracker.states() {
 		status.Moves = append(status.Moves, peers.Move{Service: move.Order.Service, Target: move.Order.Target, Stage: move.Stage, Evidence: move.Evidence})
--- a/internal/process/gateway/settings.go
+++ b/internal/process/gateway/settings.go
@@ -53,6 +53,9 @@
 	// TeamLimitOvershoot is the fraction of a team's limit, and TeamLimitSlack
 	// the amount in the team's unit, by which all hosts together may exceed it.
 	TeamLimitOvershoot, TeamLimitSlack float64
+	// EndpointHeartbeat is the interval at which endpoints write their entries; 0
+	// means unknown.
+	EndpointHeartbeat time.Duration
 	// FirstStart means that the whole fleet is starting for the first time.
 	FirstStart bool
 }
--- a/internal/process/gateway/shared_read_store_test.go
+++ b/internal/process/gateway/shared_read_store_test.go
@@ -35,7 +35,7 @@
 func newTopicStore(snapshot keyed.Snapshot) *sharedReadStore {
 	g := &Gateway{ports: Ports{Topics: Topics{Operator: "op", Endpoints: "endpoints"}}}
 	policy := func() keyed.PollPolicy { return keyed.PollPolicy{} }
-	g.operator = keyed.NewTopic(keyed.Partition{Topic: "op"}, nil, policy, logrus.NewEntry(logrus.New()), func(keyed.Change) {})
+	g.operator = keyed.NewTopic(keyed.Partition{Topic: "op"}, nil, policy, keyed.RestorePolicy{}, logrus.NewEntry(logrus.New()), func(keyed.Change) {})
 	g.operator.Adopt(snapshot)
 	return &sharedReadStore{gateway: g, client: http.DefaultClient}
 }
@@ -61,7 +61,7 @@
 // if that ends at a lower offset; one that is ahead of its reader waits for it.
 func TestReaderServesRestoredStore(t *testing.T) {
 	inEra := func(era, offset uint64) keyed.Position { return keyed.Position{Era: era, Offset: offset} }
-	newest := keyed.Snapshot{Next: inEra(2, 3), Values: map[string][]byte{"config": []byte("new")}}
+	newest := keyed.Snapshot{Next: inEra(2, 3), Values: map[string][]byte{"config": []byte("new")}, Earlier: inEra(1, 7)}
 	reader := newTopicStore(newest)
 	server := httptest.NewServer(http.HandlerFunc(reader.serveRecords))
 	defer server.Close()
--- a/internal/process/gateway/state.go
+++ b/internal/process/gateway/state.go
@@ -53,6 +53,7 @@
 func (g *Gateway) catchUp(ctx context.Context) error {
 	client := &http.Client{Timeout: fetchTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
 	operator, endpoints := &lagDetector{allowed: maxOperatorLag}, &lagDetector{allowed: maxEndpointsLag}
+	restored := &restoredLagDetector{}
 	for pause.For(ctx, catchUpInterval) {
 		now := time.Now()
 		operatorNext, known := g.operator.Next()
@@ -61,6 +62,9 @@
 			endpointsNext, known := g.endpoints.Next()
 			address = endpoints.check(g.membership, now, known, endpointsNext, func(s peers.Status) keyed.Position { return s.EndpointsPosition() })
 		}
+		if !address.IsValid() {
+			address = restored.check(g.membership, now, g.operator, g.endpoints)
+		}
 		if !address.IsValid() {
 			continue
 		}
@@ -99,6 +103,42 @@
 	return address
 }
 
+// restoredLagDetector detects that another host keeps records that this one had not
+// read before the store was restored from an older copy. The store delivers them only
+// once they are written again.
+type restoredLagDetector struct {
+	checkedAt time.Time
+}
+
+// check returns the address of such a host, at most once in maxOperatorLag.
+func (d *restoredLagDetector) check(membership *peers.Membership, now time.Time, operator, endpoints *keyed.Topic) netip.AddrPort {
+	if now.Sub(d.checkedAt) < maxOperatorLag {
+		return netip.AddrPort{}
+	}
+	isBehind := func(topic *keyed.Topic, reported *keyed.Position, era uint64) bool {
+		next, isLoaded := topic.Next()
+		earlier, _ := topic.Kept()
+		return isLoaded && reported != nil && next.Era == era && reported.Compare(earlier) > 0
+	}
+	address := membership.FindReachable(func(s peers.Status) bool {
+		return isBehind(operator, s.OperatorEarlier, s.StoreEra) || isBehind(endpoints, s.EndpointsEarlier, s.StoreEra)
+	}, now)
+	if address.IsValid() {
+		d.checkedAt = now
+	}
+	return address
+}
+
+// earlierPosition returns how far a topic had been read before the store was restored,
+// or nil if it keeps no records from then.
+func earlierPosition(topic *keyed.Topic) *keyed.Position {
+	earlier, kept := topic.Kept()
+	if kept == 0 {
+		return nil
+	}
+	return &earlier
+}
+
 // fetchState adopts the records of another host.
 func (g *Gateway) fetchState(ctx context.Context, client *http.Client, address netip.AddrPort) error {
 	s := stateReply{}
--- a/internal/process/keyed/keyed.go
+++ b/internal/process/keyed/keyed.go
@@ -76,4 +76,19 @@
 type Snapshot struct {
 	Next   Position          `cbor:"1,keyasint"`
 	Values map[string][]byte `cbor:"2,keyasint"`
+	// Earlier is the position that had been read before the store was restored last,
+	// Kept the keys whose state in Values is from before that. A store returns
+	// neither.
+	Earlier Position              `cbor:"3,keyasint"`
+	Kept    map[string]KeptRecord `cbor:"4,keyasint,omitempty"`
+}
+
+// KeptRecord is a key whose value, or whose absence, was read before the store was
+// restored from an older copy.
+type KeptRecord struct {
+	_ struct{} `cbor:",toarray"`
+	// Stored is the value in the store; nil if the store does not have the key.
+	Stored []byte
+	// ForMillis is the time until the store's state is put in force.
+	ForMillis int64
 }
--- a/internal/process/keyed/topic.go
+++ b/internal/process/keyed/topic.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -35,14 +36,14 @@
 	partition Partition
 	store     Store
 	policy    func() PollPolicy
+	restore   RestorePolicy
 	log       *logrus.Entry
 	// onChange is called after each change, without mu held.
 	onChange func(Change)
 
 	mu     sync.Mutex
 	loaded bool
-	next   Position
-	values map[string][]byte
+	content
 	// unavailableSince is when the store stopped answering; zero while it
 	// answers.
 	unavailableSince time.Time
@@ -68,14 +69,15 @@
 }
 
 // NewTopic returns a topic that is not loaded yet.
-func NewTopic(partition Partition, store Store, policy func() PollPolicy, log *logrus.Entry, onChange func(Change)) *Topic {
-	return &Topic{partition: partition, store: store, policy: policy, log: log.WithField("topic", partition.Topic), onChange: onChange, values: map[string][]byte{}, advanced: make(chan struct{})}
+func NewTopic(partition Partition, store Store, policy func() PollPolicy, restore RestorePolicy, log *logrus.Entry, onChange func(Change)) *Topic {
+	return &Topic{partition: partition, store: store, policy: policy, restore: restore, log: log.WithField("topic", partition.Topic), onChange: onChange, content: newContent(), advanced: make(chan struct{})}
 }
 
 // Run follows the topic until ctx is done.
 func (t *Topic) Run(ctx context.Context) error {
 	for {
-		start, policy := time.Now(), t.policy()
+		t.expireKept()
+		start, policy := time.Now(), t.pollPolicy()
 		wait := policy.RetryDelay
 		if err := t.poll(ctx, policy); ctx.Err() != nil {
 			return nil
@@ -90,6 +92,48 @@
 	}
 }
 
+// pollPolicy returns the policy of the next poll. A read does not wait beyond the
+// expiry of a kept record, nor after an outage, when the era may have risen.
+func (t *Topic) pollPolicy() PollPolicy {
+	policy := t.policy()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.unavailableSince.IsZero() {
+		policy.MaxWait = 0
+	}
+	if expiry, found := t.firstExpiry(); found {
+		policy.MaxWait = min(policy.MaxWait, max(time.Until(expiry), minKeptWait))
+		policy.MinInterval = min(policy.MinInterval, max(time.Until(expiry), minKeptWait))
+	}
+	return policy
+}
+
+// minKeptWait bounds how often the expiry of kept records is checked.
+const minKeptWait = 100 * time.Millisecond
+
+// expireKept puts the store's state in force where an earlier one was kept for long
+// enough.
+func (t *Topic) expireKept() {
+	t.mu.Lock()
+	records := t.expire(time.Now())
+	change := Change{Records: records, Position: t.next}
+	t.mu.Unlock()
+	if len(records) == 0 {
+		return
+	}
+	t.log.WithFields(logrus.Fields{"records": keysOf(records), "era": change.Position.Era}).Warn("records from before the store was restored were not written again")
+	t.onChange(change)
+}
+
+// keysOf returns the keys of records.
+func keysOf(records []Record) []string {
+	keys := make([]string, len(records))
+	for i, record := range records {
+		keys[i] = record.Key
+	}
+	return keys
+}
+
 // poll performs one read.
 func (t *Topic) poll(ctx context.Context, policy PollPolicy) error {
 	t.mu.Lock()
@@ -146,57 +190,59 @@
 		t.mu.Unlock()
 		return
 	}
-	for _, record := range records {
-		if len(record.Value) == 0 {
-			delete(t.values, record.Key)
-		} else {
-			t.values[record.Key] = record.Value
-		}
-	}
+	t.content.apply(records, end, time.Now())
 	change := Change{Records: records, AfterOutage: outage, Position: end}
 	t.recent = append(t.recent, records...)
 	if over := len(t.recent) - maxRecentRecords; over > 0 {
 		t.recent = append([]Record(nil), t.recent[over:]...)
 		t.recentFrom += uint64(over)
 	}
-	t.advanceTo(end)
+	t.wakeReaders()
 	t.mu.Unlock()
 	t.onChange(change)
 }
 
-// Adopt applies a snapshot received from another host if it is newer.
+// Adopt applies what is newer in a snapshot received from another host.
 func (t *Topic) Adopt(snapshot Snapshot) { t.replace(snapshot, false, false) }
 
-// replace replaces the topic's content with a snapshot. A snapshot from the
-// store is applied even at the current offset, because the log may have dropped
-// records.
+// replace merges a snapshot into the topic's content. A snapshot from the store is
+// applied even at the current position, because the log may have dropped records.
 func (t *Topic) replace(snapshot Snapshot, fromStore, outage bool) {
 	t.mu.Lock()
-	order := snapshot.Next.Compare(t.next)
-	if t.loaded && (order < 0 || !fromStore && order == 0) {
+	isNewer := snapshot.Next.Compare(t.next) > 0
+	isInformed := snapshot.Next.Era == t.next.Era && snapshot.Earlier.Compare(t.earlier) > 0
+	if t.loaded && !isNewer && !isInformed && !fromStore {
 		t.mu.Unlock()
 		return
 	}
-	change := Change{Position: snapshot.Next, AfterOutage: outage}
-	for key := range t.values {
-		if _, found := snapshot.Values[key]; !found {
-			change.Records = append(change.Records, Record{Key: key})
-		}
-	}
-	for key, value := range snapshot.Values {
-		change.Records = append(change.Records, Record{Key: key, Value: value})
-	}
-	t.loaded = true
-	t.recent, t.recentFrom = nil, snapshot.Next.Offset
-	t.advanceTo(snapshot.Next)
-	t.values = maps.Clone(snapshot.Values)
-	if t.values == nil {
-		t.values = map[string][]byte{}
+	now := time.Now()
+	old, merged := t.content, snapshot.content(now)
+	if t.loaded {
+		merged = t.merge(merged, t.restore, now)
 	}
+	change := Change{Records: difference(old.values, merged.values), Position: merged.next, AfterOutage: outage}
+	t.loaded, t.content = true, merged
+	t.recent, t.recentFrom = nil, merged.next.Offset
+	t.wakeReaders()
 	t.mu.Unlock()
+	if merged.next.Era > old.next.Era && len(merged.kept) > 0 {
+		t.log.WithFields(logrus.Fields{"era": merged.next.Era, "next_offset": merged.next.Offset, "earlier_offset": merged.earlier.Offset, "kept": slices.Sorted(maps.Keys(merged.kept))}).
+			Warn("records kept until they are written again")
+	}
 	t.onChange(change)
 }
 
+// content returns the content that a snapshot describes.
+func (s *Snapshot) content(now time.Time) content {
+	c := newContent()
+	c.next, c.earlier = s.Next, s.Earlier
+	maps.Copy(c.values, s.Values)
+	for key, kept := range s.Kept {
+		c.kept[key] = keptRecord{stored: kept.Stored, until: now.Add(time.Duration(kept.ForMillis) * time.Millisecond)}
+	}
+	return c
+}
+
 // markAvailable records that the store has answered and reports whether it was
 // unavailable before.
 func (t *Topic) markAvailable() bool {
@@ -220,10 +266,8 @@
 	}
 }
 
-// advanceTo sets the next position and wakes waiting readers. The caller holds
-// mu.
-func (t *Topic) advanceTo(next Position) {
-	t.next = next
+// wakeReaders wakes the readers that wait for records. The caller holds mu.
+func (t *Topic) wakeReaders() {
 	close(t.advanced)
 	t.advanced = make(chan struct{})
 }
@@ -263,7 +307,22 @@
 func (t *Topic) Snapshot() (Snapshot, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return Snapshot{Next: t.next, Values: maps.Clone(t.values)}, t.loaded
+	snapshot := Snapshot{Next: t.next, Values: maps.Clone(t.values), Earlier: t.earlier}
+	for key, kept := range t.kept {
+		if snapshot.Kept == nil {
+			snapshot.Kept = map[string]KeptRecord{}
+		}
+		snapshot.Kept[key] = KeptRecord{Stored: kept.stored, ForMillis: time.Until(kept.until).Milliseconds()}
+	}
+	return snapshot, t.loaded
+}
+
+// Kept returns the position that had been read before the store was restored, and
+// how many records are kept from then.
+func (t *Topic) Kept() (earlier Position, count int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.earlier, len(t.kept)
 }
 
 // Next returns the position up to which the topic has been read, and false until
--- a/internal/process/keyed/topic_test.go
+++ b/internal/process/keyed/topic_test.go
@@ -88,6 +88,11 @@
 // at returns a position of a store that was never restored.
 func at(offset uint64) keyed.Position { return keyed.Position{Offset: offset} }
 
+var restorePolicy = keyed.RestorePolicy{
+	Supersedes:  func(_ string, known, stored []byte) bool { return len(stored) > len(known) },
+	KeepMissing: 2 * time.Second, KeepChanged: 3 * time.Second,
+}
+
 var policy = func() keyed.PollPolicy {
 	return keyed.PollPolicy{MinInterval: 100 * time.Millisecond, ResponseTimeout: time.Second, RetryDelay: 50 * time.Millisecond}
 }
@@ -106,7 +111,7 @@
 		logger.SetOutput(io.Discard)
 		var mu sync.Mutex
 		var seen []keyed.Change
-		topic := keyed.NewTopic(keyed.Partition{Topic: "t"}, store, policy, logrus.NewEntry(logger), func(change keyed.Change) {
+		topic := keyed.NewTopic(keyed.Partition{Topic: "t"}, store, policy, restorePolicy, logrus.NewEntry(logger), func(change keyed.Change) {
 			mu.Lock()
 			defer mu.Unlock()
 			seen = append(seen, change)
--- a/internal/process/peers/message.go
+++ b/internal/process/peers/message.go
@@ -153,6 +153,10 @@
 	// StoreEra is the highest era in which the host has read the log. OperatorNext
 	// and EndpointsNext are offsets of this era.
 	StoreEra uint64 `cbor:"17,keyasint,omitempty"`
+	// OperatorEarlier and EndpointsEarlier are how far the host had read before the
+	// store was restored; nil unless it still keeps records from then.
+	OperatorEarlier  *keyed.Position `cbor:"18,keyasint,omitempty"`
+	EndpointsEarlier *keyed.Position `cbor:"19,keyasint,omitempty"`
 }
 
 // SetPositions sets how far the host has read. A topic that was not yet read in the
