Hosts write again what the store lost of their own records

A store that comes back from an older copy lacks what the hosts wrote since: hosts that start later find none of those that started in that time, the operator does not see that a move is under way or completed, and hosts that start later take a quarantine or the teams' usage from an older record.

Cause: each writer remembered that it had written, for good.

Cost: one write a host and return, three by the writer and one for each copy and move.

--- a/internal/process/gateway/moves.go
+++ b/internal/process/gateway/moves.go
@@ -26,7 +26,13 @@
 	current []dispatch.MoveState
 	// reported holds the stages known to be in the operator's reports, by service
 	// and target.
-	reported map[[2]string]canary.Stage
+	reported map[[2]string]reportedStage
+}
+
+// reportedStage is a stage in the operator's reports, as of an era of the store.
+type reportedStage struct {
+	stage canary.Stage
+	era   uint64
 }
 
 const (
@@ -37,7 +43,7 @@
 )
 
 func newMoveTracker(g *Gateway) *moveTracker {
-	return &moveTracker{gateway: g, reported: map[[2]string]canary.Stage{}}
+	return &moveTracker{gateway: g, reported: map[[2]string]reportedStage{}}
 }
 
 // run evaluates and reports moves until ctx is done.
@@ -91,7 +97,9 @@
 	if stage == canary.StageShift {
 		stage = canary.StageTrial // the platform has no intermediate stage
 	}
-	if m.reported[key] >= stage || !m.gateway.isWriter() {
+	known := m.reported[key]
+	isKnown := known.stage >= stage && known.era >= m.gateway.storeEra()
+	if isKnown || !m.gateway.isWriter() {
 		return nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
@@ -110,7 +118,7 @@
 			m.logRaised(service, target, storedStage, "operator's side")
 		}
 		if storedStage >= stage {
-			m.reported[key] = storedStage
+			m.reported[key] = reportedStage{storedStage, reports.Next.Era}
 			return nil
 		}
 	}
@@ -124,7 +132,7 @@
 		}
 		return eris.Wrap(err, "write report")
 	}
-	m.reported[key] = stage
+	m.reported[key] = reportedStage{stage, reports.Next.Era}
 	m.log(state).Info("move to a version reported")
 	return nil
 }
--- a/internal/process/gateway/quarantine.go
+++ b/internal/process/gateway/quarantine.go
@@ -30,6 +30,8 @@
 	// stored holds the parts in the log's record, as far as it is known, and the
 	// number of their failed probes.
 	stored map[quarantine.Part]int
+	// storedEra is the store's era in which that was so.
+	storedEra uint64
 }
 
 // quarantineRecord is the record of the quarantined parts in the log.
@@ -129,7 +131,7 @@
 			continue
 		}
 		quarantined := q.tracker.Reports(time.Now())
-		if maps.Equal(failedProbes(quarantined), q.storedParts()) {
+		if q.isStored(quarantined) {
 			continue
 		}
 		if err := q.write(ctx, quarantined); err != nil {
@@ -149,16 +151,22 @@
 	return probes
 }
 
-func (q *promptQuarantine) storedParts() map[quarantine.Part]int {
+// isStored reports whether the log's record holds these parts. A host that has yet to
+// read or write the record assumes that the log had it in the era of the host's start.
+func (q *promptQuarantine) isStored(quarantined []quarantine.PartReport) bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return q.stored
+	era := q.gateway.storeEra()
+	if q.storedEra == 0 {
+		q.storedEra = era
+	}
+	return q.storedEra >= era && maps.Equal(failedProbes(quarantined), q.stored)
 }
 
-func (q *promptQuarantine) setStored(quarantined []quarantine.PartReport) {
+func (q *promptQuarantine) setStored(quarantined []quarantine.PartReport, era uint64) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.stored = failedProbes(quarantined)
+	q.stored, q.storedEra = failedProbes(quarantined), era
 }
 
 // write writes the record. Of two writers the last one stands; the other writes
@@ -171,21 +179,22 @@
 	ctx, cancel := context.WithTimeout(ctx, quarantineTimeout)
 	defer cancel()
 	partition := keyed.Partition{Topic: q.gateway.ports.Topics.Hosts}
-	if _, err := q.gateway.ports.Store.Append(ctx, partition, keyed.Record{Key: quarantineKey, Value: data}, nil); err != nil {
+	end, err := q.gateway.ports.Store.Append(ctx, partition, keyed.Record{Key: quarantineKey, Value: data}, nil)
+	if err != nil {
 		return eris.Wrap(err, "write")
 	}
-	q.setStored(quarantined)
+	q.setStored(quarantined, end.Era)
 	q.gateway.log.Entry().WithField("prompt_parts", slices.Sorted(maps.Keys(failedProbes(quarantined)))).Info("wrote the quarantined prompt parts")
 	return nil
 }
 
 // load applies the record in the log.
-func (q *promptQuarantine) load(value []byte) error {
+func (q *promptQuarantine) load(value []byte, era uint64) error {
 	record := quarantineRecord{}
 	if err := wire.Unmarshal(value, &record); err != nil {
 		return eris.Wrap(err, "quarantined prompt parts")
 	}
-	q.setStored(record.Quarantined)
+	q.setStored(record.Quarantined, era)
 	age := max(0, time.Now().UnixMilli()-record.WrittenAt)
 	for i := range record.Quarantined {
 		record.Quarantined[i].AgeMillis += age
--- a/internal/process/gateway/records.go
+++ b/internal/process/gateway/records.go
@@ -96,17 +96,17 @@
 		if len(changed.Value) == 0 {
 			continue // a stopped host is detected by its missing messages
 		}
-		if err := g.applyHostsRecord(changed); err != nil {
+		if err := g.applyHostsRecord(changed, change.Position.Era); err != nil {
 			g.log.Entry().WithError(err).WithField("offset", change.Position.Offset).Warn("rejected a record of the hosts")
 		}
 	}
 }
 
 // applyHostsRecord applies a record of the hosts topic.
-func (g *Gateway) applyHostsRecord(record keyed.Record) error {
+func (g *Gateway) applyHostsRecord(record keyed.Record, era uint64) error {
 	switch record.Key {
 	case quarantineKey:
-		return g.quarantine.load(record.Value)
+		return g.quarantine.load(record.Value, era)
 	case usageKey:
 		return g.usageHistory.load(record.Value)
 	}
--- a/internal/process/gateway/restore.go
+++ b/internal/process/gateway/restore.go
@@ -25,6 +25,17 @@
 	defaultHeartbeat = 1200 * time.Millisecond
 )
 
+// storeEra returns the highest era in which this host has read the log. What it wrote
+// in an earlier one may be lost.
+func (g *Gateway) storeEra() uint64 {
+	era := uint64(0)
+	for _, topic := range []*keyed.Topic{g.operator, g.endpoints, g.hosts} {
+		next, _ := topic.Next()
+		era = max(era, next.Era)
+	}
+	return era
+}
+
 // operatorRestorePolicy returns the policy of the operator's records.
 func (g *Gateway) operatorRestorePolicy() keyed.RestorePolicy {
 	return keyed.RestorePolicy{Supersedes: g.isNewerConfig, KeepMissing: restoreRewriteTime, KeepChanged: maxOrderDelay}
--- a/internal/process/gateway/usagehistory.go
+++ b/internal/process/gateway/usagehistory.go
@@ -22,6 +22,8 @@
 	// written; the zero time before that.
 	writtenTeams map[string]bool
 	writtenAt    time.Time
+	// writtenEra is the store's era as of the last record.
+	writtenEra uint64
 }
 
 // usageRecord is the record of the teams' usage in the log.
@@ -49,7 +51,8 @@
 )
 
 // run writes the record until ctx is done: once at first, at intervals while a team
-// uses much of its limit, and when none does any more.
+// uses much of its limit, when none does any more, and when the store may have lost
+// the record.
 func (u *usageHistory) run(ctx context.Context) error {
 	for pause.For(ctx, usageCheckInterval) {
 		if _, isLoaded := u.gateway.hosts.Next(); !isLoaded || !u.gateway.isWriter() {
@@ -60,7 +63,7 @@
 		for team := range histories {
 			teams[team] = true
 		}
-		isDue := len(teams) > 0 && time.Since(u.writtenAt) >= usageRecordInterval
+		isDue := len(teams) > 0 && time.Since(u.writtenAt) >= usageRecordInterval || u.gateway.storeEra() > u.writtenEra
 		if !isDue && !u.writtenAt.IsZero() && maps.Equal(teams, u.writtenTeams) {
 			continue
 		}
@@ -84,8 +87,12 @@
 	ctx, cancel := context.WithTimeout(ctx, usageWriteTimeout)
 	defer cancel()
 	partition := keyed.Partition{Topic: u.gateway.ports.Topics.Hosts}
-	_, err = u.gateway.ports.Store.Append(ctx, partition, keyed.Record{Key: usageKey, Value: data}, nil)
-	return eris.Wrap(err, "write")
+	end, err := u.gateway.ports.Store.Append(ctx, partition, keyed.Record{Key: usageKey, Value: data}, nil)
+	if err != nil {
+		return eris.Wrap(err, "write")
+	}
+	u.writtenEra = end.Era
+	return nil
 }
 
 // maxRestoreUptime is how long after its start a host applies a record. Later ones
