--- a/internal/process/gateway/copies.go
+++ b/internal/process/gateway/copies.go
@@ -58,7 +58,7 @@
 func (c *snapshotCopies) write(ctx context.Context, snapshot keyed.Snapshot) {
 	var data []byte
 	for number, written := range c.written {
-		if written.Compare(snapshot.Next) >= 0 {
+		if written.Compare(snapshot.Position) >= 0 {
 			continue
 		}
 		if data == nil {
@@ -72,12 +72,12 @@
 		callCtx, cancel := context.WithTimeout(ctx, copyTimeout)
 		_, err := c.gateway.ports.Store.Append(callCtx, c.partition(number), keyed.Record{Key: copyKey, Value: data}, nil)
 		cancel()
-		fields := logrus.Fields{"part": number, "operator_next": snapshot.Next.Offset, "bytes": len(data)}
+		fields := logrus.Fields{"part": number, "operator_next": snapshot.Offset, "bytes": len(data)}
 		if err != nil {
 			c.gateway.log.Entry().WithError(err).WithFields(fields).Warn("cannot write copy of the operator's records")
 			continue
 		}
-		c.written[number] = snapshot.Next
+		c.written[number] = snapshot.Position
 		c.gateway.log.Entry().WithFields(fields).Info("wrote copy of the operator's records")
 	}
 }
@@ -95,10 +95,10 @@
 				c.gateway.log.Entry().WithError(err).WithField("part", number).Warn("cannot read copy of the operator's records")
 				return
 			}
-			if snapshot.Next.Offset == 0 {
+			if snapshot.Offset == 0 {
 				return
 			}
-			c.gateway.log.Entry().WithFields(logrus.Fields{"part": number, "operator_next": snapshot.Next.Offset}).Info("started from a copy of the operator's records")
+			c.gateway.log.Entry().WithFields(logrus.Fields{"part": number, "operator_next": snapshot.Offset}).Info("started from a copy of the operator's records")
 			c.gateway.operator.Adopt(snapshot)
 		})
 	}
--- a/internal/process/gateway/moves.go
+++ b/internal/process/gateway/moves.go
@@ -118,7 +118,7 @@
 			m.logRaised(service, target, storedStage, "operator's side")
 		}
 		if storedStage >= stage {
-			m.reported[key] = reportedStage{storedStage, reports.Next.Era}
+			m.reported[key] = reportedStage{storedStage, reports.Era}
 			return nil
 		}
 	}
@@ -126,13 +126,13 @@
 	if err != nil {
 		return eris.Wrap(err, "encode report")
 	}
-	if _, err := m.gateway.ports.Store.Append(ctx, partition, record, &reports.Next.Offset); err != nil {
+	if _, err := m.gateway.ports.Store.Append(ctx, partition, record, &reports.Offset); err != nil {
 		if errors.Is(err, keyed.ErrConflict) {
 			return nil // another host wrote; the next evaluation reads its record
 		}
 		return eris.Wrap(err, "write report")
 	}
-	m.reported[key] = reportedStage{stage, reports.Next.Era}
+	m.reported[key] = reportedStage{stage, reports.Era}
 	m.log(state).Info("move to a version reported")
 	return nil
 }
--- a/internal/process/gateway/shared_read_store.go
+++ b/internal/process/gateway/shared_read_store.go
@@ -135,7 +135,7 @@
 	if err == nil && reply.Snapshot == nil {
 		err = eris.New("no snapshot in the reply")
 	}
-	if known, _ := s.topic(partition.Topic).Next(); err == nil && reply.Snapshot.Next.Compare(known) < 0 {
+	if known, _ := s.topic(partition.Topic).Next(); err == nil && reply.Snapshot.Position.Compare(known) < 0 {
 		err = keyed.ErrOutdated
 	}
 	if err != nil {
@@ -184,8 +184,14 @@
 // grow with the fleet.
 type recordsReply struct {
 	Records  []keyed.Record  `cbor:"1,keyasint,omitempty"`
-	Next     keyed.Position  `cbor:"2,keyasint"`
+	Next     uint64          `cbor:"2,keyasint"`
 	Snapshot *keyed.Snapshot `cbor:"3,keyasint,omitempty"`
+	// Era is the era of Next; 0 if the host runs a version that does not send it.
+	Era uint64 `cbor:"4,keyasint,omitempty"`
+}
+
+func newRecordsReply(next keyed.Position) recordsReply {
+	return recordsReply{Next: next.Offset, Era: next.Era}
 }
 
 // readFromHost reads records from another host. If that host replies with a
@@ -198,7 +204,10 @@
 	if reply.Snapshot != nil {
 		s.topic(partition.Topic).Adopt(*reply.Snapshot)
 	}
-	return reply.Records, reply.Next, nil
+	if reply.Era == 0 {
+		reply.Era = from.Era
+	}
+	return reply.Records, keyed.Position{Era: reply.Era, Offset: reply.Next}, nil
 }
 
 // fetchRecords requests a topic's records from another host.
@@ -227,13 +236,11 @@
 		s.serveSnapshot(w, topic, keyed.Position{})
 		return
 	}
-	offset, offsetErr := strconv.ParseUint(query.Get("from"), 10, 64)
-	era, eraErr := strconv.ParseUint(query.Get("era"), 10, 64)
-	if offsetErr != nil || eraErr != nil {
+	from, err := parsePosition(query, topic)
+	if err != nil {
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	from := keyed.Position{Era: era, Offset: offset}
 	ctx, cancel := context.WithTimeout(request.Context(), relayMaxWait)
 	defer cancel()
 	records, next, err := topic.Since(ctx, from)
@@ -244,8 +251,23 @@
 		// The other host then reads the log itself.
 		w.WriteHeader(http.StatusGone)
 	default:
-		s.gateway.writeReply(w, recordsReply{Records: records, Next: next})
+		reply := newRecordsReply(next)
+		reply.Records = records
+		s.gateway.writeReply(w, reply)
+	}
+}
+
+// parsePosition returns the position from which another host reads a topic. A host
+// that runs a version that does not send the era is taken to know the newest.
+func parsePosition(query url.Values, topic *keyed.Topic) (from keyed.Position, err error) {
+	from, _ = topic.Next()
+	if from.Offset, err = strconv.ParseUint(query.Get("from"), 10, 64); err != nil {
+		return from, eris.Wrap(err, "from")
+	}
+	if era := query.Get("era"); era != "" {
+		from.Era, err = strconv.ParseUint(era, 10, 64)
 	}
+	return from, eris.Wrap(err, "era")
 }
 
 // serveSnapshot serves a topic's content.
@@ -255,5 +277,7 @@
 		w.WriteHeader(http.StatusGone)
 		return
 	}
-	s.gateway.writeReply(w, recordsReply{Next: next, Snapshot: &snapshot})
+	reply := newRecordsReply(next)
+	reply.Snapshot = &snapshot
+	s.gateway.writeReply(w, reply)
 }
--- a/internal/process/gateway/shared_read_store_test.go
+++ b/internal/process/gateway/shared_read_store_test.go
@@ -43,10 +43,10 @@
 // A host that needs records which its reader no longer has gets the reader's
 // snapshot, and does not read the log itself.
 func TestReaderServesSnapshot(t *testing.T) {
-	reader := newTopicStore(keyed.Snapshot{Next: at(40), Values: map[string][]byte{"config": []byte("new")}})
+	reader := newTopicStore(keyed.Snapshot{Position: at(40), Values: map[string][]byte{"config": []byte("new")}})
 	server := httptest.NewServer(http.HandlerFunc(reader.serveRecords))
 	defer server.Close()
-	behind := newTopicStore(keyed.Snapshot{Next: at(7), Values: map[string][]byte{"config": []byte("old"), "gone": []byte("x")}})
+	behind := newTopicStore(keyed.Snapshot{Position: at(7), Values: map[string][]byte{"config": []byte("old"), "gone": []byte("x")}})
 	address := netip.MustParseAddrPort(server.Listener.Addr().String())
 	records, next, err := behind.readFromHost(t.Context(), address, keyed.Partition{Topic: "op"}, at(7))
 	assert.NilError(t, err)
@@ -54,19 +54,19 @@
 	assert.Equal(t, next, at(7))
 	snapshot, known := behind.gateway.operator.Snapshot()
 	assert.Assert(t, known)
-	assert.DeepEqual(t, snapshot, keyed.Snapshot{Next: at(40), Values: map[string][]byte{"config": []byte("new")}})
+	assert.DeepEqual(t, snapshot, keyed.Snapshot{Position: at(40), Values: map[string][]byte{"config": []byte("new")}})
 }
 
 // A host that reads from one which has read the restored store gets its snapshot, even
 // if that ends at a lower offset; one that is ahead of its reader waits for it.
 func TestReaderServesRestoredStore(t *testing.T) {
 	inEra := func(era, offset uint64) keyed.Position { return keyed.Position{Era: era, Offset: offset} }
-	newest := keyed.Snapshot{Next: inEra(2, 3), Values: map[string][]byte{"config": []byte("new")}, Earlier: inEra(1, 7)}
+	newest := keyed.Snapshot{Position: inEra(2, 3), Values: map[string][]byte{"config": []byte("new")}, Earlier: inEra(1, 7)}
 	reader := newTopicStore(newest)
 	server := httptest.NewServer(http.HandlerFunc(reader.serveRecords))
 	defer server.Close()
 	address := netip.MustParseAddrPort(server.Listener.Addr().String())
-	follower := newTopicStore(keyed.Snapshot{Next: inEra(1, 7), Values: map[string][]byte{"config": []byte("old")}})
+	follower := newTopicStore(keyed.Snapshot{Position: inEra(1, 7), Values: map[string][]byte{"config": []byte("old")}})
 	for _, from := range []keyed.Position{inEra(1, 7), inEra(2, 3), inEra(3, 1)} {
 		records, next, err := follower.readFromHost(t.Context(), address, keyed.Partition{Topic: "op"}, from)
 		assert.NilError(t, err)
@@ -76,3 +76,30 @@
 		assert.DeepEqual(t, snapshot, newest)
 	}
 }
+
+// Hosts of the version before positions held an era read snapshots and replies, and
+// theirs are read.
+func TestRecordsOfVersionWithoutEra(t *testing.T) {
+	type oldSnapshot struct {
+		Next   uint64            `cbor:"1,keyasint"`
+		Values map[string][]byte `cbor:"2,keyasint"`
+	}
+	type oldReply struct {
+		Records  []keyed.Record `cbor:"1,keyasint,omitempty"`
+		Next     uint64         `cbor:"2,keyasint"`
+		Snapshot *oldSnapshot   `cbor:"3,keyasint,omitempty"`
+	}
+	records := []keyed.Record{{Key: "a", Value: []byte("x")}}
+	older := oldReply{Records: records, Next: 8, Snapshot: &oldSnapshot{Next: 7, Values: map[string][]byte{"a": []byte("x")}}}
+	data, err := wire.Marshal(older)
+	assert.NilError(t, err)
+	newer := recordsReply{}
+	assert.NilError(t, wire.Unmarshal(data, &newer))
+	assert.DeepEqual(t, newer, recordsReply{Records: records, Next: 8, Snapshot: &keyed.Snapshot{Position: at(7), Values: older.Snapshot.Values}})
+	newer.Era, newer.Snapshot.Era, newer.Snapshot.Earlier = 2, 2, keyed.Position{Era: 1, Offset: 9}
+	data, err = wire.Marshal(newer)
+	assert.NilError(t, err)
+	got := oldReply{}
+	assert.NilError(t, wire.Unmarshal(data, &got))
+	assert.DeepEqual(t, got, older)
+}
--- a/internal/process/gateway/state.go
+++ b/internal/process/gateway/state.go
@@ -147,11 +147,11 @@
 	}
 	fields := logrus.Fields{"link": address.String()}
 	if s.Operator != nil {
-		fields["operator_next"] = s.Operator.Next.Offset
+		fields["operator_next"] = s.Operator.Offset
 		g.operator.Adopt(*s.Operator)
 	}
 	if s.Endpoints != nil {
-		fields["endpoints_next"] = s.Endpoints.Next.Offset
+		fields["endpoints_next"] = s.Endpoints.Offset
 		g.endpoints.Adopt(*s.Endpoints)
 	}
 	g.log.Entry().WithFields(fields).Info("adopted the state of another host")
--- a/internal/process/keyed/keyed.go
+++ b/internal/process/keyed/keyed.go
@@ -47,9 +47,8 @@
 // The store may be restored from an older copy. Its era then rises, the records
 // after the copy are gone, and their offsets are issued again.
 type Position struct {
-	_      struct{} `cbor:",toarray"`
-	Era    uint64
-	Offset uint64
+	Era    uint64 `cbor:"3,keyasint,omitempty"`
+	Offset uint64 `cbor:"1,keyasint"`
 }
 
 // Compare orders positions by era, then by offset.
@@ -72,15 +71,15 @@
 	Append(ctx context.Context, partition Partition, record Record, expectedEnd *uint64) (end Position, err error)
 }
 
-// Snapshot holds the value of each key as of position Next.
+// Snapshot holds the value of each key as of a position.
 type Snapshot struct {
-	Next   Position          `cbor:"1,keyasint"`
+	Position
 	Values map[string][]byte `cbor:"2,keyasint"`
 	// Earlier is the position that had been read before the store was restored last,
 	// Kept the keys whose state in Values is from before that. A store returns
 	// neither.
-	Earlier Position              `cbor:"3,keyasint"`
-	Kept    map[string]KeptRecord `cbor:"4,keyasint,omitempty"`
+	Earlier Position              `cbor:"4,keyasint"`
+	Kept    map[string]KeptRecord `cbor:"5,keyasint,omitempty"`
 }
 
 // KeptRecord is a key whose value, or whose absence, was read before the store was
--- a/internal/process/keyed/restore_test.go
+++ b/internal/process/keyed/restore_test.go
@@ -30,7 +30,7 @@
 				snapshot, _ := topic.Snapshot()
 				assert.Equal(t, string(snapshot.Values["a"]), "new")
 				assert.Equal(t, string(snapshot.Values["b"]), "new")
-				assert.Equal(t, snapshot.Next, keyed.Position{Era: 1, Offset: uint64(written + 2)})
+				assert.Equal(t, snapshot.Position, keyed.Position{Era: 1, Offset: uint64(written + 2)})
 				assert.Equal(t, store.reads < 50, true)
 			})
 		})
--- a/internal/process/keyed/topic.go
+++ b/internal/process/keyed/topic.go
@@ -174,8 +174,8 @@
 	if err != nil {
 		return err
 	}
-	if next, _ := t.Next(); snapshot.Next.Compare(next) < 0 {
-		return eris.Wrapf(ErrOutdated, "list up to offset %d in era %d", snapshot.Next.Offset, snapshot.Next.Era)
+	if next, _ := t.Next(); snapshot.Compare(next) < 0 {
+		return eris.Wrapf(ErrOutdated, "list up to offset %d in era %d", snapshot.Offset, snapshot.Era)
 	}
 	t.replace(snapshot, true, t.markAvailable())
 	return nil
@@ -209,8 +209,8 @@
 // applied even at the current position, because the log may have dropped records.
 func (t *Topic) replace(snapshot Snapshot, fromStore, outage bool) {
 	t.mu.Lock()
-	isNewer := snapshot.Next.Compare(t.next) > 0
-	isInformed := snapshot.Next.Era == t.next.Era && snapshot.Earlier.Compare(t.earlier) > 0
+	isNewer := snapshot.Compare(t.next) > 0
+	isInformed := snapshot.Era == t.next.Era && snapshot.Earlier.Compare(t.earlier) > 0
 	if t.loaded && !isNewer && !isInformed && !fromStore {
 		t.mu.Unlock()
 		return
@@ -235,7 +235,7 @@
 // content returns the content that a snapshot describes.
 func (s *Snapshot) content(now time.Time) content {
 	c := newContent()
-	c.next, c.earlier = s.Next, s.Earlier
+	c.next, c.earlier = s.Position, s.Earlier
 	maps.Copy(c.values, s.Values)
 	for key, kept := range s.Kept {
 		c.kept[key] = keptRecord{stored: kept.Stored, until: now.Add(time.Duration(kept.ForMillis) * time.Millisecond)}
@@ -307,7 +307,7 @@
 func (t *Topic) Snapshot() (Snapshot, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	snapshot := Snapshot{Next: t.next, Values: maps.Clone(t.values), Earlier: t.earlier}
+	snapshot := Snapshot{Position: t.next, Values: maps.Clone(t.values), Earlier: t.earlier}
 	for key, kept := range t.kept {
 		if snapshot.Kept == nil {
 			snapshot.Kept = map[string]KeptRecord{}
--- a/internal/process/keyed/topic_test.go
+++ b/internal/process/keyed/topic_test.go
@@ -60,7 +60,7 @@
 			delete(newest, record.Key)
 		}
 	}
-	return keyed.Snapshot{Next: s.end(), Values: newest}, s.fail
+	return keyed.Snapshot{Position: s.end(), Values: newest}, s.fail
 }
 
 // end returns the end of the log. The caller holds mu.
@@ -152,7 +152,7 @@
 		assert.Equal(t, len(got[0].Records), 3)
 		snapshot, known := topic.Snapshot()
 		assert.Assert(t, known)
-		assert.DeepEqual(t, snapshot, keyed.Snapshot{Next: at(4), Values: map[string][]byte{"b": []byte("3")}})
+		assert.DeepEqual(t, snapshot, keyed.Snapshot{Position: at(4), Values: map[string][]byte{"b": []byte("3")}})
 	})
 }
 
@@ -222,9 +222,9 @@
 	follow(t, store, func(topic *keyed.Topic, changes func() []keyed.Change) {
 		_, known := topic.Next()
 		assert.Assert(t, !known)
-		topic.Adopt(keyed.Snapshot{Next: at(7), Values: map[string][]byte{"a": []byte("1")}})
-		topic.Adopt(keyed.Snapshot{Next: at(7), Values: map[string][]byte{"a": []byte("2")}})
-		topic.Adopt(keyed.Snapshot{Next: at(6)})
+		topic.Adopt(keyed.Snapshot{Position: at(7), Values: map[string][]byte{"a": []byte("1")}})
+		topic.Adopt(keyed.Snapshot{Position: at(7), Values: map[string][]byte{"a": []byte("2")}})
+		topic.Adopt(keyed.Snapshot{Position: at(6)})
 		next, known := topic.Next()
 		assert.Assert(t, known)
 		assert.Equal(t, next, at(7))
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -73,6 +73,8 @@
 		end()
 	case LogTrims:
 		f.store.TrimAll()
+	case LogRestored:
+		f.restoreStore(fault)
 	case CrashingPrompts:
 		f.crashesPrompts.Store(true)
 		time.Sleep(fault.Duration)
@@ -89,6 +91,26 @@
 	}
 }
 
+const (
+	// restoreOutage is how long the store is out when it is restored, rewriteDelay the
+	// time until the operator and the endpoints write again what it lost.
+	restoreOutage = 500 * time.Millisecond
+	rewriteDelay  = time.Second
+)
+
+// restoreStore restores the store from a copy that is as old as the fault is long.
+func (f *fleet) restoreStore(fault Fault) {
+	saved := f.store.Copy()
+	time.Sleep(fault.Duration)
+	defer f.record.BeginDisruption(Scope{Kind: ScopeStore}, false)()
+	end := f.applyStoreFault(standin.StoreFaults{Status: http.StatusServiceUnavailable})
+	time.Sleep(restoreOutage)
+	f.store.Restore(saved)
+	end()
+	time.Sleep(rewriteDelay)
+	f.store.Rewrite()
+}
+
 // injectLinkFault resets connections, changes the mode of their proxy, or both.
 func (f *fleet) injectLinkFault(h *host, e *endpoint, fault Fault) {
 	link := linkFaults[fault.Kind]
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -47,6 +47,9 @@
 	LogSilent         FaultKind = "log-silent"
 	LogLosesResponses FaultKind = "log-loses-answers"
 	LogTrims          FaultKind = "log-trims"
+	// LogRestored restores the store from a copy that was taken at the start of the
+	// fault.
+	LogRestored FaultKind = "log-restored"
 
 	// Configure publishes a version without one route and later one with it again.
 	Configure FaultKind = "configure"
@@ -113,6 +116,31 @@
 	return faults
 }
 
+// storeReturns is the number of times that a run restores the store, and maxCopyAge
+// bounds the age of the copies.
+const (
+	storeReturns = 2
+	maxCopyAge   = 6 * time.Second
+)
+
+// newStoreReturns returns the faults of a seed that restore the store, beside those of
+// its plan.
+func newStoreReturns(seed uint64, size Size) []Fault {
+	rng := rand.New(rand.NewPCG(seed, storeReturnStream))
+	var faults []Fault
+	for range storeReturns {
+		faults = append(faults, Fault{
+			Kind:     LogRestored,
+			Start:    warmup + time.Duration(rng.Int64N(int64(size.Traffic-warmup))).Round(timeResolution),
+			Duration: time.Duration(rng.Int64N(int64(maxCopyAge))).Round(timeResolution),
+		})
+	}
+	return faults
+}
+
+// storeReturnStream selects random numbers apart from those of the plan.
+const storeReturnStream = 0x73746f7265626163
+
 // requestFaultStream selects random numbers apart from those of the plan, so that
 // the plans of known seeds stay what they are.
 const requestFaultStream = 0x7265717565737473
