--- a/soak/faults.go
+++ b/soak/faults.go
@@ -74,7 +74,7 @@
 	case LogTrims:
 		f.store.TrimAll()
 	case LogRestored:
-		f.restoreStore(fault)
+		f.restoreStore(e, fault)
 	case CrashingPrompts:
 		f.crashesPrompts.Store(true)
 		time.Sleep(fault.Duration)
@@ -96,19 +96,29 @@
 	// time until the operator and the endpoints write again what it lost.
 	restoreOutage = 500 * time.Millisecond
 	rewriteDelay  = time.Second
+	// lostVersions is the number of versions that the store loses, changeDuration how
+	// long the change after that lasts, longer than rules ignore a host after a fault.
+	lostVersions   = 3
+	changeDuration = 8 * time.Second
 )
 
-// restoreStore restores the store from a copy that is as old as the fault is long.
-func (f *fleet) restoreStore(fault Fault) {
+// restoreStore restores the store from a copy that is as old as the fault is long, and
+// changes the configuration once the hosts have had time to settle.
+func (f *fleet) restoreStore(e *endpoint, fault Fault) {
 	saved := f.store.Copy()
-	time.Sleep(fault.Duration)
-	defer f.record.BeginDisruption(Scope{Kind: ScopeStore}, false)()
-	end := f.applyStoreFault(standin.StoreFaults{Status: http.StatusServiceUnavailable})
+	for range lostVersions {
+		time.Sleep(fault.Duration / lostVersions)
+		f.publishAgain()
+	}
+	endDisruption := f.record.BeginDisruption(Scope{Kind: ScopeStore}, false)
+	endOutage := f.applyStoreFault(standin.StoreFaults{Status: http.StatusServiceUnavailable})
 	time.Sleep(restoreOutage)
 	f.store.Restore(saved)
-	end()
+	endOutage()
 	time.Sleep(rewriteDelay)
 	f.store.Rewrite()
+	endDisruption()
+	f.injectOrder(e, Fault{Kind: Configure, Duration: changeDuration})
 }
 
 // injectLinkFault resets connections, changes the mode of their proxy, or both.
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -158,6 +158,14 @@
 	f.store.Configure(f.config, f.version)
 }
 
+// publishAgain publishes the routes in force as a new version.
+func (f *fleet) publishAgain() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.version++
+	f.store.Configure(f.config, f.version)
+}
+
 // routesWithoutToggled returns the routes without the one that Configure removes.
 func (f *fleet) routesWithoutToggled() []any {
 	return slices.DeleteFunc(slices.Clone(f.routes), func(route any) bool {
