Log a digest of failed requests, and of those under which endpoints end

Callers of the booking service were refused while its endpoints ended one after the other. Logs named requests by an id that is new with each attempt, so that it was not seen whether the same request came again, and crashes under requests without a prompt were not logged. No decision changes.

--- a/internal/process/quarantine/part.go
+++ b/internal/process/quarantine/part.go
@@ -7,9 +7,21 @@
 	"github.com/rotisserie/eris"
 )
 
-// Part identifies a part of a prompt.
+// Part identifies a part of a prompt, or a whole request.
 type Part uint64
 
+// requestFlag is set in the parts that identify a whole request.
+const requestFlag Part = 1 << 63
+
+// NewPromptPart returns the part of a prompt with an ID or its hash.
+func NewPromptPart(id uint64) Part { return Part(id) &^ requestFlag }
+
+// NewRequestPart returns the part that stands for all requests with a digest.
+func NewRequestPart(digest uint64) Part { return Part(digest) | requestFlag }
+
+// IsRequest reports whether the part identifies a whole request.
+func (p Part) IsRequest() bool { return p&requestFlag != 0 }
+
 // String returns the part's identifier in logs.
 func (p Part) String() string { return strconv.FormatUint(uint64(p), 16) }
 
--- a/internal/request/relay/crash.go
+++ b/internal/request/relay/crash.go
@@ -22,12 +22,12 @@
 // request's response broke off, and records it. responseAge is the time since the
 // first event, or 0 if there was none.
 func (s *serverRequest) checkCrash(lease *dispatch.Lease, responseAge time.Duration) {
-	if len(s.caller.SharedParts) == 0 || responseAge > maxCrashDelay || s.context().Err() != nil {
+	if responseAge > maxCrashDelay || s.context().Err() != nil {
 		return
 	}
 	fields := logrus.Fields{
 		"request": s.caller.ID, "route": s.route.Name, "endpoint": lease.Endpoint,
-		"prompt_parts": s.caller.SharedParts, "response_age_ms": responseAge.Milliseconds(), "sends": s.sends,
+		"prompt_parts": s.caller.SharedParts, "request_digest": s.digest(), "response_age_ms": responseAge.Milliseconds(), "sends": s.sends,
 	}
 	incarnation, parts := lease.EndpointIncarnation(), s.caller.SharedParts
 	go func() {
@@ -36,7 +36,9 @@
 		if lease.Pool.IsRefusing(ctx) {
 			s.relay.crashes.Inc(1)
 			s.relay.Log.Entry().WithFields(fields).Info("endpoint ended as a response began")
-			s.relay.Quarantine.RecordCrash(incarnation, parts)
+			if len(parts) > 0 {
+				s.relay.Quarantine.RecordCrash(incarnation, parts)
+			}
 		}
 	}()
 }
--- a/internal/request/relay/report.go
+++ b/internal/request/relay/report.go
@@ -63,6 +63,9 @@
 	if len(s.caller.SharedParts) > 0 && s.outcome.kind != outcomeAnswered {
 		f["prompt_parts"] = s.caller.SharedParts
 	}
+	if s.outcome.kind == outcomeFailed {
+		f["request_digest"] = s.digest()
+	}
 	if s.events.count > 0 {
 		f["events"] = s.events.count
 		f["last_event"] = s.events.lastID
