--- a/internal/process/quarantine/tracker.go
+++ b/internal/process/quarantine/tracker.go
@@ -18,6 +18,12 @@
 	// minCrashSpacing is the time within which crashes count as one: when a failure
 	// domain is lost, several endpoints end at once.
 	minCrashSpacing = 300 * time.Millisecond
+	// minRequestCrashSpacing is that time for a whole request, which is sent again as
+	// soon as one endpoint has ended under it.
+	minRequestCrashSpacing = 40 * time.Millisecond
+	// maxCrashesOfRequest is how many crashes under the same request count for a part
+	// of its prompt: more say nothing about other requests with that part.
+	maxCrashesOfRequest = minCrashes - 1
 	// sameCrash is the time within which requests at one endpoint broke off by the
 	// same crash.
 	sameCrash = time.Second
@@ -59,11 +65,11 @@
 	return c.lastCrash.Add(probeDelay << min(c.failedProbes, maxProbeDoublings))
 }
 
-// Tracker decides which parts of prompts are quarantined.
+// Tracker decides which parts of prompts, and which whole requests, are quarantined.
 //
 // It protects the endpoints from a prompt that crashes each one that begins to
-// respond to it, while many sound requests run beside it and have parts in common
-// with it. Hosts exchange what they saw, and each one decides for itself. The
+// respond to it, and from a request that comes again and crashes each one that runs
+// it, while many sound requests run beside them, some with parts in common. Hosts exchange what they saw, and each one decides for itself. The
 // methods are safe for concurrent use.
 type Tracker struct {
 	// mayProbe reports whether this host is the one that probes a quarantined part.
@@ -90,6 +96,9 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, part := range parts {
+		if part.IsRequest() && !t.isSuspect(part) {
+			continue // requests are too many to remember them all
+		}
 		t.successes.record(part, now)
 		if t.quarantined[part] != nil {
 			t.release(part)
@@ -100,6 +109,11 @@
 	return released
 }
 
+// isSuspect reports whether an endpoint ended under a part. The caller holds mu.
+func (t *Tracker) isSuspect(part Part) bool {
+	return t.quarantined[part] != nil || slices.ContainsFunc(t.crashes, func(c crash) bool { return slices.Contains(c.parts, part) })
+}
+
 // release ends the quarantine of a part. The caller holds mu.
 func (t *Tracker) release(part Part) {
 	delete(t.quarantined, part)
@@ -174,17 +188,7 @@
 func (t *Tracker) evaluate(now time.Time) (newlyQuarantined []Part) {
 	t.expire(now)
 	for {
-		unexplained := t.unexplainedCrashes()
-		crashTimes := map[Part][]time.Time{}
-		positions := map[Part]int{}
-		for _, c := range unexplained {
-			for position, part := range c.parts {
-				if c.at.After(t.successes.last(part)) {
-					crashTimes[part] = append(crashTimes[part], c.at)
-					positions[part] = max(positions[part], position)
-				}
-			}
-		}
+		crashTimes, positions := t.crashTimes(t.unexplainedCrashes())
 		part, found := t.mostSuspect(crashTimes, positions)
 		if !found {
 			return newlyQuarantined
@@ -195,13 +199,46 @@
 	}
 }
 
+// crashTimes returns when endpoints ended under each part since its last success, and
+// the last position of the part in a request.
+func (t *Tracker) crashTimes(crashes []crash) (times map[Part][]time.Time, positions map[Part]int) {
+	type pair struct{ part, request Part }
+	times, positions = map[Part][]time.Time{}, map[Part]int{}
+	counted := map[pair]int{}
+	for _, c := range crashes {
+		request := c.request()
+		for position, part := range c.parts {
+			if t.quarantined[part] != nil || !c.at.After(t.successes.last(part)) {
+				continue
+			}
+			if request != 0 && !part.IsRequest() {
+				if counted[pair{part, request}] == maxCrashesOfRequest {
+					continue
+				}
+				counted[pair{part, request}]++
+			}
+			times[part] = append(times[part], c.at)
+			positions[part] = max(positions[part], position)
+		}
+	}
+	return times, positions
+}
+
+// request returns the part that stands for the whole request, or 0 if there is none.
+func (c *crash) request() Part {
+	if last := len(c.parts) - 1; last >= 0 && c.parts[last].IsRequest() {
+		return c.parts[last]
+	}
+	return 0
+}
+
 // mostSuspect returns the part with the most crashes among those that have enough. Of
 // parts that always occur together, it returns the last in the prompt, since the
 // first ones are shared most.
 func (t *Tracker) mostSuspect(crashTimes map[Part][]time.Time, positions map[Part]int) (worst Part, found bool) {
 	best := 0
 	for part, times := range crashTimes {
-		count, needed := countCrashes(times), minCrashes
+		count, needed := countCrashes(times, crashSpacing(part)), minCrashes
 		if !t.successes.last(part).IsZero() {
 			needed = minCrashesAfterSuccess
 		}
@@ -216,12 +253,20 @@
 	return worst, found
 }
 
-// countCrashes counts crashes that are at least minCrashSpacing apart.
-func countCrashes(times []time.Time) int {
+// crashSpacing returns the time within which crashes under a part count as one.
+func crashSpacing(part Part) time.Duration {
+	if part.IsRequest() {
+		return minRequestCrashSpacing
+	}
+	return minCrashSpacing
+}
+
+// countCrashes counts crashes that are at least some time apart.
+func countCrashes(times []time.Time, spacing time.Duration) int {
 	slices.SortFunc(times, time.Time.Compare)
 	count, last := 0, time.Time{}
 	for _, at := range times {
-		if count == 0 || at.Sub(last) >= minCrashSpacing {
+		if count == 0 || at.Sub(last) >= spacing {
 			count, last = count+1, at
 		}
 	}
@@ -229,10 +274,14 @@
 }
 
 // unexplainedCrashes returns the crashes that no request with a quarantined part
-// explains, and counts the late ones among the others as failed probes.
+// explains, and counts the late ones among the others as failed probes. The crashes of
+// a quarantined request still count for the parts of its prompt: other requests may
+// have the part that is to blame.
 func (t *Tracker) unexplainedCrashes() []crash {
 	explained := map[uint64][]time.Time{}
+	isOwn := map[uint64]bool{}
 	for _, c := range t.crashes {
+		isOwn[c.id] = t.isQuarantinedRequestOnly(c)
 		for _, part := range c.parts {
 			known := t.quarantined[part]
 			if known == nil {
@@ -250,13 +299,22 @@
 	var unexplained []crash
 	for _, c := range t.crashes {
 		isExplained := slices.ContainsFunc(explained[c.endpoint], func(at time.Time) bool { return c.at.Sub(at).Abs() < sameCrash })
-		if !isExplained {
+		if !isExplained || isOwn[c.id] {
 			unexplained = append(unexplained, c)
 		}
 	}
 	return unexplained
 }
 
+// isQuarantinedRequestOnly reports whether the whole request of a crash is quarantined
+// and no part of its prompt is.
+func (t *Tracker) isQuarantinedRequestOnly(c crash) bool {
+	request := c.request()
+	return request != 0 && t.quarantined[request] != nil && !slices.ContainsFunc(c.parts, func(part Part) bool {
+		return !part.IsRequest() && t.quarantined[part] != nil
+	})
+}
+
 // expire drops what is too old, and the crashes beyond the limit, first those
 // whose parts have all succeeded since.
 func (t *Tracker) expire(now time.Time) {
--- a/internal/request/relay/attempt.go
+++ b/internal/request/relay/attempt.go
@@ -162,7 +162,7 @@
 		lease.Release(fleet.ResultNeutral)
 		return sendResult{outcome: repeat.OutcomeNotSent, reason: "endpoint_left"}
 	}
-	if !s.relay.Quarantine.AllowSend(s.caller.SharedParts) {
+	if !s.relay.Quarantine.AllowSend(s.suspects()) {
 		conn.Close()
 		lease.Release(fleet.ResultNeutral)
 		return sendResult{outcome: repeat.OutcomeNotSent, reason: reasonQuarantined}
--- a/internal/request/relay/crash.go
+++ b/internal/request/relay/crash.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
 	"mustarddoor/internal/process/dispatch"
+	"mustarddoor/internal/process/quarantine"
 )
 
 const (
@@ -29,16 +31,14 @@
 		"request": s.caller.ID, "route": s.route.Name, "endpoint": lease.Endpoint,
 		"prompt_parts": s.caller.SharedParts, "request_digest": s.digest(), "response_age_ms": responseAge.Milliseconds(), "sends": s.sends,
 	}
-	incarnation, parts := lease.EndpointIncarnation(), s.caller.SharedParts
+	incarnation, parts := lease.EndpointIncarnation(), s.suspects()
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), crashCheckTimeout)
 		defer cancel()
 		if lease.Pool.IsRefusing(ctx) {
 			s.relay.crashes.Inc(1)
 			s.relay.Log.Entry().WithFields(fields).Info("endpoint ended as a response began")
-			if len(parts) > 0 {
-				s.relay.Quarantine.RecordCrash(incarnation, parts)
-			}
+			s.relay.Quarantine.RecordCrash(incarnation, parts)
 		}
 	}()
 }
@@ -46,10 +46,19 @@
 // reasonQuarantined is the reason of requests with a quarantined part.
 const reasonQuarantined = "prompt_quarantined"
 
-// respondIfQuarantined responds to a request that must not be sent because a part
-// of its prompt crashes endpoints, and reports whether it did.
+// suspects returns what an endpoint may have ended by that runs the request: the
+// shared parts of its prompt, and last the request itself.
+func (s *serverRequest) suspects() []quarantine.Part {
+	if s.suspectParts == nil {
+		s.suspectParts = append(slices.Clone(s.caller.SharedParts), s.digest())
+	}
+	return s.suspectParts
+}
+
+// respondIfQuarantined responds to a request that must not be sent because it, or a
+// part of its prompt, crashes endpoints, and reports whether it did.
 func (s *serverRequest) respondIfQuarantined() bool {
-	part, retryAfter, blocked := s.relay.Quarantine.IsQuarantined(s.caller.SharedParts)
+	part, retryAfter, blocked := s.relay.Quarantine.IsQuarantined(s.suspects())
 	if !blocked {
 		return false
 	}
--- a/internal/request/relay/relay.go
+++ b/internal/request/relay/relay.go
@@ -151,6 +151,9 @@
 	// longestGap is the longest pause between events from one endpoint.
 	longestGap time.Duration
 
+	// suspectParts is set by suspects.
+	suspectParts []quarantine.Part
+
 	fields  logrus.Fields
 	outcome outcome
 }
--- a/internal/request/relay/response.go
+++ b/internal/request/relay/response.go
@@ -114,7 +114,7 @@
 		return sendResult{outcome: repeat.OutcomeFailed, reason: "endpoint_failed", endpointFailure: buffered}
 	}
 	if response.Status < http.StatusMultipleChoices {
-		s.relay.Quarantine.RecordSuccess(s.caller.SharedParts)
+		s.relay.Quarantine.RecordSuccess(s.suspects())
 	}
 	s.writeResponse(buffered)
 	return sendResult{done: true}
@@ -166,7 +166,7 @@
 			lastEventAt = now
 			if !succeeded && now.Sub(firstEventAt) > maxCrashDelay {
 				succeeded = true
-				s.relay.Quarantine.RecordSuccess(s.caller.SharedParts)
+				s.relay.Quarantine.RecordSuccess(s.suspects())
 			}
 			if !s.writeEvents(control, response, events) {
 				response.Finish()
@@ -185,7 +185,7 @@
 			}
 			lease.Release(fleet.ResultSuccess)
 			if !succeeded {
-				s.relay.Quarantine.RecordSuccess(s.caller.SharedParts)
+				s.relay.Quarantine.RecordSuccess(s.suspects())
 			}
 			s.outcome = outcome{outcomeAnswered, response.Status, ""}
 			return sendResult{done: true}
