--- a/internal/process/gateway/state.go
+++ b/internal/process/gateway/state.go
@@ -43,6 +43,9 @@
 	// their poll interval.
 	maxOperatorLag  = 250 * time.Millisecond
 	maxEndpointsLag = 800 * time.Millisecond
+	// maxRemoteLag is how much longer a host may be ahead if another one of this
+	// host's failure domain is to fetch its state first.
+	maxRemoteLag = 600 * time.Millisecond
 	// fetchTimeout limits fetching a state.
 	fetchTimeout = time.Second
 	// maxStateBytes limits the size of a state.
@@ -85,7 +88,7 @@
 // check returns the address of a host that is ahead once the lag exceeds the
 // allowed time.
 func (d *lagDetector) check(membership *peers.Membership, now time.Time, known bool, next keyed.Position, nextOf func(peers.Status) keyed.Position) netip.AddrPort {
-	address := membership.FindReachable(func(s peers.Status) bool { return nextOf(s).Compare(next) > 0 }, now)
+	address, isRemote := membership.FindReachable(func(s peers.Status) bool { return nextOf(s).Compare(next) > 0 }, now)
 	if !address.IsValid() {
 		d.since = time.Time{}
 		return netip.AddrPort{}
@@ -96,7 +99,11 @@
 	if d.since.IsZero() || next != d.next {
 		d.since, d.next = now, next
 	}
-	if now.Sub(d.since) < d.allowed {
+	allowed := d.allowed
+	if isRemote {
+		allowed += maxRemoteLag
+	}
+	if now.Sub(d.since) < allowed {
 		return netip.AddrPort{}
 	}
 	d.since = now
@@ -107,7 +114,7 @@
 // read before the store was restored from an older copy. The store delivers them only
 // once they are written again.
 type restoredLagDetector struct {
-	checkedAt time.Time
+	checkedAt, behindSince time.Time
 }
 
 // check returns the address of such a host, at most once in maxOperatorLag.
@@ -120,12 +127,20 @@
 		earlier, _ := topic.Kept()
 		return isLoaded && reported != nil && next.Era == era && reported.Compare(earlier) > 0
 	}
-	address := membership.FindReachable(func(s peers.Status) bool {
+	address, isRemote := membership.FindReachable(func(s peers.Status) bool {
 		return isBehind(operator, s.OperatorEarlier, s.StoreEra) || isBehind(endpoints, s.EndpointsEarlier, s.StoreEra)
 	}, now)
-	if address.IsValid() {
-		d.checkedAt = now
+	if !address.IsValid() {
+		d.behindSince = time.Time{}
+		return address
+	}
+	if d.behindSince.IsZero() {
+		d.behindSince = now
+	}
+	if isRemote && now.Sub(d.behindSince) < maxRemoteLag {
+		return netip.AddrPort{}
 	}
+	d.checkedAt = now
 	return address
 }
 
--- a/internal/process/peers/membership.go
+++ b/internal/process/peers/membership.go
@@ -254,17 +254,27 @@
 	return unreachable
 }
 
-// FindReachable returns the address of a reachable host that satisfies a
-// condition, or the zero address.
-func (m *Membership) FindReachable(condition func(Status) bool, now time.Time) netip.AddrPort {
+// FindReachable returns the address of a reachable host that satisfies a condition, or
+// the zero address. It prefers hosts of this host's failure domain. isRemote is set if
+// the host is in another one and, in a large fleet, another host of this host's domain
+// is the one to read from there, to save traffic between domains.
+func (m *Membership) FindReachable(condition func(Status) bool, now time.Time) (found netip.AddrPort, isRemote bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	isPreferred := true
 	for address, p := range m.peers {
-		if m.isReachable(p, now) && condition(p.status) {
-			return address
+		if !m.isReachable(p, now) {
+			continue
+		}
+		isOwn := p.host.Domain == m.self.Domain
+		if isOwn && !p.status.Leaving && p.host.isPreferredOver(m.self) {
+			isPreferred = false
+		}
+		if condition(p.status) && (isOwn || !found.IsValid()) {
+			found, isRemote = address, !isOwn
 		}
 	}
-	return netip.AddrPort{}
+	return found, isRemote && m.role.isLarge && !isPreferred
 }
 
 // MarkAllUnreachable marks all hosts as unreachable, after this process was
--- a/internal/process/peers/membership_test.go
+++ b/internal/process/peers/membership_test.go
@@ -358,3 +358,33 @@
 	assert.Equal(t, status.OperatorPosition(), keyed.Position{Era: 2, Offset: 3})
 	assert.Equal(t, status.EndpointsPosition(), keyed.Position{Era: 2})
 }
+
+// A host that lags reads from its own failure domain. In a large fleet, only the
+// preferred host of a domain is the one to read from another domain.
+func TestFindReachable(t *testing.T) {
+	isAhead := func(s Status) bool { return s.OperatorNext > 1 }
+	inDomain := func(name, domain string) Host {
+		h := host(name)
+		h.Domain = domain
+		return h
+	}
+	m := NewMembership(host("5"))
+	receiveStatus(m, inDomain("1", "z2"), 1, Status{OperatorNext: 2}, start)
+	receiveStatus(m, host("3"), 1, Status{OperatorNext: 1}, start)
+	found, isRemote := m.FindReachable(isAhead, start)
+	assert.Equal(t, found, peerAddress("1"))
+	assert.Assert(t, !isRemote, "small fleet")
+	m.role.isLarge = true
+	_, isRemote = m.FindReachable(isAhead, start)
+	assert.Assert(t, isRemote)
+	receiveStatus(m, host("3"), 2, Status{OperatorNext: 2}, start)
+	found, isRemote = m.FindReachable(isAhead, start)
+	assert.Equal(t, found, peerAddress("3"))
+	assert.Assert(t, !isRemote)
+	preferred := NewMembership(host("2"))
+	preferred.role.isLarge = true
+	receiveStatus(preferred, inDomain("1", "z2"), 1, Status{OperatorNext: 2}, start)
+	receiveStatus(preferred, host("3"), 1, Status{OperatorNext: 1}, start)
+	_, isRemote = preferred.FindReachable(isAhead, start)
+	assert.Assert(t, !isRemote)
+}
