--- a/internal/command/host.go
+++ b/internal/command/host.go
@@ -34,7 +34,7 @@
 func hostTable(state gateway.HostState) *table {
 	t := &table{header: []string{"WHAT", "NAME", "STATE", "DETAIL"}}
 	t.add("host", state.Host, hostReadiness(state), "domain "+state.Domain)
-	t.add("configuration", fmt.Sprint(state.ConfigVersion), "", fmt.Sprintf("log read up to %d", state.OperatorNext))
+	t.add("configuration", fmt.Sprint(state.ConfigVersion), "", fmt.Sprintf("log read up to %d in era %d, %d kept records", state.OperatorNext, state.StoreEra, state.KeptRecords))
 	logState := "answers"
 	if state.LogUnavailable {
 		logState = "lost"
--- a/internal/process/gateway/hoststate.go
+++ b/internal/process/gateway/hoststate.go
@@ -26,6 +26,9 @@
 	EndpointsNext uint64 `json:"endpoints_next"`
 	// StoreEra rises each time the log is restored from an older copy.
 	StoreEra uint64 `json:"store_era"`
+	// KeptRecords is the number of records that the host had read before that, and
+	// that were not written again.
+	KeptRecords int `json:"kept_records"`
 	// LogUnavailable is set if this host cannot access the platform's log.
 	LogUnavailable bool `json:"log_lost"`
 	// Reader is the host that reads the log on behalf of this one; empty if it
@@ -64,6 +67,9 @@
 	operatorNext, _ := g.operator.Next()
 	endpointsNext, _ := g.endpoints.Next()
 	s.OperatorNext, s.EndpointsNext, s.StoreEra = operatorNext.Offset, endpointsNext.Offset, operatorNext.Era
+	_, keptOperator := g.operator.Kept()
+	_, keptEndpoints := g.endpoints.Kept()
+	s.KeptRecords = keptOperator + keptEndpoints
 	s.Carries, s.EntryAddresses, s.Demand = g.carries.Load(), g.entryHosts.selected(), g.entryHosts.demand()
 	s.Active = len(g.membership.ActiveHosts(time.Now()))
 	s.QuarantinedParts = g.quarantine.tracker.Quarantined()
--- a/soak/caller.go
+++ b/soak/caller.go
@@ -33,7 +33,7 @@
 	random    *rand.Rand
 	record    *Recorder
 	sent      int
-	// crashesPrompts is set while some prompts crash endpoints.
+	// crashesPrompts is set while some prompts, and some requests, crash endpoints.
 	crashesPrompts *atomic.Bool
 }
 
@@ -73,7 +73,7 @@
 func (c *caller) send(ctx context.Context, client *standin.Client, host int, route string) standin.Response {
 	c.sent++
 	id := fmt.Sprintf("%04x%012x", c.number, c.sent)
-	request := Request{ID: id, Route: route, Body: "question " + id, Host: host, Sent: time.Now()}
+	request := Request{ID: id, Route: route, Body: c.body(route, id), Host: host, Sent: time.Now()}
 	request.Prompt = c.prompt(route, id)
 	c.record.AddRequest(request)
 	response := client.Do(ctx, standin.Request{Route: route, ID: id, Body: request.Body, Deadline: requestDeadline, Prompt: request.Prompt})
@@ -100,6 +100,19 @@
 	crashRatio = 0.06
 )
 
+// crashingBody is the body of the requests that crash each endpoint that runs them. All
+// of a route are alike.
+const crashingBody = "question that crashes"
+
+// body returns the body of a request.
+func (c *caller) body(route, id string) string {
+	isPlain := route == routeSafe || route == routeUnsafe
+	if isPlain && c.crashesPrompts != nil && c.crashesPrompts.Load() && c.random.Float64() < crashRatio {
+		return crashingBody
+	}
+	return "question " + id
+}
+
 // prompt returns the parts of a request's prompt; only streams have one.
 func (c *caller) prompt(route, id string) string {
 	switch {
--- a/soak/endpoint.go
+++ b/soak/endpoint.go
@@ -62,13 +62,17 @@
 	isFull := e.running.Add(1) > endpointSlots+endpointQueue
 	path := run.Target
 	route := strings.Split(path+"/", "/")[1]
-	isCrashing := !isFull && strings.Contains(run.Header.Get("Prompt-Prefix"), crashingPart)
+	isCrashing := !isFull && (strings.Contains(run.Header.Get("Prompt-Prefix"), crashingPart) || string(run.Body) == crashingBody)
 	e.record.AddAttempt(Attempt{ID: run.ID(), Route: route, Path: path, Body: run.Body, Endpoint: e.number, At: run.At, Refused: isFull, Crashed: isCrashing})
 	if e.isLimited.Load() {
 		run.SetLimit(strconv.FormatFloat(endpointLimit, 'f', -1, 64))
 	}
 	if isCrashing {
-		run.WriteHead(http.StatusOK, -1)
+		if string(run.Body) == crashingBody {
+			e.work(run, processingTime)
+		} else {
+			run.WriteHead(http.StatusOK, -1)
+		}
 		go e.crash()
 		return false
 	}
--- a/soak/request_rules.go
+++ b/soak/request_rules.go
@@ -14,6 +14,8 @@
 	// boundedCrashes is the number of crashes by one part of a prompt after which
 	// only maxToleratedCases more requests with it may reach endpoints.
 	boundedCrashes = 5
+	// boundedRequestCrashes is that number for requests that are alike.
+	boundedRequestCrashes = 3
 	// limitWindow is the time over which an endpoint's limit holds, limitRatio
 	// times the limit and limitSlack requests being allowed.
 	limitWindow = 4 * time.Second
@@ -21,32 +23,51 @@
 	limitSlack  = 5
 )
 
-// checkCrashes finds requests that crashed endpoints long after enough others did.
+// checkCrashes finds requests that crashed endpoints long after enough others did that
+// had the same part in their prompt, or were alike.
 func checkCrashes(history History) []Violation {
 	type sentCrash struct {
 		Attempt
 		request Request
 	}
-	var crashes []sentCrash
+	crashes := map[string][]sentCrash{}
 	for _, request := range history.Requests {
 		for _, attempt := range history.Attempts[request.ID] {
 			if attempt.Crashed {
-				crashes = append(crashes, sentCrash{attempt, request})
+				cause := crashCause(request)
+				crashes[cause] = append(crashes[cause], sentCrash{attempt, request})
 			}
 		}
 	}
-	slices.SortFunc(crashes, func(a, b sentCrash) int { return a.At.Compare(b.At) })
-	if len(crashes) <= boundedCrashes {
-		return nil
-	}
-	boundFrom := crashes[boundedCrashes-1].At.Add(contactTime)
 	var found []Violation
-	for _, crash := range crashes[boundedCrashes:] {
-		if crash.At.After(boundFrom) && history.reachesStore(crash.request.Host, boundFrom, crash.At) {
-			found = append(found, Violation{"budget", fmt.Sprintf("%s at host %d crashed endpoint %d, %d crashed before", crash.ID, crash.request.Host, crash.Endpoint, len(crashes)), crash.At})
+	for cause, group := range crashes {
+		bounded := boundedCrashes
+		if cause != crashingPart {
+			bounded = boundedRequestCrashes
+		}
+		if len(group) <= bounded {
+			continue
+		}
+		slices.SortFunc(group, func(a, b sentCrash) int { return a.At.Compare(b.At) })
+		boundFrom := group[bounded-1].At.Add(contactTime)
+		var late []Violation
+		for _, crash := range group[bounded:] {
+			if crash.At.After(boundFrom) && history.reachesStore(crash.request.Host, boundFrom, crash.At) {
+				late = append(late, Violation{"budget", fmt.Sprintf("%s at host %d crashed endpoint %d, %d crashed before by %s", crash.ID, crash.request.Host, crash.Endpoint, len(group), cause), crash.At})
+			}
 		}
+		found = append(found, ifMoreThan(maxToleratedCases, late)...)
+	}
+	return found
+}
+
+// crashCause returns what crashes endpoints in a request: a part of its prompt, or the
+// request itself.
+func crashCause(request Request) string {
+	if request.Body == crashingBody {
+		return "requests on " + request.Route
 	}
-	return ifMoreThan(maxToleratedCases, found)
+	return crashingPart
 }
 
 // checkLimits finds endpoints that got more requests than the limit that they named
