--- a/internal/process/quarantine/request_test.go
+++ b/internal/process/quarantine/request_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -78,3 +79,34 @@
 	tracker.RecordSuccess([]quarantine.Part{requestB}, at(80))
 	assert.Assert(t, !isQuarantined(tracker, requestB, at(81)))
 }
+
+// Messages between the full ones hold only the crashes of the last seconds, so that
+// endpoints that end often do not fill them.
+func TestNewsHoldsRecentCrashesOnly(t *testing.T) {
+	tracker := newTracker()
+	for crash := range 10 {
+		tracker.RecordCrash(uint64(crash), []quarantine.Part{quarantine.NewRequestPart(uint64(crash))}, at(float64(crash)))
+	}
+	assert.Equal(t, len(tracker.Evidence(at(9), true).Crashes), 10)
+	assert.Equal(t, len(tracker.Evidence(at(9), false).Crashes), 5)
+}
+
+// Where all endpoints end before any request has succeeded, a part that the crashing
+// requests share with sound ones, which break off beside them, is not to blame.
+func TestPartOfRequestsBesideRepeatedOnes(t *testing.T) {
+	tracker := newTracker()
+	endpoint := uint64(0)
+	for i, request := range []quarantine.Part{requestA, requestB, requestC} {
+		for crash := range 3 {
+			if isQuarantined(tracker, crashing, at(float64(i))) {
+				break
+			}
+			endpoint++
+			now := at(float64(i) + 0.35*float64(crash))
+			tracker.RecordCrash(endpoint, []quarantine.Part{shared, crashing, request}, now)
+			tracker.RecordCrash(endpoint, []quarantine.Part{shared, quarantine.NewRequestPart(100 + endpoint)}, now.Add(5*time.Millisecond))
+		}
+	}
+	assert.Assert(t, isQuarantined(tracker, crashing, at(3)))
+	assert.Assert(t, !isQuarantined(tracker, shared, at(3)))
+}
--- a/internal/process/quarantine/tracker.go
+++ b/internal/process/quarantine/tracker.go
@@ -21,9 +21,6 @@
 	// minRequestCrashSpacing is that time for a whole request, which is sent again as
 	// soon as one endpoint has ended under it.
 	minRequestCrashSpacing = 40 * time.Millisecond
-	// maxCrashesOfRequest is how many crashes under the same request count for a part
-	// of its prompt: more say nothing about other requests with that part.
-	maxCrashesOfRequest = minCrashes - 1
 	// sameCrash is the time within which requests at one endpoint broke off by the
 	// same crash.
 	sameCrash = time.Second
@@ -202,21 +199,20 @@
 // crashTimes returns when endpoints ended under each part since its last success, and
 // the last position of the part in a request.
 func (t *Tracker) crashTimes(crashes []crash) (times map[Part][]time.Time, positions map[Part]int) {
-	type pair struct{ part, request Part }
 	times, positions = map[Part][]time.Time{}, map[Part]int{}
-	counted := map[pair]int{}
+	counted := map[Part]bool{}
 	for _, c := range crashes {
+		// Of a quarantined request one crash counts for the parts of its prompt: the
+		// others say nothing about other requests with these parts.
 		request := c.request()
+		if counted[request] {
+			continue
+		}
+		counted[request] = request != 0 && t.quarantined[request] != nil
 		for position, part := range c.parts {
 			if t.quarantined[part] != nil || !c.at.After(t.successes.last(part)) {
 				continue
 			}
-			if request != 0 && !part.IsRequest() {
-				if counted[pair{part, request}] == maxCrashesOfRequest {
-					continue
-				}
-				counted[pair{part, request}]++
-			}
 			times[part] = append(times[part], c.at)
 			positions[part] = max(positions[part], position)
 		}
