Messages after a crash hold what is new, and wait for the next one under plain requests

Crashes under requests without a prompt are evidence since the quarantine of whole requests: each sent a message to all hosts at once, and each message of the next two seconds repeated the 24 newest of the last ten minutes. Messages other than the full ones now hold the crashes of the last four seconds, and only a crash under a prompt, or one that quarantines, is sent at once.

--- a/internal/process/gateway/quarantine.go
+++ b/internal/process/gateway/quarantine.go
@@ -72,8 +72,13 @@
 
 // RecordCrash implements relay.Quarantine.
 func (q *promptQuarantine) RecordCrash(incarnation uint64, parts []quarantine.Part) {
-	q.logChanges("own crash", q.tracker.RecordCrash(incarnation, parts, time.Now()), nil)
-	q.gateway.transport.SendNow()
+	newlyQuarantined := q.tracker.RecordCrash(incarnation, parts, time.Now())
+	q.logChanges("own crash", newlyQuarantined, nil)
+	// Requests that run beside the crashing one break off too, most of them for the
+	// first time: the next message is soon enough for these.
+	if isPrompt := len(parts) > 1; isPrompt || len(newlyQuarantined) > 0 {
+		q.gateway.transport.SendNow()
+	}
 }
 
 // RecordSuccess implements relay.Quarantine.
@@ -97,7 +102,7 @@
 	if !isFull && !q.tracker.HasNews(now) {
 		return nil
 	}
-	return q.tracker.Evidence(now)
+	return q.tracker.Evidence(now, isFull)
 }
 
 // merge adds the evidence of another host, or of the log.
--- a/internal/process/peers/quarantine_test.go
+++ b/internal/process/peers/quarantine_test.go
@@ -26,7 +26,7 @@
 		h.status = func(isFull bool) Status {
 			s := status(isFull)
 			if now := time.Now(); isFull || q.tracker.HasNews(now) {
-				s.Quarantine = q.tracker.Evidence(now)
+				s.Quarantine = q.tracker.Evidence(now, isFull)
 			}
 			return s
 		}
--- a/internal/process/quarantine/evidence.go
+++ b/internal/process/quarantine/evidence.go
@@ -45,6 +45,8 @@
 	maxReports = 24
 	// newsDuration is how long news is repeated in every message.
 	newsDuration = 2 * time.Second
+	// newsMargin is how long before that a crash may lie that has just become known.
+	newsMargin = 2 * time.Second
 )
 
 // HasNews reports whether something was learned lately that others may not know.
@@ -54,9 +56,10 @@
 	return now.Sub(t.changedAt) < newsDuration
 }
 
-// Evidence returns what this host knows, or nil if it knows of no crash. If there
-// is more than fits a message, the newest crashes are included.
-func (t *Tracker) Evidence(now time.Time) *Evidence {
+// Evidence returns what this host knows, or nil if it knows of no crash. Unless isFull
+// is set, it omits crashes that are no news. If there is more than fits a message, the
+// newest crashes are included.
+func (t *Tracker) Evidence(now time.Time, isFull bool) *Evidence {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if len(t.crashes) == 0 && len(t.quarantined) == 0 && len(t.released) == 0 {
@@ -71,6 +74,9 @@
 		if len(e.Crashes) == maxReports {
 			break
 		}
+		if !isFull && now.Sub(c.at) > newsDuration+newsMargin {
+			continue
+		}
 		parts = append(parts, c.parts...)
 		if t.counts(c) {
 			e.Crashes = append(e.Crashes, CrashReport{ID: c.id, Endpoint: c.endpoint, AgeMillis: age(c.at, now), Parts: c.parts})
--- a/internal/process/quarantine/tracker_test.go
+++ b/internal/process/quarantine/tracker_test.go
@@ -63,8 +63,8 @@
 	}
 	for delay := range 5 { // as by a host that was suspended
 		for _, reporter := range reporters {
-			late.Merge(reporter.Evidence(at(0)), at(float64(delay)))
-			reporter.Merge(late.Evidence(at(float64(delay))), at(float64(delay)))
+			late.Merge(reporter.Evidence(at(0), true), at(float64(delay)))
+			reporter.Merge(late.Evidence(at(float64(delay)), true), at(float64(delay)))
 		}
 	}
 	for _, tracker := range append(reporters, late) {
@@ -149,7 +149,7 @@
 	exchange := func(now time.Time) {
 		for _, from := range hosts {
 			for _, to := range hosts {
-				if evidence := from.Evidence(now); evidence != nil && from != to {
+				if evidence := from.Evidence(now, true); evidence != nil && from != to {
 					to.Merge(evidence, now)
 				}
 			}
@@ -182,7 +182,7 @@
 		tracker.RecordCrash(uint64(step), parts, now)
 		tracker.RecordSuccess(parts[1:], now)
 	}
-	evidence := tracker.Evidence(at(4000))
+	evidence := tracker.Evidence(at(4000), true)
 	assert.Assert(t, len(evidence.Crashes) <= 24 && len(evidence.Successes) <= 24 && len(evidence.Quarantined) <= 24)
 	assert.Assert(t, len(tracker.Reports(at(4000))) <= 256)
 }
