--- a/internal/process/quarantine/request_test.go
+++ b/internal/process/quarantine/request_test.go
@@ -92,7 +92,8 @@
 }
 
 // Where all endpoints end before any request has succeeded, a part that the crashing
-// requests share with sound ones, which break off beside them, is not to blame.
+// requests share with sound ones is not to blame, though the sound ones that break off
+// beside them are reported first.
 func TestPartOfRequestsBesideRepeatedOnes(t *testing.T) {
 	tracker := newTracker()
 	endpoint := uint64(0)
@@ -103,8 +104,8 @@
 			}
 			endpoint++
 			now := at(float64(i) + 0.35*float64(crash))
-			tracker.RecordCrash(endpoint, []quarantine.Part{shared, crashing, request}, now)
-			tracker.RecordCrash(endpoint, []quarantine.Part{shared, quarantine.NewRequestPart(100 + endpoint)}, now.Add(5*time.Millisecond))
+			tracker.RecordCrash(endpoint, []quarantine.Part{shared, quarantine.NewRequestPart(100 + endpoint)}, now)
+			tracker.RecordCrash(endpoint, []quarantine.Part{shared, crashing, request}, now.Add(5*time.Millisecond))
 		}
 	}
 	assert.Assert(t, isQuarantined(tracker, crashing, at(3)))
--- a/internal/process/quarantine/tracker.go
+++ b/internal/process/quarantine/tracker.go
@@ -187,7 +187,7 @@
 	for {
 		crashTimes, positions := t.crashTimes(t.unexplainedCrashes())
 		part, found := t.mostSuspect(crashTimes, positions)
-		if !found {
+		if !found || t.mayBeOvertaken(part, crashTimes) {
 			return newlyQuarantined
 		}
 		t.quarantined[part] = &quarantinedPart{lastCrash: slices.MaxFunc(crashTimes[part], time.Time.Compare)}
@@ -249,6 +249,25 @@
 	return worst, found
 }
 
+// mayBeOvertaken reports whether a later part of the same requests has only one crash
+// less than a part, and at least two. Of an endpoint's last requests, a sound one may be
+// reported before the one to blame, which then has as many.
+func (t *Tracker) mayBeOvertaken(part Part, crashTimes map[Part][]time.Time) bool {
+	count := countCrashes(crashTimes[part], crashSpacing(part))
+	for _, c := range t.crashes {
+		position := slices.Index(c.parts, part)
+		if position < 0 {
+			continue
+		}
+		for _, later := range c.parts[position+1:] {
+			if other := countCrashes(crashTimes[later], crashSpacing(later)); other == count-1 && other > 1 {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // crashSpacing returns the time within which crashes under a part count as one.
 func crashSpacing(part Part) time.Duration {
 	if part.IsRequest() {
