--- a/internal/process/gateway/quarantine.go
+++ b/internal/process/gateway/quarantine.go
@@ -74,8 +74,8 @@
 func (q *promptQuarantine) RecordCrash(incarnation uint64, parts []quarantine.Part) {
 	newlyQuarantined := q.tracker.RecordCrash(incarnation, parts, time.Now())
 	q.logChanges("own crash", newlyQuarantined, nil)
-	// Requests that run beside the crashing one break off too, most of them for the
-	// first time: the next message is soon enough for these.
+	// Sound requests at the same endpoint break off too, most of them for the first
+	// time: the next message is soon enough for these.
 	if isPrompt := len(parts) > 1; isPrompt || len(newlyQuarantined) > 0 {
 		q.gateway.transport.SendNow()
 	}
--- a/internal/process/quarantine/evidence.go
+++ b/internal/process/quarantine/evidence.go
@@ -56,9 +56,9 @@
 	return now.Sub(t.changedAt) < newsDuration
 }
 
-// Evidence returns what this host knows, or nil if it knows of no crash. Unless isFull
-// is set, it omits crashes that are no news. If there is more than fits a message, the
-// newest crashes are included.
+// Evidence returns what this host has recorded, or nil if there was no crash. Unless
+// isFull is set, it omits crashes that are not recent. If there is more than fits a
+// message, the newest crashes are included.
 func (t *Tracker) Evidence(now time.Time, isFull bool) *Evidence {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/process/quarantine/part.go
+++ b/internal/process/quarantine/part.go
@@ -16,7 +16,7 @@
 // NewPromptPart returns the part of a prompt with an ID or its hash.
 func NewPromptPart(id uint64) Part { return Part(id) &^ requestFlag }
 
-// NewRequestPart returns the part that stands for all requests with a digest.
+// NewRequestPart returns the part that identifies all requests with a digest.
 func NewRequestPart(digest uint64) Part { return Part(digest) | requestFlag }
 
 // IsRequest reports whether the part identifies a whole request.
--- a/internal/process/quarantine/request_test.go
+++ b/internal/process/quarantine/request_test.go
@@ -16,8 +16,8 @@
 )
 
 // A request that is sent again as soon as an endpoint has ended under it is to blame,
-// and not the part that its prompt shares with others, nor a request that ran beside
-// it.
+// and not the part that its prompt shares with others, nor a request that ran at the
+// same endpoints.
 func TestOnlyTheCrashingRequestIsQuarantined(t *testing.T) {
 	tracker := newTracker()
 	for crash := range 3 {
@@ -53,8 +53,8 @@
 	assert.Assert(t, !isQuarantined(tracker, shared, at(3)))
 }
 
-// Endpoints that are lost at the same moment say nothing about the requests that ran on
-// all of them.
+// Endpoints that are lost at the same moment are no evidence against the requests that
+// ran on all of them.
 func TestEndpointsLostAtOnceUnderOneRequest(t *testing.T) {
 	tracker := newTracker()
 	for endpoint := range 6 {
@@ -93,7 +93,7 @@
 
 // Where all endpoints end before any request has succeeded, a part that the crashing
 // requests share with sound ones is not to blame, though the sound ones that break off
-// beside them are reported first.
+// with them are reported first.
 func TestPartOfRequestsBesideRepeatedOnes(t *testing.T) {
 	tracker := newTracker()
 	endpoint := uint64(0)
--- a/internal/process/quarantine/tracker.go
+++ b/internal/process/quarantine/tracker.go
@@ -65,9 +65,9 @@
 // Tracker decides which parts of prompts, and which whole requests, are quarantined.
 //
 // It protects the endpoints from a prompt that crashes each one that begins to
-// respond to it, and from a request that comes again and crashes each one that runs
-// it, while many sound requests run beside them, some with parts in common. Hosts exchange what they saw, and each one decides for itself. The
-// methods are safe for concurrent use.
+// respond to it, and from a request that is repeated and crashes each one that runs
+// it, while many sound requests run, some with parts in common. Hosts exchange what
+// they saw, and each one decides for itself. The methods are safe for concurrent use.
 type Tracker struct {
 	// mayProbe reports whether this host is the one that probes a quarantined part.
 	mayProbe func(Part) bool
@@ -203,7 +203,7 @@
 	counted := map[Part]bool{}
 	for _, c := range crashes {
 		// Of a quarantined request one crash counts for the parts of its prompt: the
-		// others say nothing about other requests with these parts.
+		// others are no evidence against other requests with these parts.
 		request := c.request()
 		if counted[request] {
 			continue
@@ -220,7 +220,7 @@
 	return times, positions
 }
 
-// request returns the part that stands for the whole request, or 0 if there is none.
+// request returns the part that identifies the whole request, or 0 if there is none.
 func (c *crash) request() Part {
 	if last := len(c.parts) - 1; last >= 0 && c.parts[last].IsRequest() {
 		return c.parts[last]
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -123,8 +123,8 @@
 	maxCopyAge   = 6 * time.Second
 )
 
-// newStoreReturns returns the faults of a seed that restore the store, beside those of
-// its plan.
+// newStoreReturns returns the faults of a seed that restore the store, in addition to
+// those of its plan.
 func newStoreReturns(seed uint64, size Size) []Fault {
 	rng := rand.New(rand.NewPCG(seed, storeReturnStream))
 	var faults []Fault
