Log how much of its limit a team is assumed to have used at a host's start

The logs named the record and its age, but not what the host made of it, so a wrong assumption (QUOTA) could not be told from a refund or a report that was missed.

--- a/internal/process/allowance/team.go
+++ b/internal/process/allowance/team.go
@@ -95,6 +95,15 @@
 	return sum
 }
 
+// UsedShare returns the share of its limit that the team has used in the window, as
+// far as this host knows or assumes, and whether it has a limit.
+func (t *TeamLimit) UsedShare(now time.Time) (share float64, isLimited bool) {
+	if t.limit <= 0 {
+		return 0, false
+	}
+	return t.used(now) / t.limit, true
+}
+
 // allowed returns what the reachable hosts may use in a window.
 func (t *TeamLimit) allowed(hasSpareCapacity bool) float64 {
 	limit := t.limit
--- a/internal/process/gateway/usagehistory.go
+++ b/internal/process/gateway/usagehistory.go
@@ -110,8 +110,9 @@
 	}
 	writtenAt := time.Now().Add(-max(0, time.Since(time.UnixMilli(record.WrittenAt))))
 	u.gateway.limits.restore(record.Teams, writtenAt)
-	u.gateway.log.Entry().WithFields(logrus.Fields{"teams": slices.Sorted(maps.Keys(record.Teams)), "age_ms": time.Since(writtenAt).Milliseconds()}).
-		Info("teams' usage before the start is known")
+	u.gateway.log.Entry().WithFields(logrus.Fields{
+		"teams": slices.Sorted(maps.Keys(record.Teams)), "age_ms": time.Since(writtenAt).Milliseconds(), "used_shares": u.gateway.limits.usedShares(time.Now()),
+	}).Info("teams' usage before the start is known")
 	return nil
 }
 
@@ -151,6 +152,19 @@
 	team.Restore(nil, now.Sub(l.restoredFrom), maxUncoveredUsage, now)
 }
 
+// usedShares returns how much of its limit each team has used.
+func (l *sharedLimits) usedShares(now time.Time) map[string]float64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	shares := map[string]float64{}
+	for name, team := range l.teams {
+		if share, isLimited := team.UsedShare(now); isLimited {
+			shares[name] = share
+		}
+	}
+	return shares
+}
+
 func (l *sharedLimits) isRestored() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
