A refund lowers the usage when it was charged, not when it is made (QUOTA)

A request that waits in vain is refunded up to seconds after its charge. The refund was a negative amount at that later time, so that it still lowered the sum once the charge had left the window: in the test a host knows of 110 units used where 1010 were.

The host now takes the amount back from the interval of the charge. Other hosts learn of a lower total only; they take it from the oldest usage, which never counts too little.

--- a/internal/process/allowance/allowance_test.go
+++ b/internal/process/allowance/allowance_test.go
@@ -87,7 +87,7 @@
 	assert.Assert(t, team.Take(800, false, start))
 	assert.Assert(t, !team.Take(1, false, start))
 	assert.Assert(t, team.WaitTime(1, start) > 7*time.Second)
-	team.Refund(800, start)
+	team.Refund(800, start, start)
 	assert.Assert(t, team.Take(800, false, start))
 	unlimited := allowance.NewTeamLimit(allowance.LimitConfig{Window: window}, true, start)
 	assert.Assert(t, unlimited.Take(1e9, false, start))
@@ -227,3 +227,26 @@
 	}
 	return sum
 }
+
+// A refund that was made some seconds after the charge lowered the usage below what
+// was used once the charge had left the window: on the host itself and on the others.
+func TestLateRefund(t *testing.T) {
+	other := allowance.NewTeamLimit(config, true, start)
+	team := allowance.NewTeamLimit(config, true, start)
+	other.RecordRemoteUsage("host", 1, 0, start)
+	report := func(now time.Time) { other.RecordRemoteUsage("host", 1, team.ReportUsage(), now) }
+	uses := &usageRecord{}
+	assert.Assert(t, team.Take(900, false, start.Add(time.Second))) // waits in vain
+	report(start.Add(time.Second))
+	team.Refund(900, start.Add(time.Second), start.Add(6*time.Second))
+	report(start.Add(6 * time.Second))
+	for now := start.Add(6 * time.Second); now.Before(start.Add(20 * time.Second)); now = now.Add(10 * time.Millisecond) {
+		if team.Take(10, false, now) {
+			uses.add(10, now)
+		}
+		report(now)
+		known, _ := other.UsedShare(now.Add(time.Millisecond))
+		assert.Assert(t, known*1000 >= uses.since(now.Add(-window)), "%v used, %v known to the other host", uses.since(now.Add(-window)), known*1000)
+	}
+	assert.Assert(t, uses.highest(window) <= 1000, "%v", uses.highest(window))
+}
--- a/internal/process/allowance/team.go
+++ b/internal/process/allowance/team.go
@@ -129,16 +129,15 @@
 			return false
 		}
 	}
-	t.add(amount, now)
+	t.charged += amount
+	t.own.Add(amount, now)
 	return true
 }
 
 // Refund reverses the charge of a request that did not run.
-func (t *TeamLimit) Refund(amount float64, now time.Time) { t.add(-amount, now) }
-
-func (t *TeamLimit) add(amount float64, now time.Time) {
-	t.charged += amount
-	t.own.Add(amount, now)
+func (t *TeamLimit) Refund(amount float64, chargedAt, now time.Time) {
+	t.charged -= amount
+	t.own.Remove(amount, chargedAt, now)
 }
 
 // ReportUsage returns the total charged on this host since its start and marks
@@ -161,8 +160,11 @@
 	if other.incarnation != incarnation {
 		other.incarnation, other.total = incarnation, 0
 	}
-	if total != other.total {
+	switch {
+	case total > other.total:
 		other.window.Add(total-other.total, now)
+	case total < other.total: // by refunds
+		other.window.RemoveOldest(other.total-total, now)
 	}
 	other.total, other.reportedAt = total, now
 }
--- a/internal/process/allowance/window.go
+++ b/internal/process/allowance/window.go
@@ -77,3 +77,27 @@
 	}
 	return time.Duration(windowIntervals) * w.interval
 }
+
+// Remove takes back an amount that was added at a time, if it is still in the window.
+func (w *SlidingWindow) Remove(amount float64, addedAt, now time.Time) {
+	w.expireOld(now)
+	if number := w.intervalNumber(addedAt); number >= 0 && w.newest-number <= windowIntervals {
+		w.sums[number%(windowIntervals+1)] -= amount
+		w.total -= amount
+	}
+}
+
+// RemoveOldest takes back an amount that was added at an unknown time. It takes the
+// oldest usage, so that later sums are at least as high as the true ones.
+func (w *SlidingWindow) RemoveOldest(amount float64, now time.Time) {
+	w.expireOld(now)
+	for back := int64(windowIntervals); back >= 0 && amount > 0; back-- {
+		if number := w.newest - back; number >= 0 {
+			sum := &w.sums[number%(windowIntervals+1)]
+			removed := max(min(amount, *sum), 0)
+			*sum -= removed
+			w.total -= removed
+			amount -= removed
+		}
+	}
+}
--- a/internal/process/gateway/limits.go
+++ b/internal/process/gateway/limits.go
@@ -96,11 +96,11 @@
 }
 
 // Refund implements relay.Limits.
-func (l *sharedLimits) Refund(team *routing.Team, amount float64) {
+func (l *sharedLimits) Refund(team *routing.Team, amount float64, chargedAt time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := time.Now()
-	l.team(team, now).Refund(amount, now)
+	l.team(team, now).Refund(amount, chargedAt, now)
 }
 
 // retryBudget returns a service's retry budget and creates it if needed. The
--- a/internal/request/relay/relay.go
+++ b/internal/request/relay/relay.go
@@ -22,7 +22,7 @@
 	// endpoint is free and no request is queued.
 	Charge(team *routing.Team, amount float64, hasRoom bool) (bool, time.Duration)
 	// Refund returns the charge of a request that has not run.
-	Refund(team *routing.Team, amount float64)
+	Refund(team *routing.Team, amount float64, chargedAt time.Time)
 	// CountRequest counts a caller's request to a service.
 	CountRequest(service string)
 	// AllowRetry reports whether the retry budget of the service allows
@@ -133,7 +133,9 @@
 	// stopsAt is when the process will have stopped; zero if it is not
 	// shutting down.
 	stopsAt time.Time
-	charged float64
+	// charged is what the request took from its team's limit at chargedAt.
+	charged   float64
+	chargedAt time.Time
 
 	// attempts counts the sends after which an endpoint may have run the
 	// request.
@@ -280,14 +282,14 @@
 		s.refuse(http.StatusTooManyRequests, "team_limit", wait)
 		return false
 	}
-	s.charged = amount
+	s.charged, s.chargedAt = amount, time.Now()
 	return true
 }
 
 // refund returns the charge of a request that has not run.
 func (s *serverRequest) refund() {
 	if s.charged > 0 && s.attempts == 0 {
-		s.relay.Limits.Refund(s.team, s.charged)
+		s.relay.Limits.Refund(s.team, s.charged, s.chargedAt)
 		s.charged = 0
 	}
 }
