What a silent host has used counts until it leaves the window, and its share at once (QUOTA)

Change: known usage counts until it leaves the window. A host's own usage counts as unknown to the others until they were heard after a report of it, rather than once a report was sent. No byte more between hosts.

--- a/internal/process/allowance/history.go
+++ b/internal/process/allowance/history.go
@@ -22,8 +22,7 @@
 // kept.
 const minHistoryShare = 0.25
 
-// History returns the usage of the hosts that this one hears, and whether it is
-// worth keeping.
+// History returns the known usage of all hosts, and whether it is worth keeping.
 func (t *TeamLimit) History(now time.Time) (history History, isRelevant bool) {
 	if t.limit <= 0 {
 		return history, false
@@ -34,9 +33,7 @@
 	}
 	t.own.each(now, add)
 	for _, other := range t.remote {
-		if now.Sub(other.reportedAt) < maxRemoteUsageAge {
-			other.window.each(now, add)
-		}
+		other.window.each(now, add)
 	}
 	return history, history.sum() >= minHistoryShare*t.limit
 }
--- /dev/null
+++ b/internal/process/allowance/hosts.go
@@ -0,0 +1,86 @@
+package allowance
+
+import "time"
+
+// Hosts is what one host knows of the others that share its limits. All TeamLimits of
+// a process have the same one.
+type Hosts struct {
+	sharers []*sharer
+	byName  map[string]*sharer
+}
+
+// Sharer is how another host exchanges its usage with this one.
+type Sharer struct {
+	// MaxSilence is the time without a report after which the two hosts count as cut
+	// off from each other; 0 if the other one is unreachable.
+	MaxSilence time.Duration
+	// IsRelayed is set if the reports go through relays, so that a report says nothing
+	// about the path between the two hosts.
+	IsRelayed bool
+}
+
+// sharer is another host that shares the limits.
+type sharer struct {
+	Sharer
+	name string
+	// reportedAt is when its last report of usage arrived.
+	reportedAt time.Time
+}
+
+// NewHosts returns the view of a host that knows no other.
+func NewHosts() *Hosts { return &Hosts{byName: map[string]*sharer{}} }
+
+// Set sets the other hosts that share the limits.
+func (h *Hosts) Set(others map[string]Sharer) {
+	h.sharers = h.sharers[:0]
+	for name := range h.byName {
+		if _, found := others[name]; !found {
+			delete(h.byName, name)
+		}
+	}
+	for name, other := range others {
+		s := h.sharer(name)
+		s.Sharer = other
+		h.sharers = append(h.sharers, s)
+	}
+}
+
+func (h *Hosts) sharer(name string) *sharer {
+	s := h.byName[name]
+	if s == nil {
+		s = &sharer{name: name}
+		h.byName[name] = s
+	}
+	return s
+}
+
+// RecordReport records that a host reported its usage.
+func (h *Hosts) RecordReport(host string, now time.Time) { h.sharer(host).reportedAt = now }
+
+// count returns the number of hosts that share the limits, this one included.
+func (h *Hosts) count() int { return len(h.sharers) + 1 }
+
+// pathDelay is how long a report may take on a path that works.
+const pathDelay = 20 * time.Millisecond
+
+// exchange returns the number of hosts that receive each other's reports, this one
+// included, and up to when this host's reports have reached those that it exchanges
+// them with directly: paths between hosts fail in both directions.
+func (h *Hosts) exchange(now time.Time) (hosts int, confirmedUpTo time.Time) {
+	hosts, confirmedUpTo = 1, now
+	for _, s := range h.sharers {
+		if s.isCutOff(now) {
+			continue
+		}
+		hosts++
+		if upTo := s.reportedAt.Add(-pathDelay); !s.IsRelayed && upTo.Before(confirmedUpTo) {
+			confirmedUpTo = upTo
+		}
+	}
+	return hosts, confirmedUpTo
+}
+
+// isCutOff reports whether a host may not receive this host's reports.
+func (s *sharer) isCutOff(now time.Time) bool {
+	return s.MaxSilence == 0 || s.reportedAt.IsZero() || now.Sub(s.reportedAt) > s.MaxSilence
+}
--- a/internal/process/allowance/team.go
+++ b/internal/process/allowance/team.go
@@ -6,10 +6,10 @@
 // may use its rate times the window, plus its burst.
 //
 // It has to hold when one team sends many times its usual load through all
-// hosts while some hosts are cut off from the others. Hosts that can reach each
-// other count each other's usage against one limit. For each unreachable host a
-// share of the limit is set aside, as large as what that host allows itself
-// when it reaches no other host.
+// hosts while some hosts are cut off from the others. Hosts that receive each
+// other's reports count their usage against one limit. For a host that is cut off,
+// the share of the limit is set aside up to which that host admits requests when it
+// receives no reports, less what it is known to have used of it.
 //
 // The operator tolerates some overshoot. A share of it is granted to requests
 // that use spare capacity, which no other team needs.
@@ -21,14 +21,13 @@
 	// overshootFrom is when overshoot may be granted: before it, the usage may have
 	// been higher than assumed by as much.
 	overshootFrom time.Time
-	// hosts is the number of hosts that may admit requests, reachable the
-	// number of those that this host hears from, itself included.
-	hosts, reachable int
-	own              SlidingWindow
-	// charged is the total ever charged on this host, reported its value in the
-	// last report to the other hosts.
-	charged, reported float64
-	remote            map[string]*remoteUsage
+	hosts         *Hosts
+	own           SlidingWindow
+	// charged is the total ever charged on this host, reports its value in the last
+	// reports to the other hosts.
+	charged float64
+	reports reports
+	remote  map[string]*remoteUsage
 }
 
 // remoteUsage is the known usage of another host.
@@ -36,14 +35,13 @@
 	incarnation int64
 	total       float64
 	window      SlidingWindow
-	reportedAt  time.Time
 }
 
 // NewTeamLimit returns a team's limit. Except at the first start of the fleet,
 // the limit counts as used up in the preceding window, since the real usage is
 // unknown.
-func NewTeamLimit(config LimitConfig, firstStart bool, now time.Time) *TeamLimit {
-	t := &TeamLimit{window: config.Window, hosts: 1, reachable: 1, own: NewSlidingWindow(config.Window, now), remote: map[string]*remoteUsage{}}
+func NewTeamLimit(config LimitConfig, hosts *Hosts, firstStart bool, now time.Time) *TeamLimit {
+	t := &TeamLimit{window: config.Window, hosts: hosts, own: NewSlidingWindow(config.Window, now), remote: map[string]*remoteUsage{}}
 	t.Configure(config)
 	if !firstStart {
 		t.own.Fill(t.limit, now)
@@ -76,25 +74,15 @@
 	}
 }
 
-// SetHosts sets the number of hosts that may admit requests and how many of
-// them this host hears from, itself included.
-func (t *TeamLimit) SetHosts(hosts, reachable int) {
-	t.hosts = max(hosts, 1)
-	t.reachable = min(max(reachable, 1), t.hosts)
-}
-
-// maxRemoteUsageAge is the age at which another host's usage no longer counts:
-// a share of the limit is set aside for that host instead. In a large fleet, an
-// idle host's usage arrives through two relays, up to 4 s late.
-const maxRemoteUsageAge = 4500 * time.Millisecond
-
-// used returns the usage of the reachable hosts in the window.
+// used returns the usage in the window, as far as it is known.
 func (t *TeamLimit) used(now time.Time) float64 {
 	sum := t.own.Sum(now)
-	for _, other := range t.remote {
-		if now.Sub(other.reportedAt) < maxRemoteUsageAge {
-			sum += other.window.Sum(now)
+	for name, other := range t.remote {
+		usage := other.window.Sum(now)
+		if usage == 0 && t.hosts.byName[name] == nil {
+			delete(t.remote, name) // the host is gone
 		}
+		sum += usage
 	}
 	return sum
 }
@@ -108,13 +96,24 @@
 	return t.used(now) / t.limit, true
 }
 
-// allowed returns what the reachable hosts may use in a window.
+// allowed returns what this host and those that receive its reports may use in a
+// window, in addition to what the others are known to have used.
 func (t *TeamLimit) allowed(hasSpareCapacity bool, now time.Time) float64 {
 	limit := t.limit
 	if hasSpareCapacity && !now.Before(t.overshootFrom) {
 		limit += t.overshoot
 	}
-	return limit * float64(t.reachable) / float64(t.hosts)
+	share := limit / float64(t.hosts.count())
+	for _, s := range t.hosts.sharers {
+		if s.isCutOff(now) {
+			setAside := share
+			if other := t.remote[s.name]; other != nil {
+				setAside = max(0, share-other.window.Sum(now))
+			}
+			limit -= setAside
+		}
+	}
+	return limit
 }
 
 // Take charges an amount if the limit covers it, and reports whether it did.
@@ -122,10 +121,11 @@
 func (t *TeamLimit) Take(amount float64, hasSpareCapacity bool, now time.Time) bool {
 	if t.limit > 0 {
 		remaining := t.allowed(hasSpareCapacity, now) - t.used(now)
-		// Until its usage is reported, each host takes no more than its share
+		// Until the others know its usage, each host takes no more than its share
 		// of the remainder, except for a single request.
-		unreported := t.charged - t.reported
-		if amount > remaining || unreported > 0 && unreported+amount > (remaining+unreported)/float64(t.reachable) {
+		hosts, confirmedUpTo := t.hosts.exchange(now)
+		unknown := max(0, t.charged-t.reports.chargedUpTo(confirmedUpTo))
+		if amount > remaining || unknown > 0 && unknown+amount > (remaining+unknown)/float64(hosts) {
 			return false
 		}
 	}
@@ -140,10 +140,10 @@
 	t.own.Remove(amount, chargedAt, now)
 }
 
-// ReportUsage returns the total charged on this host since its start and marks
-// it as reported to the others.
-func (t *TeamLimit) ReportUsage() float64 {
-	t.reported = t.charged
+// ReportUsage returns the total charged on this host since its start, for a report to
+// the others.
+func (t *TeamLimit) ReportUsage(now time.Time) float64 {
+	t.reports.add(t.charged, now)
 	return t.charged
 }
 
@@ -154,7 +154,7 @@
 	if other == nil {
 		// The usage before the first report was charged before this host's
 		// start, or before the other host's own.
-		t.remote[host] = &remoteUsage{incarnation: incarnation, total: total, window: NewSlidingWindow(t.window, now), reportedAt: now}
+		t.remote[host] = &remoteUsage{incarnation: incarnation, total: total, window: NewSlidingWindow(t.window, now)}
 		return
 	}
 	if other.incarnation != incarnation {
@@ -166,11 +166,12 @@
 	case total < other.total: // by refunds
 		other.window.RemoveOldest(other.total-total, now)
 	}
-	other.total, other.reportedAt = total, now
+	other.total = total
 }
 
 // WaitTime returns the time until the limit covers the amount, if nothing more
 // is used.
 func (t *TeamLimit) WaitTime(amount float64, now time.Time) time.Duration {
-	return t.own.WaitTime((t.used(now)+amount-t.allowed(false, now))/float64(t.reachable), now)
+	hosts, _ := t.hosts.exchange(now)
+	return t.own.WaitTime((t.used(now)+amount-t.allowed(false, now))/float64(hosts), now)
 }
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -202,7 +202,9 @@
 	}
 	g.dispatcher.AdoptRateLimits(limits)
 	g.quarantine.merge(from, message.Status.Quarantine)
-	g.limits.RecordUsage(from, message.From.Incarnation, message.Status.Usage)
+	if !message.IsSummary || len(message.Status.Usage) > 0 {
+		g.limits.RecordUsage(from, message.From.Incarnation, message.Status.Usage)
+	}
 }
 
 // tickInterval is the time between periodic tasks.
@@ -223,13 +225,12 @@
 		g.entryHosts.update(now)
 		g.carries.Store(g.entryHosts.includesSelf() || g.usage.servesCallers(now))
 		g.membership.SetCarries(g.carries.Load())
-		addresses, reachable := g.membership.SharingHosts(now)
-		hosts := len(addresses)
 		active := g.membership.ActiveHosts(now)
-		g.limits.SetHosts(hosts, reachable, activeShare(g.settings.PeerAddress, active))
+		g.limits.SetHosts(g.membership.Sharers(now), activeShare(g.settings.PeerAddress, active))
 		g.dispatcher.SetHosts(g.settings.PeerAddress, active)
 		for _, name := range g.membership.NewlyUnreachable(seen, now) {
-			g.log.Entry().WithFields(logrus.Fields{"host": name, "hosts": hosts, "heard": reachable}).Info("host not heard")
+			addresses, reachable := g.membership.SharingHosts(now)
+			g.log.Entry().WithFields(logrus.Fields{"host": name, "hosts": len(addresses), "heard": reachable}).Info("host not heard")
 		}
 		g.dispatcher.Tick()
 	}
--- a/internal/process/gateway/limits.go
+++ b/internal/process/gateway/limits.go
@@ -17,8 +17,7 @@
 	mu           sync.Mutex
 	teams        map[string]*allowance.TeamLimit
 	retryBudgets map[string]*allowance.RetryBudget
-	hosts        int
-	reachable    int
+	hosts        *allowance.Hosts
 	// retryShare is this host's share of the slack of retry budgets.
 	retryShare float64
 	// restored is the teams' usage before this host's start, as it was known at
@@ -29,7 +28,7 @@
 
 func newSharedLimits(settings *Settings) *sharedLimits {
 	return &sharedLimits{
-		settings: settings, hosts: 1, reachable: 1, retryShare: 1,
+		settings: settings, hosts: allowance.NewHosts(), retryShare: 1,
 		teams: map[string]*allowance.TeamLimit{}, retryBudgets: map[string]*allowance.RetryBudget{},
 	}
 }
@@ -38,8 +37,7 @@
 func (l *sharedLimits) team(team *routing.Team, now time.Time) *allowance.TeamLimit {
 	t := l.teams[team.Name]
 	if t == nil {
-		t = allowance.NewTeamLimit(l.limitConfig(team), l.settings.FirstStart, now)
-		t.SetHosts(l.hosts, l.reachable)
+		t = allowance.NewTeamLimit(l.limitConfig(team), l.hosts, l.settings.FirstStart, now)
 		l.teams[team.Name] = t
 		if l.restored != nil && now.Sub(l.restoredAt) < l.settings.TeamLimitWindow {
 			l.restoreTeam(team.Name, t, now)
@@ -65,19 +63,17 @@
 	}
 }
 
-// SetHosts sets how many hosts share the teams' limits and how many of them are
-// reachable, and this host's share of the slack of retry budgets.
-func (l *sharedLimits) SetHosts(hosts, reachable int, retryShare float64) {
+// SetHosts sets the other hosts that share the teams' limits, and this host's share of
+// the slack of retry budgets.
+func (l *sharedLimits) SetHosts(others map[string]allowance.Sharer, retryShare float64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.hosts == hosts && l.reachable == reachable && l.retryShare == retryShare {
+	l.hosts.Set(others)
+	if l.retryShare == retryShare {
 		return
 	}
-	l.hosts, l.reachable, l.retryShare = hosts, reachable, retryShare
+	l.retryShare = retryShare
 	now := time.Now()
-	for _, team := range l.teams {
-		team.SetHosts(hosts, reachable)
-	}
 	for _, budget := range l.retryBudgets {
 		budget.Resize(l.settings.RetryBudgetSlack*retryShare, l.settings.RetryBudgetWindow, now)
 	}
@@ -136,8 +132,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	var usage []peers.TeamUsage
+	now := time.Now()
 	for name, team := range l.teams {
-		if total := team.ReportUsage(); total > 0 || all {
+		if total := team.ReportUsage(now); total > 0 || all {
 			usage = append(usage, peers.TeamUsage{Team: name, Total: total})
 		}
 	}
@@ -149,6 +146,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := time.Now()
+	l.hosts.RecordReport(host, now)
 	for _, reported := range usage {
 		if team := l.teams[reported.Team]; team != nil {
 			team.RecordRemoteUsage(host, incarnation, reported.Total, now)
--- a/internal/process/peers/membership.go
+++ b/internal/process/peers/membership.go
@@ -5,6 +5,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"mustarddoor/internal/process/allowance"
 )
 
 const (
@@ -208,19 +210,55 @@
 	defer m.mu.Unlock()
 	addresses, reachable = append(addresses, m.self.PeerAddress), 1
 	for address, p := range m.peers {
-		switch {
-		case m.isReachable(p, now):
-			addresses = append(addresses, address)
+		if !m.isSharing(p, now) {
+			continue
+		}
+		addresses = append(addresses, address)
+		if m.isReachable(p, now) {
 			reachable++
-		case p.status.Leaving:
-		case now.Sub(p.receivedAt) < sharingHostTimeout || p.receivedAt.IsZero() && now.Sub(p.knownAt) < sharingHostTimeout:
-			addresses = append(addresses, address)
 		}
 	}
 	slices.SortFunc(addresses, netip.AddrPort.Compare)
 	return addresses, reachable
 }
 
+// isSharing reports whether another host shares the limits: it is reachable, or may be
+// partitioned and still serve its own callers.
+func (m *Membership) isSharing(p *peer, now time.Time) bool {
+	switch {
+	case m.isReachable(p, now):
+		return true
+	case p.status.Leaving:
+		return false
+	}
+	return now.Sub(p.receivedAt) < sharingHostTimeout || p.receivedAt.IsZero() && now.Sub(p.knownAt) < sharingHostTimeout
+}
+
+// reportDelay is the time for which a message may be delayed on its way and at a busy
+// host.
+const reportDelay = 100 * time.Millisecond
+
+// Sharers returns how the other hosts that share the limits exchange their usage with
+// this one. Their silence counts sooner than it makes them unreachable: until it does,
+// each host could use what is left of a limit.
+func (m *Membership) Sharers(now time.Time) map[string]allowance.Sharer {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	sharers := make(map[string]allowance.Sharer, len(m.peers))
+	for address, p := range m.peers {
+		switch {
+		case !m.isSharing(p, now):
+		case !m.isReachable(p, now):
+			sharers[address.String()] = allowance.Sharer{}
+		case !m.role.isLarge || m.role.isActive && p.status.Active:
+			sharers[address.String()] = allowance.Sharer{MaxSilence: reportDelay + maxMissedMessages*m.sendInterval}
+		default:
+			sharers[address.String()] = allowance.Sharer{MaxSilence: idleTimeout, IsRelayed: true}
+		}
+	}
+	return sharers
+}
+
 // ReachableInDomain returns the number of reachable hosts in this host's failure
 // domain, including itself.
 func (m *Membership) ReachableInDomain(now time.Time) int {
