First reports of a team's usage count, and late ones do not count twice (QUOTA)

The first total that a host reported was always taken for older than the receiving host. That holds at that host's start; later it is usage that nobody counts, of a team that one of them knew later or of a host that was added. And a message of a host's earlier process, late by more than .4 s, made all that both processes had ever charged count once more, which refuses a team below its limit.

--- a/internal/process/allowance/allowance_test.go
+++ b/internal/process/allowance/allowance_test.go
@@ -20,7 +20,7 @@
 // A team that sends all the time may use its rate and its burst in each window,
 // not only its rate.
 func TestTeamGetsRateAndBurstInEachWindow(t *testing.T) {
-	team := allowance.NewTeamLimit(config, allowance.NewHosts(), true, start)
+	team := allowance.NewTeamLimit(config, allowance.NewHosts(start), true, start)
 	used := map[int]float64{}
 	for step := range 4000 {
 		now := start.Add(time.Duration(step) * 10 * time.Millisecond)
@@ -38,7 +38,7 @@
 // other, they still respect it together.
 func TestTeamHoldsOverHosts(t *testing.T) {
 	for _, cut := range []bool{false, true} {
-		views := []*allowance.Hosts{allowance.NewHosts(), allowance.NewHosts()}
+		views := []*allowance.Hosts{allowance.NewHosts(start), allowance.NewHosts(start)}
 		hosts := []*allowance.TeamLimit{
 			allowance.NewTeamLimit(config, views[0], true, start),
 			allowance.NewTeamLimit(config, views[1], true, start),
@@ -54,7 +54,7 @@
 				views[i].Set(map[string]allowance.Sharer{"other": {MaxSilence: silence}})
 				if !cut && step%6 == 0 {
 					views[i].RecordReport("other", now)
-					host.RecordRemoteUsage("other", 1, hosts[1-i].ReportUsage(now), now)
+					host.RecordRemoteUsage("other", 1, hosts[1-i].ReportUsage(now), false, now)
 				}
 				if host.Take(10, false, now) {
 					total += 10
@@ -72,14 +72,14 @@
 // The usage of a host that fell silent was forgotten after some seconds, before it had
 // left the window, and given out once more.
 func TestUsageOfSilentHostCounts(t *testing.T) {
-	view := allowance.NewHosts()
+	view := allowance.NewHosts(start)
 	view.Set(map[string]allowance.Sharer{"silent": {MaxSilence: reportSilence}, "other": {MaxSilence: reportSilence}})
 	team := allowance.NewTeamLimit(config, view, true, start)
 	for _, name := range []string{"silent", "other"} {
 		view.RecordReport(name, start)
-		team.RecordRemoteUsage(name, 1, 0, start)
+		team.RecordRemoteUsage(name, 1, 0, false, start)
 	}
-	team.RecordRemoteUsage("silent", 1, 600, start.Add(time.Second))
+	team.RecordRemoteUsage("silent", 1, 600, false, start.Add(time.Second))
 	used := 0.0
 	for now := start.Add(time.Second); now.Before(start.Add(9 * time.Second)); now = now.Add(10 * time.Millisecond) {
 		view.RecordReport("other", now)
@@ -101,14 +101,14 @@
 	const hosts = 6
 	total := 0.0
 	for range hosts {
-		view := allowance.NewHosts()
+		view := allowance.NewHosts(start)
 		silences := map[string]allowance.Sharer{}
 		team := allowance.NewTeamLimit(config, view, true, start)
 		for other := range hosts - 1 {
 			name := strconv.Itoa(other)
 			silences[name] = allowance.Sharer{MaxSilence: reportSilence}
 			view.RecordReport(name, start)
-			team.RecordRemoteUsage(name, 1, 0, start)
+			team.RecordRemoteUsage(name, 1, 0, false, start)
 		}
 		view.Set(silences)
 		for now := start; now.Before(start.Add(1140 * time.Millisecond)); now = now.Add(10 * time.Millisecond) {
@@ -128,12 +128,12 @@
 // window and becomes available again as that window passes. Usage before and
 // after the restart together stays within twice the limit.
 func TestTeamAfterRestart(t *testing.T) {
-	before := allowance.NewTeamLimit(config, allowance.NewHosts(), true, start)
+	before := allowance.NewTeamLimit(config, allowance.NewHosts(start), true, start)
 	used := 0.0
 	for used < 1000 && before.Take(10, false, start) {
 		used += 10
 	}
-	after := allowance.NewTeamLimit(config, allowance.NewHosts(), false, start.Add(time.Second))
+	after := allowance.NewTeamLimit(config, allowance.NewHosts(start), false, start.Add(time.Second))
 	for step := range 700 {
 		if after.Take(10, false, start.Add(time.Second+time.Duration(step)*10*time.Millisecond)) {
 			used += 10
@@ -144,13 +144,13 @@
 }
 
 func TestTeamRefundAndWaitTime(t *testing.T) {
-	team := allowance.NewTeamLimit(allowance.LimitConfig{Rate: 100, Window: window}, allowance.NewHosts(), true, start)
+	team := allowance.NewTeamLimit(allowance.LimitConfig{Rate: 100, Window: window}, allowance.NewHosts(start), true, start)
 	assert.Assert(t, team.Take(800, false, start))
 	assert.Assert(t, !team.Take(1, false, start))
 	assert.Assert(t, team.WaitTime(1, start) > 7*time.Second)
 	team.Refund(800, start, start)
 	assert.Assert(t, team.Take(800, false, start))
-	unlimited := allowance.NewTeamLimit(allowance.LimitConfig{Window: window}, allowance.NewHosts(), true, start)
+	unlimited := allowance.NewTeamLimit(allowance.LimitConfig{Window: window}, allowance.NewHosts(start), true, start)
 	assert.Assert(t, unlimited.Take(1e9, false, start))
 }
 
@@ -194,7 +194,7 @@
 // never as much as the maximum overshoot.
 func TestTeamOvershootUsesSpareCapacity(t *testing.T) {
 	for _, hasSpareCapacity := range []bool{false, true} {
-		team := allowance.NewTeamLimit(config, allowance.NewHosts(), true, start)
+		team := allowance.NewTeamLimit(config, allowance.NewHosts(start), true, start)
 		used := 0.0
 		for team.Take(10, hasSpareCapacity, start) {
 			used += 10
@@ -210,13 +210,13 @@
 // The usage of a host that is heard only every 4 s, through relays, counts all
 // the time.
 func TestUsageOfIdleHostCounts(t *testing.T) {
-	view := allowance.NewHosts()
+	view := allowance.NewHosts(start)
 	view.Set(map[string]allowance.Sharer{"idle": {MaxSilence: 8 * time.Second, IsRelayed: true}})
 	team := allowance.NewTeamLimit(allowance.LimitConfig{Rate: 100, Window: window}, view, true, start)
 	view.RecordReport("idle", start)
-	team.RecordRemoteUsage("idle", 1, 0, start)
+	team.RecordRemoteUsage("idle", 1, 0, false, start)
 	view.RecordReport("idle", start.Add(time.Second))
-	team.RecordRemoteUsage("idle", 1, 790, start.Add(time.Second))
+	team.RecordRemoteUsage("idle", 1, 790, false, start.Add(time.Second))
 	for late := time.Second; late <= 5*time.Second; late += 100 * time.Millisecond {
 		assert.Assert(t, !team.Take(20, false, start.Add(late)), "taken after %v", late)
 	}
@@ -229,7 +229,7 @@
 	for name, burstBefore := range map[string]time.Duration{"early": 7 * time.Second, "late": 1500 * time.Millisecond, "after the last record": 300 * time.Millisecond} {
 		t.Run(name, func(t *testing.T) {
 			uses := &usageRecord{}
-			before := allowance.NewTeamLimit(config, allowance.NewHosts(), true, start)
+			before := allowance.NewTeamLimit(config, allowance.NewHosts(start), true, start)
 			crashAt := start.Add(20 * time.Second)
 			recordedAt := crashAt.Add(-700 * time.Millisecond)
 			var history allowance.History
@@ -242,7 +242,7 @@
 				}
 			}
 			restartedAt := crashAt.Add(down)
-			after := allowance.NewTeamLimit(config, allowance.NewHosts(), false, restartedAt)
+			after := allowance.NewTeamLimit(config, allowance.NewHosts(start), false, restartedAt)
 			after.Restore(&history, restartedAt)
 			for now := restartedAt; now.Before(restartedAt.Add(20 * time.Second)); now = now.Add(10 * time.Millisecond) {
 				if after.Take(10, false, now) {
@@ -253,7 +253,7 @@
 			assert.Assert(t, uses.since(restartedAt.Add(window)) >= 900, "%v", uses.since(restartedAt.Add(window)))
 		})
 	}
-	quiet := allowance.NewTeamLimit(config, allowance.NewHosts(), false, start)
+	quiet := allowance.NewTeamLimit(config, allowance.NewHosts(start), false, start)
 	quiet.Restore(nil, start)
 	assert.Assert(t, quiet.Take(300, false, start), "a team that used little gets nothing")
 }
@@ -295,10 +295,10 @@
 // A refund that was made some seconds after the charge lowered the usage below what
 // was used once the charge had left the window: on the host itself and on the others.
 func TestLateRefund(t *testing.T) {
-	other := allowance.NewTeamLimit(config, allowance.NewHosts(), true, start)
-	team := allowance.NewTeamLimit(config, allowance.NewHosts(), true, start)
-	other.RecordRemoteUsage("host", 1, 0, start)
-	report := func(now time.Time) { other.RecordRemoteUsage("host", 1, team.ReportUsage(now), now) }
+	other := allowance.NewTeamLimit(config, allowance.NewHosts(start), true, start)
+	team := allowance.NewTeamLimit(config, allowance.NewHosts(start), true, start)
+	other.RecordRemoteUsage("host", 1, 0, false, start)
+	report := func(now time.Time) { other.RecordRemoteUsage("host", 1, team.ReportUsage(now), false, now) }
 	uses := &usageRecord{}
 	assert.Assert(t, team.Take(900, false, start.Add(time.Second))) // waits in vain
 	report(start.Add(time.Second))
--- a/internal/process/allowance/hosts.go
+++ b/internal/process/allowance/hosts.go
@@ -5,8 +5,9 @@
 // Hosts is what one host knows of the others that share its limits. All TeamLimits of
 // a process have the same one.
 type Hosts struct {
-	sharers []*sharer
-	byName  map[string]*sharer
+	startedAt time.Time
+	sharers   []*sharer
+	byName    map[string]*sharer
 }
 
 // Sharer is how another host exchanges its usage with this one.
@@ -27,8 +28,10 @@
 	reportedAt time.Time
 }
 
-// NewHosts returns the view of a host that knows no other.
-func NewHosts() *Hosts { return &Hosts{byName: map[string]*sharer{}} }
+// NewHosts returns the view of a host that started at a time and knows no other.
+func NewHosts(startedAt time.Time) *Hosts {
+	return &Hosts{startedAt: startedAt, byName: map[string]*sharer{}}
+}
 
 // Set sets the other hosts that share the limits.
 func (h *Hosts) Set(others map[string]Sharer) {
@@ -54,8 +57,19 @@
 	return s
 }
 
-// RecordReport records that a host reported its usage.
-func (h *Hosts) RecordReport(host string, now time.Time) { h.sharer(host).reportedAt = now }
+// firstReportGrace is the time after a host's start in which it expects the first
+// reports of the others.
+const firstReportGrace = 5 * time.Second
+
+// RecordReport records that a host reported its usage. includesEarlier is set if the
+// report may include usage from before this host's start, which this host assumes
+// already.
+func (h *Hosts) RecordReport(host string, now time.Time) (includesEarlier bool) {
+	s := h.sharer(host)
+	includesEarlier = s.reportedAt.IsZero() && now.Sub(h.startedAt) < firstReportGrace
+	s.reportedAt = now
+	return includesEarlier
+}
 
 // count returns the number of hosts that share the limits, this one included.
 func (h *Hosts) count() int { return len(h.sharers) + 1 }
--- a/internal/process/allowance/restart_test.go
+++ b/internal/process/allowance/restart_test.go
@@ -14,7 +14,7 @@
 func TestSteadyTeamWhenAllHostsRestart(t *testing.T) {
 	const uncovered, down = 950 * time.Millisecond, 400 * time.Millisecond
 	uses := &usageRecord{}
-	before := allowance.NewTeamLimit(config, allowance.NewHosts(), true, start)
+	before := allowance.NewTeamLimit(config, allowance.NewHosts(start), true, start)
 	crashAt := start.Add(20 * time.Second)
 	var history allowance.History
 	for now := start; now.Before(crashAt); now = now.Add(10 * time.Millisecond) {
@@ -26,7 +26,7 @@
 		}
 	}
 	restartedAt := crashAt.Add(down)
-	after := allowance.NewTeamLimit(config, allowance.NewHosts(), false, restartedAt)
+	after := allowance.NewTeamLimit(config, allowance.NewHosts(start), false, restartedAt)
 	after.Restore(&history, restartedAt)
 	for now := restartedAt; now.Before(restartedAt.Add(2 * window)); now = now.Add(10 * time.Millisecond) {
 		if after.Take(2.5, true, now) {
--- a/internal/process/allowance/team.go
+++ b/internal/process/allowance/team.go
@@ -32,9 +32,17 @@
 
 // remoteUsage is the known usage of another host.
 type remoteUsage struct {
+	processUsage
+	// previous is that of the process before.
+	previous   processUsage
+	window     SlidingWindow
+	reportedAt time.Time
+}
+
+// processUsage is the total that a process has reported.
+type processUsage struct {
 	incarnation int64
 	total       float64
-	window      SlidingWindow
 }
 
 // NewTeamLimit returns a team's limit. Except at the first start of the fleet,
@@ -74,13 +82,17 @@
 	}
 }
 
+// forgetUsageAfter is the silence after which a host's totals are forgotten. They then
+// count as new if it returns.
+const forgetUsageAfter = 10 * time.Minute
+
 // used returns the usage in the window, as far as it is known.
 func (t *TeamLimit) used(now time.Time) float64 {
 	sum := t.own.Sum(now)
 	for name, other := range t.remote {
 		usage := other.window.Sum(now)
-		if usage == 0 && t.hosts.byName[name] == nil {
-			delete(t.remote, name) // the host is gone
+		if usage == 0 && now.Sub(other.reportedAt) > forgetUsageAfter {
+			delete(t.remote, name)
 		}
 		sum += usage
 	}
@@ -147,26 +159,33 @@
 	return t.charged
 }
 
-// RecordRemoteUsage records the total that another host has charged since its
-// start.
-func (t *TeamLimit) RecordRemoteUsage(host string, incarnation int64, total float64, now time.Time) {
+// RecordRemoteUsage records the total that another host has charged since its start.
+// If includesEarlier is set and it is the first one, the total counts as used before
+// this host's start.
+func (t *TeamLimit) RecordRemoteUsage(host string, incarnation int64, total float64, includesEarlier bool, now time.Time) {
 	other := t.remote[host]
 	if other == nil {
-		// The usage before the first report was charged before this host's
-		// start, or before the other host's own.
-		t.remote[host] = &remoteUsage{incarnation: incarnation, total: total, window: NewSlidingWindow(t.window, now)}
-		return
+		other = &remoteUsage{window: NewSlidingWindow(t.window, now)}
+		other.incarnation = incarnation
+		if includesEarlier {
+			other.total = total
+		}
+		t.remote[host] = other
 	}
 	if other.incarnation != incarnation {
-		other.incarnation, other.total = incarnation, 0
+		// A late message of an earlier process is followed by those of the new one.
+		other.processUsage, other.previous = other.previous, other.processUsage
+		if other.incarnation != incarnation {
+			other.processUsage = processUsage{incarnation: incarnation}
+		}
 	}
 	switch {
 	case total > other.total:
-		other.window.Add(total-other.total, now)
+		other.window.Add(min(total-other.total, t.limit+t.overshoot), now)
 	case total < other.total: // by refunds
 		other.window.RemoveOldest(other.total-total, now)
 	}
-	other.total = total
+	other.total, other.reportedAt = total, now
 }
 
 // WaitTime returns the time until the limit covers the amount, if nothing more
--- a/internal/process/gateway/limits.go
+++ b/internal/process/gateway/limits.go
@@ -28,7 +28,7 @@
 
 func newSharedLimits(settings *Settings) *sharedLimits {
 	return &sharedLimits{
-		settings: settings, hosts: allowance.NewHosts(), retryShare: 1,
+		settings: settings, hosts: allowance.NewHosts(time.Now()), retryShare: 1,
 		teams: map[string]*allowance.TeamLimit{}, retryBudgets: map[string]*allowance.RetryBudget{},
 	}
 }
@@ -146,10 +146,10 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := time.Now()
-	l.hosts.RecordReport(host, now)
+	includesEarlier := l.hosts.RecordReport(host, now)
 	for _, reported := range usage {
 		if team := l.teams[reported.Team]; team != nil {
-			team.RecordRemoteUsage(host, incarnation, reported.Total, now)
+			team.RecordRemoteUsage(host, incarnation, reported.Total, includesEarlier, now)
 		}
 	}
 }
