A host that restarts alone adopts the teams' usage from a running host

Since a recorded team counts as having used its whole limit at a host's start, a host that restarted alone refused what its team was allowed, for a window. It now fetches the usage, once, from a host that knows the whole window, preferably one of its failure domain. If all restart, none does, and the record decides as before.

--- a/internal/process/allowance/history.go
+++ b/internal/process/allowance/history.go
@@ -52,15 +52,28 @@
 		t.own.Fill(minHistoryShare*t.limit, now)
 		t.own.Add(unrecordedShare*t.limit, now)
 	} else {
-		interval := t.window / historyIntervals
-		for i := historyIntervals - 1; i >= 0; i-- {
-			t.own.Add(history[i], now.Add(-time.Duration(i)*interval))
-		}
+		t.addHistory(*history, now)
 		t.own.Add(max(t.limit-history.sum(), 0), now)
 	}
 	t.own.Add(t.charged, now) // since the start
 }
 
+// Adopt replaces what a host assumes of the usage before its start by the history that
+// another host knows at this moment, which is complete.
+func (t *TeamLimit) Adopt(history History, now time.Time) {
+	t.own = NewSlidingWindow(t.window, now.Add(-t.window))
+	t.addHistory(history, now)
+	t.own.Add(t.charged, now) // since the start
+	t.overshootFrom = time.Time{}
+}
+
+func (t *TeamLimit) addHistory(history History, now time.Time) {
+	interval := t.window / historyIntervals
+	for i := historyIntervals - 1; i >= 0; i-- {
+		t.own.Add(history[i], now.Add(-time.Duration(i)*interval))
+	}
+}
+
 // unrecordedShare is the share of its limit that a team without a history may have used
 // between the last check whether to record its usage and the end of the hosts.
 const unrecordedShare = 0.35
--- a/internal/process/gateway/limits.go
+++ b/internal/process/gateway/limits.go
@@ -24,6 +24,8 @@
 	// restoredAt; nil if nothing is known.
 	restored   map[string]allowance.History
 	restoredAt time.Time
+	// isComplete is set if restored is from a host that knew all usage.
+	isComplete bool
 }
 
 func newSharedLimits(settings *Settings) *sharedLimits {
--- a/internal/process/gateway/run.go
+++ b/internal/process/gateway/run.go
@@ -73,6 +73,7 @@
 	addActor(g.moveTracker.run)
 	addActor(g.quarantine.run)
 	addActor(g.usageHistory.run)
+	addActor(g.adoptUsage)
 	addActor(g.callerConns.closeIdle)
 	g.frontend = &http.Server{
 		Handler: g.relay, ReadHeaderTimeout: defaultHeaderTimeout,
@@ -84,6 +85,7 @@
 	peerHandler := http.NewServeMux()
 	peerHandler.HandleFunc("GET "+statePath, g.serveState)
 	peerHandler.HandleFunc("GET "+recordsPath, g.sharedReads.serveRecords)
+	peerHandler.HandleFunc("GET "+usagePath, g.serveUsage)
 	if err := g.serve(&group, g.settings.PeerAddress.String(), newHTTPServer(peerHandler)); err != nil {
 		return err
 	}
--- a/internal/process/gateway/usagehistory.go
+++ b/internal/process/gateway/usagehistory.go
@@ -106,7 +106,7 @@
 	if err := wire.Unmarshal(value, &record); err != nil {
 		return eris.Wrap(err, "teams' usage")
 	}
-	u.gateway.limits.restore(record.Teams)
+	u.gateway.limits.restore(record.Teams, false)
 	u.gateway.log.Entry().WithFields(logrus.Fields{
 		"teams": slices.Sorted(maps.Keys(record.Teams)), "age_ms": time.Since(time.UnixMilli(record.WrittenAt)).Milliseconds(),
 		"used_shares": u.gateway.limits.usedShares(time.Now()),
@@ -127,11 +127,12 @@
 	return histories
 }
 
-// restore applies the teams' usage before this host's start.
-func (l *sharedLimits) restore(histories map[string]allowance.History) {
+// restore applies the teams' usage before this host's start. isComplete is set if a host
+// that knows all usage has just sent it; otherwise it may be out of date.
+func (l *sharedLimits) restore(histories map[string]allowance.History, isComplete bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.restored, l.restoredAt = histories, time.Now()
+	l.restored, l.restoredAt, l.isComplete = histories, time.Now(), isComplete
 	if l.restored == nil {
 		l.restored = map[string]allowance.History{}
 	}
@@ -142,11 +143,15 @@
 
 // restoreTeam applies the usage of one team. The caller holds mu.
 func (l *sharedLimits) restoreTeam(name string, team *allowance.TeamLimit, now time.Time) {
-	if history, found := l.restored[name]; found {
+	history, found := l.restored[name]
+	switch {
+	case l.isComplete:
+		team.Adopt(history, now)
+	case found:
 		team.Restore(&history, now)
-		return
+	default:
+		team.Restore(nil, now)
 	}
-	team.Restore(nil, now)
 }
 
 // usedShares returns how much of its limit each team has used.
--- /dev/null
+++ b/internal/process/gateway/usagetakeover.go
@@ -0,0 +1,102 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"mustarddoor/internal/process/allowance"
+	"mustarddoor/internal/process/pause"
+)
+
+// usagePath is where hosts that start fetch the teams' usage.
+const usagePath = "/usage"
+
+// usageReply is the teams' usage as a host knows it.
+type usageReply struct {
+	// IsComplete is set if the host knows the usage of the whole window.
+	IsComplete bool `cbor:"1,keyasint,omitempty"`
+	// Teams holds the teams with usage.
+	Teams map[string]allowance.History `cbor:"2,keyasint,omitempty"`
+}
+
+// serveUsage serves the teams' usage to a host that has just started.
+func (g *Gateway) serveUsage(w http.ResponseWriter, _ *http.Request) {
+	reply := usageReply{IsComplete: g.knowsAllUsage()}
+	if reply.IsComplete {
+		reply.Teams = g.limits.allHistories(time.Now())
+	}
+	g.writeReply(w, reply)
+}
+
+// knowsAllUsage reports whether this host knows the teams' usage of the whole window.
+func (g *Gateway) knowsAllUsage() bool {
+	return g.settings.FirstStart || g.uptime() > g.settings.TeamLimitWindow || g.limits.hasCompleteUsage()
+}
+
+// maxUsageFetches limits how many hosts a host asks at its start: in a fleet that starts
+// as a whole, none knows the usage.
+const maxUsageFetches = 6
+
+// adoptUsage adopts the teams' usage from a running host, so that one that restarts
+// alone need not assume that the limits are used up.
+func (g *Gateway) adoptUsage(ctx context.Context) error {
+	client := &http.Client{Timeout: fetchTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
+	asked := map[netip.AddrPort]bool{}
+	for g.uptime() < maxRestoreUptime && !g.knowsAllUsage() && len(asked) < maxUsageFetches && pause.For(ctx, catchUpInterval) {
+		address := g.nextUsageSource(asked)
+		if !address.IsValid() {
+			continue
+		}
+		asked[address] = true
+		reply := usageReply{}
+		if err := fetchFromHost(ctx, client, address, usagePath, maxStateBytes, &reply); err != nil {
+			g.log.Entry().WithError(err).WithField("link", address.String()).Warn("cannot fetch the teams' usage")
+			continue
+		}
+		if reply.IsComplete {
+			g.limits.restore(reply.Teams, true)
+			g.log.Entry().WithFields(logrus.Fields{"link": address.String(), "used_shares": g.limits.usedShares(time.Now())}).
+				Info("adopted the teams' usage of another host")
+		}
+	}
+	<-ctx.Done()
+	return nil
+}
+
+// nextUsageSource returns a reachable host that was not asked yet, preferably of this
+// host's failure domain, or the zero address.
+func (g *Gateway) nextUsageSource(asked map[netip.AddrPort]bool) (address netip.AddrPort) {
+	for _, host := range g.membership.ReadyHosts(time.Now()) {
+		if asked[host.PeerAddress] {
+			continue
+		}
+		if host.Domain == g.settings.Domain {
+			return host.PeerAddress
+		}
+		address = host.PeerAddress
+	}
+	return address
+}
+
+// allHistories returns the usage of the teams with usage.
+func (l *sharedLimits) allHistories(now time.Time) map[string]allowance.History {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	histories := map[string]allowance.History{}
+	for name, team := range l.teams {
+		if history, _ := team.History(now); history != (allowance.History{}) {
+			histories[name] = history
+		}
+	}
+	return histories
+}
+
+func (l *sharedLimits) hasCompleteUsage() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.isComplete
+}
