A host that hears nobody does not take itself for the only one (QUOTA)

After 20 s of a cut, and at once after a suspension, a host dropped the silent ones from those that share the limits and used each limit alone. Hosts that were ever heard now count until they are forgotten, and all known addresses as long as none was heard.

--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -217,7 +217,7 @@
 	for pause.For(ctx, tickInterval) {
 		if suspended := suspension.check(); suspended > 0 {
 			g.log.Entry().WithField("stood_ms", suspended.Milliseconds()).Warn("process was suspended, discarding the state of the other hosts")
-			g.membership.MarkAllUnreachable()
+			g.membership.MarkAllUnreachable(time.Now())
 		}
 		now := time.Now()
 		g.usage.update(now)
--- a/internal/process/peers/membership.go
+++ b/internal/process/peers/membership.go
@@ -244,21 +244,30 @@
 func (m *Membership) Sharers(now time.Time) map[string]allowance.Sharer {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	isAlone := true
+	for _, p := range m.peers {
+		isAlone = isAlone && !p.wasHeard()
+	}
 	sharers := make(map[string]allowance.Sharer, len(m.peers))
 	for address, p := range m.peers {
 		switch {
-		case !m.isSharing(p, now):
-		case !m.isReachable(p, now):
-			sharers[address.String()] = allowance.Sharer{}
-		case !m.role.isLarge || m.role.isActive && p.status.Active:
+		case m.isReachable(p, now) && (!m.role.isLarge || m.role.isActive && p.status.Active):
 			sharers[address.String()] = allowance.Sharer{MaxSilence: reportDelay + maxMissedMessages*m.sendInterval}
-		default:
+		case m.isReachable(p, now):
 			sharers[address.String()] = allowance.Sharer{MaxSilence: idleTimeout, IsRelayed: true}
+		case p.status.Leaving:
+		case isAlone || p.wasHeard() || now.Sub(p.knownAt) < sharingHostTimeout:
+			// A host that was never heard may be gone for long, unless this one has heard
+			// none at all and may be cut off itself.
+			sharers[address.String()] = allowance.Sharer{}
 		}
 	}
 	return sharers
 }
 
+// wasHeard reports whether a message from the host ever arrived.
+func (p *peer) wasHeard() bool { return p.sequence > 0 }
+
 // ReachableInDomain returns the number of reachable hosts in this host's failure
 // domain, including itself.
 func (m *Membership) ReachableInDomain(now time.Time) int {
@@ -316,12 +325,14 @@
 }
 
 // MarkAllUnreachable marks all hosts as unreachable, after this process was
-// suspended.
-func (m *Membership) MarkAllUnreachable() {
+// suspended. They still count as heard lately: they share the limits.
+func (m *Membership) MarkAllUnreachable(now time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, p := range m.peers {
-		p.receivedAt = time.Time{}
+		if before := now.Add(-idleTimeout); p.receivedAt.After(before) {
+			p.receivedAt = before
+		}
 	}
 }
 
--- a/internal/process/peers/membership_test.go
+++ b/internal/process/peers/membership_test.go
@@ -114,6 +114,31 @@
 	assert.Equal(t, len(addresses), 1)
 }
 
+// A host that was cut off for 20 s, or suspended, counted itself as the only one and used
+// the limits alone.
+func TestSharers(t *testing.T) {
+	m := NewMembership(host("9"))
+	m.AddPeer(peerAddress("5"), start)
+	assert.Equal(t, len(m.Sharers(start.Add(time.Minute))), 1, "no host was heard, this one may be cut off")
+	receiveStatus(m, host("1"), 1, Status{}, start)
+	receiveStatus(m, host("2"), 1, Status{Leaving: true}, start)
+	sharers := m.Sharers(start)
+	assert.Equal(t, len(sharers), 3)
+	assert.Equal(t, sharers[peerAddress("1").String()].MaxSilence, reportDelay+maxMissedMessages*m.sendInterval)
+	assert.Equal(t, sharers[peerAddress("5").String()].MaxSilence, time.Duration(0))
+	sharers = m.Sharers(start.Add(time.Minute))
+	assert.Equal(t, len(sharers), 1)
+	assert.Equal(t, sharers[peerAddress("1").String()].MaxSilence, time.Duration(0))
+
+	now := start.Add(forgetTimeout + time.Minute)
+	receiveStatus(m, host("1"), 2, Status{}, now)
+	m.MarkAllUnreachable(now)
+	m.recipients(now)
+	sharers = m.Sharers(now)
+	assert.Equal(t, len(sharers), 1, "suspended")
+	assert.Equal(t, sharers[peerAddress("1").String()].MaxSilence, time.Duration(0))
+}
+
 // The log reader of a failure domain is its lowest host that can read the log.
 func TestLogReader(t *testing.T) {
 	m := NewMembership(host("5"))
@@ -137,7 +162,7 @@
 func TestMarkAllUnreachable(t *testing.T) {
 	m := NewMembership(host("9"))
 	receiveStatus(m, host("1"), 1, Status{Ready: true}, start)
-	m.MarkAllUnreachable()
+	m.MarkAllUnreachable(start)
 	assert.Equal(t, len(frontendAddresses(m, start)), 0)
 }
 
