What a record of the teams' usage no longer shows counts as just used (QUOTA)

And a nil record, of a team that had used little, stayed in force while all hosts restarted again and again within 3 s, since none was old enough to write one.

Change: the intervals that have left the window since the record count as used at the start. Hosts write the record .75 s after their start. A record, and what a restarted host adopts, holds the share of hosts that are cut off as used: each side of a cut writes one. Overshoot is granted only while all hosts are heard. Floats are encoded as short as they are exact, which pays for the records (and takes bytes off each message).

Proof: TestTeamLimitModel plays fleets of 3 to 12 hosts in virtual time: reports late, lost and out of order, first reports, refunds, cuts of up to 15 s, freezes, kills of some and of all, added hosts.

--- a/internal/connection/codec/codec.go
+++ b/internal/connection/codec/codec.go
@@ -21,7 +21,7 @@
 // New returns a codec. It panics if the limits are out of the range that the
 // CBOR library allows.
 func New(limits Limits) Codec {
-	encoder, err := cbor.EncOptions{}.EncMode()
+	encoder, err := cbor.EncOptions{ShortestFloat: cbor.ShortestFloat16}.EncMode()
 	if err != nil {
 		panic(err)
 	}
--- a/internal/process/allowance/allowance_test.go
+++ b/internal/process/allowance/allowance_test.go
@@ -243,7 +243,7 @@
 			}
 			restartedAt := crashAt.Add(down)
 			after := allowance.NewTeamLimit(config, allowance.NewHosts(start), false, restartedAt)
-			after.Restore(&history, restartedAt)
+			after.Restore(&history, restartedAt.Sub(recordedAt), restartedAt)
 			for now := restartedAt; now.Before(restartedAt.Add(20 * time.Second)); now = now.Add(10 * time.Millisecond) {
 				if after.Take(10, false, now) {
 					uses.add(10, now)
@@ -254,7 +254,7 @@
 		})
 	}
 	quiet := allowance.NewTeamLimit(config, allowance.NewHosts(start), false, start)
-	quiet.Restore(nil, start)
+	quiet.Restore(nil, 0, start)
 	assert.Assert(t, quiet.Take(300, false, start), "a team that used little gets nothing")
 }
 
--- a/internal/process/allowance/history.go
+++ b/internal/process/allowance/history.go
@@ -22,7 +22,8 @@
 // kept.
 const minHistoryShare = 0.25
 
-// History returns the known usage of all hosts, and whether it is worth keeping.
+// History returns the usage of all hosts, and whether it is worth keeping. What hosts
+// that are cut off may have used counts as just used.
 func (t *TeamLimit) History(now time.Time) (history History, isRelevant bool) {
 	if t.limit <= 0 {
 		return history, false
@@ -35,15 +36,21 @@
 	for _, other := range t.remote {
 		other.window.each(now, add)
 	}
+	if history != (History{}) {
+		setAside, _ := t.setAside(now)
+		history[0] += setAside
+	}
 	return history, history.sum() >= minHistoryShare*t.limit
 }
 
-// Restore replaces what a host assumes of the usage before its start by a history.
+// Restore replaces what a host assumes of the usage before its start by a history of a
+// given age.
 //
-// The team may have used the rest of its limit between the history and the start, all
-// of it at the last moment. Since the hosts' clocks can be wrong, the history counts as
-// if it had just been written. A team without a history used little of its limit.
-func (t *TeamLimit) Restore(history *History, now time.Time) {
+// What has left the window since, and what was not used of the limit, may have been used
+// until the start, all of it at the last moment. What is still in the window counts as if
+// the history had just been written, since the hosts' clocks differ. A team without a
+// history used little of its limit.
+func (t *TeamLimit) Restore(history *History, age time.Duration, now time.Time) {
 	if t.limit <= 0 {
 		return
 	}
@@ -52,12 +59,23 @@
 		t.own.Fill(minHistoryShare*t.limit, now)
 		t.own.Add(unrecordedShare*t.limit, now)
 	} else {
-		t.addHistory(*history, now)
-		t.own.Add(max(t.limit-history.sum(), 0), now)
+		kept := *history
+		interval := t.window / historyIntervals
+		for i := range kept {
+			if time.Duration(i+1)*interval > t.window-max(age, minHistoryAge) {
+				kept[i] = 0
+			}
+		}
+		t.addHistory(kept, now)
+		t.own.Add(max(t.limit-kept.sum(), 0), now)
 	}
 	t.own.Add(t.charged, now) // since the start
 }
 
+// minHistoryAge is the least age that a history counts with at the start of a fleet: the
+// time between two records and that of a restart.
+const minHistoryAge = 2500 * time.Millisecond
+
 // Adopt replaces what a host assumes of the usage before its start by the history that
 // another host knows at this moment, which is complete.
 func (t *TeamLimit) Adopt(history History, now time.Time) {
--- a/internal/process/allowance/restart_test.go
+++ b/internal/process/allowance/restart_test.go
@@ -27,7 +27,7 @@
 	}
 	restartedAt := crashAt.Add(down)
 	after := allowance.NewTeamLimit(config, allowance.NewHosts(start), false, restartedAt)
-	after.Restore(&history, restartedAt)
+	after.Restore(&history, uncovered+down, restartedAt)
 	for now := restartedAt; now.Before(restartedAt.Add(2 * window)); now = now.Add(10 * time.Millisecond) {
 		if after.Take(2.5, true, now) {
 			uses.add(2.5, now)
--- a/internal/process/allowance/team.go
+++ b/internal/process/allowance/team.go
@@ -108,24 +108,33 @@
 	return t.used(now) / t.limit, true
 }
 
-// allowed returns what this host and those that receive its reports may use in a
-// window, in addition to what the others are known to have used.
-func (t *TeamLimit) allowed(hasSpareCapacity bool, now time.Time) float64 {
-	limit := t.limit
-	if hasSpareCapacity && !now.Before(t.overshootFrom) {
-		limit += t.overshoot
-	}
-	share := limit / float64(t.hosts.count())
+// setAside returns what hosts that are cut off may use in addition to what they are known
+// to have used, and whether there are any.
+func (t *TeamLimit) setAside(now time.Time) (amount float64, isAnyCutOff bool) {
+	share := t.limit / float64(t.hosts.count())
 	for _, s := range t.hosts.sharers {
-		if s.isCutOff(now) {
-			setAside := share
-			if other := t.remote[s.name]; other != nil {
-				setAside = max(0, share-other.window.Sum(now))
-			}
-			limit -= setAside
+		if !s.isCutOff(now) {
+			continue
 		}
+		isAnyCutOff = true
+		used := 0.0
+		if other := t.remote[s.name]; other != nil {
+			used = other.window.Sum(now)
+		}
+		amount += max(0, share-used)
+	}
+	return amount, isAnyCutOff
+}
+
+// allowed returns what this host and those that receive its reports may use in a
+// window, in addition to what the others are known to have used. Overshoot is granted
+// only while this host knows all usage.
+func (t *TeamLimit) allowed(hasSpareCapacity bool, now time.Time) float64 {
+	setAside, isAnyCutOff := t.setAside(now)
+	if hasSpareCapacity && !isAnyCutOff && !now.Before(t.overshootFrom) {
+		return t.limit + t.overshoot
 	}
-	return limit
+	return t.limit - setAside
 }
 
 // Take charges an amount if the limit covers it, and reports whether it did.
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -130,8 +130,12 @@
 // the reachable hosts that can access the log, once it has run for
 // minWriterUptime. Two writers at a time are harmless: older copies are ignored, and reports are written with a
 // conditional append.
-func (g *Gateway) isWriter() bool {
-	return g.uptime() >= minWriterUptime && !g.operator.IsUnavailable() &&
+func (g *Gateway) isWriter() bool { return g.uptime() >= minWriterUptime && g.isLeader() }
+
+// isLeader reports whether this host is the leader of the reachable hosts that can
+// access the log.
+func (g *Gateway) isLeader() bool {
+	return !g.operator.IsUnavailable() &&
 		g.membership.IsLeader(func(s peers.Status) bool { return !s.StoreUnavailable && s.Loaded }, time.Now())
 }
 
--- a/internal/process/gateway/limits.go
+++ b/internal/process/gateway/limits.go
@@ -20,10 +20,11 @@
 	hosts        *allowance.Hosts
 	// retryShare is this host's share of the slack of retry budgets.
 	retryShare float64
-	// restored is the teams' usage before this host's start, as it was known at
-	// restoredAt; nil if nothing is known.
-	restored   map[string]allowance.History
-	restoredAt time.Time
+	// restored is the teams' usage before this host's start, which was known
+	// restoredAge before restoredAt; nil if nothing is known.
+	restored    map[string]allowance.History
+	restoredAge time.Duration
+	restoredAt  time.Time
 	// isComplete is set if restored is from a host that knew all usage.
 	isComplete bool
 }
--- a/internal/process/gateway/usagehistory.go
+++ b/internal/process/gateway/usagehistory.go
@@ -42,6 +42,9 @@
 	// usageRecordInterval the time between records while a team uses much of its limit.
 	usageCheckInterval  = 250 * time.Millisecond
 	usageRecordInterval = time.Second
+	// minUsageWriterUptime is how long after its start a host may write the record. It is
+	// short, since hosts may restart again before there is a record of what they use now.
+	minUsageWriterUptime = 750 * time.Millisecond
 	// usageWriteTimeout limits the store call.
 	usageWriteTimeout = 800 * time.Millisecond
 	// maxUsageTeams bounds the teams of a record.
@@ -53,7 +56,7 @@
 // the record.
 func (u *usageHistory) run(ctx context.Context) error {
 	for pause.For(ctx, usageCheckInterval) {
-		if _, isLoaded := u.gateway.hosts.Next(); !isLoaded || !u.gateway.isWriter() {
+		if _, isLoaded := u.gateway.hosts.Next(); !isLoaded || u.gateway.uptime() < minUsageWriterUptime || !u.gateway.isLeader() {
 			continue
 		}
 		histories := u.gateway.limits.histories(time.Now())
@@ -106,9 +109,10 @@
 	if err := wire.Unmarshal(value, &record); err != nil {
 		return eris.Wrap(err, "teams' usage")
 	}
-	u.gateway.limits.restore(record.Teams, false)
+	age := time.Since(time.UnixMilli(record.WrittenAt))
+	u.gateway.limits.restore(record.Teams, age, false)
 	u.gateway.log.Entry().WithFields(logrus.Fields{
-		"teams": slices.Sorted(maps.Keys(record.Teams)), "age_ms": time.Since(time.UnixMilli(record.WrittenAt)).Milliseconds(),
+		"teams": slices.Sorted(maps.Keys(record.Teams)), "age_ms": age.Milliseconds(),
 		"used_shares": u.gateway.limits.usedShares(time.Now()),
 	}).Info("teams' usage before the start is known")
 	return nil
@@ -127,12 +131,12 @@
 	return histories
 }
 
-// restore applies the teams' usage before this host's start. isComplete is set if a host
-// that knows all usage has just sent it; otherwise it may be out of date.
-func (l *sharedLimits) restore(histories map[string]allowance.History, isComplete bool) {
+// restore applies the teams' usage before this host's start, as it was known some time
+// ago. isComplete is set if a host that knows all usage has just sent it.
+func (l *sharedLimits) restore(histories map[string]allowance.History, age time.Duration, isComplete bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.restored, l.restoredAt, l.isComplete = histories, time.Now(), isComplete
+	l.restored, l.restoredAge, l.restoredAt, l.isComplete = histories, age, time.Now(), isComplete
 	if l.restored == nil {
 		l.restored = map[string]allowance.History{}
 	}
@@ -148,9 +152,9 @@
 	case l.isComplete:
 		team.Adopt(history, now)
 	case found:
-		team.Restore(&history, now)
+		team.Restore(&history, l.restoredAge, now)
 	default:
-		team.Restore(nil, now)
+		team.Restore(nil, l.restoredAge, now)
 	}
 }
 
--- a/internal/process/gateway/usagetakeover.go
+++ b/internal/process/gateway/usagetakeover.go
@@ -58,7 +58,7 @@
 			continue
 		}
 		if reply.IsComplete {
-			g.limits.restore(reply.Teams, true)
+			g.limits.restore(reply.Teams, 0, true)
 			g.log.Entry().WithFields(logrus.Fields{"link": address.String(), "used_shares": g.limits.usedShares(time.Now())}).
 				Info("adopted the teams' usage of another host")
 		}
