--- a/internal/connection/upstream/dial.go
+++ b/internal/connection/upstream/dial.go
@@ -39,6 +39,9 @@
 	},
 }
 
+// DialFunc opens a connection to an address.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
 // Dial opens a TCP connection that detects the loss of its peer within a few
 // seconds.
 func Dial(ctx context.Context, network, address string) (net.Conn, error) {
--- a/internal/connection/upstream/header_limit_test.go
+++ b/internal/connection/upstream/header_limit_test.go
@@ -67,7 +67,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			address, sent := serveWithoutEnd(t, test.beginning, test.repeated)
-			pool := upstream.NewPool(address, metrics.NewCounter())
+			pool := upstream.NewPool(address, upstream.Dial, metrics.NewCounter())
 			conn, err := pool.Get(t.Context())
 			assert.NilError(t, err)
 			startedAt := time.Now()
@@ -84,7 +84,7 @@
 // The limit of the header does not limit the body, on a reused connection either.
 func TestBodyBeyondTheHeaderLimit(t *testing.T) {
 	body := strings.Repeat("b", 1<<20)
-	pool := upstream.NewPool(serveResponses(t, okResponse("a", body), okResponse("b", body)), metrics.NewCounter())
+	pool := upstream.NewPool(serveResponses(t, okResponse("a", body), okResponse("b", body)), upstream.Dial, metrics.NewCounter())
 	for range 2 {
 		got, err := exchange(pool, notStale)
 		assert.NilError(t, err)
--- a/internal/connection/upstream/pool.go
+++ b/internal/connection/upstream/pool.go
@@ -29,6 +29,7 @@
 // concurrent use.
 type Pool struct {
 	address string
+	dial    DialFunc
 	opened  metrics.Counter
 
 	mu     sync.Mutex
@@ -36,10 +37,10 @@
 	closed bool
 }
 
-// NewPool returns an empty pool. It increments opened for each connection that
-// it opens.
-func NewPool(address string, opened metrics.Counter) *Pool {
-	return &Pool{address: address, opened: opened}
+// NewPool returns an empty pool that opens connections with dial. It increments opened
+// for each connection that it opens.
+func NewPool(address string, dial DialFunc, opened metrics.Counter) *Pool {
+	return &Pool{address: address, dial: dial, opened: opened}
 }
 
 // Conn is a connection to an endpoint. It carries one request at a time.
@@ -68,7 +69,7 @@
 		conn.Close()
 	}
 	p.opened.Inc(1)
-	opened, err := Dial(ctx, "tcp", p.address)
+	opened, err := p.dial(ctx, "tcp", p.address)
 	if err != nil {
 		return nil, eris.Wrapf(err, "connection to %s", p.address)
 	}
@@ -81,7 +82,7 @@
 // refusing.
 func (p *Pool) IsRefusing(ctx context.Context) bool {
 	p.opened.Inc(1)
-	opened, err := Dial(ctx, "tcp", p.address)
+	opened, err := p.dial(ctx, "tcp", p.address)
 	if err == nil {
 		// Nothing was sent on the connection.
 		_ = opened.Close()
--- a/internal/connection/upstream/upstream_test.go
+++ b/internal/connection/upstream/upstream_test.go
@@ -101,7 +101,7 @@
 	for _, test := range cases {
 		t.Run(test.name, func(t *testing.T) {
 			opened := metrics.NewCounter()
-			pool := upstream.NewPool(serveResponses(t, test.response, test.response), opened)
+			pool := upstream.NewPool(serveResponses(t, test.response, test.response), upstream.Dial, opened)
 			defer pool.Close()
 			for range 2 {
 				body, err := exchange(pool, notStale)
@@ -135,7 +135,7 @@
 			_, _ = io.WriteString(conn, response)
 		}
 	}()
-	pool := upstream.NewPool(listener.Addr().String(), metrics.NewCounter())
+	pool := upstream.NewPool(listener.Addr().String(), upstream.Dial, metrics.NewCounter())
 	defer pool.Close()
 	for id, want := range []string{"first", "second"} {
 		body, err := exchange(pool, func(h http.Header) bool { return h.Get("Id") != string(rune('a'+id)) })
@@ -151,24 +151,24 @@
 	assert.NilError(t, err)
 	address := closed.Addr().String()
 	assert.NilError(t, closed.Close())
-	_, err = exchange(upstream.NewPool(address, metrics.NewCounter()), notStale)
+	_, err = exchange(upstream.NewPool(address, upstream.Dial, metrics.NewCounter()), notStale)
 	assert.Assert(t, err != nil && !errors.Is(err, upstream.ErrNoResponse))
 	for name, response := range map[string]string{
 		"no answer": "", "garbage": "\x00\xff", "half a head": "HTTP/1.1 200 OK\r\nContent-",
 		"other protocol": "HTTP/2.0 200 OK\r\nContent-Length: 0\r\n\r\n",
 		"of another":     okResponse("z", "other"),
 	} {
-		_, err := exchange(upstream.NewPool(serveResponses(t, response), metrics.NewCounter()), func(h http.Header) bool { return h.Get("Id") == "z" })
+		_, err := exchange(upstream.NewPool(serveResponses(t, response), upstream.Dial, metrics.NewCounter()), func(h http.Header) bool { return h.Get("Id") == "z" })
 		assert.Assert(t, errors.Is(err, upstream.ErrNoResponse), "%s: %v", name, err)
 	}
-	_, err = exchange(upstream.NewPool(serveResponses(t, "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\npart"), metrics.NewCounter()), notStale)
+	_, err = exchange(upstream.NewPool(serveResponses(t, "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\npart"), upstream.Dial, metrics.NewCounter()), notStale)
 	assert.Assert(t, errors.Is(err, io.ErrUnexpectedEOF), "%v", err)
 }
 
 // An idle connection that the peer has closed is not reused.
 func TestClosedIdleConnection(t *testing.T) {
 	opened, closed := metrics.NewCounter(), make(chan bool, 3)
-	pool := upstream.NewPool(serveAndNotify(t, closed, okResponse("a", "good")), opened)
+	pool := upstream.NewPool(serveAndNotify(t, closed, okResponse("a", "good")), upstream.Dial, opened)
 	defer pool.Close()
 	for range 3 {
 		body, err := exchange(pool, notStale)
@@ -186,7 +186,7 @@
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	assert.NilError(t, err)
 	defer listener.Close()
-	pool := upstream.NewPool(listener.Addr().String(), metrics.NewCounter())
+	pool := upstream.NewPool(listener.Addr().String(), upstream.Dial, metrics.NewCounter())
 	conn, err := pool.Get(context.Background())
 	assert.NilError(t, err)
 	accepted, err := listener.Accept()
--- a/internal/process/dispatch/dispatch.go
+++ b/internal/process/dispatch/dispatch.go
@@ -114,6 +114,7 @@
 // Dispatcher assigns requests to endpoints. It is safe for concurrent use.
 type Dispatcher struct {
 	domain            string
+	dial              upstream.DialFunc
 	connectionsOpened metrics.Counter
 	notify            func(EndpointChange)
 
@@ -146,11 +147,11 @@
 	lease  *Lease
 }
 
-// New returns a dispatcher without endpoints. It calls notify for each endpoint
+// New returns a dispatcher without endpoints, which it connects to with dial. It calls notify for each endpoint
 // change, without holding its lock.
-func New(domain string, connectionsOpened metrics.Counter, notify func(EndpointChange)) *Dispatcher {
+func New(domain string, dial upstream.DialFunc, connectionsOpened metrics.Counter, notify func(EndpointChange)) *Dispatcher {
 	return &Dispatcher{
-		domain: domain, connectionsOpened: connectionsOpened, notify: notify,
+		domain: domain, dial: dial, connectionsOpened: connectionsOpened, notify: notify,
 		fleet: fleet.New(), pools: map[*fleet.Endpoint]*upstream.Pool{},
 		queues: map[string]*waitQueue{}, hostCount: 1, contendingHosts: map[uint32]map[string]time.Time{},
 		moves: map[string]*canary.Move{},
--- a/internal/process/dispatch/ratelimit_test.go
+++ b/internal/process/dispatch/ratelimit_test.go
@@ -12,6 +12,7 @@
 	"github.com/rcrowley/go-metrics"
 	"gotest.tools/v3/assert"
 
+	"mustarddoor/internal/connection/upstream"
 	"mustarddoor/internal/process/dispatch"
 	"mustarddoor/internal/process/fleet"
 	"mustarddoor/internal/version/routing"
@@ -37,7 +38,7 @@
 		addresses = append(addresses, netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 7600))
 	}
 	for _, address := range addresses {
-		d := dispatch.New("z", metrics.NewCounter(), func(dispatch.EndpointChange) {})
+		d := dispatch.New("z", upstream.Dial, metrics.NewCounter(), func(dispatch.EndpointChange) {})
 		d.SetHosts(address, addresses)
 		d.SetEntry(fleet.Entry{ID: limitedEndpoint, Service: "s", Address: "10.9.9.9:1", Domain: "z", Slots: 1000})
 		d.AdoptRateLimits(map[uint32]fleet.RateLimit{fleet.HashID(limitedEndpoint): {IsNamed: true, PerSecond: limit, ObservedAt: time.Now()}})
--- a/internal/process/dispatch/update.go
+++ b/internal/process/dispatch/update.go
@@ -23,7 +23,7 @@
 	var changes []EndpointChange
 	if added != nil {
 		changes = append(changes, newEndpointChange("added", added))
-		d.pools[added] = upstream.NewPool(entry.Address, d.connectionsOpened)
+		d.pools[added] = upstream.NewPool(entry.Address, d.dial, d.connectionsOpened)
 		d.limitColdRate(added, now)
 	}
 	d.serveQueue(entry.Service, nil, now)
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -75,7 +75,7 @@
 		malformedEntries: metrics.GetOrRegisterCounter("endpoints.malformed", ports.Metrics),
 	}
 	g.limits = newSharedLimits(&g.settings)
-	g.dispatcher = dispatch.New(settings.Domain, metrics.GetOrRegisterCounter("endpoints.connections_opened", ports.Metrics), g.logEndpointChange)
+	g.dispatcher = dispatch.New(settings.Domain, ports.DialEndpoint, metrics.GetOrRegisterCounter("endpoints.connections_opened", ports.Metrics), g.logEndpointChange)
 	g.quarantine = newPromptQuarantine(g)
 	g.relay = relay.New(relay.Config{
 		Protocol: ports.Protocol, Dispatcher: g.dispatcher, Limits: g.limits, Quarantine: g.quarantine,
--- a/internal/process/gateway/settings.go
+++ b/internal/process/gateway/settings.go
@@ -13,6 +13,7 @@
 
 	"github.com/rcrowley/go-metrics"
 
+	"mustarddoor/internal/connection/upstream"
 	"mustarddoor/internal/process/fleet"
 	"mustarddoor/internal/process/keyed"
 	"mustarddoor/internal/request/relay"
@@ -93,6 +94,8 @@
 	DecodeReport func(record keyed.Record) (service, target string, stage canary.Stage, err error)
 	// DecodeEntry decodes an endpoint's entry.
 	DecodeEntry func(id string, value []byte) (fleet.Entry, error)
+	// DialEndpoint opens connections to endpoints.
+	DialEndpoint upstream.DialFunc
 	// Servers returns additional HTTP handlers by listen address.
 	Servers func(View) map[string]http.Handler
 	// Metrics is the registry for counters and timers.
