Hosts carry requests for each other to services that they cannot reach (RECOVER)

Cause: a host judged endpoints one by one by requests that failed there, and never asked whether the path was its own. It went on taking callers, whom the directory went on sending to it.

Change: - reach: a host tracks new connections to endpoints. One that cannot be connected to gets no requests until a probe can (two failures of callers' requests and growing pauses before). What was not received may be offered to one more host; what may have been is not repeated. - The directory leaves out hosts that have lost a service, unless the others are fewer than four or in one failure domain; it is never empty. - Lost services are in the messages between hosts only while there are any.

--- a/internal/connection/upstream/exchange.go
+++ b/internal/connection/upstream/exchange.go
@@ -203,5 +203,8 @@
 	r.conn.release(r.idleTimeout)
 }
 
+// IsNew reports whether the connection was opened for this request.
+func (c *Conn) IsNew() bool { return !c.taken }
+
 // IsReused reports whether the connection has served earlier requests.
 func (c *Conn) IsReused() bool { return c.reused }
--- a/internal/connection/upstream/pool.go
+++ b/internal/connection/upstream/pool.go
@@ -21,6 +21,8 @@
 	// maxIdleTime is the idle time of connections to endpoints that announce
 	// no timeout or a longer one.
 	maxIdleTime = 4 * time.Second
+	// maxUnusedTime is how long a connection without any request stays open.
+	maxUnusedTime = time.Second
 	// readBufferBytes is the size of a connection's read buffer.
 	readBufferBytes = 4 << 10
 )
@@ -52,6 +54,8 @@
 	pool    *Pool
 	// reused is set if an earlier request has completed on the connection.
 	reused bool
+	// taken is set if the connection was idle in the pool.
+	taken bool
 	// expiresAt is when an idle connection expires.
 	expiresAt time.Time
 }
@@ -64,10 +68,16 @@
 			break
 		}
 		if time.Now().Before(conn.expiresAt) && conn.isReusable() {
+			conn.taken = true
 			return conn, nil
 		}
 		conn.Close()
 	}
+	return p.open(ctx)
+}
+
+// open opens a new connection.
+func (p *Pool) open(ctx context.Context) (*Conn, error) {
 	p.opened.Inc(1)
 	opened, err := p.dial(ctx, "tcp", p.address)
 	if err != nil {
@@ -77,6 +87,23 @@
 	return &Conn{net: opened, reader: bufio.NewReaderSize(limited, readBufferBytes), limited: limited, pool: p}, nil
 }
 
+// OpenIdle opens a new connection and keeps it for a request.
+func (p *Pool) OpenIdle(ctx context.Context) error {
+	conn, err := p.open(ctx)
+	if err != nil {
+		return err
+	}
+	conn.expiresAt = time.Now().Add(maxUnusedTime)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		conn.Close()
+		return nil
+	}
+	p.idle = append(p.idle, conn)
+	return nil
+}
+
 // IsRefusing reports whether the endpoint refuses new connections, as when its
 // process has ended. An endpoint that does not answer before ctx is done is not
 // refusing.
--- a/internal/process/dispatch/dispatch.go
+++ b/internal/process/dispatch/dispatch.go
@@ -18,6 +18,7 @@
 	"mustarddoor/internal/process/admission"
 	"mustarddoor/internal/process/choose"
 	"mustarddoor/internal/process/fleet"
+	"mustarddoor/internal/process/reach"
 	"mustarddoor/internal/version/canary"
 	"mustarddoor/internal/version/routing"
 )
@@ -133,6 +134,10 @@
 	contendingHosts map[uint32]map[string]time.Time
 	// rateLimitsChangedAt is when the limit that an endpoint names last changed.
 	rateLimitsChangedAt time.Time
+	// reach tracks, by service, whether this host can reach any endpoint; silent holds
+	// the endpoints that were silent and have not been probed since.
+	reach  map[string]*reach.Tracker
+	silent map[*fleet.Endpoint]bool
 	// moves holds each service's move to another version.
 	moves map[string]*canary.Move
 	rand  *rand.Rand
@@ -154,8 +159,8 @@
 		domain: domain, dial: dial, connectionsOpened: connectionsOpened, notify: notify,
 		fleet: fleet.New(), pools: map[*fleet.Endpoint]*upstream.Pool{},
 		queues: map[string]*waitQueue{}, hostCount: 1, contendingHosts: map[uint32]map[string]time.Time{},
-		moves: map[string]*canary.Move{},
-		rand:  rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		moves: map[string]*canary.Move{}, reach: map[string]*reach.Tracker{}, silent: map[*fleet.Endpoint]bool{},
+		rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 }
 
@@ -346,7 +351,7 @@
 		if isShort {
 			candidates[i].Slots += choose.Oversubscription(e.Slots, slotTime, e.LoadAge(now), job.Route.TargetLatency)
 		}
-		if !d.fleet.IsUsable(e) || slices.Contains(job.ExcludedEndpoints, e.ID) || !filter.allows(e.Version) {
+		if !d.fleet.IsUsable(e) || d.isOutOfReach(e) || slices.Contains(job.ExcludedEndpoints, e.ID) || !filter.allows(e.Version) {
 			candidates[i].Blocked = true
 		}
 		if c := &candidates[i]; e != freed && !c.Blocked && c.Busy < c.Slots && !d.mayTakeFreeSlot(e, c.Slots-c.Busy, now) {
--- a/internal/process/dispatch/lease.go
+++ b/internal/process/dispatch/lease.go
@@ -102,6 +102,9 @@
 	if result == fleet.ResultWrongEndpoint {
 		changes = append(changes, newEndpointChange("address_reused", l.endpoint))
 	}
+	if result == fleet.ResultTimeout {
+		d.silent[l.endpoint] = true
+	}
 	d.recordMoveResult(l, result, now)
 	if result == fleet.ResultSuccess {
 		d.queue(l.job.Service).recordSlotTime(l.job, now.Sub(l.startedAt))
--- a/internal/process/dispatch/update.go
+++ b/internal/process/dispatch/update.go
@@ -45,6 +45,9 @@
 }
 
 func (d *Dispatcher) closePool(e *fleet.Endpoint) {
+	if tracker := d.reach[e.Service]; tracker != nil {
+		tracker.Forget(e.ID)
+	}
 	if pool := d.pools[e]; pool != nil {
 		pool.Close()
 		delete(d.pools, e)
--- a/internal/process/entryset/entryset.go
+++ b/internal/process/entryset/entryset.go
@@ -38,6 +38,9 @@
 	// Capacity is what the host has; a field that is 0 is unknown and sets no
 	// limit. Used is what it spent on callers lately.
 	Capacity, Used Resources
+	// IsCutOff is set if the host can reach no endpoint of some service. Other hosts
+	// then carry its callers' requests to it.
+	IsCutOff bool
 	// IsSettled is set once the host has been reachable for some time. Hosts
 	// that come and go are selected only if they are needed.
 	IsSettled bool
@@ -67,12 +70,30 @@
 // Select returns the hosts to send callers to, given what callers need of all
 // hosts together.
 func Select(hosts []Host, demand Resources) []Host {
-	settled := slices.DeleteFunc(slices.Clone(hosts), func(h Host) bool { return !h.IsSettled })
+	connected := slices.DeleteFunc(slices.Clone(hosts), func(h Host) bool { return h.IsCutOff })
+	if len(connected) == 0 {
+		connected = hosts // no host is better than another
+	}
+	settled := slices.DeleteFunc(slices.Clone(connected), func(h Host) bool { return !h.IsSettled })
 	set, suffices := selectFrom(settled, demand)
 	if suffices && bearsLosses(set, hosts) {
 		return set
 	}
-	set, _ = selectFrom(hosts, demand)
+	set, _ = selectFrom(connected, demand)
+	return addForLosses(set, hosts)
+}
+
+// addForLosses adds hosts that are cut off to a set that is too small to bear losses.
+// They relieve no other host, since those carry their requests.
+func addForLosses(set, hosts []Host) []Host {
+	cutOff := slices.DeleteFunc(slices.Clone(hosts), func(h Host) bool { return !h.IsCutOff })
+	set = slices.Clone(set)
+	for _, h := range orderByPreference(cutOff) {
+		if bearsLosses(set, hosts) {
+			break
+		}
+		set = append(set, h)
+	}
 	return set
 }
 
--- a/internal/process/entryset/entryset_test.go
+++ b/internal/process/entryset/entryset_test.go
@@ -155,3 +155,49 @@
 		}
 	})
 }
+
+// Callers were sent to hosts that had lost all endpoints of a service. They are sent to
+// the others, and to some of those only if the others are too few to bear losses.
+func TestSelectAvoidsCutOffHosts(t *testing.T) {
+	for _, test := range []struct {
+		name                string
+		hosts               []Host
+		isCutOff            func(i int) bool
+		connected, wantCut  int
+		wantConnectedAtMost int
+	}{
+		{"one of 6", fleet(3, 0, 2), func(i int) bool { return i == 0 }, 5, 0, 5},
+		{"a domain of 9", fleet(3, 0, 3), func(i int) bool { return i < 3 }, 6, 0, 6},
+		{"six of 9", fleet(3, 0, 3), func(i int) bool { return i%3 != 0 }, 3, 1, 3},
+		{"all but one of 6", fleet(3, 0, 2), func(i int) bool { return i != 0 }, 1, 3, 1},
+		{"all of 6", fleet(3, 0, 2), func(int) bool { return true }, 0, 6, 0},
+		{"a domain of 295", fleet(5, 3, 56), func(i int) bool { return i < 59 }, 4, 0, 12},
+		{"all large ones of 295", fleet(5, 3, 56), func(i int) bool { return i%59 < 3 }, 4, 0, 64},
+		{"all but two of 295", fleet(5, 3, 56), func(i int) bool { return i > 1 }, 2, 2, 2},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			for i := range test.hosts {
+				test.hosts[i].IsCutOff = test.isCutOff(i)
+			}
+			set := Select(test.hosts, Resources{})
+			cutOff := len(without(set, func(h Host) bool { return !h.IsCutOff }))
+			assert.Equal(t, cutOff, test.wantCut)
+			assert.Assert(t, len(set)-cutOff >= test.connected && len(set)-cutOff <= test.wantConnectedAtMost, "%d connected hosts", len(set)-cutOff)
+			assert.Assert(t, bearsLosses(set, test.hosts))
+		})
+	}
+}
+
+// Whatever hosts are cut off, the selection is not empty.
+func TestSelectionIsNeverEmpty(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		hosts := fleet(rapid.IntRange(1, 4).Draw(t, "domains"), rapid.IntRange(0, 3).Draw(t, "large"), rapid.IntRange(1, 8).Draw(t, "small"))
+		for i := range hosts {
+			hosts[i].IsCutOff, hosts[i].IsSettled = rapid.Bool().Draw(t, "cut"), rapid.Bool().Draw(t, "settled")
+		}
+		set := Select(hosts, Resources{Cores: rapid.Float64Range(0, 20).Draw(t, "cores")})
+		if !bearsLosses(set, hosts) {
+			t.Fatalf("%d of %d hosts selected", len(set), len(hosts))
+		}
+	})
+}
--- a/internal/process/fleet/health.go
+++ b/internal/process/fleet/health.go
@@ -87,6 +87,11 @@
 	return true
 }
 
+// ClearSuspension ends an endpoint's suspension, after which it is not on probation.
+func (e *Endpoint) ClearSuspension() {
+	e.health.consecutiveFailures, e.health.suspension, e.health.suspendedUntil = 0, 0, time.Time{}
+}
+
 // isSuspended reports whether the endpoint gets no requests at present. After a
 // suspension, it is probed with one request at a time.
 func (h *health) isSuspended(now time.Time) bool {
--- a/internal/process/gateway/entry.go
+++ b/internal/process/gateway/entry.go
@@ -55,14 +55,18 @@
 	g := e.gateway
 	var hosts []entryset.Host
 	for _, ready := range g.membership.ReadyHosts(now) {
-		hosts = append(hosts, entryHost(ready.Host, ready.Spent, ready.ReachableFor >= settleTime))
+		host := entryHost(ready.Host, ready.Spent, ready.ReachableFor >= settleTime)
+		host.IsCutOff = len(ready.LostServices) > 0
+		hosts = append(hosts, host)
 	}
 	if g.IsReady() {
 		spent := peers.Usage{}
 		if own := g.spent.Load(); own != nil {
 			spent = *own
 		}
-		hosts = append(hosts, entryHost(g.self, spent, true))
+		host := entryHost(g.self, spent, true)
+		host.IsCutOff = len(g.carriers.lostServices()) > 0
+		hosts = append(hosts, host)
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -35,6 +35,7 @@
 
 	limits         *sharedLimits
 	quarantine     *promptQuarantine
+	carriers       *carriers
 	usageHistory   *usageHistory
 	dispatcher     *dispatch.Dispatcher
 	relay          *relay.Relay
@@ -48,7 +49,9 @@
 	moveTracker    *moveTracker
 	callerConns    *callerConnections
 	// frontend serves callers.
-	frontend   *http.Server
+	frontend *http.Server
+	// peerServer serves other hosts.
+	peerServer *http.Server
 	entryHosts *entryHosts
 	// usage is used by the periodic tasks only.
 	usage *usageMeter
@@ -77,8 +80,9 @@
 	g.limits = newSharedLimits(&g.settings)
 	g.dispatcher = dispatch.New(settings.Domain, ports.DialEndpoint, metrics.GetOrRegisterCounter("endpoints.connections_opened", ports.Metrics), g.logEndpointChange)
 	g.quarantine = newPromptQuarantine(g)
+	g.carriers = newCarriers(g)
 	g.relay = relay.New(relay.Config{
-		Protocol: ports.Protocol, Dispatcher: g.dispatcher, Limits: g.limits, Quarantine: g.quarantine,
+		Protocol: ports.Protocol, Dispatcher: g.dispatcher, Limits: g.limits, Quarantine: g.quarantine, Carriers: g.carriers,
 		Table: g.table.Load, StopsAt: g.stopDeadline, Log: log, Metrics: ports.Metrics,
 	})
 	g.self = peers.Host{
@@ -156,7 +160,7 @@
 	status := peers.Status{
 		Ready: g.IsReady(), Leaving: g.isStopping(), WaitingServices: waiting, Usage: g.limits.Usage(isFull),
 		StoreUnavailable: g.operator.IsUnavailable(), Spent: g.spent.Load(), Carries: g.carries.Load(),
-		Quarantine: g.quarantine.evidence(isFull),
+		Quarantine: g.quarantine.evidence(isFull), LostServices: g.carriers.lostServices(),
 	}
 	operatorNext, isOperatorKnown := g.operator.Next()
 	endpointsNext, areEndpointsKnown := g.endpoints.Next()
--- a/internal/process/gateway/run.go
+++ b/internal/process/gateway/run.go
@@ -19,6 +19,7 @@
 	"github.com/sirupsen/logrus"
 
 	"mustarddoor/internal/process/telemetry"
+	"mustarddoor/internal/request/relay"
 )
 
 const (
@@ -74,6 +75,7 @@
 	addActor(g.quarantine.run)
 	addActor(g.usageHistory.run)
 	addActor(g.adoptUsage)
+	addActor(g.carriers.run)
 	addActor(g.callerConns.closeIdle)
 	g.frontend = &http.Server{
 		Handler: g.relay, ReadHeaderTimeout: defaultHeaderTimeout,
@@ -83,10 +85,18 @@
 		return err
 	}
 	peerHandler := http.NewServeMux()
+	g.peerServer = newHTTPServer(http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
+		// A carried request has a path of the caller's.
+		if relay.IsCarried(request) {
+			g.relay.ServeCarried(w, request)
+			return
+		}
+		peerHandler.ServeHTTP(w, request)
+	}))
 	peerHandler.HandleFunc("GET "+statePath, g.serveState)
 	peerHandler.HandleFunc("GET "+recordsPath, g.sharedReads.serveRecords)
 	peerHandler.HandleFunc("GET "+usagePath, g.serveUsage)
-	if err := g.serve(&group, g.settings.PeerAddress.String(), newHTTPServer(peerHandler)); err != nil {
+	if err := g.serve(&group, g.settings.PeerAddress.String(), g.peerServer); err != nil {
 		return err
 	}
 	handlers := g.ports.Servers(g)
@@ -189,15 +199,17 @@
 			return nil
 		case <-ticker.C:
 		}
-		if time.Since(now) > minServeAfterStop && g.callerConns.activeCount() == 0 {
+		if time.Since(now) > minServeAfterStop && g.callerConns.activeCount() == 0 && g.relay.CarryingCount() == 0 {
 			break
 		}
 	}
 	// A request may have been read since the last check: Shutdown completes it.
 	ctx, cancel := context.WithDeadline(ctx, g.stopDeadline())
 	defer cancel()
-	if err := g.frontend.Shutdown(ctx); err != nil {
-		g.log.Entry().WithError(err).Warn("requests were still running at the end of the grace period")
+	for _, server := range []*http.Server{g.frontend, g.peerServer} {
+		if err := server.Shutdown(ctx); err != nil {
+			g.log.Entry().WithError(err).Warn("requests were still running at the end of the grace period")
+		}
 	}
 	return errStopped
 }
--- a/internal/process/peers/membership.go
+++ b/internal/process/peers/membership.go
@@ -182,6 +182,10 @@
 	// which it has been reachable.
 	Spent        Usage
 	ReachableFor time.Duration
+	// Carries is set if callers are sent to it. LostServices holds the hashes of the
+	// services of which it can reach no endpoint.
+	Carries      bool
+	LostServices []uint32
 }
 
 // ReadyHosts returns the other hosts that accept callers.
@@ -194,7 +198,7 @@
 		if !isHeard || !p.status.Ready || p.status.Leaving || p.host.FrontendAddress == "" {
 			continue
 		}
-		ready := ReadyHost{Host: p.host, ReachableFor: now.Sub(p.reachableSince)}
+		ready := ReadyHost{Host: p.host, ReachableFor: now.Sub(p.reachableSince), Carries: p.status.Carries, LostServices: p.status.LostServices}
 		if p.status.Spent != nil {
 			ready.Spent = *p.status.Spent
 		}
--- a/internal/process/peers/message.go
+++ b/internal/process/peers/message.go
@@ -157,6 +157,9 @@
 	// store was restored; nil unless it still keeps records from then.
 	OperatorEarlier  *keyed.Position `cbor:"18,keyasint,omitempty"`
 	EndpointsEarlier *keyed.Position `cbor:"19,keyasint,omitempty"`
+	// LostServices holds the hashes of the services of which the host can reach no
+	// endpoint.
+	LostServices []uint32 `cbor:"20,keyasint,omitempty"`
 }
 
 // SetPositions sets how far the host has read. A topic that was not yet read in the
--- a/internal/request/relay/attempt.go
+++ b/internal/request/relay/attempt.go
@@ -39,6 +39,9 @@
 		if result.endpointFailure != nil {
 			s.endpointFailure = result.endpointFailure
 		}
+		if result.outcome == repeat.OutcomeNotSent && s.carryIfUnreachable() {
+			return
+		}
 		state := s.retryState(result)
 		decision := repeat.Decide(state)
 		if decision.Retry && result.outcome != repeat.OutcomeNotSent && !s.relay.Limits.AllowRetry(s.service) {
@@ -98,6 +101,12 @@
 		s.fail(http.StatusBadGateway, refusal.Reason)
 		return
 	}
+	if s.unreachable > 0 {
+		if s.carryIfUnreachable() {
+			return
+		}
+		s.markUnreached(repeat.OutcomeNotSent)
+	}
 	s.refuse(http.StatusServiceUnavailable, refusal.Reason, refusal.RetryAfter)
 }
 
@@ -108,6 +117,7 @@
 	case s.headerSent:
 		s.abort(result.reason)
 	case decision.NotRun:
+		s.markUnreached(result.outcome)
 		s.refuse(http.StatusServiceUnavailable, result.reason, withJitter(refusedRetryAfter))
 	case time.Until(s.deadline) <= 0:
 		s.fail(http.StatusGatewayTimeout, result.reason)
@@ -154,9 +164,16 @@
 	conn, err := lease.Pool.Get(dialCtx)
 	cancel()
 	if err != nil {
+		if s.context().Err() == nil {
+			s.unreachable++
+			lease.RecordConnection(false)
+		}
 		lease.Release(resultUnlessCallerLeft(s, fleet.ResultUnreachable))
 		return sendResult{outcome: repeat.OutcomeNotSent, reason: "endpoint_unreachable"}
 	}
+	if conn.IsNew() {
+		lease.RecordConnection(true)
+	}
 	if s.context().Err() != nil || !lease.IsEndpointUsable() {
 		conn.Close()
 		lease.Release(fleet.ResultNeutral)
--- a/internal/request/relay/protocol.go
+++ b/internal/request/relay/protocol.go
@@ -69,6 +69,9 @@
 	ParseRequest(request *http.Request) RequestAttributes
 	// ForwardHeader returns the request header for an endpoint.
 	ForwardHeader(from http.Header, send SendAttributes) http.Header
+	// CarriedHeader returns the request header for another host that is to serve the
+	// request in the time left.
+	CarriedHeader(from http.Header, timeLeft time.Duration) http.Header
 	// ParseResponse parses the header of an endpoint's response.
 	ParseResponse(status int, header http.Header) ResponseAttributes
 	// CopyResponseHeader copies the header fields that the caller may receive.
--- a/internal/request/relay/relay.go
+++ b/internal/request/relay/relay.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -50,6 +51,7 @@
 	Dispatcher *dispatch.Dispatcher
 	Limits     Limits
 	Quarantine Quarantine
+	Carriers   Carriers
 	// Table returns the configuration in force, or nil while none is known.
 	Table func() *routing.Table
 	// StopsAt returns when the process will have stopped, or the zero time if
@@ -66,8 +68,11 @@
 	retries, resumed, crashes, quarantined metrics.Counter
 	duration, firstEventLatency, queueWait metrics.Timer
 	bodyBudget                             bodyBudget
-	deadlines                              deadlineTracker
-	traffic                                traffic
+	carriedCount                           metrics.Counter
+	// carrying counts the requests in progress for other hosts.
+	carrying  atomic.Int64
+	deadlines deadlineTracker
+	traffic   traffic
 }
 
 // maxBodyMemoryBytes is the total memory for request bodies.
@@ -85,6 +90,7 @@
 		retries:           metrics.GetOrRegisterCounter("request.repeated", registry),
 		resumed:           metrics.GetOrRegisterCounter("request.resumed", registry),
 		quarantined:       metrics.GetOrRegisterCounter("request.quarantined", registry),
+		carriedCount:      metrics.GetOrRegisterCounter("request.carried", registry),
 		crashes:           metrics.GetOrRegisterCounter("request.endpoint_ended", registry),
 		duration:          metrics.GetOrRegisterTimer("request.took", registry),
 		firstEventLatency: metrics.GetOrRegisterTimer("request.first_answer", registry),
@@ -99,9 +105,15 @@
 
 // ServeHTTP implements http.Handler.
 func (r *Relay) ServeHTTP(w http.ResponseWriter, request *http.Request) {
+	request.Header.Del(carriedHeader)
+	r.serve(w, request, nil)
+}
+
+// serve serves a request of a caller, or one that another host could not send.
+func (r *Relay) serve(w http.ResponseWriter, request *http.Request, carried *carriedRequest) {
 	startedAt := time.Now()
 	r.traffic.addRequest()
-	s := &serverRequest{relay: r, w: w, request: request, startedAt: startedAt, caller: r.Protocol.ParseRequest(request), stopsAt: r.StopsAt()}
+	s := &serverRequest{relay: r, w: w, request: request, carried: carried, startedAt: startedAt, caller: r.Protocol.ParseRequest(request), stopsAt: r.StopsAt()}
 	// net/http silently ignores a Content-Length beside a chunked body.
 	// Closing the connection keeps bytes after such a body from being read as
 	// another request (request smuggling).
@@ -119,6 +131,8 @@
 	request   *http.Request
 	startedAt time.Time
 	caller    RequestAttributes
+	// carried is set if another host could not send the request.
+	carried *carriedRequest
 
 	table *routing.Table
 	route *routing.Route
@@ -141,7 +155,9 @@
 	// request.
 	attempts int
 	// sends counts the endpoints that the request was sent to.
-	sends             int
+	sends int
+	// unreachable counts the endpoints that could not be connected to.
+	unreachable       int
 	excludedEndpoints []string
 	// endpointFailure is an endpoint's error response to an earlier send, or
 	// nil. The caller receives it unless another endpoint does better.
@@ -194,7 +210,11 @@
 		return
 	}
 	s.setDeadline()
-	s.isCallerRetry = s.relay.deadlines.isCallerRetry(s.route.Name, s.caller.Deadline, s.startedAt)
+	if s.carried != nil {
+		s.isCallerRetry = s.carried.isCallerRetry
+	} else {
+		s.isCallerRetry = s.relay.deadlines.isCallerRetry(s.route.Name, s.caller.Deadline, s.startedAt)
+	}
 	if s.stopsTooSoon() {
 		s.refuse(http.StatusServiceUnavailable, "stopping", withJitter(stoppingRetryAfter))
 		return
@@ -205,6 +225,9 @@
 	defer s.relay.bodyBudget.release(len(s.body))
 	s.relay.traffic.add(len(s.body))
 	s.service = s.route.ChooseService(rand.Float64())
+	if s.carryIfLost() {
+		return
+	}
 	s.relay.Limits.CountRequest(s.service)
 	if s.respondIfQuarantined() || !s.charge() {
 		return
