Endpoints that say in a response that they leave get no more requests (DRAIN)

A worker that leaves says so in all its answers, Server-Leaving; the hosts waited for its entry, which may come late or never.

--- a/internal/process/dispatch/lease.go
+++ b/internal/process/dispatch/lease.go
@@ -64,6 +64,18 @@
 	l.endpoint.MarkCold(remaining, time.Now())
 }
 
+// MarkLeaving records that the endpoint has said in a response that it leaves.
+func (l *Lease) MarkLeaving() {
+	d := l.dispatcher
+	d.mu.Lock()
+	var changes []EndpointChange
+	if l.endpoint.MarkLeaving() {
+		changes = append(changes, newEndpointChange("leaving", l.endpoint))
+	}
+	d.mu.Unlock()
+	d.notifyAll(changes)
+}
+
 // RecordRateLimit records the limit that the endpoint named in a response to the
 // request sent at sentAt, or that it named none.
 func (l *Lease) RecordRateLimit(isNamed bool, perSecond float64, sentAt time.Time) {
--- a/internal/process/fleet/endpoint.go
+++ b/internal/process/fleet/endpoint.go
@@ -49,6 +49,8 @@
 	// of the platform may come back.
 	graceUntil time.Time
 	gone       bool
+	// leaving is set once a response of the endpoint has said that it leaves.
+	leaving bool
 	// draw is a random number that is valid until drawExpiresAt. slotsTaken is
 	// the number of slots that this host has taken since the draw, without
 	// those that it had freed itself.
@@ -222,6 +224,14 @@
 	return e.health.record(result, now)
 }
 
+// MarkLeaving records that the endpoint has said in a response that it leaves, and
+// reports whether that is new. Its entry may say so later, or never.
+func (e *Endpoint) MarkLeaving() bool {
+	wasLeaving := e.leaving
+	e.leaving = true
+	return !wasLeaving
+}
+
 // IsGone reports whether the endpoint is known to have left.
 func (e *Endpoint) IsGone() bool { return e.gone }
 
--- a/internal/process/fleet/fleet.go
+++ b/internal/process/fleet/fleet.go
@@ -154,7 +154,7 @@
 // IsUsable reports whether an endpoint accepts requests at all: it is listed,
 // not draining, not in a grace period, and its failure domain is not excluded.
 func (f *Fleet) IsUsable(e *Endpoint) bool {
-	return !e.gone && !e.Draining && e.graceUntil.IsZero() && !f.excludedDomains[e.Domain]
+	return !e.gone && !e.Draining && !e.leaving && e.graceUntil.IsZero() && !f.excludedDomains[e.Domain]
 }
 
 // MedianFailureRate returns the median failure rate of a service's endpoints.
--- a/internal/request/relay/attempt.go
+++ b/internal/request/relay/attempt.go
@@ -202,6 +202,9 @@
 	if attributes.ColdRemaining > 0 {
 		lease.MarkCold(attributes.ColdRemaining)
 	}
+	if attributes.Leaving && response.Status != http.StatusMisdirectedRequest {
+		lease.MarkLeaving()
+	}
 	s.recordRateLimit(lease, response.Status, attributes, sentAt)
 	if attributes.NotRun {
 		s.attempts--
--- a/internal/request/relay/protocol.go
+++ b/internal/request/relay/protocol.go
@@ -57,6 +57,8 @@
 	Sealed bool
 	// ColdRemaining is how long the endpoint remains cold.
 	ColdRemaining time.Duration
+	// Leaving is set if the endpoint says that it leaves.
+	Leaving bool
 	// HasRateLimit is set if the endpoint names a limit, RateLimit is the number of
 	// requests a second that it accepts from all hosts together.
 	HasRateLimit bool
