--- a/internal/process/dispatch/dispatch.go
+++ b/internal/process/dispatch/dispatch.go
@@ -73,7 +73,7 @@
 // EndpointChange describes a change in an endpoint's status and the failure
 // statistics at that time.
 type EndpointChange struct {
-	// Kind is "added", "removed", "leaving", "suspended", "address_reused", "limited"
+	// Kind is "added", "removed", "leaving", "paused", "suspended", "address_reused", "limited"
 	// or "unlimited".
 	Kind  string
 	Entry fleet.Entry
--- a/internal/process/dispatch/lease.go
+++ b/internal/process/dispatch/lease.go
@@ -40,7 +40,7 @@
 func (l *Lease) IsEndpointUsable() bool {
 	l.dispatcher.mu.Lock()
 	defer l.dispatcher.mu.Unlock()
-	return l.dispatcher.fleet.IsUsable(l.endpoint)
+	return l.dispatcher.fleet.IsUsable(l.endpoint) && !l.endpoint.IsPaused(time.Now())
 }
 
 // EndpointIncarnation identifies the process start of the assigned endpoint.
@@ -64,6 +64,18 @@
 	l.endpoint.MarkCold(remaining, time.Now())
 }
 
+// Pause records that the endpoint wants no requests from this host for a time.
+func (l *Lease) Pause(length time.Duration) {
+	d := l.dispatcher
+	d.mu.Lock()
+	var changes []EndpointChange
+	if l.endpoint.Pause(length, time.Now()) {
+		changes = append(changes, newEndpointChange("paused", l.endpoint))
+	}
+	d.mu.Unlock()
+	d.notifyAll(changes)
+}
+
 // MarkLeaving records that the endpoint has said in a response that it leaves.
 func (l *Lease) MarkLeaving() {
 	d := l.dispatcher
--- a/internal/process/fleet/endpoint.go
+++ b/internal/process/fleet/endpoint.go
@@ -49,6 +49,8 @@
 	// of the platform may come back.
 	graceUntil time.Time
 	gone       bool
+	// pausedUntil is when the endpoint accepts requests again, as it last said.
+	pausedUntil time.Time
 	// leaving is set once a response of the endpoint has said that it leaves.
 	leaving bool
 	// draw is a random number that is valid until drawExpiresAt. slotsTaken is
@@ -156,7 +158,7 @@
 	if c.ExcessFailureRate > maxExcessFailureRate && e.own.Running > 0 {
 		c.Blocked = true
 	}
-	if e.IsCold(now) && e.coldBudget.Level(now) < 1 || e.isRateLimited(now) {
+	if e.IsCold(now) && e.coldBudget.Level(now) < 1 || e.isRateLimited(now) || e.IsPaused(now) {
 		c.Blocked = true
 	}
 	return c
@@ -232,6 +234,19 @@
 	return !wasLeaving
 }
 
+// Pause records that the endpoint wants no requests for a time, and reports whether it
+// did not already.
+func (e *Endpoint) Pause(length time.Duration, now time.Time) bool {
+	wasPaused := e.IsPaused(now)
+	if until := now.Add(length); until.After(e.pausedUntil) {
+		e.pausedUntil = until
+	}
+	return !wasPaused
+}
+
+// IsPaused reports whether the endpoint wants no requests at present.
+func (e *Endpoint) IsPaused(now time.Time) bool { return now.Before(e.pausedUntil) }
+
 // IsGone reports whether the endpoint is known to have left.
 func (e *Endpoint) IsGone() bool { return e.gone }
 
--- a/internal/request/relay/attempt.go
+++ b/internal/request/relay/attempt.go
@@ -202,6 +202,9 @@
 	if attributes.ColdRemaining > 0 {
 		lease.MarkCold(attributes.ColdRemaining)
 	}
+	if response.Status == http.StatusServiceUnavailable && attributes.RetryAfter > 0 {
+		lease.Pause(attributes.RetryAfter)
+	}
 	if attributes.Leaving && response.Status != http.StatusMisdirectedRequest {
 		lease.MarkLeaving()
 	}
--- a/internal/request/relay/protocol.go
+++ b/internal/request/relay/protocol.go
@@ -57,6 +57,9 @@
 	Sealed bool
 	// ColdRemaining is how long the endpoint remains cold.
 	ColdRemaining time.Duration
+	// RetryAfter is the time for which an endpoint that refuses the request wants none
+	// from this host; 0 if unspecified.
+	RetryAfter time.Duration
 	// Leaving is set if the endpoint says that it leaves.
 	Leaving bool
 	// HasRateLimit is set if the endpoint names a limit, RateLimit is the number of
