--- a/internal/process/dispatch/dispatch.go
+++ b/internal/process/dispatch/dispatch.go
@@ -73,7 +73,7 @@
 // EndpointChange describes a change in an endpoint's status and the failure
 // statistics at that time.
 type EndpointChange struct {
-	// Kind is "added", "removed", "leaving", "paused", "suspended", "address_reused", "limited"
+	// Kind is "added", "removed", "leaving", "paused", "brittle", "suspended", "address_reused", "limited"
 	// or "unlimited".
 	Kind  string
 	Entry fleet.Entry
@@ -337,6 +337,9 @@
 	return share, usable
 }
 
+// brittleReserve is the number of slots of a brittle endpoint that a host leaves free.
+const brittleReserve = 1
+
 // place assigns the best free endpoint to a job and returns nil if there is
 // none. A slot that this host has just freed may be taken without competing for
 // it. The caller holds mu.
@@ -348,7 +351,11 @@
 	slotTime, isShort := d.queue(job.Service).shortSlotTime(job)
 	for i, e := range endpoints {
 		candidates[i] = e.Candidate(now, medianFailureRate, d.domain)
-		if isShort {
+		switch {
+		case e.IsBrittle():
+			// Other hosts may take a slot at the same time.
+			candidates[i].Slots = max(e.Slots-brittleReserve, 1)
+		case isShort:
 			candidates[i].Slots += choose.Oversubscription(e.Slots, slotTime, e.LoadAge(now), job.Route.TargetLatency)
 		}
 		if !d.fleet.IsUsable(e) || d.isOutOfReach(e) || slices.Contains(job.ExcludedEndpoints, e.ID) || !filter.allows(e.Version) {
--- a/internal/process/dispatch/lease.go
+++ b/internal/process/dispatch/lease.go
@@ -64,6 +64,28 @@
 	l.endpoint.MarkCold(remaining, time.Now())
 }
 
+// RecordBrittleness records whether the endpoint said that it is brittle in the response
+// to the request sent at sentAt, and how many refusals a second it bears.
+func (l *Lease) RecordBrittleness(isNamed bool, maxRejections float64, sentAt time.Time) {
+	d := l.dispatcher
+	d.mu.Lock()
+	var changes []EndpointChange
+	wasBrittle := l.endpoint.IsBrittle()
+	l.endpoint.RecordBrittleness(isNamed, maxRejections, sentAt, time.Now())
+	if l.endpoint.IsBrittle() && !wasBrittle {
+		changes = append(changes, newEndpointChange("brittle", l.endpoint))
+	}
+	d.mu.Unlock()
+	d.notifyAll(changes)
+}
+
+// RecordRejection records that the endpoint refused the request for want of room.
+func (l *Lease) RecordRejection() {
+	l.dispatcher.mu.Lock()
+	defer l.dispatcher.mu.Unlock()
+	l.endpoint.RecordRejection(l.dispatcher.hostCount, time.Now())
+}
+
 // Pause records that the endpoint wants no requests from this host for a time.
 func (l *Lease) Pause(length time.Duration) {
 	d := l.dispatcher
--- a/internal/process/fleet/endpoint.go
+++ b/internal/process/fleet/endpoint.go
@@ -47,8 +47,9 @@
 	baseLatency       movingAverage
 	// graceUntil is set while an endpoint whose entry was removed in an outage
 	// of the platform may come back.
-	graceUntil time.Time
-	gone       bool
+	graceUntil  time.Time
+	gone        bool
+	brittleness brittleness
 	// pausedUntil is when the endpoint accepts requests again, as it last said.
 	pausedUntil time.Time
 	// leaving is set once a response of the endpoint has said that it leaves.
--- a/internal/request/relay/attempt.go
+++ b/internal/request/relay/attempt.go
@@ -202,6 +202,9 @@
 	if attributes.ColdRemaining > 0 {
 		lease.MarkCold(attributes.ColdRemaining)
 	}
+	if response.Status != http.StatusMisdirectedRequest {
+		lease.RecordBrittleness(attributes.IsBrittle, attributes.MaxRejections, sentAt)
+	}
 	if response.Status == http.StatusServiceUnavailable && attributes.RetryAfter > 0 {
 		lease.Pause(attributes.RetryAfter)
 	}
@@ -216,6 +219,7 @@
 			lease.Release(fleet.ResultWrongEndpoint)
 			return sendResult{outcome: repeat.OutcomeNotRun, reason: "other_endpoint"}
 		}
+		lease.RecordRejection()
 		lease.Release(fleet.ResultRefused)
 		return sendResult{outcome: repeat.OutcomeNotRun, reason: "endpoint_refused"}
 	}
--- a/internal/request/relay/protocol.go
+++ b/internal/request/relay/protocol.go
@@ -57,6 +57,10 @@
 	Sealed bool
 	// ColdRemaining is how long the endpoint remains cold.
 	ColdRemaining time.Duration
+	// IsBrittle is set if the endpoint fails when it has to refuse more than
+	// MaxRejections requests a second from all hosts together.
+	IsBrittle     bool
+	MaxRejections float64
 	// RetryAfter is the time for which an endpoint that refuses the request wants none
 	// from this host; 0 if unspecified.
 	RetryAfter time.Duration
