--- a/internal/command/host.go
+++ b/internal/command/host.go
@@ -5,6 +5,7 @@
 	"io"
 	"strings"
 
+	"mustarddoor/internal/process/dispatch"
 	"mustarddoor/internal/process/gateway"
 )
 
@@ -55,6 +56,9 @@
 	}
 	t.add("callers", fmt.Sprint(len(state.EntryAddresses)), carries, fmt.Sprintf("sent to %s; need %.2f cores, %.1f Mbit/s, %.0f connections",
 		strings.Join(state.EntryAddresses, " "), state.Demand.Cores, state.Demand.LinkMbps, state.Demand.Connections))
+	for _, service := range state.LostServices {
+		t.add("service", service, "out of reach", "other hosts carry the requests to it")
+	}
 	for _, part := range state.QuarantinedParts {
 		t.add("prompt part", part.String(), "quarantined", "endpoints ended as they responded to it")
 	}
@@ -64,7 +68,7 @@
 		if e.RateLimit != nil {
 			detail += fmt.Sprintf(", limit %.1f a second", *e.RateLimit)
 		}
-		t.add("endpoint", e.Endpoint, endpointState(e.Usable, e.Blocked, e.Cold), detail)
+		t.add("endpoint", e.Endpoint, endpointState(e), detail)
 	}
 	return t
 }
@@ -79,15 +83,17 @@
 	return "not ready"
 }
 
-func endpointState(usable, blocked, cold bool) string {
+func endpointState(e dispatch.EndpointState) string {
 	switch {
-	case !usable:
+	case !e.Usable:
 		return "leaving"
-	case blocked && cold:
+	case e.OutOfReach:
+		return "out of reach"
+	case e.Blocked && e.Cold:
 		return "cold, blocked"
-	case blocked:
+	case e.Blocked:
 		return "blocked"
-	case cold:
+	case e.Cold:
 		return "cold"
 	}
 	return "in use"
--- a/internal/process/dispatch/state.go
+++ b/internal/process/dispatch/state.go
@@ -19,6 +19,8 @@
 	// Usable is set if the endpoint accepts requests at all, Blocked if it gets
 	// none at present.
 	Usable  bool `json:"usable"`
+	// OutOfReach is set if this host could not connect to the endpoint lately.
+	OutOfReach bool `json:"out_of_reach"`
 	Blocked bool `json:"blocked"`
 	Cold    bool `json:"cold"`
 	// Busy counts the slots used by all hosts, OwnBusy those used by this host.
@@ -46,7 +48,7 @@
 		c := e.Candidate(now, d.fleet.MedianFailureRate(e.Service), d.domain)
 		state := EndpointState{
 			Endpoint: e.ID, Service: e.Service, Domain: e.Domain, Version: e.Version, Address: e.Address,
-			Usable: d.fleet.IsUsable(e), Blocked: c.Blocked, Cold: e.IsCold(now),
+			Usable: d.fleet.IsUsable(e), OutOfReach: d.isOutOfReach(e), Blocked: c.Blocked || d.isOutOfReach(e), Cold: e.IsCold(now),
 			Busy: c.Busy, OwnBusy: e.OwnLoad().Running, Slots: c.Slots,
 			PendingTokens: int(c.PendingTokens), InterTokenMicros: c.InterTokenLatency.Microseconds(),
 		}
--- a/internal/process/gateway/hoststate.go
+++ b/internal/process/gateway/hoststate.go
@@ -49,6 +49,9 @@
 	// empty if it hears them itself.
 	Active int    `json:"active"`
 	Relay  string `json:"relay"`
+	// LostServices are the services of which this host can reach less than half of the
+	// endpoints; other hosts carry its requests to them.
+	LostServices []string `json:"lost_services"`
 	// QuarantinedParts are the prompt parts that requests must not have.
 	QuarantinedParts []quarantine.Part        `json:"quarantined_parts"`
 	Endpoints        []dispatch.EndpointState `json:"endpoints"`
@@ -72,6 +75,7 @@
 	s.KeptRecords = keptOperator + keptEndpoints
 	s.Carries, s.EntryAddresses, s.Demand = g.carries.Load(), g.entryHosts.selected(), g.entryHosts.demand()
 	s.Active = len(g.membership.ActiveHosts(time.Now()))
+	s.LostServices = g.dispatcher.LostServices()
 	s.QuarantinedParts = g.quarantine.tracker.Quarantined()
 	if relay := g.membership.Relay(); relay.IsValid() {
 		s.Relay = relay.String()
