--- a/internal/process/dispatch/state.go
+++ b/internal/process/dispatch/state.go
@@ -18,11 +18,11 @@
 	Address  string `json:"address"`
 	// Usable is set if the endpoint accepts requests at all, Blocked if it gets
 	// none at present.
-	Usable  bool `json:"usable"`
+	Usable bool `json:"usable"`
 	// OutOfReach is set if this host could not connect to the endpoint lately.
 	OutOfReach bool `json:"out_of_reach"`
-	Blocked bool `json:"blocked"`
-	Cold    bool `json:"cold"`
+	Blocked    bool `json:"blocked"`
+	Cold       bool `json:"cold"`
 	// Busy counts the slots used by all hosts, OwnBusy those used by this host.
 	Busy    int `json:"busy"`
 	OwnBusy int `json:"own"`
