--- a/soak/endpoint.go
+++ b/soak/endpoint.go
@@ -49,6 +49,8 @@
 	record  *Recorder
 	running atomic.Int32
 	isSlow  atomic.Bool
+	// isRejecting is set while the endpoint rejects requests and asks for a pause.
+	isRejecting atomic.Bool
 	// isLimited is set while the endpoint names endpointLimit.
 	isLimited atomic.Bool
 }
@@ -59,11 +61,11 @@
 // serve handles one request and reports whether the connection can be kept.
 func (e *endpoint) serve(run *standin.Run) bool {
 	defer e.running.Add(-1)
-	isFull := e.running.Add(1) > endpointSlots+endpointQueue
+	isFull, isRejecting := e.running.Add(1) > endpointSlots+endpointQueue, e.isRejecting.Load()
 	path := run.Target
 	route := strings.Split(path+"/", "/")[1]
-	isCrashing := !isFull && (strings.Contains(run.Header.Get("Prompt-Prefix"), crashingPart) || string(run.Body) == crashingBody)
-	e.record.AddAttempt(Attempt{ID: run.ID(), Route: route, Path: path, Body: run.Body, Endpoint: e.number, At: run.At, Refused: isFull, Crashed: isCrashing})
+	isCrashing := !isFull && !isRejecting && (strings.Contains(run.Header.Get("Prompt-Prefix"), crashingPart) || string(run.Body) == crashingBody)
+	e.record.AddAttempt(Attempt{ID: run.ID(), Route: route, Path: path, Body: run.Body, Endpoint: e.number, At: run.At, Refused: isFull || isRejecting, Crashed: isCrashing})
 	if e.isLimited.Load() {
 		run.SetLimit(strconv.FormatFloat(endpointLimit, 'f', -1, 64))
 	}
@@ -76,6 +78,9 @@
 		go e.crash()
 		return false
 	}
+	if isRejecting {
+		return standin.RejectFor("1")(run)
+	}
 	if isFull {
 		return standin.RejectNotExecuted(run)
 	}
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -79,6 +79,13 @@
 		f.crashesPrompts.Store(true)
 		time.Sleep(fault.Duration)
 		f.crashesPrompts.Store(false)
+	case HostLosesEndpoints:
+		f.cutOffHost(h, fault.Duration)
+	case EndpointRejects:
+		defer f.record.BeginDisruption(Scope{ScopeEndpoint, e.number}, false)()
+		e.isRejecting.Store(true)
+		time.Sleep(fault.Duration)
+		e.isRejecting.Store(false)
 	case EndpointLimit:
 		defer f.record.BeginLimit(e.number, endpointLimit)()
 		e.isLimited.Store(true)
@@ -91,6 +98,22 @@
 	}
 }
 
+// cutOffHost cuts a host off from all endpoints for a time.
+func (f *fleet) cutOffHost(h *host, duration time.Duration) {
+	defer f.record.BeginDisruption(Scope{ScopeHost, h.number}, false)()
+	isHost := func(port int) bool {
+		ports, err := localPorts(h.pid())
+		if err != nil {
+			f.record.AddProcessFailure(fmt.Sprintf("sockets of host %d: %v", h.number, err))
+		}
+		return ports[port]
+	}
+	for _, e := range f.endpoints {
+		defer e.proxy.CutOff(isHost)()
+	}
+	time.Sleep(duration)
+}
+
 const (
 	// restoreOutage is how long the store is out when it is restored, rewriteDelay the
 	// time until the operator and the endpoints write again what it lost.
--- a/soak/host.go
+++ b/soak/host.go
@@ -64,6 +64,16 @@
 	isExitExpected bool
 }
 
+// pid returns the process ID of the host's process, or 0 before the first one.
+func (h *host) pid() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.process == nil {
+		return 0
+	}
+	return h.process.command.Process.Pid
+}
+
 // start starts a process. Only the first process of a host gets the setting that
 // bootstraps the fleet.
 func (h *host) start(settings string) error {
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -58,6 +58,10 @@
 
 	// CrashingPrompts makes some callers send prompts that crash endpoints.
 	CrashingPrompts FaultKind = "crashing-prompts"
+	// HostLosesEndpoints cuts a host off from all endpoints.
+	HostLosesEndpoints FaultKind = "host-loses-endpoints"
+	// EndpointRejects makes an endpoint reject requests and ask for a pause.
+	EndpointRejects FaultKind = "endpoint-rejects"
 	// EndpointLimit makes an endpoint name a limit in its responses.
 	EndpointLimit FaultKind = "endpoint-limit"
 )
@@ -104,8 +108,8 @@
 // timeResolution is the resolution of the times in a plan.
 const timeResolution = 10 * time.Millisecond
 
-// newRequestFaults returns the faults of a seed that lie in requests and responses,
-// one of each kind, beside those of its plan.
+// newRequestFaults returns the faults of a seed that lie in requests, responses and the
+// paths to endpoints, beside those of its plan.
 func newRequestFaults(seed uint64, size Size) []Fault {
 	rng := rand.New(rand.NewPCG(seed, requestFaultStream))
 	var faults []Fault
@@ -113,9 +117,20 @@
 		start := warmup + time.Duration(rng.Int64N(int64(size.Traffic/2))).Round(timeResolution)
 		faults = append(faults, Fault{Kind: kind, Start: start, Duration: size.Traffic - start, Target: rng.IntN(size.Endpoints)})
 	}
+	for _, kind := range []FaultKind{HostLosesEndpoints, HostLosesEndpoints, EndpointRejects} {
+		start := warmup + time.Duration(rng.Int64N(int64(size.Traffic-warmup))).Round(timeResolution)
+		faults = append(faults, Fault{
+			Kind: kind, Start: start, Duration: time.Duration(rng.Int64N(int64(maxRejectDuration))).Round(timeResolution),
+			Target: rng.IntN(size.Hosts * size.Endpoints),
+		})
+	}
 	return faults
 }
 
+// maxRejectDuration bounds the faults in which a host loses the endpoints, or an endpoint
+// rejects requests.
+const maxRejectDuration = 12 * time.Second
+
 // storeReturns is the number of times that a run restores the store, and maxCopyAge
 // bounds the age of the copies.
 const (
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -2,7 +2,9 @@
 
 import (
 	"io"
+	"maps"
 	"net"
+	"slices"
 	"sync"
 	"time"
 )
@@ -29,8 +31,11 @@
 	listener net.Listener
 	isClosed bool
 	modes    map[*Mode]struct{}
-	changed  chan struct{}
-	pairs    map[*connPair]struct{}
+	// refused holds functions that report which clients are cut off, by their port.
+	refused    map[int]func(port int) bool
+	changed    chan struct{}
+	lastCutOff int
+	pairs      map[*connPair]struct{}
 }
 
 // connPair is a client's connection and the matching connection to the target.
@@ -52,7 +57,7 @@
 	}
 	p := &Proxy{
 		Address: listener.Addr().String(), target: target, listener: listener,
-		modes: map[*Mode]struct{}{}, changed: make(chan struct{}), pairs: map[*connPair]struct{}{},
+		modes: map[*Mode]struct{}{}, refused: map[int]func(int) bool{}, changed: make(chan struct{}), pairs: map[*connPair]struct{}{},
 	}
 	go p.accept(listener)
 	return p, nil
@@ -114,6 +119,36 @@
 	}
 }
 
+// CutOff resets the connections of the clients whose port the function accepts, and
+// refuses new ones from them, until the returned function is called.
+func (p *Proxy) CutOff(isCutOff func(port int) bool) (end func()) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.lastCutOff++
+	id := p.lastCutOff
+	p.refused[id] = isCutOff
+	for pair := range p.pairs {
+		if isCutOff(clientPort(pair.client)) {
+			pair.reset()
+		}
+	}
+	return func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		delete(p.refused, id)
+	}
+}
+
+// isCutOff reports whether a client is cut off.
+func (p *Proxy) isCutOff(client net.Conn) bool {
+	p.mu.Lock()
+	functions := slices.Collect(maps.Values(p.refused))
+	p.mu.Unlock()
+	return slices.ContainsFunc(functions, func(isCutOff func(int) bool) bool { return isCutOff(clientPort(client)) })
+}
+
+func clientPort(client net.Conn) int { return client.RemoteAddr().(*net.TCPAddr).Port }
+
 // Close stops the listener, ends all modes and resets all connections.
 func (p *Proxy) Close() {
 	p.updateModes(func() {
@@ -138,7 +173,7 @@
 
 func (p *Proxy) connect(client net.Conn) {
 	mode, _ := p.combinedMode()
-	if mode.Refuse {
+	if mode.Refuse || p.isCutOff(client) {
 		_ = client.(*net.TCPConn).SetLinger(0)
 		_ = client.Close()
 		return
