--- a/internal/process/allowance/model_test.go
+++ b/internal/process/allowance/model_test.go
@@ -74,11 +74,10 @@
 }
 
 type modelPeer struct {
-	incarnation  int64
-	sequence     uint64
-	heardAt      time.Time
-	knownAt      time.Time
-	everReported bool
+	incarnation int64
+	sequence    uint64
+	heardAt     time.Time
+	knownAt     time.Time
 }
 
 type modelMessage struct {
