--- a/internal/process/allowance/hosts.go
+++ b/internal/process/allowance/hosts.go
@@ -2,8 +2,8 @@
 
 import "time"
 
-// Hosts is what one host knows of the others that share its limits. All TeamLimits of
-// a process have the same one.
+// Hosts tracks the other hosts that share the limits and when they last reported their
+// usage. All TeamLimits of a process have the same one.
 type Hosts struct {
 	startedAt time.Time
 	sharers   []*sharer
@@ -15,8 +15,8 @@
 	// MaxSilence is the time without a report after which the two hosts count as cut
 	// off from each other; 0 if the other one is unreachable.
 	MaxSilence time.Duration
-	// IsRelayed is set if the reports go through relays, so that a report says nothing
-	// about the path between the two hosts.
+	// IsRelayed is set if the reports go through relays, so that a report is no sign of
+	// the path between the two hosts.
 	IsRelayed bool
 }
 
--- a/internal/process/allowance/model_test.go
+++ b/internal/process/allowance/model_test.go
@@ -23,7 +23,7 @@
 	modelDay       = 40 * time.Second
 	reportInterval = 60 * time.Millisecond
 	// unreachableAfter is that of package peers, sharingFor the time for which a host
-	// counts that was never heard.
+	// counts that has sent no message yet.
 	unreachableAfter = 1140 * time.Millisecond
 	sharingFor       = 20 * time.Second
 	maxCut           = 15 * time.Second
@@ -145,7 +145,7 @@
 
 func (m *model) updateView(h *modelHost) {
 	sharers := map[string]allowance.Sharer{}
-	isAlone := true // no other host was ever heard
+	isAlone := true // no message of any other host has arrived
 	for _, p := range h.peers {
 		isAlone = isAlone && p.heardAt.IsZero()
 	}
--- a/internal/process/allowance/report_test.go
+++ b/internal/process/allowance/report_test.go
@@ -9,7 +9,7 @@
 	"mustarddoor/internal/process/allowance"
 )
 
-// known returns what a host knows of a team's usage.
+// known returns the usage of a team that a host takes into account.
 func known(team *allowance.TeamLimit, now time.Time) float64 {
 	share, _ := team.UsedShare(now)
 	return share * 1000
--- a/internal/process/allowance/team.go
+++ b/internal/process/allowance/team.go
@@ -86,7 +86,7 @@
 // count as new if it returns.
 const forgetUsageAfter = 10 * time.Minute
 
-// used returns the usage in the window, as far as it is known.
+// used returns the usage of all hosts in the window that this host has recorded.
 func (t *TeamLimit) used(now time.Time) float64 {
 	sum := t.own.Sum(now)
 	for name, other := range t.remote {
--- a/internal/process/dispatch/lease.go
+++ b/internal/process/dispatch/lease.go
@@ -64,8 +64,8 @@
 	l.endpoint.MarkCold(remaining, time.Now())
 }
 
-// RecordBrittleness records whether the endpoint said that it is brittle in the response
-// to the request sent at sentAt, and how many refusals a second it bears.
+// RecordBrittleness records whether the response to the request sent at sentAt named a
+// number of refusals a second beyond which the endpoint fails.
 func (l *Lease) RecordBrittleness(isNamed bool, maxRejections float64, sentAt time.Time) {
 	d := l.dispatcher
 	d.mu.Lock()
@@ -98,7 +98,7 @@
 	d.notifyAll(changes)
 }
 
-// MarkLeaving records that the endpoint has said in a response that it leaves.
+// MarkLeaving records that a response of the endpoint announced its leaving.
 func (l *Lease) MarkLeaving() {
 	d := l.dispatcher
 	d.mu.Lock()
--- a/internal/process/fleet/brittle.go
+++ b/internal/process/fleet/brittle.go
@@ -4,11 +4,11 @@
 
 // brittleness is how many refusals an endpoint bears.
 type brittleness struct {
-	// isNamed is set while the endpoint says that it is brittle, maxRejections the number
-	// of requests a second that it may have to refuse from all hosts together.
+	// isNamed is set while the endpoint's responses name a number of refusals,
+	// maxRejections is that number: requests a second from all hosts together.
 	isNamed       bool
 	maxRejections float64
-	// observedAt is when it last said so.
+	// observedAt is when the last such response arrived.
 	observedAt time.Time
 }
 
--- a/internal/process/fleet/endpoint.go
+++ b/internal/process/fleet/endpoint.go
@@ -50,9 +50,9 @@
 	graceUntil  time.Time
 	gone        bool
 	brittleness brittleness
-	// pausedUntil is when the endpoint accepts requests again, as it last said.
+	// pausedUntil is when the endpoint accepts requests again, as in its last refusal.
 	pausedUntil time.Time
-	// leaving is set once a response of the endpoint has said that it leaves.
+	// leaving is set once a response of the endpoint has announced its leaving.
 	leaving bool
 	// draw is a random number that is valid until drawExpiresAt. slotsTaken is
 	// the number of slots that this host has taken since the draw, without
@@ -227,8 +227,8 @@
 	return e.health.record(result, now)
 }
 
-// MarkLeaving records that the endpoint has said in a response that it leaves, and
-// reports whether that is new. Its entry may say so later, or never.
+// MarkLeaving records that a response of the endpoint announced its leaving, and reports
+// whether that is new. Its entry may show it later, or never.
 func (e *Endpoint) MarkLeaving() bool {
 	wasLeaving := e.leaving
 	e.leaving = true
--- a/internal/process/gateway/carriers.go
+++ b/internal/process/gateway/carriers.go
@@ -94,7 +94,7 @@
 	return hashes
 }
 
-// run probes the endpoints of lost services and tells the other hosts of changes.
+// run probes the endpoints of lost services and reports changes to the other hosts.
 func (c *carriers) run(ctx context.Context) error {
 	running := make(chan struct{}, maxReachProbes)
 	for pause.For(ctx, reachCheckInterval) {
--- a/internal/process/peers/membership.go
+++ b/internal/process/peers/membership.go
@@ -261,8 +261,8 @@
 			sharers[address.String()] = allowance.Sharer{MaxSilence: idleTimeout, IsRelayed: true}
 		case p.status.Leaving:
 		case isAlone || p.wasHeard() || now.Sub(p.knownAt) < sharingHostTimeout:
-			// A host that was never heard may be gone for long, unless this one has heard
-			// none at all and may be cut off itself.
+			// A host that has sent nothing yet may have left long ago, unless no other has
+			// sent anything either: then this one may be cut off itself.
 			sharers[address.String()] = allowance.Sharer{}
 		}
 	}
@@ -329,7 +329,7 @@
 }
 
 // MarkAllUnreachable marks all hosts as unreachable, after this process was
-// suspended. They still count as heard lately: they share the limits.
+// suspended. They still share the limits.
 func (m *Membership) MarkAllUnreachable(now time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/internal/process/reach/reach.go
+++ b/internal/process/reach/reach.go
@@ -63,7 +63,7 @@
 }
 
 // IsLost reports whether this host can reach less than half of the service's endpoints,
-// as far as it has tried them lately. endpoints is the number of those in use.
+// of those that it has connected to lately. endpoints is the number of those in use.
 func (t *Tracker) IsLost(endpoints int, now time.Time) bool {
 	if len(t.failedAt) == 0 || len(t.failedAt) < min(lostAfter, endpoints) {
 		return false
