--- a/internal/process/gateway/usagehistory.go
+++ b/internal/process/gateway/usagehistory.go
@@ -59,7 +59,7 @@
 		if _, isLoaded := u.gateway.hosts.Next(); !isLoaded || u.gateway.uptime() < minUsageWriterUptime || !u.gateway.isLeader() {
 			continue
 		}
-		histories := u.gateway.limits.histories(time.Now())
+		histories := u.gateway.limits.histories(time.Now(), false)
 		teams := map[string]bool{}
 		for team := range histories {
 			teams[team] = true
@@ -118,13 +118,15 @@
 	return nil
 }
 
-// histories returns the usage of the teams that use much of their limit.
-func (l *sharedLimits) histories(now time.Time) map[string]allowance.History {
+// histories returns the usage of the teams that use much of their limit, or of all with
+// usage.
+func (l *sharedLimits) histories(now time.Time, all bool) map[string]allowance.History {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	histories := map[string]allowance.History{}
 	for name, team := range l.teams {
-		if history, isRelevant := team.History(now); isRelevant && len(histories) < maxUsageTeams {
+		history, isRelevant := team.History(now)
+		if isRelevant && len(histories) < maxUsageTeams || all && history != (allowance.History{}) {
 			histories[name] = history
 		}
 	}
--- a/internal/process/gateway/usagetakeover.go
+++ b/internal/process/gateway/usagetakeover.go
@@ -27,7 +27,7 @@
 func (g *Gateway) serveUsage(w http.ResponseWriter, _ *http.Request) {
 	reply := usageReply{IsComplete: g.knowsAllUsage()}
 	if reply.IsComplete {
-		reply.Teams = g.limits.allHistories(time.Now())
+		reply.Teams = g.limits.histories(time.Now(), true)
 	}
 	g.writeReply(w, reply)
 }
@@ -82,19 +82,6 @@
 	return address
 }
 
-// allHistories returns the usage of the teams with usage.
-func (l *sharedLimits) allHistories(now time.Time) map[string]allowance.History {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	histories := map[string]allowance.History{}
-	for name, team := range l.teams {
-		if history, _ := team.History(now); history != (allowance.History{}) {
-			histories[name] = history
-		}
-	}
-	return histories
-}
-
 func (l *sharedLimits) hasCompleteUsage() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
