Idle hosts of a large fleet do not count as cut off (teams' limits)

Relays leave the usage out of the summaries of hosts that have none, and a host without a report of its usage counted as cut off since: with 85 hosts, of which six carry callers, all but a fourteenth of each team's limit was set aside. Any message now shows that a host is there. TestIdleHostsLeaveTheLimitToOthers fails without, at 100 of 8000 units.

--- a/internal/process/allowance/hosts.go
+++ b/internal/process/allowance/hosts.go
@@ -24,8 +24,9 @@
 type sharer struct {
 	Sharer
 	name string
-	// reportedAt is when its last report of usage arrived.
-	reportedAt time.Time
+	// heardAt is when its last message arrived, reportedAt when the last one with its
+	// usage did. Relays leave the usage out of most messages.
+	heardAt, reportedAt time.Time
 }
 
 // NewHosts returns the view of a host that started at a time and knows no other.
@@ -66,11 +67,14 @@
 // already.
 func (h *Hosts) RecordReport(host string, now time.Time) (includesEarlier bool) {
 	s := h.sharer(host)
-	includesEarlier = s.reportedAt.IsZero() && now.Sub(h.startedAt) < firstReportGrace
-	s.reportedAt = now
+	includesEarlier = s.reportedAt.IsZero() && (s.IsRelayed || now.Sub(h.startedAt) < firstReportGrace)
+	s.heardAt, s.reportedAt = now, now
 	return includesEarlier
 }
 
+// RecordMessage records that a message without usage arrived from a host.
+func (h *Hosts) RecordMessage(host string, now time.Time) { h.sharer(host).heardAt = now }
+
 // count returns the number of hosts that share the limits, this one included.
 func (h *Hosts) count() int { return len(h.sharers) + 1 }
 
@@ -87,7 +91,7 @@
 			continue
 		}
 		hosts++
-		if upTo := s.reportedAt.Add(-pathDelay); !s.IsRelayed && upTo.Before(confirmedUpTo) {
+		if upTo := s.heardAt.Add(-pathDelay); !s.IsRelayed && upTo.Before(confirmedUpTo) {
 			confirmedUpTo = upTo
 		}
 	}
@@ -96,5 +100,5 @@
 
 // isCutOff reports whether a host may not receive this host's reports.
 func (s *sharer) isCutOff(now time.Time) bool {
-	return s.MaxSilence == 0 || s.reportedAt.IsZero() || now.Sub(s.reportedAt) > s.MaxSilence
+	return s.MaxSilence == 0 || s.heardAt.IsZero() || now.Sub(s.heardAt) > s.MaxSilence
 }
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -210,9 +210,7 @@
 	}
 	g.dispatcher.AdoptRateLimits(limits)
 	g.quarantine.merge(from, message.Status.Quarantine)
-	if !message.IsSummary || len(message.Status.Usage) > 0 {
-		g.limits.RecordUsage(from, message.From.Incarnation, message.Status.Usage)
-	}
+	g.limits.RecordMessage(from, message)
 }
 
 // tickInterval is the time between periodic tasks.
--- a/internal/process/gateway/limits.go
+++ b/internal/process/gateway/limits.go
@@ -144,11 +144,16 @@
 	return usage
 }
 
-// RecordUsage applies the usage reported by another host.
-func (l *sharedLimits) RecordUsage(host string, incarnation int64, usage []peers.TeamUsage) {
+// RecordMessage applies the usage in another host's message. A summary may lack it.
+func (l *sharedLimits) RecordMessage(host string, message peers.Message) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := time.Now()
+	incarnation, usage := message.From.Incarnation, message.Status.Usage
+	if message.IsSummary && len(usage) == 0 {
+		l.hosts.RecordMessage(host, now)
+		return
+	}
 	includesEarlier := l.hosts.RecordReport(host, now)
 	for _, reported := range usage {
 		if team := l.teams[reported.Team]; team != nil {
