Only hosts that report directly divide what is left of a team's limit

The carrying hosts of a large fleet got a 295th each between two reports of their usage, which now takes some 120 ms to be known as received: a team could use some 80% of its limit, by calculation. Hosts that report through relays now count as one; they keep to a 295th themselves.

--- a/internal/process/allowance/hosts.go
+++ b/internal/process/allowance/hosts.go
@@ -81,21 +81,29 @@
 // pathDelay is how long a report may take on a path that works.
 const pathDelay = 20 * time.Millisecond
 
-// exchange returns the number of hosts that receive each other's reports, this one
-// included, and up to when this host's reports have reached those that it exchanges
-// them with directly: paths between hosts fail in both directions.
-func (h *Hosts) exchange(now time.Time) (hosts int, confirmedUpTo time.Time) {
-	hosts, confirmedUpTo = 1, now
+// exchange returns among how many hosts the remainder of a limit is divided until they
+// know each other's usage, this one included, and up to when this host's reports have
+// reached those that it exchanges them with directly: paths between hosts fail in both
+// directions. Hosts that report through relays serve few callers and count as one.
+func (h *Hosts) exchange(now time.Time) (parts int, confirmedUpTo time.Time) {
+	direct, relayed := 0, 0
+	confirmedUpTo = now
 	for _, s := range h.sharers {
-		if s.isCutOff(now) {
-			continue
-		}
-		hosts++
-		if upTo := s.heardAt.Add(-pathDelay); !s.IsRelayed && upTo.Before(confirmedUpTo) {
-			confirmedUpTo = upTo
+		switch {
+		case s.isCutOff(now):
+		case s.IsRelayed:
+			relayed++
+		default:
+			direct++
+			if upTo := s.heardAt.Add(-pathDelay); upTo.Before(confirmedUpTo) {
+				confirmedUpTo = upTo
+			}
 		}
 	}
-	return hosts, confirmedUpTo
+	if direct > 0 {
+		relayed = min(relayed, 1)
+	}
+	return 1 + direct + relayed, confirmedUpTo
 }
 
 // isCutOff reports whether a host may not receive this host's reports.
--- a/internal/process/allowance/report_test.go
+++ b/internal/process/allowance/report_test.go
@@ -1,6 +1,7 @@
 package allowance_test
 
 import (
+	"strconv"
 	"testing"
 	"time"
 
@@ -50,3 +51,26 @@
 	team.RecordRemoteUsage("host", 2, 60, false, start)
 	assert.Equal(t, known(team, start), 160.0)
 }
+
+// In a fleet of 295 hosts, of which some carry callers, each of these got a 295th of what
+// was left of a limit between two reports, so that the limit could not be used.
+func TestCarryingHostsDivideTheRemainder(t *testing.T) {
+	view := allowance.NewHosts(start)
+	sharers := map[string]allowance.Sharer{}
+	for i := range 294 {
+		sharers[strconv.Itoa(i)] = allowance.Sharer{MaxSilence: 8 * time.Second, IsRelayed: true}
+		if i < 14 {
+			sharers[strconv.Itoa(i)] = allowance.Sharer{MaxSilence: reportSilence}
+		}
+	}
+	view.Set(sharers)
+	for name := range sharers {
+		view.RecordMessage(name, start)
+	}
+	team := allowance.NewTeamLimit(config, view, true, start)
+	used := 0.0
+	for team.Take(1, false, start) {
+		used++
+	}
+	assert.Assert(t, used >= 1000/16 && used <= 1000/15, "%v units", used)
+}
--- a/internal/process/allowance/team.go
+++ b/internal/process/allowance/team.go
@@ -144,9 +144,9 @@
 		remaining := t.allowed(hasSpareCapacity, now) - t.used(now)
 		// Until the others know its usage, each host takes no more than its share
 		// of the remainder, except for a single request.
-		hosts, confirmedUpTo := t.hosts.exchange(now)
+		parts, confirmedUpTo := t.hosts.exchange(now)
 		unknown := max(0, t.charged-t.reports.chargedUpTo(confirmedUpTo))
-		if amount > remaining || unknown > 0 && unknown+amount > (remaining+unknown)/float64(hosts) {
+		if amount > remaining || unknown > 0 && unknown+amount > (remaining+unknown)/float64(parts) {
 			return false
 		}
 	}
@@ -200,6 +200,6 @@
 // WaitTime returns the time until the limit covers the amount, if nothing more
 // is used.
 func (t *TeamLimit) WaitTime(amount float64, now time.Time) time.Duration {
-	hosts, _ := t.hosts.exchange(now)
-	return t.own.WaitTime((t.used(now)+amount-t.allowed(false, now))/float64(hosts), now)
+	parts, _ := t.hosts.exchange(now)
+	return t.own.WaitTime((t.used(now)+amount-t.allowed(false, now))/float64(parts), now)
 }
