The record of the teams' usage counts with its age again

What the record shows now expires as it was used; what has left the window since, and the rest of the limit, count as used at the start.

--- a/internal/process/allowance/history.go
+++ b/internal/process/allowance/history.go
@@ -47,9 +47,8 @@
 // given age.
 //
 // What has left the window since, and what was not used of the limit, may have been used
-// until the start, all of it at the last moment. What is still in the window counts as if
-// the history had just been written, since the hosts' clocks differ. A team without a
-// history used little of its limit.
+// until the start, all of it at the last moment. A team without a history used little of
+// its limit.
 func (t *TeamLimit) Restore(history *History, age time.Duration, now time.Time) {
 	if t.limit <= 0 {
 		return
@@ -59,36 +58,36 @@
 		t.own.Fill(minHistoryShare*t.limit, now)
 		t.own.Add(unrecordedShare*t.limit, now)
 	} else {
+		age = max(age, 0) // the hosts' clocks differ
 		kept := *history
 		interval := t.window / historyIntervals
 		for i := range kept {
-			if time.Duration(i+1)*interval > t.window-max(age, minHistoryAge) {
+			if time.Duration(i+1)*interval > t.window-age {
 				kept[i] = 0
 			}
 		}
-		t.addHistory(kept, now)
+		t.addHistory(kept, age, now)
 		t.own.Add(max(t.limit-kept.sum(), 0), now)
 	}
 	t.own.Add(t.charged, now) // since the start
 }
 
-// minHistoryAge is the least age that a history counts with at the start of a fleet: the
-// time between two records and that of a restart.
-const minHistoryAge = 2500 * time.Millisecond
-
 // Adopt replaces what a host assumes of the usage before its start by the history that
 // another host knows at this moment, which is complete.
 func (t *TeamLimit) Adopt(history History, now time.Time) {
 	t.own = NewSlidingWindow(t.window, now.Add(-t.window))
-	t.addHistory(history, now)
+	t.addHistory(history, 0, now)
 	t.own.Add(t.charged, now) // since the start
 	t.overshootFrom = time.Time{}
 }
 
-func (t *TeamLimit) addHistory(history History, now time.Time) {
+// addHistory adds the usage in a history of a given age.
+func (t *TeamLimit) addHistory(history History, age time.Duration, now time.Time) {
 	interval := t.window / historyIntervals
 	for i := historyIntervals - 1; i >= 0; i-- {
-		t.own.Add(history[i], now.Add(-time.Duration(i)*interval))
+		if history[i] > 0 {
+			t.own.Add(history[i], now.Add(-age-time.Duration(i)*interval))
+		}
 	}
 }
 
--- a/internal/process/allowance/team.go
+++ b/internal/process/allowance/team.go
@@ -18,8 +18,8 @@
 	// limit is what all hosts together may use in a window, overshoot what they
 	// may use beyond it while there is spare capacity.
 	limit, overshoot float64
-	// overshootFrom is when overshoot may be granted: before it, the usage may have
-	// been higher than assumed by as much.
+	// overshootFrom is when the whole overshoot may be granted: before it, the usage may
+	// have been higher than assumed by as much.
 	overshootFrom time.Time
 	hosts         *Hosts
 	own           SlidingWindow
@@ -131,7 +131,10 @@
 // only while this host knows all usage.
 func (t *TeamLimit) allowed(hasSpareCapacity bool, now time.Time) float64 {
 	setAside, isAnyCutOff := t.setAside(now)
-	if hasSpareCapacity && !isAnyCutOff && !now.Before(t.overshootFrom) {
+	if hasSpareCapacity && !isAnyCutOff {
+		if now.Before(t.overshootFrom) {
+			return t.limit + t.overshoot/2
+		}
 		return t.limit + t.overshoot
 	}
 	return t.limit - setAside
