Usage reported before the configuration is known is no new usage (teams' limits)

A host that restarts receives reports before it has read the configuration. TestReportBeforeConfiguration: 1.1 instead of .1 before.

--- a/internal/process/gateway/limits.go
+++ b/internal/process/gateway/limits.go
@@ -150,7 +150,8 @@
 	defer l.mu.Unlock()
 	now := time.Now()
 	incarnation, usage := message.From.Incarnation, message.Status.Usage
-	if message.IsSummary && len(usage) == 0 {
+	// Before a configuration names the teams, the totals cannot be kept.
+	if len(l.teams) == 0 || message.IsSummary && len(usage) == 0 {
 		l.hosts.RecordMessage(host, now)
 		return
 	}
--- a/internal/process/gateway/limits_test.go
+++ b/internal/process/gateway/limits_test.go
@@ -37,3 +37,18 @@
 		}
 	}
 }
+
+// Totals that arrived before a configuration were lost, and the next ones counted as used
+// since this host's start.
+func TestReportBeforeConfiguration(t *testing.T) {
+	l := newSharedLimits(&Settings{FirstStart: true, TeamLimitWindow: 8 * time.Second})
+	l.SetHosts(map[string]allowance.Sharer{"host": {MaxSilence: time.Second}}, 1)
+	report := func(total float64) {
+		l.RecordMessage("host", peers.Message{From: peers.Host{Incarnation: 1}, Status: peers.Status{Usage: []peers.TeamUsage{{Team: "team", Total: total}}}})
+	}
+	report(50_000)
+	l.SetTable([]routing.Team{{Name: "team", Rate: 1000}})
+	report(50_000)
+	report(50_800)
+	assert.Equal(t, l.usedShares(time.Now())["team"], 0.1)
+}
