--- a/internal/request/relay/attempt.go
+++ b/internal/request/relay/attempt.go
@@ -101,7 +101,7 @@
 		s.fail(http.StatusBadGateway, refusal.Reason)
 		return
 	}
-	if s.unreachable > 0 {
+	if s.unreachable > 0 || s.relay.Dispatcher.HasLost(s.service) {
 		if s.carryIfUnreachable() {
 			return
 		}
