--- a/internal/process/gateway/limits_test.go
+++ b/internal/process/gateway/limits_test.go
@@ -12,8 +12,8 @@
 	"mustarddoor/internal/version/routing"
 )
 
-// In a large fleet, hosts without usage are heard of in summaries only. Each of them
-// counted as cut off, so that nearly the whole limit was set aside.
+// In a large fleet, messages of hosts without usage arrive as summaries only. Each of these
+// hosts counted as cut off, so that nearly the whole limit was set aside.
 func TestIdleHostsLeaveTheLimitToOthers(t *testing.T) {
 	for _, idle := range []int{79, 280} {
 		l := newSharedLimits(&Settings{FirstStart: true, TeamLimitWindow: 8 * time.Second})
--- a/internal/process/reach/reach_test.go
+++ b/internal/process/reach/reach_test.go
@@ -42,7 +42,7 @@
 	assert.Assert(t, !tracker.IsLost(2, start), "an endpoint that has left")
 }
 
-// A connection that was opened some time ago says nothing about a path now.
+// A connection that was opened some time ago is no sign that the path still works.
 func TestOldConnectionsDoNotCount(t *testing.T) {
 	tracker := reach.NewTracker()
 	for i := range 9 {
--- a/internal/request/relay/carry.go
+++ b/internal/request/relay/carry.go
@@ -31,8 +31,8 @@
 
 // Header fields between a host and its carrier. They never reach callers or endpoints.
 const (
-	// carriedHeader marks a carried request. Its value tells a caller's retry from a
-	// first attempt.
+	// carriedHeader marks a carried request. Its value is carriedFirst or carriedRetry, for
+	// a caller's first attempt or retry.
 	carriedHeader = "Mustarddoor-Carried"
 	carriedFirst  = "first"
 	carriedRetry  = "retry"
@@ -70,7 +70,7 @@
 // CarryingCount returns the number of requests in progress for other hosts.
 func (r *Relay) CarryingCount() int { return int(r.carrying.Load()) }
 
-// carriedRequest is what the first host knows of a carried request.
+// carriedRequest holds what the first host has determined about a carried request.
 type carriedRequest struct{ isCallerRetry bool }
 
 // carryIfLost lets another host carry the request if this one has lost its service. It
--- a/internal/request/relay/protocol.go
+++ b/internal/request/relay/protocol.go
@@ -64,7 +64,7 @@
 	// RetryAfter is the time for which an endpoint that refuses the request wants none
 	// from this host; 0 if unspecified.
 	RetryAfter time.Duration
-	// Leaving is set if the endpoint says that it leaves.
+	// Leaving is set if the endpoint announces that it shuts down.
 	Leaving bool
 	// HasRateLimit is set if the endpoint names a limit, RateLimit is the number of
 	// requests a second that it accepts from all hosts together.
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -108,8 +108,8 @@
 // timeResolution is the resolution of the times in a plan.
 const timeResolution = 10 * time.Millisecond
 
-// newRequestFaults returns the faults of a seed that lie in requests, responses and the
-// paths to endpoints, beside those of its plan.
+// newRequestFaults returns the faults of a seed in requests, responses and the paths to
+// endpoints, in addition to those of its plan.
 func newRequestFaults(seed uint64, size Size) []Fault {
 	rng := rand.New(rand.NewPCG(seed, requestFaultStream))
 	var faults []Fault
