--- a/review/4/main.go
+++ b/review/4/main.go
@@ -1,14 +1,12 @@
 //go:build review
 
-// Command case-4 stops a host in an orderly way while callers that still know its address
-// send orders that take a while.
+// Command case-4 sends resumable streams to a host that is stopped in an orderly way
+// while a sound worker falls silent for a moment and goes on.
 package main
 
 import (
-	"context"
-	"errors"
 	"fmt"
-	"net"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -20,96 +18,109 @@
 
 const (
 	service = "svc"
-	workers = 5
-	// length is how long an order takes at its worker, routeTimeout its route's timeoutMs
-	// and deadline how long callers wait.
-	length       = 1900 * time.Millisecond
-	routeTimeout = 2 * time.Second
-	deadline     = 4 * time.Second
-	// pace is the time between two orders.
-	pace = 120 * time.Millisecond
-	// keepTime is how long callers use an address of an answer of the directory: three
-	// times its ttlS.
-	keepTime = 6 * time.Second
-	before   = 2 * time.Second
-	// promised is the time after the stop up to which a request that runs until the last
-	// sixth of the grace period may be cut.
-	promised = 3 * time.Second
+	// slots is the number of requests that a worker runs at once, as its entry says.
+	slots   = 4
+	workers = 3
+	// events and eventInterval are the length and pace of a stream.
+	events        = 160
+	eventInterval = 25 * time.Millisecond
+	// silentAfter is the event after which the worker falls silent, silence for how
+	// long: "a second or so".
+	silentAfter = 40
+	silence     = 1300 * time.Millisecond
+	// stopAfter is the time from the first request to the orderly stop.
+	stopAfter = 500 * time.Millisecond
+	deadline  = 12 * time.Second
 )
 
+// worker is a sound worker: it runs up to slots requests and rejects the others.
+type worker struct {
+	rig      *rig.Rig
+	name     string
+	isSilent bool
+	running  atomic.Int32
+}
+
+func (w *worker) serve(run *standin.Run) bool {
+	defer w.running.Add(-1)
+	if w.running.Add(1) > slots {
+		w.rig.Log("%s rejects %s", w.name, run.ID())
+		return standin.RejectNotExecuted(run)
+	}
+	w.rig.Log("%s runs %s after event %d", w.name, run.ID(), run.LastEventID())
+	run.WriteHead(200, -1)
+	for id := run.LastEventID() + 1; id <= events; id++ {
+		pause := eventInterval
+		if w.isSilent && id == silentAfter+1 {
+			w.rig.Log("%s is silent on %s for %v", w.name, run.ID(), silence)
+			pause = silence
+		}
+		select {
+		case <-run.Closed:
+			w.rig.Log("%s: the connection of %s was closed at event %d", w.name, run.ID(), id)
+			return false
+		case <-time.After(pause):
+		}
+		run.WriteEvent(id)
+	}
+	run.Write("0\r\n\r\n")
+	w.rig.Log("%s has completed %s", w.name, run.ID())
+	return true
+}
+
+// expected is the whole body of a stream.
+func expected() string {
+	var body strings.Builder
+	for id := 1; id <= events; id++ {
+		fmt.Fprintf(&body, "id: %d\ndata: piece %d\n\n", id, id)
+	}
+	return body.String()
+}
+
 func run(r *rig.Rig) (bool, error) {
 	config := standin.Config(service)
 	for _, route := range config["routes"].([]any) {
-		if fields := route.(map[string]any); fields["name"] == "unsafe" {
-			fields["timeoutMs"] = routeTimeout.Milliseconds()
-			fields["maxAttempts"] = 1
+		if fields := route.(map[string]any); fields["name"] == "stream" {
+			fields["timeoutMs"] = deadline.Milliseconds()
 		}
 	}
 	r.Store.Configure(config, 1)
 	for n := range workers {
-		name := fmt.Sprintf("worker-%d", n)
-		worker := standin.NewWorker(r, name, func(run *standin.Run) bool {
-			r.Log("%s runs order %s", name, run.ID())
-			select {
-			case <-run.Closed:
-				r.Log("%s: the connection of %s was closed while it ran", name, run.ID())
-				return false
-			case <-time.After(length):
-			}
-			r.Log("%s has recorded order %s", name, run.ID())
-			return standin.Respond(200, "order "+run.ID())(run)
-		})
-		r.Store.PutEntry(name, standin.WorkerEntry{Service: service, Address: worker.Address, Zone: "z1", Sequence: 1})
+		w := &worker{rig: r, name: fmt.Sprintf("worker-%d", n), isSilent: n == 0 && r.Trouble}
+		stand := standin.NewWorker(r, w.name, w.serve)
+		r.Store.PutEntry(w.name, standin.WorkerEntry{Service: service, Address: stand.Address, Zone: "z1", Sequence: 1})
 	}
 	r.StartHosts(2)
 	time.Sleep(2 * time.Second)
 	host := r.Hosts[0]
-	addresses, err := standin.FrontendAddresses(context.Background(), host.IP)
-	if err != nil {
-		return false, err
-	}
-	knownUntil := time.Now().Add(before + keepTime)
-	r.Log("the directory names %v, which callers keep for %v", addresses, keepTime)
-	wait, lost := sync.WaitGroup{}, atomic.Int32{}
-	stoppedAt := time.Now().Add(before)
-	if r.Trouble {
-		wait.Go(func() {
-			time.Sleep(time.Until(stoppedAt))
-			stoppedAt = time.Now()
-			host.Signal(syscall.SIGTERM)
-			host.WaitEnd(10 * time.Second)
-		})
-	}
-	for n := 0; time.Now().Before(knownUntil); n++ {
+	lost, wait := atomic.Int32{}, sync.WaitGroup{}
+	for n := range workers * slots {
 		wait.Go(func() {
-			id, sentAt := fmt.Sprintf("%016x", 100+n), time.Now()
+			id := fmt.Sprintf("%016x", 1000+n)
 			client := standin.NewClient(host.Frontend())
 			defer client.Close()
-			response := client.Do(context.Background(), standin.Request{Route: "unsafe", ID: id, Body: "order", Deadline: deadline})
-			after := sentAt.Sub(stoppedAt).Round(time.Millisecond)
+			r.Log("client sends %s", id)
+			response := client.Do(r.Context(), standin.Request{Route: "stream", ID: id, Body: "spec", Deadline: deadline})
 			switch {
-			case isRefused(response.Err):
-				r.Log("client: the host refuses the connection of %s", id)
 			case response.Err != nil:
-				r.Log("client: order %s, sent %v after the stop, ends without an answer: %v", id, after, response.Err)
-				if after > promised {
-					lost.Add(1)
-				}
+				lost.Add(1)
+				r.Log("client: %s ends without a complete answer, status %d, %d bytes: %v", id, response.Status, len(response.Body), response.Err)
+			case response.Status == 200 && response.Sealed && response.Body == expected():
+				r.Log("client has the whole answer to %s", id)
 			default:
-				r.Log("client gets status %d to order %s, sent %v after the stop", response.Status, id, after)
+				r.Log("client gets status %d to %s, %d bytes", response.Status, id, len(response.Body))
 			}
 		})
-		time.Sleep(pace)
+		time.Sleep(20 * time.Millisecond)
 	}
+	time.Sleep(stopAfter)
+	host.Signal(syscall.SIGTERM)
 	wait.Wait()
-	r.Log("%d orders were read and passed on, and got no answer", lost.Load())
+	host.WaitEnd(10 * time.Second)
+	for _, line := range host.LogLines("request cut") {
+		r.Log("log: %s", line)
+	}
 	return lost.Load() > 0, nil
 }
 
-// isRefused reports whether no connection could be opened.
-func isRefused(err error) bool {
-	var failed *net.OpError
-	return errors.As(err, &failed) && failed.Op == "dial"
-}
-
 func main() { rig.Main(run) }
