--- a/review/1/main.go
+++ b/review/1/main.go
@@ -36,7 +36,7 @@
 	// recovery is recoveryS, measured how long is measured after it.
 	recovery = 12 * time.Second
 	measured = 6 * time.Second
-	callers  = 6
+	callers  = 10
 	pace     = 100 * time.Millisecond
 	deadline = 1500 * time.Millisecond
 )
