--- a/review/1/main.go
+++ b/review/1/main.go
@@ -82,7 +82,7 @@
 
 func run(r *rig.Rig) (bool, error) {
 	r.Store.Configure(standin.Config(service), 1)
-	olds := startWorkers(r, "v1")
+	olds, stopBeats := startWorkers(r, "v1")
 	r.StartHosts(3)
 	time.Sleep(time.Second)
 	counted, wait := &answers{}, sync.WaitGroup{}
@@ -104,7 +104,8 @@
 		return false, err
 	}
 	r.Log("the move is completed: the old workers stop")
-	for _, worker := range olds {
+	for n, worker := range olds {
+		stopBeats[n]()
 		worker.End()
 	}
 	time.Sleep(faultAfter)
@@ -129,8 +130,7 @@
 }
 
 // startWorkers starts the workers of a version.
-func startWorkers(r *rig.Rig, version string) []*standin.Worker {
-	var all []*standin.Worker
+func startWorkers(r *rig.Rig, version string) (all []*standin.Worker, stopBeats []func()) {
 	for n := range workers {
 		name := fmt.Sprintf("worker-%s-%d", version, n)
 		worker := standin.NewWorker(r, name, func(run *standin.Run) bool {
@@ -138,12 +138,9 @@
 			time.Sleep(length)
 			return standin.Respond(200, "answer to "+run.ID())(run)
 		})
-		entry := worker.Entry(service)
-		entry["version"] = version
-		r.Store.Put("keyed.servers", name, entry)
-		all = append(all, worker)
+		all, stopBeats = append(all, worker), append(stopBeats, r.Register(worker, service, version))
 	}
-	return all
+	return all, stopBeats
 }
 
 // awaitCompleted waits until the operator reads that the move is completed.
@@ -158,6 +155,7 @@
 
 // fail kills all hosts, and meanwhile the store comes back from a copy.
 func fail(r *rig.Rig, saved standin.StoreCopy) {
+	r.IsStoreAway.Store(true)
 	r.Store.SetFaults(standin.StoreFaults{Status: 503})
 	for _, h := range r.Hosts {
 		h.Signal(syscall.SIGKILL)
@@ -168,6 +166,7 @@
 	r.Store.Restore(saved)
 	time.Sleep(away)
 	r.Store.SetFaults(standin.StoreFaults{})
+	r.IsStoreAway.Store(false)
 	r.Log("the store is back from its copy")
 	for _, h := range r.Hosts {
 		h.Start()
--- a/review/4/main.go
+++ b/review/4/main.go
@@ -20,6 +20,7 @@
 	service = "svc"
 	// slots is the number of requests that a worker runs at once, as its entry says.
 	slots   = 4
+	queue   = 2
 	workers = 3
 	// events and eventInterval are the length and pace of a stream.
 	events        = 160
@@ -33,20 +34,26 @@
 	deadline  = 12 * time.Second
 )
 
-// worker is a sound worker: it runs up to slots requests and rejects the others.
+// worker is a sound worker: it runs up to slots requests, queues a few more and rejects the
+// others.
 type worker struct {
 	rig      *rig.Rig
 	name     string
 	isSilent bool
-	running  atomic.Int32
+	// admitted holds the requests that run or wait, running those that run.
+	admitted, running chan struct{}
 }
 
 func (w *worker) serve(run *standin.Run) bool {
-	defer w.running.Add(-1)
-	if w.running.Add(1) > slots {
+	select {
+	case w.admitted <- struct{}{}:
+	default:
 		w.rig.Log("%s rejects %s", w.name, run.ID())
 		return standin.RejectNotExecuted(run)
 	}
+	defer func() { <-w.admitted }()
+	w.running <- struct{}{}
+	defer func() { <-w.running }()
 	w.rig.Log("%s runs %s after event %d", w.name, run.ID(), run.LastEventID())
 	run.WriteHead(200, -1)
 	for id := run.LastEventID() + 1; id <= events; id++ {
@@ -86,9 +93,9 @@
 	}
 	r.Store.Configure(config, 1)
 	for n := range workers {
-		w := &worker{rig: r, name: fmt.Sprintf("worker-%d", n), isSilent: n == 0 && r.Trouble}
+		w := &worker{rig: r, name: fmt.Sprintf("worker-%d", n), isSilent: n == 0 && r.Trouble, admitted: make(chan struct{}, slots+queue), running: make(chan struct{}, slots)}
 		stand := standin.NewWorker(r, w.name, w.serve)
-		r.Store.PutEntry(w.name, standin.WorkerEntry{Service: service, Address: stand.Address, Zone: "z1", Sequence: 1})
+		r.Register(stand, service, "v1")
 	}
 	r.StartHosts(2)
 	time.Sleep(2 * time.Second)
@@ -103,7 +110,9 @@
 			response := client.Do(r.Context(), standin.Request{Route: "stream", ID: id, Body: "spec", Deadline: deadline})
 			switch {
 			case response.Err != nil:
-				lost.Add(1)
+				if host.IsCutByStop() {
+					lost.Add(1)
+				}
 				r.Log("client: %s ends without a complete answer, status %d, %d bytes: %v", id, response.Status, len(response.Body), response.Err)
 			case response.Status == 200 && response.Sealed && response.Body == expected():
 				r.Log("client has the whole answer to %s", id)
--- a/review/5/main.go
+++ b/review/5/main.go
@@ -59,7 +59,7 @@
 			r.Log("%s has recorded order %s", name, run.ID())
 			return standin.Respond(200, "order "+run.ID())(run)
 		})
-		r.Store.PutEntry(name, standin.WorkerEntry{Service: service, Address: worker.Address, Zone: "z1", Sequence: 1})
+		r.Register(worker, service, "v1")
 	}
 	r.StartHosts(2)
 	time.Sleep(2 * time.Second)
