What has arrived of a chunk is relayed before its end

Callers got events of a stream twice, with status 200 and a whole body, if the endpoint fell silent within a chunk of several events.

Cause: the decoder of net/http waits for the end of a chunk with the events that have arrived in the caller's buffer. The stall handler ran inside that read, asked another endpoint to go on after the last event relayed, and the events of the read were relayed besides.

Change: an incremental decoder returns what has arrived and waits only while it has nothing to return, so that what is asked of the next endpoint and what has been relayed cannot differ.

--- a/internal/connection/upstream/exchange.go
+++ b/internal/connection/upstream/exchange.go
@@ -26,7 +26,7 @@
 	Header http.Header
 
 	conn        *Conn
-	body        io.ReadCloser
+	body        io.Reader
 	writeDone   <-chan error
 	idleTimeout time.Duration
 	closeAfter  bool
@@ -146,7 +146,7 @@
 			Status:      response.StatusCode,
 			Header:      response.Header,
 			conn:        c,
-			body:        response.Body,
+			body:        c.bodyOf(response),
 			idleTimeout: parseKeepAliveTimeout(response.Header.Get("Keep-Alive")),
 			closeAfter:  response.Close,
 			framed:      response.ContentLength >= 0 || len(response.TransferEncoding) > 0,
@@ -154,6 +154,14 @@
 	}
 }
 
+// bodyOf returns the reader of a response's body.
+func (c *Conn) bodyOf(response *http.Response) io.Reader {
+	if response.Body != http.NoBody && len(response.TransferEncoding) > 0 {
+		return newChunkedReader(c.reader)
+	}
+	return response.Body
+}
+
 // parseKeepAliveTimeout returns the timeout of a Keep-Alive header, or 0 if
 // there is no valid one.
 func parseKeepAliveTimeout(header string) time.Duration {
@@ -173,8 +181,8 @@
 // SetDeadline sets the deadline for reading the rest of the body.
 func (r *Response) SetDeadline(deadline time.Time) error { return r.conn.net.SetReadDeadline(deadline) }
 
-// Read reads the body. It returns io.EOF at the end of a complete body and
-// another error if the body is truncated.
+// Read reads the body. It waits only while it has nothing to return. It returns io.EOF at
+// the end of a complete body and another error if the body is truncated.
 func (r *Response) Read(buffer []byte) (int, error) {
 	n, err := r.body.Read(buffer)
 	if err == io.EOF {
