A silence counts only while the host waits and nothing has arrived

Cause: a Go read whose deadline has passed returns the timeout without reading what lies in the socket. The stall handler took that for the endpoint's silence and, since, sent the stream elsewhere at once. The deadline of the header was also set before the request was written.

Change: after a timeout, what has arrived is read first, for .3 s at most beyond the deadline of the request. The silence is measured from when the request has been written, or the last event has been relayed. If the process notices the timeout more than .1 s late, it did not run, and the silence is measured anew, once.

--- a/internal/connection/upstream/exchange.go
+++ b/internal/connection/upstream/exchange.go
@@ -66,12 +66,12 @@
 
 // Do sends a request and reads the header of its response. isStale reports
 // from the header whether a response belongs to an earlier request. The
-// deadline bounds the exchange up to the end of the header; a stall handler may be
-// called before it.
+// deadline bounds the exchange up to the end of the header; the endpoint may count as
+// silent before it.
 func (c *Conn) Do(request Request, deadline time.Time, isStale func(http.Header) bool) (*Response, error) {
 	isLong := len(request.Body) > maxInlineBodyBytes
-	if err := c.beginExchange(deadline, isLong); err != nil {
-		return nil, eris.Wrapf(ErrNotSent, "set deadlines: %v", err)
+	if err := c.net.SetWriteDeadline(deadline); err != nil {
+		return nil, eris.Wrapf(ErrNotSent, "set write deadline: %v", err)
 	}
 	header := encodeRequestHeader(request)
 	writeDone := make(chan error, 1)
@@ -91,6 +91,9 @@
 			writeDone <- err
 		}()
 	}
+	if err := c.beginWait(deadline, isLong); err != nil {
+		return nil, &noResponseError{cause: err}
+	}
 	for skipped := 0; ; skipped++ {
 		response, err := c.readResponseHeader(request.Method)
 		if err != nil {
@@ -178,9 +181,6 @@
 	return 0
 }
 
-// SetDeadline sets the deadline for reading the rest of the body.
-func (r *Response) SetDeadline(deadline time.Time) error { return r.conn.net.SetReadDeadline(deadline) }
-
 // Read reads the body. It waits only while it has nothing to return. It returns io.EOF at
 // the end of a complete body and another error if the body is truncated.
 func (r *Response) Read(buffer []byte) (int, error) {
--- a/internal/connection/upstream/pool.go
+++ b/internal/connection/upstream/pool.go
@@ -60,12 +60,12 @@
 	taken bool
 	// expiresAt is when an idle connection expires.
 	expiresAt time.Time
-	// onStall handles the read timeouts of the request; nil if there is no handler.
+	// wait is the wait for the response in progress, or for more of it. onStall is called
+	// when the endpoint is silent; nil if there is no handler.
+	wait    responseWait
 	onStall StallHandler
-	stallAt time.Time
-	// headerDeadline is when the header of the response is due, acknowledgedBy when the
-	// request must have been acknowledged; zero once it has been.
-	headerDeadline, acknowledgedBy time.Time
+	// longestDelay is by how much this process was late at most to notice a silence.
+	longestDelay time.Duration
 	// stopAbort ends the link between a context and the connection, and reports whether
 	// the context has not ended before; nil if there is none.
 	stopAbort func() bool
@@ -150,7 +150,7 @@
 // release returns the connection to the pool after a complete response. A
 // timeout of 0 means that the endpoint announced none.
 func (c *Conn) release(timeout time.Duration) {
-	c.onStall = nil
+	c.onStall, c.wait, c.longestDelay = nil, responseWait{}, 0
 	if c.stopAbort != nil && !c.stopAbort() {
 		c.Close()
 		return
--- a/internal/connection/upstream/stall.go
+++ b/internal/connection/upstream/stall.go
@@ -10,19 +10,21 @@
 	"golang.org/x/sys/unix"
 )
 
-// StallHandler is called when a response does not go on before its read deadline. It
-// returns the next read deadline, or false to let the read fail with a timeout.
+// StallHandler is called when an endpoint is silent. It returns when to call it again, or
+// false to let the read fail with a timeout.
 type StallHandler func() (next time.Time, wait bool)
 
-// OnStall sets the handler of the request on the connection, and when it is first called
-// unless the header of the response has arrived. Later read deadlines are set with
-// Response.SetDeadline.
-func (c *Conn) OnStall(at time.Time, handler StallHandler) { c.stallAt, c.onStall = at, handler }
-
-// maxUnacknowledged is how long a request may remain unacknowledged by the endpoint's host.
-// It is shorter than kernelTimeout: a connection that the kernel drops is not reset, and
-// the endpoint may receive the request much later.
-const maxUnacknowledged = 2 * time.Second
+const (
+	// maxUnacknowledged is how long a request may remain unacknowledged by the endpoint's
+	// host. It is shorter than kernelTimeout: a connection that the kernel drops is not
+	// reset, and the endpoint may receive the request much later.
+	maxUnacknowledged = 2 * time.Second
+	// maxTimerDelay is how late a timeout may be noticed. Beyond that, this process did
+	// not run, and the silence is measured anew.
+	maxTimerDelay = 100 * time.Millisecond
+	// maxOverdueRead is how long after its deadline what arrives of a response is read.
+	maxOverdueRead = 300 * time.Millisecond
+)
 
 // unacknowledgedError means that the connection was reset because the endpoint's host did
 // not acknowledge the request.
@@ -33,29 +35,79 @@
 // Timeout reports that the endpoint was silent.
 func (unacknowledgedError) Timeout() bool { return true }
 
-// beginExchange sets the deadlines until the header of a response has arrived. A long body
-// may take its time.
-func (c *Conn) beginExchange(deadline time.Time, isLong bool) error {
-	c.headerDeadline, c.acknowledgedBy = deadline, time.Time{}
-	if !isLong {
-		c.acknowledgedBy = time.Now().Add(maxUnacknowledged)
+// responseWait is the wait for a response, or for more of it.
+type responseWait struct {
+	// deadline is when the wait ends, maxSilence how long it lasts until the endpoint
+	// counts as silent; 0 if there is no such limit.
+	deadline   time.Time
+	maxSilence time.Duration
+	// acknowledgedBy is when the request must have been acknowledged; zero once it has
+	// been.
+	acknowledgedBy time.Time
+	// silentAt is when the endpoint counts as silent; zero without a limit.
+	silentAt time.Time
+	// isRepeated is set if the silence has been measured anew since the last byte.
+	isRepeated bool
+	// overdueUntil is when reading ends after the deadline; zero until it has passed.
+	overdueUntil time.Time
+}
+
+// start begins to measure the silence.
+func (w *responseWait) start(now time.Time) {
+	w.silentAt = time.Time{}
+	if w.maxSilence > 0 {
+		w.silentAt = now.Add(w.maxSilence)
 	}
-	if err := c.net.SetWriteDeadline(deadline); err != nil {
-		return err
+}
+
+// nextTimeout returns when the wait times out next.
+func (w *responseWait) nextTimeout() time.Time {
+	next := w.deadline
+	for _, at := range []time.Time{w.silentAt, w.acknowledgedBy} {
+		if !at.IsZero() && at.Before(next) {
+			next = at
+		}
 	}
-	return c.net.SetReadDeadline(c.headerReadDeadline())
+	return next
 }
 
-// headerReadDeadline returns the next read deadline until the header has arrived.
-func (c *Conn) headerReadDeadline() time.Time {
-	next := c.headerDeadline
-	if c.onStall != nil && c.stallAt.Before(next) {
-		next = c.stallAt
+// isOverdue reports whether the deadline passed so long ago that nothing more is read.
+func (w *responseWait) isOverdue(now time.Time) bool {
+	if now.Before(w.deadline) {
+		return false
 	}
-	if !c.acknowledgedBy.IsZero() && c.acknowledgedBy.Before(next) {
-		next = c.acknowledgedBy
+	if w.overdueUntil.IsZero() {
+		w.overdueUntil = now.Add(maxOverdueRead)
 	}
-	return next
+	return now.After(w.overdueUntil)
+}
+
+// OnStall sets how long the endpoint may be silent, and what is called then; without a
+// handler the read fails with a timeout.
+func (c *Conn) OnStall(maxSilence time.Duration, handler StallHandler) {
+	c.wait.maxSilence, c.onStall = maxSilence, handler
+}
+
+// beginWait begins the wait for the header of the response to a request that was sent. A
+// long body may take its time to be acknowledged.
+func (c *Conn) beginWait(deadline time.Time, isLong bool) error {
+	now := time.Now()
+	c.wait = responseWait{deadline: deadline, maxSilence: c.wait.maxSilence}
+	if !isLong {
+		c.wait.acknowledgedBy = now.Add(maxUnacknowledged)
+	}
+	c.wait.start(now)
+	return c.net.SetReadDeadline(c.wait.nextTimeout())
+}
+
+// Await begins the wait for more of the body, which ends at the deadline. The endpoint
+// counts as silent after maxSilence, or never if it is 0. Bytes that arrive do not extend
+// the wait.
+func (r *Response) Await(maxSilence time.Duration, deadline time.Time) error {
+	c := r.conn
+	c.wait = responseWait{deadline: deadline, maxSilence: maxSilence}
+	c.wait.start(time.Now())
+	return c.net.SetReadDeadline(c.wait.nextTimeout())
 }
 
 // countInFlight returns the number of bytes that were sent on a connection and not
@@ -80,45 +132,82 @@
 	return inFlight
 }
 
-// stallReader reads from the network and leaves timeouts to the stall handler.
+// stallReader reads from the network and leaves silence to the stall handler.
 type stallReader struct{ conn *Conn }
 
-// Read implements io.Reader.
+// Read implements io.Reader. A timeout is an endpoint's silence only if nothing has
+// arrived: the process may have been late to read it.
 func (r stallReader) Read(buffer []byte) (int, error) {
 	c := r.conn
 	for {
 		n, err := c.net.Read(buffer)
-		c.receivedBytes += int64(n)
+		if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.Arrived() != ArrivedNothing && !c.wait.isOverdue(time.Now()) {
+			n, err = c.readArrived(buffer)
+		}
 		if n > 0 {
-			c.acknowledgedBy = time.Time{}
+			c.receivedBytes += int64(n)
+			c.wait.acknowledgedBy, c.wait.isRepeated = time.Time{}, false
 		}
 		if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
 			return n, err
 		}
-		if !c.acknowledgedBy.IsZero() && !time.Now().Before(c.acknowledgedBy) {
-			c.acknowledgedBy = time.Time{}
-			if c.pool.countInFlight(c.net) > 0 {
-				c.Abort()
-				return 0, unacknowledgedError{}
-			}
-			if err := c.net.SetReadDeadline(c.headerReadDeadline()); err != nil {
-				return 0, err
-			}
-			continue
-		}
-		if c.onStall == nil {
-			return n, err
-		}
-		next, wait := c.onStall()
-		if !wait {
+		if err := c.handleTimeout(err); err != nil {
 			return 0, err
 		}
-		if err := c.net.SetReadDeadline(next); err != nil {
-			return 0, err
+	}
+}
+
+// readArrived reads what has arrived although the read deadline has passed.
+func (c *Conn) readArrived(buffer []byte) (int, error) {
+	if err := c.net.SetReadDeadline(time.Time{}); err != nil {
+		return 0, err
+	}
+	n, err := c.net.Read(buffer)
+	if deadlineErr := c.net.SetReadDeadline(c.wait.nextTimeout()); err == nil {
+		err = deadlineErr
+	}
+	return n, err
+}
+
+// handleTimeout decides what follows when nothing has arrived before the read deadline. It
+// returns the error with which the read fails, or nil if the wait goes on.
+func (c *Conn) handleTimeout(timeout error) error {
+	now, wait := time.Now(), &c.wait
+	if !wait.acknowledgedBy.IsZero() && !now.Before(wait.acknowledgedBy) {
+		wait.acknowledgedBy = time.Time{}
+		if c.pool.countInFlight(c.net) > 0 {
+			c.Abort()
+			return unacknowledgedError{}
 		}
+		return c.net.SetReadDeadline(wait.nextTimeout())
+	}
+	if !now.Before(wait.deadline) {
+		return timeout
+	}
+	if wait.silentAt.IsZero() || now.Before(wait.silentAt) {
+		return c.net.SetReadDeadline(wait.nextTimeout())
 	}
+	if delay := now.Sub(wait.silentAt); delay > maxTimerDelay && !wait.isRepeated {
+		c.longestDelay = max(c.longestDelay, delay)
+		wait.isRepeated = true
+		wait.start(now)
+		return c.net.SetReadDeadline(wait.nextTimeout())
+	}
+	if c.onStall == nil {
+		return timeout
+	}
+	next, goesOn := c.onStall()
+	if !goesOn {
+		return timeout
+	}
+	wait.silentAt = next
+	return c.net.SetReadDeadline(wait.nextTimeout())
 }
 
+// LongestDelay returns by how much this process was late at most to notice that an
+// endpoint was silent.
+func (c *Conn) LongestDelay() time.Duration { return c.longestDelay }
+
 // ReceivedBytes returns the number of bytes received so far.
 func (c *Conn) ReceivedBytes() int64 { return c.receivedBytes }
 
--- a/internal/request/relay/carry.go
+++ b/internal/request/relay/carry.go
@@ -176,7 +176,7 @@
 	if impliesNotRun(response.Status) {
 		s.outcome.kind = outcomeRefused
 	}
-	if err := response.SetDeadline(s.deadline.Add(carrierGrace)); err != nil {
+	if err := response.Await(0, s.deadline.Add(carrierGrace)); err != nil {
 		s.abort("carrier_failed")
 		return
 	}
--- a/internal/request/relay/failover.go
+++ b/internal/request/relay/failover.go
@@ -66,11 +66,11 @@
 	leases <-chan *dispatch.Lease
 }
 
-// watch returns the failover of a request that is sent on a connection, which it calls
-// from stallAt on.
-func (s *serverRequest) watch(lease *dispatch.Lease, conn *upstream.Conn, stallAt time.Time) *failover {
+// watch returns the failover of a request that is sent on a connection. It begins when the
+// endpoint has been silent for maxSilence.
+func (s *serverRequest) watch(lease *dispatch.Lease, conn *upstream.Conn, maxSilence time.Duration) *failover {
 	f := &failover{request: s, lease: lease, conn: conn, progressBytes: conn.ReceivedBytes()}
-	conn.OnStall(stallAt, f.onStall)
+	conn.OnStall(maxSilence, f.onStall)
 	return f
 }
 
@@ -178,9 +178,9 @@
 	s := f.request
 	results, sent := make(chan openResult, 1), make(chan struct{})
 	go func() {
-		response, failure := s.openResponse(ctx, lease, func(*upstream.Conn) time.Time {
+		response, failure := s.openResponse(ctx, lease, func(conn *upstream.Conn) {
 			close(sent)
-			return s.headerDeadline(lease)
+			conn.OnStall(s.maxHeaderSilence(lease), nil)
 		})
 		results <- openResult{response, failure}
 	}()
--- a/internal/request/relay/response.go
+++ b/internal/request/relay/response.go
@@ -41,20 +41,13 @@
 	return s.route.IsRetryable() && s.sends < s.route.MaxAttempts
 }
 
-// headerDeadline returns when the response header must have arrived.
-func (s *serverRequest) headerDeadline(lease *dispatch.Lease) time.Time {
+// maxHeaderSilence returns how long the endpoint may take until the response header, or 0
+// if only the deadline limits it.
+func (s *serverRequest) maxHeaderSilence(lease *dispatch.Lease) time.Duration {
 	if !s.canFailOver() {
-		return s.deadline
+		return 0
 	}
-	wait := max(minStallTimeout, stallTargetFactor*s.route.TargetLatency) + lease.ExpectedFirstResponse
-	return earlier(s.deadline, time.Now().Add(wait))
-}
-
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
+	return max(minStallTimeout, stallTargetFactor*s.route.TargetLatency) + lease.ExpectedFirstResponse
 }
 
 func earlier(a, b time.Time) time.Time {
@@ -159,109 +152,6 @@
 	}
 }
 
-// relayStream forwards events as they arrive.
-func (s *serverRequest) relayStream(lease *dispatch.Lease, response *upstream.Response, f *failover) sendResult {
-	control := http.NewResponseController(s.w)
-	buffer := make([]byte, streamReadBytes)
-	s.events.pending = nil
-	memory := responseMemory{budget: &s.relay.responseBudget}
-	defer memory.release()
-	countBefore, startedAt, firstEventAt, lastEventAt := s.events.count, time.Now(), time.Time{}, time.Time{}
-	succeeded := false
-	for {
-		if err := response.SetDeadline(s.nextEventDeadline(later(lastEventAt, startedAt))); err != nil {
-			lease.Release(resultUnlessCanceled(s.context(), fleet.ResultIncomplete))
-			response.Finish()
-			return sendResult{outcome: repeat.OutcomeUnknown, reason: "stream_broken"}
-		}
-		n, err := response.Read(buffer)
-		if events := s.events.add(buffer[:n]); len(events) > 0 {
-			now := time.Now()
-			if firstEventAt.IsZero() {
-				firstEventAt = now
-				lease.RecordFirstEvent()
-			}
-			if !lastEventAt.IsZero() {
-				s.longestGap = max(s.longestGap, now.Sub(lastEventAt))
-			}
-			lastEventAt = now
-			f.recordProgress()
-			if !succeeded && now.Sub(firstEventAt) > maxCrashDelay {
-				succeeded = true
-				s.relay.Quarantine.RecordSuccess(s.suspects())
-			}
-			if !s.writeEvents(control, response, events) {
-				response.Finish()
-				lease.Release(fleet.ResultNeutral)
-				s.outcome = outcome{outcomeCallerLeft, 0, "caller_left"}
-				return sendResult{done: true}
-			}
-		}
-		if err == nil && len(s.events.pending) <= maxEventBytes && memory.grow(len(s.events.pending)) {
-			continue
-		}
-		response.Finish()
-		if errors.Is(err, io.EOF) && s.events.isAtEventBoundary() && s.events.count > countBefore {
-			if count := s.events.count - countBefore; count > 1 {
-				lease.RecordInterTokenLatency(lastEventAt.Sub(firstEventAt) / time.Duration(count-1) / time.Duration(s.tokensPerEvent()))
-			}
-			lease.Release(fleet.ResultSuccess)
-			if !succeeded {
-				s.relay.Quarantine.RecordSuccess(s.suspects())
-			}
-			s.outcome = outcome{outcomeAnswered, response.Status, ""}
-			return sendResult{done: true}
-		}
-		result, reason := fleet.ResultIncomplete, "stream_broken"
-		if err != nil && isTimeout(err) {
-			result, reason = silenceResult(time.Since(later(lastEventAt, startedAt))), "stream_silent"
-		} else {
-			s.checkCrash(lease, durationSince(firstEventAt))
-		}
-		lease.Release(resultUnlessCanceled(s.context(), result))
-		if s.canFailOver() || f.replacement != nil {
-			s.relay.resumed.Inc(1)
-		}
-		return sendResult{outcome: repeat.OutcomeUnknown, reason: reason}
-	}
-}
-
-// tokensPerEvent returns the number of tokens in each event of the service's
-// streams.
-func (s *serverRequest) tokensPerEvent() int {
-	if service := s.table.Service(s.service); service != nil && service.Engine != nil {
-		return service.Engine.TokensPerEvent
-	}
-	return 1
-}
-
-// nextEventDeadline returns when the next event must be complete. Bytes that
-// complete no event do not extend it: a stalled endpoint may send some now and
-// then.
-func (s *serverRequest) nextEventDeadline(lastEventAt time.Time) time.Time {
-	if !s.canFailOver() {
-		return s.deadline
-	}
-	return earlier(s.deadline, lastEventAt.Add(max(minStallTimeout, stallTargetFactor*s.route.TargetGap)))
-}
-
-// writeEvents forwards complete events and reports whether the caller accepted
-// them.
-func (s *serverRequest) writeEvents(control *http.ResponseController, response *upstream.Response, events []byte) bool {
-	if !s.headerSent {
-		s.headerSent = true
-		s.firstSentAt = time.Now()
-		s.relay.firstEventLatency.Update(s.firstSentAt.Sub(s.startedAt))
-		s.relay.Protocol.CopyResponseHeader(s.w.Header(), response.Header)
-		s.w.WriteHeader(response.Status)
-	}
-	s.relay.traffic.add(len(events) + packetOverheadBytes)
-	if _, err := s.w.Write(events); err != nil {
-		return false
-	}
-	return control.Flush() == nil
-}
-
 // discardBody drains a response that is not relayed, so that its connection
 // can be reused.
 func (s *serverRequest) discardBody(response *upstream.Response) {
@@ -279,11 +169,3 @@
 	}
 	return false
 }
-
-// durationSince returns the time since t, or 0 if t is the zero time.
-func durationSince(t time.Time) time.Duration {
-	if t.IsZero() {
-		return 0
-	}
-	return time.Since(t)
-}
--- a/internal/request/relay/send.go
+++ b/internal/request/relay/send.go
@@ -41,9 +41,8 @@
 // send sends the request to one endpoint and relays its response.
 func (s *serverRequest) send(lease *dispatch.Lease) sendResult {
 	var f *failover
-	opened, failure := s.openResponse(s.context(), lease, func(conn *upstream.Conn) time.Time {
-		f = s.watch(lease, conn, s.headerDeadline(lease))
-		return s.deadline
+	opened, failure := s.openResponse(s.context(), lease, func(conn *upstream.Conn) {
+		f = s.watch(lease, conn, s.maxHeaderSilence(lease))
 	})
 	if opened == nil {
 		if f != nil {
@@ -61,7 +60,7 @@
 	if r.response == nil {
 		return r.failure
 	}
-	return s.relayOpened(r.response, s.watch(r.lease, r.response.conn, s.deadline))
+	return s.relayOpened(r.response, s.watch(r.lease, r.response.conn, 0))
 }
 
 // relayOpened relays a response, or what takes over from it.
@@ -74,9 +73,8 @@
 
 // openResponse sends the request to one endpoint and reads the header of its response.
 // Without a response to relay, it releases the lease and returns what happened. It calls
-// beforeSend, which returns when the header is due at the latest. If ctx ends, the request
-// is canceled at the endpoint.
-func (s *serverRequest) openResponse(ctx context.Context, lease *dispatch.Lease, beforeSend func(*upstream.Conn) time.Time) (*openedResponse, sendResult) {
+// beforeSend right before it sends. If ctx ends, the request is canceled at the endpoint.
+func (s *serverRequest) openResponse(ctx context.Context, lease *dispatch.Lease, beforeSend func(*upstream.Conn)) (*openedResponse, sendResult) {
 	s.addLeaseFields(lease)
 	dialCtx, cancel := context.WithDeadline(ctx, s.deadline)
 	conn, err := lease.Pool.Get(dialCtx)
@@ -106,8 +104,8 @@
 	s.sends++
 	s.attempts++
 	sentAt := time.Now()
-	deadline := beforeSend(conn)
-	response, err := conn.Do(s.upstreamRequest(lease), deadline, func(header http.Header) bool {
+	beforeSend(conn)
+	response, err := conn.Do(s.upstreamRequest(lease), s.deadline, func(header http.Header) bool {
 		return s.isStale(conn, header)
 	})
 	if err != nil {
