A caller that does not read is no silence of its endpoint

Callers that stopped reading for 1.8 s lost their streams although the endpoint had written them whole: the host sent the stream to another endpoint and, when that one broke off, cut it ("request cut", stream_broken).

Cause: the deadline of the next event was counted from before the events were written to the caller, and that write blocks for as long as the caller does not read.

Change: the wait for the next event begins when the caller has accepted the last ones.

--- a/internal/request/relay/stream.go
+++ b/internal/request/relay/stream.go
@@ -50,15 +50,15 @@
 		n, err = r.response.Read(buffer)
 		if events := s.events.add(buffer[:n]); len(events) > 0 {
 			r.recordEvents()
-			if awaitErr := r.awaitEvent(); err == nil {
-				err = awaitErr
-			}
 			if !s.writeEvents(r.control, r.response, events) {
 				r.response.Finish()
 				r.lease.Release(fleet.ResultNeutral)
 				s.outcome = outcome{outcomeCallerLeft, 0, "caller_left"}
 				return sendResult{done: true}
 			}
+			if awaitErr := r.awaitEvent(); err == nil {
+				err = awaitErr
+			}
 		}
 		if len(s.events.pending) > maxEventBytes || !memory.grow(len(s.events.pending)) {
 			break
@@ -71,7 +71,8 @@
 	return r.breakOff(err)
 }
 
-// awaitEvent begins the wait for the next event.
+// awaitEvent begins the wait for the next event. The time in which the caller did not
+// accept earlier ones is no silence of the endpoint.
 func (r *streamRelay) awaitEvent() error {
 	r.waitingSince = time.Now()
 	return r.response.Await(r.request.maxEventSilence(), r.request.deadline)
