Arrived bytes of a silent endpoint go before another one's response

The host gave up an endpoint that had gone on, if the other endpoint's response, or the end of the overlap, was noticed in the same moment: as after a pause of the host. The stream then ran on elsewhere, and was lost if that endpoint broke off.

Change: both look at what has arrived from the silent endpoint first.

--- a/internal/request/relay/failover.go
+++ b/internal/request/relay/failover.go
@@ -222,7 +222,7 @@
 
 // awaitResponse waits for the response of another endpoint, which arrives in results, or
 // until something else decides.
-func (f *failover) awaitResponse(results <-chan openResult, sent <-chan struct{}) (openResult, failoverVerdict) {
+func (f *failover) awaitResponse(results chan openResult, sent <-chan struct{}) (openResult, failoverVerdict) {
 	ticker := time.NewTicker(overlapPollInterval)
 	defer ticker.Stop()
 	// Bytes that complete no event are no sign that the endpoint goes on.
@@ -231,6 +231,10 @@
 	for {
 		select {
 		case result := <-results:
+			if f.conn.Arrived() == upstream.ArrivedData && !isTrickling {
+				results <- result
+				return openResult{}, silentEndpointGoesOn
+			}
 			return result, otherEndpointResponds
 		case <-sent:
 			sent = nil
@@ -238,6 +242,9 @@
 				overlap = time.After(maxOverlap)
 			}
 		case <-overlap:
+			if f.conn.Arrived() == upstream.ArrivedData && !isTrickling {
+				return openResult{}, silentEndpointGoesOn
+			}
 			return openResult{}, silentEndpointEnds
 		case <-ticker.C:
 			switch f.conn.Arrived() {
