A stream that meets its deadline is not logged as silent

A stream that was cut at its deadline while events still came was logged as stream_silent, which sends the reader of the log to the endpoint. Its reason is deadline_passed now. longest_write_ms and longest_delay_ms tell a caller that does not read, and a host that does not run, from a silent endpoint.

--- a/internal/request/relay/relay.go
+++ b/internal/request/relay/relay.go
@@ -172,6 +172,9 @@
 	firstSentAt time.Time
 	// longestGap is the longest pause between events from one endpoint.
 	longestGap time.Duration
+	// longestWrite is the longest time that the caller took to accept events, longestDelay
+	// by how much this process was late at most to notice that an endpoint was silent.
+	longestWrite, longestDelay time.Duration
 
 	// suspectParts is set by suspects.
 	suspectParts []quarantine.Part
--- a/internal/request/relay/report.go
+++ b/internal/request/relay/report.go
@@ -57,6 +57,9 @@
 		f["returned"] = s.isCallerRetry
 		f["deadline_ms"] = s.caller.Deadline.Milliseconds()
 	}
+	if s.longestDelay > 0 {
+		f["longest_delay_ms"] = s.longestDelay.Milliseconds()
+	}
 	if s.team != nil {
 		f["team"] = s.team.Name
 	}
@@ -70,6 +73,7 @@
 		f["events"] = s.events.count
 		f["last_event"] = s.events.lastID
 		f["longest_gap_ms"] = s.longestGap.Milliseconds()
+		f["longest_write_ms"] = s.longestWrite.Milliseconds()
 		f["prompt_tokens"] = s.caller.PromptTokens
 		f["first_event_ms"] = s.firstSentAt.Sub(s.startedAt).Milliseconds()
 	}
--- a/internal/request/relay/send.go
+++ b/internal/request/relay/send.go
@@ -108,6 +108,7 @@
 	response, err := conn.Do(s.upstreamRequest(lease), s.deadline, func(header http.Header) bool {
 		return s.isStale(conn, header)
 	})
+	s.longestDelay = max(s.longestDelay, conn.LongestDelay())
 	if err != nil {
 		conn.Abort()
 		return nil, s.handleNoResponse(ctx, lease, sentAt, err)
--- a/internal/request/relay/stream.go
+++ b/internal/request/relay/stream.go
@@ -64,6 +64,7 @@
 			break
 		}
 	}
+	s.longestDelay = max(s.longestDelay, r.failover.conn.LongestDelay())
 	r.response.Finish()
 	if errors.Is(err, io.EOF) && s.events.isAtEventBoundary() && s.events.count > r.countBefore {
 		return r.complete()
@@ -120,10 +121,14 @@
 func (r *streamRelay) breakOff(err error) sendResult {
 	s := r.request
 	result, reason := fleet.ResultIncomplete, "stream_broken"
-	if err != nil && isTimeout(err) {
-		result, reason = silenceResult(time.Since(r.waitingSince)), "stream_silent"
-	} else {
+	silence := time.Since(r.waitingSince)
+	switch {
+	case err == nil || !isTimeout(err):
 		s.checkCrash(r.lease, durationSince(r.firstEventAt))
+	case silence < minStallTimeout && time.Until(s.deadline) <= 0:
+		result, reason = fleet.ResultNeutral, "deadline_passed"
+	default:
+		result, reason = silenceResult(silence), "stream_silent"
 	}
 	r.lease.Release(resultUnlessCanceled(s.context(), result))
 	if s.canFailOver() || r.failover.replacement != nil {
@@ -162,10 +167,13 @@
 		s.w.WriteHeader(response.Status)
 	}
 	s.relay.traffic.add(len(events) + packetOverheadBytes)
-	if _, err := s.w.Write(events); err != nil {
-		return false
+	startedAt := time.Now()
+	_, err := s.w.Write(events)
+	if err == nil {
+		err = control.Flush()
 	}
-	return control.Flush() == nil
+	s.longestWrite = max(s.longestWrite, time.Since(startedAt))
+	return err == nil
 }
 
 // durationSince returns the time since t, or 0 if t is the zero time.
