A look at a connection leaves its reset to the next read

Callers could get a stream without a length or chunks as whole that its endpoint had reset between two events. A read of the socket with MSG_PEEK takes the pending error with it, so the next read found the end of the stream instead of the reset.

What has arrived is now found with poll and SIOCINQ, which change nothing. TestResetIsNoEndAfterArrived failed before: "assertion failed: expression is false: errors.Is(err, syscall.ECONNRESET): EOF". How often callers met it was not measured.

--- /dev/null
+++ b/internal/connection/upstream/arrived_test.go
@@ -0,0 +1,40 @@
+package upstream
+
+import (
+	"errors"
+	"net"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"gotest.tools/v3/assert"
+)
+
+// acceptOne opens a connection of a pool and returns both of its ends.
+func acceptOne(t *testing.T) (*Conn, *net.TCPConn) {
+	t.Helper()
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	conn, err := NewPool(listener.Addr().String(), Dial, metrics.NewCounter()).Get(t.Context())
+	assert.NilError(t, err)
+	t.Cleanup(conn.Close)
+	peer, err := listener.Accept()
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = peer.Close() })
+	return conn, peer.(*net.TCPConn)
+}
+
+// A look at a connection that the endpoint had reset took the error with it: the next read
+// found the end of the stream, and a body without a length counted as complete.
+func TestResetIsNoEndAfterArrived(t *testing.T) {
+	t.Parallel()
+	conn, peer := acceptOne(t)
+	assert.NilError(t, peer.SetLinger(0))
+	assert.NilError(t, peer.Close())
+	time.Sleep(50 * time.Millisecond)
+	assert.Equal(t, conn.Arrived(), ArrivedEnd)
+	_, err := conn.net.Read(make([]byte, 1))
+	assert.Assert(t, errors.Is(err, syscall.ECONNRESET), "%v", err)
+}
--- a/internal/connection/upstream/stall.go
+++ b/internal/connection/upstream/stall.go
@@ -227,18 +227,24 @@
 	if c.reader.Buffered() > 0 {
 		return ArrivedData
 	}
+	return c.arrivedInSocket()
+}
+
+// arrivedInSocket returns what has arrived and does not lie in the read buffer. Unlike a
+// read with MSG_PEEK, it leaves the error of a reset connection to the next read.
+func (c *Conn) arrivedInSocket() Arrival {
 	raw, err := c.net.(syscall.Conn).SyscallConn()
 	if err != nil {
 		return ArrivedEnd
 	}
 	arrived := ArrivedEnd
 	err = raw.Control(func(fd uintptr) {
-		var one [1]byte
-		n, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		switch {
-		case errors.Is(err, syscall.EAGAIN):
+		ready, err := unix.Poll([]unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}, 0)
+		if err != nil || ready == 0 {
 			arrived = ArrivedNothing
-		case err == nil && n > 0:
+			return
+		}
+		if unread, err := unix.IoctlGetInt(int(fd), unix.SIOCINQ); err == nil && unread > 0 {
 			arrived = ArrivedData
 		}
 	})
