Part of a header does not keep a request beyond its deadline

A request whose endpoint sent a part of the response's header and then nothing went on until the caller left, with no other endpoint tried. Since a read that times out asks whether something has arrived. That counted the part of the line in the read buffer, so the socket was read without a deadline though nothing lay in it.

Only what lies in the socket counts now. TestPartOfAHeaderEndsAtTheDeadline failed before: "the request goes on".

--- a/internal/connection/upstream/arrived_test.go
+++ b/internal/connection/upstream/arrived_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"io"
 	"net"
 	"syscall"
 	"testing"
@@ -38,3 +39,23 @@
 	_, err := conn.net.Read(make([]byte, 1))
 	assert.Assert(t, errors.Is(err, syscall.ECONNRESET), "%v", err)
 }
+
+// An endpoint that sent a part of the header and then nothing kept its request beyond the
+// deadline: what lay in the read buffer counted as arrived, and was awaited from the socket.
+func TestPartOfAHeaderEndsAtTheDeadline(t *testing.T) {
+	t.Parallel()
+	conn, peer := acceptOne(t)
+	_, err := io.WriteString(peer, "HTTP/1.1 200 OK\r\nRequest-I")
+	assert.NilError(t, err)
+	ended := make(chan error, 1)
+	go func() {
+		_, err := conn.Do(Request{Method: "GET", Target: "/", Host: "x"}, time.Now().Add(200*time.Millisecond), nil)
+		ended <- err
+	}()
+	select {
+	case err := <-ended:
+		assert.ErrorIs(t, err, ErrNoResponse)
+	case <-time.After(3 * time.Second):
+		t.Fatal("the request goes on")
+	}
+}
--- a/internal/connection/upstream/stall.go
+++ b/internal/connection/upstream/stall.go
@@ -141,7 +141,7 @@
 	c := r.conn
 	for {
 		n, err := c.net.Read(buffer)
-		if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.Arrived() != ArrivedNothing && !c.wait.isOverdue(time.Now()) {
+		if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.arrivedInSocket() != ArrivedNothing && !c.wait.isOverdue(time.Now()) {
 			n, err = c.readArrived(buffer)
 		}
 		if n > 0 {
