A timeout inside a header is no malformed answer

An endpoint that was silent after a part of its response's header counted as one that had ended ("answer_lost"), as when it crashes: the crash check began, and the silence was not recorded. net/textproto takes the part of a line for a whole one and reports it as malformed, and the timeout is lost.

The error with which the connection was read takes precedence. TestPartOfAHeaderIsNoEnd failed before: "malformed MIME header: missing colon".

--- a/internal/connection/upstream/arrived_test.go
+++ b/internal/connection/upstream/arrived_test.go
@@ -59,3 +59,15 @@
 		t.Fatal("the request goes on")
 	}
 }
+
+// An endpoint that sent a part of the header and then nothing counted as one that had broken
+// its answer off, as when it crashes: the part of a line counted as malformed.
+func TestPartOfAHeaderIsNoEnd(t *testing.T) {
+	t.Parallel()
+	conn, peer := acceptOne(t)
+	_, err := io.WriteString(peer, "HTTP/1.1 200 OK\r\nRequest-I")
+	assert.NilError(t, err)
+	_, err = conn.Do(Request{Method: "GET", Target: "/", Host: "x"}, time.Now().Add(200*time.Millisecond), nil)
+	timeout := net.Error(nil)
+	assert.Assert(t, errors.As(err, &timeout) && timeout.Timeout(), "%v", err)
+}
--- a/internal/connection/upstream/exchange.go
+++ b/internal/connection/upstream/exchange.go
@@ -137,6 +137,10 @@
 	for {
 		response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 		if err != nil {
+			// Part of a line counts as malformed, whatever kept the rest away.
+			if c.limited.failure != nil {
+				err = c.limited.failure
+			}
 			return nil, &noResponseError{cause: err}
 		}
 		if response.StatusCode < http.StatusOK {
--- a/internal/connection/upstream/header_limit.go
+++ b/internal/connection/upstream/header_limit.go
@@ -19,6 +19,8 @@
 type limitedReader struct {
 	io.Reader
 	remaining int
+	// failure is the error of the last read while there was a limit, or nil.
+	failure error
 }
 
 // Read implements io.Reader.
@@ -31,9 +33,10 @@
 	}
 	n, err := r.Reader.Read(buffer[:min(len(buffer), r.remaining)])
 	r.remaining -= n
+	r.failure = err
 	return n, err
 }
 
-func (r *limitedReader) setLimit(bytes int) { r.remaining = bytes }
+func (r *limitedReader) setLimit(bytes int) { r.remaining, r.failure = bytes, nil }
 
 func (r *limitedReader) removeLimit() { r.remaining = -1 }
