A stream resumed after its last event is whole with its end

A caller lost a stream of which it had all events if the endpoint ended, or was silent, between the last event and the end of the response. The next endpoint has no event left to send, only the end; that counted as broken off, and so on until none was left.

An end without events now completes a stream of which another endpoint has sent events, if the body has a length or chunks. Without them it may be a connection that broke, and counts as that as before.

--- a/internal/connection/upstream/exchange.go
+++ b/internal/connection/upstream/exchange.go
@@ -195,6 +195,10 @@
 	return n, err
 }
 
+// IsFramed reports whether the end of the body does not depend on the connection being
+// closed.
+func (r *Response) IsFramed() bool { return r.framed }
+
 // Finish ends the exchange. The connection is returned to the pool if the
 // complete response was read and the connection can be reused; otherwise it is
 // aborted, which cancels the request.
--- a/internal/request/relay/stream.go
+++ b/internal/request/relay/stream.go
@@ -66,12 +66,18 @@
 	}
 	s.longestDelay = max(s.longestDelay, r.failover.conn.LongestDelay())
 	r.response.Finish()
-	if errors.Is(err, io.EOF) && s.events.isAtEventBoundary() && s.events.count > r.countBefore {
+	if errors.Is(err, io.EOF) && s.events.isAtEventBoundary() && r.hasWhole() {
 		return r.complete()
 	}
 	return r.breakOff(err)
 }
 
+// hasWhole reports whether a stream whose response has ended is whole. Without any event it
+// is not, unless another endpoint has sent them all and this one had only the end to send.
+func (r *streamRelay) hasWhole() bool {
+	return r.request.events.count > r.countBefore || r.countBefore > 0 && r.response.IsFramed()
+}
+
 // awaitEvent begins the wait for the next event. The time in which the caller did not
 // accept earlier ones is no silence of the endpoint.
 func (r *streamRelay) awaitEvent() error {
