Further line ends after an event are no partial one

A stream that ended with more than two line ends counted as broken off if the third one arrived in a read of its own: it was kept as the begin of another event. Whole in one read it was not. With another endpoint left the stream was asked for again, without one the caller lost its end.

Line ends at an event boundary, once an event has come, are complete at once, and are not counted as events. So what is relayed, the boundary, the number of events and the last id no longer depend on how the stream is split into reads; FuzzSplitter checks all four. Such line ends count as progress of the endpoint, as empty events did.

--- a/internal/request/relay/events.go
+++ b/internal/request/relay/events.go
@@ -21,17 +21,35 @@
 // add appends data and returns the complete events that are now available. The
 // result is valid until the next call.
 func (s *eventSplitter) add(data []byte) []byte {
+	// Further line ends after an event are not the begin of another one.
+	lineEnds := 0
+	if s.count > 0 && s.isAtEventBoundary() {
+		lineEnds = len(data) - len(bytes.TrimLeft(data, "\n"))
+	}
 	// What was pending holds no delimiter, at most the first byte of one.
 	searched := max(len(s.pending)-(len(eventDelimiter)-1), 0)
 	s.pending = append(s.pending, data...)
-	end := bytes.LastIndex(s.pending[searched:], eventDelimiter)
-	if end < 0 {
+	end := lineEnds
+	if last := bytes.LastIndex(s.pending[searched:], eventDelimiter); last >= 0 {
+		end = max(end, searched+last+len(eventDelimiter))
+	}
+	if end == 0 {
 		return nil
 	}
-	end += searched + len(eventDelimiter)
 	complete := bytes.Clone(s.pending[:end])
 	s.pending = append(s.pending[:0], s.pending[end:]...)
-	for event := range bytes.SplitSeq(complete[:end-len(eventDelimiter)], eventDelimiter) {
+	if end > lineEnds {
+		s.countEvents(complete[lineEnds : end-len(eventDelimiter)])
+	}
+	return complete
+}
+
+// countEvents counts events, without the delimiter of the last one, and notes the last ID.
+func (s *eventSplitter) countEvents(events []byte) {
+	for event := range bytes.SplitSeq(events, eventDelimiter) {
+		if s.count > 0 && len(bytes.TrimLeft(event, "\n")) == 0 {
+			continue
+		}
 		s.count++
 		for line := range bytes.SplitSeq(event, []byte("\n")) {
 			if id, found := bytes.CutPrefix(line, []byte("id:")); found {
@@ -39,7 +57,6 @@
 			}
 		}
 	}
-	return complete
 }
 
 // isAtEventBoundary reports whether no partial event is pending.
--- a/internal/request/relay/events_test.go
+++ b/internal/request/relay/events_test.go
@@ -22,10 +22,25 @@
 	assert.Assert(t, s.isAtEventBoundary())
 }
 
+// A stream that ended with a third line end in a read of its own counted as broken off.
+func TestSplitterTakesFurtherLineEnds(t *testing.T) {
+	s := eventSplitter{}
+	assert.Equal(t, string(s.add([]byte("id: 1\n\n"))), "id: 1\n\n")
+	assert.Equal(t, string(s.add([]byte("\n"))), "\n")
+	assert.Assert(t, s.isAtEventBoundary())
+	assert.Equal(t, s.count, 1)
+	assert.Equal(t, string(s.add([]byte("\n\nid: 2\n\nid: 3"))), "\n\nid: 2\n\n")
+	assert.Equal(t, s.count, 2)
+	assert.Assert(t, !s.isAtEventBoundary())
+}
+
 // The complete events come out unchanged, however the stream is split into
-// reads.
+// reads, and with the same state as from one read.
 func FuzzSplitter(f *testing.F) {
 	f.Add("id: 1\ndata: a\n\nid: 2\ndata: b\n\nrest", uint8(3))
+	f.Add("\n\n\n", uint8(1))
+	f.Add("id: 1\n\n\n\n\nid: 2\n\n\n", uint8(0))
+	f.Add("\n\n\n\nid: 1\n\n\nid", uint8(2))
 	f.Fuzz(func(t *testing.T, stream string, step uint8) {
 		s, got := eventSplitter{}, ""
 		for rest := stream; rest != ""; {
@@ -39,6 +54,11 @@
 			assert.Equal(t, got, stream[:end+2])
 		}
 		assert.Equal(t, got+string(s.pending), stream)
+		whole := eventSplitter{}
+		whole.add([]byte(stream))
+		assert.Equal(t, s.isAtEventBoundary(), whole.isAtEventBoundary())
+		assert.Equal(t, s.count, whole.count)
+		assert.Equal(t, s.lastID, whole.lastID)
 	})
 }
 
