A request that the end of the process cuts is not logged as left

Callers saw: a request that was still running at the end of a stop lost its connection, also if nothing had been sent to the caller yet: neither an answer nor a refusal. The log and the counter said caller_left, which points at the caller.

Cause: the end of the process closes the connections, and net/http cancels a request's context whenever a connection fails, whatever the reason. The relay took both, and every failed write, for a caller that had closed its connection.

Evidence: TestRequestsOutlastTheStop failed before:

error is not nil: Post "http://.../unsafe/x": EOF "msg":"request caller_left","reason":"caller_left","route":"unsafe",...,"took_ms":3604 "msg":"request caller_left","events":678,"reason":"caller_left","route":"stream",...,"took_ms":3604

Why it works: the stop ends the requests itself before it closes connections, with a cause of its own in their contexts. One without an answer is failed (502; 503 if it still waited for an endpoint), a begun one is logged as cut, reason stopped, and all get 200 ms of the time reserved for the exit to be written and logged. For other failures the first error of the caller's connection decides: end of input, reset and broken pipe are the caller's; anything else is a cut with its own reason. Both count as failed, no longer as request.caller_left.

--- a/internal/process/gateway/run.go
+++ b/internal/process/gateway/run.go
@@ -19,6 +19,8 @@
 	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
 
+	"mustarddoor/internal/connection/downstream"
+	"mustarddoor/internal/process/pause"
 	"mustarddoor/internal/process/telemetry"
 	"mustarddoor/internal/request/relay"
 )
@@ -33,6 +35,11 @@
 	// minQuietChecks is the number of successive checks that must find no request: one
 	// that is just being read does not count as in progress.
 	minQuietChecks = 2
+	// maxRequestEnd is how long requests that are ended may take to respond and to be
+	// logged, requestEndCheckInterval the time between checks for that. It is a part of
+	// exitMargin.
+	maxRequestEnd           = 200 * time.Millisecond
+	requestEndCheckInterval = 5 * time.Millisecond
 	// exitMargin is the part of the grace period reserved for process exit.
 	exitMargin = 700 * time.Millisecond
 	// defaultHeaderTimeout and defaultIdleTimeout apply until a configuration is
@@ -83,7 +90,7 @@
 	addActor(g.callerConns.closeIdle)
 	g.frontend = &http.Server{
 		Handler: g.relay, ReadHeaderTimeout: defaultHeaderTimeout,
-		MaxHeaderBytes: maxHeaderBytes, ConnState: g.callerConns.onStateChange, ErrorLog: nil,
+		MaxHeaderBytes: maxHeaderBytes, ConnState: g.callerConns.onStateChange, ConnContext: downstream.Context, ErrorLog: nil,
 	}
 	callers, err := g.serve(&group, g.settings.FrontendAddress, g.frontend)
 	if err != nil {
@@ -147,14 +154,17 @@
 }
 
 func newHTTPServer(handler http.Handler) *http.Server {
-	return &http.Server{Handler: handler, ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout, MaxHeaderBytes: maxHeaderBytes}
+	return &http.Server{
+		Handler: handler, ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout,
+		MaxHeaderBytes: maxHeaderBytes, ConnContext: downstream.Context,
+	}
 }
 
 // serve listens on an address and adds a server to the group.
 func (g *Gateway) serve(group *run.Group, address string, server *http.Server) (net.Listener, error) {
-	listener, err := net.Listen("tcp4", address)
+	listener, err := downstream.Listen(address)
 	if err != nil {
-		return nil, eris.Wrapf(err, "listen on %s", address)
+		return nil, err
 	}
 	interrupted := make(chan struct{})
 	group.Add(func() error {
@@ -222,6 +232,7 @@
 			g.log.Entry().WithError(err).Warn("requests were still running at the end of the grace period")
 		}
 	}
+	g.endRequests()
 	return errStopped
 }
 
@@ -234,6 +245,18 @@
 	return g.callerConns.activeCount() == 0 && g.relay.CarryingCount() == 0
 }
 
+// endRequests ends the requests that still run and gives them time to say so.
+func (g *Gateway) endRequests() {
+	g.relay.End()
+	ctx, cancel := context.WithTimeout(context.Background(), maxRequestEnd)
+	defer cancel()
+	for g.callerConns.activeCount() > 0 || g.relay.CarryingCount() > 0 {
+		if !pause.For(ctx, requestEndCheckInterval) {
+			return
+		}
+	}
+}
+
 // serveMetrics writes the counters and the percentiles of the timers as text.
 func (g *Gateway) serveMetrics(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", "text/plain")
--- a/internal/request/relay/attempt.go
+++ b/internal/request/relay/attempt.go
@@ -91,7 +91,10 @@
 func (s *serverRequest) respondNoEndpoint(err error) {
 	var refusal *dispatch.Refusal
 	if !errors.As(err, &refusal) {
-		if !s.hasCallerLeft() {
+		switch {
+		case s.isEnded() && s.attempts == 0:
+			s.refuseStopping()
+		case !s.hasCallerLeft():
 			s.fail(http.StatusInternalServerError, err.Error())
 		}
 		return
--- a/internal/request/relay/relay.go
+++ b/internal/request/relay/relay.go
@@ -80,12 +80,17 @@
 	carrying  atomic.Int64
 	deadlines deadlineTracker
 	traffic   traffic
+	// ended is done when the requests in progress must end.
+	ended context.Context
+	end   context.CancelFunc
 }
 
 // New returns a relay with the given configuration.
 func New(config Config) *Relay {
 	registry := config.Metrics
+	ended, end := context.WithCancel(context.Background())
 	return &Relay{
+		ended: ended, end: end,
 		Config:            config,
 		answered:          metrics.GetOrRegisterCounter("request.answered", registry),
 		refused:           metrics.GetOrRegisterCounter("request.refused", registry),
@@ -118,7 +123,10 @@
 func (r *Relay) serve(w http.ResponseWriter, request *http.Request, carried *carriedRequest) {
 	startedAt := time.Now()
 	r.traffic.addRequest()
-	s := &serverRequest{relay: r, w: w, request: request, carried: carried, startedAt: startedAt, caller: r.Protocol.ParseRequest(request)}
+	ctx, cancel := context.WithCancelCause(request.Context())
+	defer cancel(nil)
+	defer context.AfterFunc(r.ended, func() { cancel(errStopped) })()
+	s := &serverRequest{relay: r, w: w, request: request, ctx: ctx, carried: carried, startedAt: startedAt, caller: r.Protocol.ParseRequest(request)}
 	// net/http silently ignores a Content-Length beside a chunked body.
 	// Closing the connection keeps bytes after such a body from being read as
 	// another request (request smuggling).
@@ -134,6 +142,7 @@
 	relay     *Relay
 	w         http.ResponseWriter
 	request   *http.Request
+	ctx       context.Context
 	startedAt time.Time
 	caller    RequestAttributes
 	// carried is set if another host could not send the request.
@@ -353,17 +362,21 @@
 	s.outcome = outcome{outcomeAborted, 0, reason}
 }
 
-// hasCallerLeft reports whether the caller has disconnected. If so, it records
-// the outcome and refunds the charge of a request that has not run.
+// hasCallerLeft reports whether the caller has disconnected, or the process is about to
+// end. If so, it records the outcome and refunds the charge of a request that has not run.
 func (s *serverRequest) hasCallerLeft() bool {
 	if s.context().Err() == nil {
 		return false
 	}
+	if s.isEnded() {
+		s.fail(http.StatusBadGateway, reasonStopped)
+		return true
+	}
 	s.refund()
 	s.outcome = outcome{outcomeCallerLeft, 0, "caller_left"}
 	return true
 }
 
 // context returns the context of the caller's request. It is canceled when the
-// caller disconnects.
-func (s *serverRequest) context() context.Context { return s.request.Context() }
+// caller disconnects or the request is ended.
+func (s *serverRequest) context() context.Context { return s.ctx }
--- a/internal/request/relay/report.go
+++ b/internal/request/relay/report.go
@@ -1,11 +1,16 @@
 package relay
 
 import (
+	"errors"
+	"io"
+	"net"
 	"net/http"
+	"syscall"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
+	"mustarddoor/internal/connection/downstream"
 	"mustarddoor/internal/process/decisionlog"
 )
 
@@ -14,6 +19,9 @@
 func (s *serverRequest) report() {
 	r := s.relay
 	took := time.Since(s.startedAt)
+	if s.outcome.kind == outcomeCallerLeft {
+		s.findCause()
+	}
 	switch s.outcome.kind {
 	case outcomeAnswered:
 		r.answered.Inc(1)
@@ -38,6 +46,24 @@
 	}
 }
 
+// findCause finds out why a connection failed whose caller seems to have left.
+func (s *serverRequest) findCause() {
+	var failure error
+	if conn := downstream.FromContext(s.context()); conn != nil {
+		failure = conn.Failure()
+	}
+	switch {
+	case s.isEnded() || errors.Is(failure, net.ErrClosed):
+		s.abort(reasonStopped)
+	case failure == nil || errors.Is(failure, io.EOF) || errors.Is(failure, syscall.ECONNRESET) || errors.Is(failure, syscall.EPIPE):
+	case errors.Is(failure, syscall.ETIMEDOUT):
+		s.abort("caller_unreachable")
+	default:
+		s.abort("connection_failed")
+		s.fields["error"] = failure.Error()
+	}
+}
+
 // addLogFields adds the request's attributes and timings to its log fields.
 func (s *serverRequest) addLogFields(took time.Duration) {
 	f := s.fields
--- a/internal/request/relay/stop.go
+++ b/internal/request/relay/stop.go
@@ -1,9 +1,13 @@
 package relay
 
 import (
+	"context"
+	"errors"
 	"net/http"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"mustarddoor/internal/version/routing"
 )
 
@@ -24,6 +28,18 @@
 	maxUnboundedTime = 3 * time.Second
 )
 
+// errStopped is the cause of the end of a request that runs longer than the process.
+var errStopped = eris.New("the process ends")
+
+// reasonStopped is the reason of such a request.
+const reasonStopped = "stopped"
+
+// End ends the requests in progress, because the process ends.
+func (r *Relay) End() { r.end() }
+
+// isEnded reports whether the request is ended because the process ends.
+func (s *serverRequest) isEnded() bool { return errors.Is(context.Cause(s.context()), errStopped) }
+
 // refuseStopping refuses a request that the shutdown could cut.
 func (s *serverRequest) refuseStopping() {
 	s.refuse(http.StatusServiceUnavailable, "stopping", withJitter(stoppingRetryAfter))
