Cut requests are logged with the state of the host

The log could not tell: of a pause of the process it said nothing below 1.5 s, of the caller's connection and of the service's load nothing at the time of the cut.

Lines of requests that were cut or failed, or whose caller left, have the longest such delay during the request, the time since the stop began, the time since the last write to the caller, the bytes that the caller's host has not acknowledged, and slots and queue of the service.

--- a/internal/connection/downstream/downstream.go
+++ b/internal/connection/downstream/downstream.go
@@ -1,4 +1,4 @@
-// Package downstream serves callers' connections and keeps why they failed.
+// Package downstream serves callers' connections and keeps what tells why they failed.
 package downstream
 
 import (
@@ -7,8 +7,10 @@
 	"net"
 	"os"
 	"sync"
+	"time"
 
 	"github.com/rotisserie/eris"
+	"golang.org/x/sys/unix"
 )
 
 // Listener accepts connections as *Conn.
@@ -36,8 +38,9 @@
 type Conn struct {
 	*net.TCPConn
 
-	mu      sync.Mutex
-	failure error
+	mu          sync.Mutex
+	failure     error
+	lastWriteAt time.Time
 }
 
 // Read implements net.Conn.
@@ -51,6 +54,9 @@
 func (c *Conn) Write(data []byte) (int, error) {
 	n, err := c.TCPConn.Write(data)
 	c.recordFailure(err)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.lastWriteAt = time.Now()
 	return n, err
 }
 
@@ -75,6 +81,31 @@
 	return c.failure
 }
 
+// LastWrite returns when the last write ended, or the zero time.
+func (c *Conn) LastWrite() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.lastWriteAt
+}
+
+// Unsent returns the number of bytes that the caller's host has not acknowledged, or 0 if
+// that is unknown.
+func (c *Conn) Unsent() int {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	unsent := 0
+	var ioctlErr error
+	err = raw.Control(func(fd uintptr) {
+		unsent, ioctlErr = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ)
+	})
+	if err != nil || ioctlErr != nil {
+		return 0
+	}
+	return unsent
+}
+
 type contextKey struct{}
 
 // Context adds a connection to the context of its requests.
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -37,6 +37,7 @@
 	limits         *sharedLimits
 	quarantine     *promptQuarantine
 	carriers       *carriers
+	delays         *delayMonitor
 	usageHistory   *usageHistory
 	dispatcher     *dispatch.Dispatcher
 	relay          *relay.Relay
@@ -85,9 +86,10 @@
 	g.dispatcher = dispatch.New(settings.Domain, ports.DialEndpoint, metrics.GetOrRegisterCounter("endpoints.connections_opened", ports.Metrics), g.logEndpointChange)
 	g.quarantine = newPromptQuarantine(g)
 	g.carriers = newCarriers(g)
+	g.delays = newDelayMonitor(log.Entry(), ports.Metrics)
 	g.relay = relay.New(relay.Config{
 		Protocol: ports.Protocol, Dispatcher: g.dispatcher, Limits: g.limits, Quarantine: g.quarantine, Carriers: g.carriers,
-		Table: g.table.Load, Stop: g.stopInProgress, Log: log, Metrics: ports.Metrics,
+		Table: g.table.Load, Stop: g.stopInProgress, LongestDelay: g.delays.Longest, Log: log, Metrics: ports.Metrics,
 	})
 	g.self = peers.Host{
 		Name: settings.Name, PeerAddress: settings.PeerAddress, FrontendAddress: settings.FrontendAddress,
--- a/internal/process/gateway/run.go
+++ b/internal/process/gateway/run.go
@@ -88,6 +88,7 @@
 	addActor(g.adoptUsage)
 	addActor(g.carriers.run)
 	addActor(g.callerConns.closeIdle)
+	addActor(g.delays.run)
 	g.frontend = &http.Server{
 		Handler: g.relay, ReadHeaderTimeout: defaultHeaderTimeout,
 		MaxHeaderBytes: maxHeaderBytes, ConnState: g.callerConns.onStateChange, ConnContext: downstream.Context, ErrorLog: nil,
--- a/internal/request/relay/relay.go
+++ b/internal/request/relay/relay.go
@@ -55,9 +55,12 @@
 	// Table returns the configuration in force, or nil while none is known.
 	Table func() *routing.Table
 	// Stop returns the shutdown in progress, or nil.
-	Stop    func() *Stop
-	Log     *decisionlog.Log
-	Metrics metrics.Registry
+	Stop func() *Stop
+	// LongestDelay returns the longest time since a moment in which this process did not
+	// run although it had to.
+	LongestDelay func(since time.Time) time.Duration
+	Log          *decisionlog.Log
+	Metrics      metrics.Registry
 }
 
 // Stop is an orderly shutdown of the process.
--- a/internal/request/relay/report.go
+++ b/internal/request/relay/report.go
@@ -95,6 +95,9 @@
 	if s.outcome.kind == outcomeFailed {
 		f["request_digest"] = s.digest()
 	}
+	if s.outcome.kind != outcomeAnswered && s.outcome.kind != outcomeRefused {
+		s.addStateFields()
+	}
 	if s.events.count > 0 {
 		f["events"] = s.events.count
 		f["last_event"] = s.events.lastID
@@ -104,3 +107,23 @@
 		f["first_event_ms"] = s.firstSentAt.Sub(s.startedAt).Milliseconds()
 	}
 }
+
+// addStateFields adds the state of this process, of the caller's connection and of the
+// service to the log fields of a request that failed or was cut.
+func (s *serverRequest) addStateFields() {
+	f, now := s.fields, time.Now()
+	f["process_delay_ms"] = s.relay.LongestDelay(s.startedAt).Milliseconds()
+	if stop := s.relay.Stop(); stop != nil {
+		f["stopping_ms"] = now.Sub(stop.RequestedAt).Milliseconds()
+	}
+	if conn := downstream.FromContext(s.context()); conn != nil {
+		if lastAt := conn.LastWrite(); lastAt.After(s.startedAt) {
+			f["last_write_ms"] = now.Sub(lastAt).Milliseconds()
+		}
+		f["caller_unsent"] = conn.Unsent()
+	}
+	if s.service != "" {
+		load := s.relay.Dispatcher.ServiceLoad(s.service)
+		f["service_busy"], f["service_slots"], f["service_queued"] = load.Busy, load.Slots, load.Queued
+	}
+}
