A whole answer is not cut because its caller leaves or the host stops

Callers saw: nothing if they had closed after the whole answer; the log and the counter had a request caller_left instead of an answered one. If the process ended the requests in progress at that moment, a whole answer was cut: the last part of it may still be in the server's buffer.

Cause: after each send the relay looked at the request's context before it looked at whether the answer was complete.

Why it works: a complete answer ends the request; only without one does it matter whether the caller is still there. A failed write still says that it failed.

--- a/internal/request/relay/attempt.go
+++ b/internal/request/relay/attempt.go
@@ -37,10 +37,7 @@
 			s.relay.retries.Inc(1)
 			lease, result = result.replacement.lease, s.continueWith(result.replacement)
 		}
-		if s.hasCallerLeft() {
-			return
-		}
-		if result.done {
+		if result.done || s.hasCallerLeft() {
 			return
 		}
 		s.excludedEndpoints = append(s.excludedEndpoints, lease.Endpoint)
