A request whose body is late gets an answer

Callers saw: a closed connection, if the body of their request, with a length or in chunks, had not come to its end by the deadline. The host logged and counted that the caller had left.

Cause: each error of reading the body counted as the end of the caller, also the read timeout that the relay itself had set.

Evidence: TestBodyLate failed before:

assertion failed: error is not nil: unexpected EOF

Why it works: the timeout is the relay's own, so the connection is still there. The request has not been sent anywhere: 408 says that it has not run.

--- a/internal/request/relay/body.go
+++ b/internal/request/relay/body.go
@@ -26,7 +26,7 @@
 		return true
 	}
 	control := http.NewResponseController(s.w)
-	// A caller that stops sending the body is dropped when the request's
+	// A caller that stops sending the body is refused when the request's
 	// deadline passes.
 	if err := control.SetReadDeadline(s.deadline); err != nil {
 		s.fail(http.StatusInternalServerError, "read_deadline")
@@ -48,6 +48,8 @@
 		s.reject(http.StatusRequestEntityTooLarge, "body_too_large")
 	case errors.Is(err, errNoMemory):
 		s.refuse(http.StatusServiceUnavailable, "body_memory", withJitter(defaultRetryAfter))
+	case isTimeout(err):
+		s.reject(http.StatusRequestTimeout, "body_late")
 	default:
 		s.outcome = outcome{outcomeCallerLeft, 0, "body: " + err.Error()}
 	}
