A read deadline of the host does not count as a caller that left

net/http takes any error of a read beside a running request for the end of the caller, also the timeout of a deadline that the host itself has set: for the body, or to close an idle connection. The request ends without an answer, and log and counter said caller_left.

Why it works: the caller's connection keeps every error but timeouts before net/http sees it. If the request's context has ended and there is none, only such a deadline is left: request cut, connection_timeout. A malformed body is a cut with its reason, since its caller is still there.

--- a/internal/request/relay/answered_test.go
+++ b/internal/request/relay/answered_test.go
@@ -55,11 +55,8 @@
 	return n, err
 }
 
-// A caller that closed its connection once it had its whole answer counted as one that had
-// left without; a stop at that moment cut the answer.
-func TestWholeAnswerIsNotCut(t *testing.T) {
-	endpoint := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "good") }))
-	defer endpoint.Close()
+// newTestRelay returns a relay with one endpoint, and its metrics.
+func newTestRelay(endpointURL string) (*Relay, metrics.Registry) {
 	table := routing.NewTable(routing.Config{
 		Routes: []routing.Route{{
 			Name: "r", Host: "h", Prefix: "/", Kind: routing.KindSafe, Timeout: 5 * time.Second, TargetLatency: time.Second,
@@ -67,18 +64,26 @@
 		}},
 		Services: []routing.Service{{Name: "s", MaxConnections: 10}},
 	})
+	registry := metrics.NewRegistry()
+	dispatcher := dispatch.New("z", upstream.Dial, metrics.NewCounter(), func(dispatch.EndpointChange) {})
+	dispatcher.SetRoutingTable(table)
+	dispatcher.SetEntry(fleet.Entry{ID: "e", Service: "s", Address: strings.TrimPrefix(endpointURL, "http://"), Domain: "z", Slots: 4, Sequence: 1})
+	return New(Config{
+		Protocol: plainProtocol{}, Dispatcher: dispatcher, Limits: noLimits{}, Quarantine: noQuarantine{},
+		Table: func() *routing.Table { return table }, Stop: func() *Stop { return nil },
+		LongestDelay: func(time.Time) time.Duration { return 0 },
+		Log:          decisionlog.New(io.Discard, registry), Metrics: registry,
+	}), registry
+}
+
+// A caller that closed its connection once it had its whole answer counted as one that had
+// left without; a stop at that moment cut the answer.
+func TestWholeAnswerIsNotCut(t *testing.T) {
+	endpoint := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "good") }))
+	defer endpoint.Close()
 	for _, by := range []string{"caller", "stop"} {
 		t.Run(by, func(t *testing.T) {
-			registry := metrics.NewRegistry()
-			dispatcher := dispatch.New("z", upstream.Dial, metrics.NewCounter(), func(dispatch.EndpointChange) {})
-			dispatcher.SetRoutingTable(table)
-			dispatcher.SetEntry(fleet.Entry{ID: "e", Service: "s", Address: strings.TrimPrefix(endpoint.URL, "http://"), Domain: "z", Slots: 4, Sequence: 1})
-			r := New(Config{
-				Protocol: plainProtocol{}, Dispatcher: dispatcher, Limits: noLimits{}, Quarantine: noQuarantine{},
-				Table: func() *routing.Table { return table }, Stop: func() *Stop { return nil },
-				LongestDelay: func(time.Time) time.Duration { return 0 },
-				Log:          decisionlog.New(io.Discard, registry), Metrics: registry,
-			})
+			r, registry := newTestRelay(endpoint.URL)
 			ctx, leave := context.WithCancel(context.Background())
 			defer leave()
 			ends := map[string]func(){"caller": leave, "stop": func() {
--- a/internal/request/relay/report.go
+++ b/internal/request/relay/report.go
@@ -48,19 +48,29 @@
 
 // findCause finds out why a connection failed whose caller seems to have left.
 func (s *serverRequest) findCause() {
-	var failure error
-	if conn := downstream.FromContext(s.context()); conn != nil {
-		failure = conn.Failure()
+	conn := downstream.FromContext(s.context())
+	if s.isEnded() {
+		s.abort(reasonStopped)
+		return
+	}
+	if conn == nil {
+		return
 	}
+	failure := conn.Failure()
 	switch {
-	case s.isEnded() || errors.Is(failure, net.ErrClosed):
+	case errors.Is(failure, io.EOF) || errors.Is(failure, syscall.ECONNRESET) || errors.Is(failure, syscall.EPIPE):
+	case errors.Is(failure, net.ErrClosed):
 		s.abort(reasonStopped)
-	case failure == nil || errors.Is(failure, io.EOF) || errors.Is(failure, syscall.ECONNRESET) || errors.Is(failure, syscall.EPIPE):
 	case errors.Is(failure, syscall.ETIMEDOUT):
 		s.abort("caller_unreachable")
-	default:
+	case failure != nil:
 		s.abort("connection_failed")
 		s.fields["error"] = failure.Error()
+	case s.context().Err() != nil:
+		// Only a deadline that this host has set is left.
+		s.abort("connection_timeout")
+	default:
+		s.abort(s.outcome.reason)
 	}
 }
 
