A refusal does not wait without end for the request's body

Callers saw: a request that was refused before its body was read (no route, unknown key, no configuration, stopping) got no answer as long as its body had not come to its end. The connection counted as busy meanwhile, also at the end of a stop.

Cause: net/http reads what is left of a body up to 256 kB before it sends the response, and no read deadline was in force at that point.

Evidence: TestRefusalBeforeBody failed before:

assertion failed: error is not nil: read tcp4 ...: i/o timeout (after 5 s)

Why it works: the rest of the body is awaited for a second. If it has not arrived by then, net/http sends the response with Connection: close.

--- a/internal/request/relay/body.go
+++ b/internal/request/relay/body.go
@@ -15,14 +15,18 @@
 	errNoMemory = eris.New("too many bodies are held in memory")
 )
 
-// bodyReadBytes is the read size for request bodies.
-const bodyReadBytes = 16 << 10
+const (
+	// bodyReadBytes is the read size for request bodies.
+	bodyReadBytes = 16 << 10
+	// maxRefusedBodyWait is how long a refusal waits for the rest of the request's body.
+	maxRefusedBodyWait = time.Second
+)
 
 // readBody buffers the whole body, because the request may have to be retried.
 // It reports whether the request may proceed; if not, it has responded or
 // recorded that the caller left.
 func (s *serverRequest) readBody() bool {
-	if s.request.Body == nil || s.request.Body == http.NoBody {
+	if !s.hasBody() {
 		return true
 	}
 	control := http.NewResponseController(s.w)
@@ -39,6 +43,7 @@
 		err = control.SetReadDeadline(time.Time{})
 	}
 	if err == nil {
+		s.bodyEnded = true
 		return true
 	}
 	s.relay.bodyBudget.release(len(s.body))
@@ -49,6 +54,7 @@
 	case errors.Is(err, errNoMemory):
 		s.refuse(http.StatusServiceUnavailable, "body_memory", withJitter(defaultRetryAfter))
 	case isTimeout(err):
+		s.bodyEnded = true
 		s.reject(http.StatusRequestTimeout, "body_late")
 	default:
 		s.outcome = outcome{outcomeCallerLeft, 0, "body: " + err.Error()}
@@ -56,6 +62,19 @@
 	return false
 }
 
+func (s *serverRequest) hasBody() bool {
+	return s.request.Body != nil && s.request.Body != http.NoBody
+}
+
+// limitBodyWait limits how long a refusal waits for the rest of the body, which the server
+// reads before it responds, so that the connection can be reused.
+func (s *serverRequest) limitBodyWait() {
+	if s.hasBody() && !s.bodyEnded {
+		// On an error, the connection is closed.
+		_ = http.NewResponseController(s.w).SetReadDeadline(time.Now().Add(maxRefusedBodyWait))
+	}
+}
+
 // copyBody buffers the body within the size and memory limits.
 func (s *serverRequest) copyBody() error {
 	maxBytes := s.table.Limits.BodyBytes
--- a/internal/request/relay/relay.go
+++ b/internal/request/relay/relay.go
@@ -157,6 +157,8 @@
 	// service is the service chosen from the route's shares.
 	service string
 	body    []byte
+	// bodyEnded is set once no more of the body is awaited.
+	bodyEnded bool
 	// deadline is when the final response is due.
 	deadline time.Time
 	// isCallerRetry is set if the caller appears to retry a refused request.
@@ -335,6 +337,7 @@
 // refuse responds that the request has not run and will not run.
 func (s *serverRequest) refuse(status int, reason string, retryAfter time.Duration) {
 	s.refund()
+	s.limitBodyWait()
 	s.outcome = outcome{outcomeRefused, status, reason}
 	s.fields["retry_after_ms"] = retryAfter.Milliseconds()
 	s.relay.Protocol.SetRefusalHeader(s.w.Header(), s.caller.ID, retryAfter)
@@ -343,6 +346,7 @@
 
 // reject refuses a request that would fail again if it were retried unchanged.
 func (s *serverRequest) reject(status int, reason string) {
+	s.limitBodyWait()
 	s.outcome = outcome{outcomeRefused, status, reason}
 	s.relay.Protocol.SetRefusalHeader(s.w.Header(), s.caller.ID, 0)
 	s.w.WriteHeader(status)
