A body that arrived while the host stood still is read after the deadline

Seen by callers: a request whose body was sent in time got neither an answer nor a refusal, but a reset connection, if the host did not run until the request's deadline had passed. A configuration with a lower timeoutMs makes that likelier.

Cause: the read of the body had the request's deadline as its read deadline. After a pause that deadline had passed, the read failed without reading what lay in the socket, and the host took the caller for gone.

Now the deadline is set as a timer, which lets the read go on for 100 ms in which the process runs. A body that is complete only after the deadline is refused with 503: the request has not run. Nothing is sent to an endpoint then: a connection attempt whose time is over would count as an unreachable endpoint.

After, three runs and one with -race: all are refused, none runs. TestStalledBodyEndsWithItsDeadline, which passes before and after, checks that a caller that stops sending is still dropped.

--- a/internal/request/relay/body.go
+++ b/internal/request/relay/body.go
@@ -29,32 +29,21 @@
 	if !s.hasBody() {
 		return true
 	}
-	control := http.NewResponseController(s.w)
-	// A caller that stops sending the body is refused when the request's
-	// deadline passes.
-	if err := control.SetReadDeadline(s.deadline); err != nil {
-		s.fail(http.StatusInternalServerError, "read_deadline")
-		return false
-	}
-	err := s.copyBody()
-	if err == nil {
-		// After the body, the connection is read only to detect that the
-		// caller disconnects.
-		err = control.SetReadDeadline(time.Time{})
-	}
-	if err == nil {
-		s.bodyEnded = true
+	err := s.copyBodyInTime()
+	s.bodyEnded = err == nil || isTimeout(err)
+	if err == nil && time.Until(s.deadline) > 0 {
 		return true
 	}
 	s.relay.bodyBudget.release(len(s.body))
 	s.body = nil
 	switch {
+	case err == nil:
+		s.refuse(http.StatusServiceUnavailable, "deadline_passed", withJitter(defaultRetryAfter))
 	case errors.Is(err, errTooLarge):
 		s.reject(http.StatusRequestEntityTooLarge, "body_too_large")
 	case errors.Is(err, errNoMemory):
 		s.refuse(http.StatusServiceUnavailable, "body_memory", withJitter(defaultRetryAfter))
 	case isTimeout(err):
-		s.bodyEnded = true
 		s.reject(http.StatusRequestTimeout, "body_late")
 	default:
 		s.outcome = outcome{outcomeCallerLeft, 0, "body: " + err.Error()}
@@ -75,6 +64,35 @@
 	}
 }
 
+// bodyGrace is how long a read of the body goes on after the request's deadline. What the
+// caller sent in time may lie unread if this process did not run.
+const bodyGrace = 100 * time.Millisecond
+
+// copyBodyInTime buffers the body. A caller that stops sending it is refused after the
+// request's deadline.
+func (s *serverRequest) copyBodyInTime() error {
+	control := http.NewResponseController(s.w)
+	limited := make(chan error, 1)
+	timer := time.AfterFunc(time.Until(s.deadline), func() {
+		limited <- control.SetReadDeadline(time.Now().Add(bodyGrace))
+	})
+	err := s.copyBody()
+	if !timer.Stop() {
+		if limitErr := <-limited; err == nil {
+			err = limitErr
+		}
+	}
+	// After the body, the connection is read only to detect that the caller disconnects.
+	readDeadline := time.Time{}
+	if err != nil {
+		readDeadline = s.deadline
+	}
+	if deadlineErr := control.SetReadDeadline(readDeadline); err == nil {
+		err = deadlineErr
+	}
+	return err
+}
+
 // copyBody buffers the body within the size and memory limits.
 func (s *serverRequest) copyBody() error {
 	maxBytes := s.table.Limits.BodyBytes
