--- a/internal/process/gateway/delay.go
+++ b/internal/process/gateway/delay.go
@@ -11,7 +11,7 @@
 
 const (
 	// delayCheckInterval is the time between measurements of how late timers fire.
-	delayCheckInterval = 25 * time.Millisecond
+	delayCheckInterval = 100 * time.Millisecond
 	// minKnownDelay is the shortest delay that is kept for later, delayMemory for how long.
 	minKnownDelay = 50 * time.Millisecond
 	delayMemory   = time.Minute
