A wait that has ended inside a header stays ended

If an endpoint was silent after a part of its response's header, the request was sent to several other endpoints: after the first one had taken over, another was looked for, asked and took its place. The response of the first was never read, and its connection and lease were never released. If the silent endpoint's connection had been reset by then, the request was logged as "answer_lost", with a crash check.

net/textproto drops the error after a part of a line and reads on, so the timeout was handled once more for each such read. The error is kept now while a header is expected. TestStallInsideAHeaderIsHandledOnce and TestStallInsideAHeaderEndsTheWait failed before: "3 (calls int) != 1 (int)", "use of closed network connection".

--- a/internal/connection/upstream/arrived_test.go
+++ b/internal/connection/upstream/arrived_test.go
@@ -71,3 +71,39 @@
 	timeout := net.Error(nil)
 	assert.Assert(t, errors.As(err, &timeout) && timeout.Timeout(), "%v", err)
 }
+
+// When an endpoint was silent after a part of the header, the stall handler was called again
+// after it had ended the wait: the request was sent to a second endpoint besides the one
+// that had taken over, and what that one sent was never read.
+func TestStallInsideAHeaderEndsTheWait(t *testing.T) {
+	t.Parallel()
+	conn, peer := acceptOne(t)
+	_, err := io.WriteString(peer, "HTTP/1.1 200 OK\r\nRequest-Id: 1")
+	assert.NilError(t, err)
+	calls := 0
+	conn.OnStall(100*time.Millisecond, func() (time.Time, bool) {
+		calls++
+		conn.Abort()
+		return time.Time{}, false
+	})
+	_, err = conn.Do(Request{Method: "GET", Target: "/", Host: "x"}, time.Now().Add(3*time.Second), nil)
+	timeout := net.Error(nil)
+	assert.Check(t, errors.As(err, &timeout) && timeout.Timeout(), "%v", err)
+	assert.Equal(t, calls, 1)
+}
+
+// As above, without a reset of the connection.
+func TestStallInsideAHeaderIsHandledOnce(t *testing.T) {
+	t.Parallel()
+	conn, peer := acceptOne(t)
+	_, err := io.WriteString(peer, "HTTP/1.1 200 OK\r\nRequest-Id: 1")
+	assert.NilError(t, err)
+	calls := 0
+	conn.OnStall(100*time.Millisecond, func() (time.Time, bool) {
+		calls++
+		return time.Time{}, false
+	})
+	_, err = conn.Do(Request{Method: "GET", Target: "/", Host: "x"}, time.Now().Add(3*time.Second), nil)
+	assert.ErrorIs(t, err, ErrNoResponse)
+	assert.Equal(t, calls, 1)
+}
--- a/internal/connection/upstream/header_limit.go
+++ b/internal/connection/upstream/header_limit.go
@@ -19,7 +19,8 @@
 type limitedReader struct {
 	io.Reader
 	remaining int
-	// failure is the error of the last read while there was a limit, or nil.
+	// failure is the error that has ended the reading while there was a limit, or nil. The
+	// decoder of headers drops an error after a part of a line and reads on.
 	failure error
 }
 
@@ -31,6 +32,9 @@
 	if r.remaining == 0 {
 		return 0, errHeaderTooLong
 	}
+	if r.failure != nil {
+		return 0, r.failure
+	}
 	n, err := r.Reader.Read(buffer[:min(len(buffer), r.remaining)])
 	r.remaining -= n
 	r.failure = err
