A host that stood still does not take the others for unreachable

Callers saw: for a tenth of a second after a host's standstill of 1.2 s or more, its directory named this host alone, and callers that asked then all came to it. Its log said "host not heard" for every other host, which sends an on-call engineer to the network. In that time it also had no carrier and took itself for the leader.

Cause: the silence of another host was measured by a clock that goes on while this process does not run, and was judged before the messages in the socket were read. After 1.5 s all hosts were marked as unreachable besides.

Why it works: ages of other hosts' messages are measured by a clock that stands still while the process does not run. A relay adds the time that it did not run to the age of what it passes on, as before.

Limits are as careful as before: after 1.5 s the others' usage counts as outdated until they report it again. All are marked as unreachable only after 5 s; Go's own clock does not show how long a machine was suspended.

--- a/internal/process/gateway/carriers.go
+++ b/internal/process/gateway/carriers.go
@@ -49,7 +49,7 @@
 	hash := fleet.HashID(service)
 	var best []peers.ReadyHost
 	bestRank := -1
-	for _, host := range c.gateway.membership.ReadyHosts(time.Now()) {
+	for _, host := range c.gateway.membership.ReadyHosts(c.gateway.membership.Now()) {
 		if host.Name == "" || slices.Contains(tried, host.Name) || slices.Contains(host.LostServices, hash) {
 			continue
 		}
--- a/internal/process/gateway/entry.go
+++ b/internal/process/gateway/entry.go
@@ -54,7 +54,7 @@
 func (e *entryHosts) update(now time.Time) {
 	g := e.gateway
 	var hosts []entryset.Host
-	for _, ready := range g.membership.ReadyHosts(now) {
+	for _, ready := range g.membership.ReadyHosts(g.membership.Now()) {
 		host := entryHost(ready.Host, ready.Spent, ready.ReachableFor >= settleTime)
 		host.IsCutOff = len(ready.LostServices) > 0
 		hosts = append(hosts, host)
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -101,7 +101,7 @@
 	g.entryHosts = &entryHosts{gateway: g}
 	g.membership = peers.NewMembership(g.self)
 	for _, seed := range settings.Seeds {
-		g.membership.AddPeer(seed, time.Now())
+		g.membership.AddPeer(seed, g.membership.Now())
 	}
 	transport, err := peers.NewTransport(g.membership, g.localStatus, g.handlePeerMessage, ports.Metrics)
 	if err != nil {
@@ -145,7 +145,7 @@
 // access the log.
 func (g *Gateway) isLeader() bool {
 	return !g.operator.IsUnavailable() &&
-		g.membership.IsLeader(func(s peers.Status) bool { return !s.StoreUnavailable && s.Loaded }, time.Now())
+		g.membership.IsLeader(func(s peers.Status) bool { return !s.StoreUnavailable && s.Loaded }, g.membership.Now())
 }
 
 // logEndpointChange logs a change in an endpoint's state.
@@ -227,8 +227,11 @@
 	suspension := newSuspendDetector(g.log.Entry())
 	for pause.For(ctx, tickInterval) {
 		if suspended := suspension.check(); suspended > 0 {
-			g.log.Entry().WithField("stood_ms", suspended.Milliseconds()).Warn("process was suspended, discarding the state of the other hosts")
-			g.membership.MarkAllUnreachable(time.Now())
+			g.log.Entry().WithField("stood_ms", suspended.Milliseconds()).Warn("process did not run")
+			g.membership.MarkAllOutdated()
+			if suspended >= longSuspension {
+				g.membership.MarkAllUnreachable(g.membership.Now())
+			}
 		}
 		now := time.Now()
 		g.usage.update(now)
@@ -236,11 +239,12 @@
 		g.entryHosts.update(now)
 		g.carries.Store(g.entryHosts.includesSelf() || g.usage.servesCallers(now))
 		g.membership.SetCarries(g.carries.Load())
-		active := g.membership.ActiveHosts(now)
-		g.limits.SetHosts(g.membership.Sharers(now), activeShare(g.settings.PeerAddress, active))
+		runTime := g.membership.Now()
+		active := g.membership.ActiveHosts(runTime)
+		g.limits.SetHosts(g.membership.Sharers(runTime), activeShare(g.settings.PeerAddress, active))
 		g.dispatcher.SetHosts(g.settings.PeerAddress, active)
-		for _, name := range g.membership.NewlyUnreachable(seen, now) {
-			addresses, reachable := g.membership.SharingHosts(now)
+		for _, name := range g.membership.NewlyUnreachable(seen, runTime) {
+			addresses, reachable := g.membership.SharingHosts(runTime)
 			g.log.Entry().WithFields(logrus.Fields{"host": name, "hosts": len(addresses), "heard": reachable}).Info("host not heard")
 		}
 		g.dispatcher.Tick()
--- a/internal/process/gateway/hoststate.go
+++ b/internal/process/gateway/hoststate.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"net/http"
-	"time"
 
 	"mustarddoor/internal/process/dispatch"
 	"mustarddoor/internal/process/entryset"
@@ -59,7 +58,7 @@
 
 // State returns the host's current state.
 func (g *Gateway) State() HostState {
-	addresses, reachable := g.membership.SharingHosts(time.Now())
+	addresses, reachable := g.membership.SharingHosts(g.membership.Now())
 	s := HostState{
 		Host: g.settings.Name, Domain: g.settings.Domain, Ready: g.IsReady(), Stopping: g.isStopping(),
 		LogUnavailable: g.operator.IsUnavailable(), Hosts: len(addresses), Reachable: reachable, Endpoints: g.dispatcher.EndpointStates(),
@@ -74,7 +73,7 @@
 	_, keptEndpoints := g.endpoints.Kept()
 	s.KeptRecords = keptOperator + keptEndpoints
 	s.Carries, s.EntryAddresses, s.Demand = g.carries.Load(), g.entryHosts.selected(), g.entryHosts.demand()
-	s.Active = len(g.membership.ActiveHosts(time.Now()))
+	s.Active = len(g.membership.ActiveHosts(g.membership.Now()))
 	s.LostServices = g.dispatcher.LostServices()
 	s.QuarantinedParts = g.quarantine.tracker.Quarantined()
 	if relay := g.membership.Relay(); relay.IsValid() {
--- a/internal/process/gateway/quarantine.go
+++ b/internal/process/gateway/quarantine.go
@@ -63,7 +63,7 @@
 // part. It is selected by rendezvous hashing, so that all hosts agree.
 func (q *promptQuarantine) mayProbe(part quarantine.Part) bool {
 	self := q.gateway.settings.PeerAddress
-	active := q.gateway.membership.ActiveHosts(time.Now())
+	active := q.gateway.membership.ActiveHosts(q.gateway.membership.Now())
 	score := func(address string) uint64 { return xxhash.Sum64String(address + " " + part.String()) }
 	return slices.Contains(active, self) && !slices.ContainsFunc(active, func(other netip.AddrPort) bool {
 		return score(other.String()) < score(self.String())
--- a/internal/process/gateway/records.go
+++ b/internal/process/gateway/records.go
@@ -1,8 +1,6 @@
 package gateway
 
 import (
-	"time"
-
 	"github.com/sirupsen/logrus"
 
 	"mustarddoor/internal/process/keyed"
@@ -112,7 +110,7 @@
 	}
 	address, err := parsePeerAddress(record.Value)
 	if err == nil {
-		g.membership.AddPeer(address, time.Now())
+		g.membership.AddPeer(address, g.membership.Now())
 	}
 	return err
 }
--- a/internal/process/gateway/shared_read_store.go
+++ b/internal/process/gateway/shared_read_store.go
@@ -83,7 +83,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	avoid := func(address netip.AddrPort) bool { return now.Before(s.avoidedUntil[address]) }
-	address := s.gateway.membership.LogReader(avoid, !s.gateway.operator.IsUnavailable(), now)
+	address := s.gateway.membership.LogReader(avoid, !s.gateway.operator.IsUnavailable(), s.gateway.membership.Now())
 	if address == s.gateway.settings.PeerAddress {
 		return netip.AddrPort{}
 	}
@@ -102,7 +102,7 @@
 	if s.readerAddress().IsValid() {
 		return relayPollPolicy
 	}
-	direct.RetryDelay = outageRetryDelay(direct.RetryDelay, s.gateway.membership.ReachableInDomain(time.Now()))
+	direct.RetryDelay = outageRetryDelay(direct.RetryDelay, s.gateway.membership.ReachableInDomain(s.gateway.membership.Now()))
 	return direct
 }
 
--- a/internal/process/gateway/state.go
+++ b/internal/process/gateway/state.go
@@ -58,7 +58,7 @@
 	operator, endpoints := &lagDetector{allowed: maxOperatorLag}, &lagDetector{allowed: maxEndpointsLag}
 	restored := &restoredLagDetector{}
 	for pause.For(ctx, catchUpInterval) {
-		now := time.Now()
+		now := g.membership.Now()
 		operatorNext, known := g.operator.Next()
 		address := operator.check(g.membership, now, known, operatorNext, func(s peers.Status) keyed.Position { return s.OperatorPosition() })
 		if !address.IsValid() {
--- a/internal/process/gateway/suspend.go
+++ b/internal/process/gateway/suspend.go
@@ -11,6 +11,9 @@
 // as having been suspended: other hosts consider it unreachable by then.
 const suspendThreshold = 1500 * time.Millisecond
 
+// longSuspension is the suspension after which the other hosts may well have ended.
+const longSuspension = 5 * time.Second
+
 // suspendDetector detects that the process did not run for some time. Go's
 // monotonic clock excludes the time in which the machine is suspended, so it uses
 // CLOCK_BOOTTIME, which includes it.
--- a/internal/process/gateway/usagetakeover.go
+++ b/internal/process/gateway/usagetakeover.go
@@ -70,7 +70,7 @@
 // nextUsageSource returns a reachable host that was not asked yet, preferably of this
 // host's failure domain, or the zero address.
 func (g *Gateway) nextUsageSource(asked map[netip.AddrPort]bool) (address netip.AddrPort) {
-	for _, host := range g.membership.ReadyHosts(time.Now()) {
+	for _, host := range g.membership.ReadyHosts(g.membership.Now()) {
 		if asked[host.PeerAddress] {
 			continue
 		}
--- a/internal/process/peers/bundle.go
+++ b/internal/process/peers/bundle.go
@@ -45,6 +45,7 @@
 	if m.role.relay != m.self.PeerAddress {
 		return nil
 	}
+	stood := m.clock.Stood()
 	var active, idle, ownIdle []Message
 	var idleMembers, activeMembers []netip.AddrPort
 	remoteRelays := map[string]Host{}
@@ -65,11 +66,11 @@
 		}
 		switch {
 		case p.status.Active:
-			active = append(active, p.summary(round%detailRotation == 0, now))
+			active = append(active, p.summary(round%detailRotation == 0, now, stood))
 		case rotationOf(address) == round%bundleRotation:
-			idle = append(idle, p.summary(true, now))
+			idle = append(idle, p.summary(true, now, stood))
 			if isOwn {
-				ownIdle = append(ownIdle, p.summary(true, now))
+				ownIdle = append(ownIdle, p.summary(true, now, stood))
 			}
 		}
 	}
@@ -87,9 +88,11 @@
 }
 
 // summary returns the host's newest message without its loads. Unless it is
-// detailed, the message also omits usage and description.
-func (p *peer) summary(isDetailed bool, now time.Time) Message {
-	message := Message{From: p.host, Sequence: p.sequence, Status: p.status, IsSummary: true, AgeMillis: now.Sub(p.receivedAt).Milliseconds()}
+// detailed, the message also omits usage and description. stood is for how long this
+// process has not run so far: the message's age includes that time.
+func (p *peer) summary(isDetailed bool, now time.Time, stood time.Duration) Message {
+	age := now.Sub(p.receivedAt) + stood - p.stoodBefore
+	message := Message{From: p.host, Sequence: p.sequence, Status: p.status, IsSummary: true, AgeMillis: age.Milliseconds()}
 	// The relay includes all evidence and limits in its own messages.
 	message.Status.Loads, message.Status.Quarantine, message.Status.RateLimits = nil, nil, nil
 	if !isDetailed {
--- a/internal/process/peers/membership.go
+++ b/internal/process/peers/membership.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"mustarddoor/internal/process/allowance"
+	"mustarddoor/internal/process/runclock"
 )
 
 const (
@@ -50,6 +51,10 @@
 	sequence uint64
 	// receivedAt is when the newest message arrived, less its time at relays.
 	receivedAt time.Time
+	// stoodBefore is for how long this process had not run by then.
+	stoodBefore time.Duration
+	// isOutdated is set if this process has not run for some time since then.
+	isOutdated bool
 	// reachableSince is when the host became reachable, or restarted.
 	reachableSince time.Time
 	// activeAt is when the host last said that it is active.
@@ -60,9 +65,10 @@
 }
 
 // Membership tracks the other hosts of the fleet. It is safe for concurrent
-// use.
+// use. The times passed to its methods are those of Now.
 type Membership struct {
-	self Host
+	self  Host
+	clock *runclock.Clock
 
 	mu           sync.Mutex
 	peers        map[netip.AddrPort]*peer
@@ -81,9 +87,13 @@
 
 // NewMembership returns a membership that contains only the local host.
 func NewMembership(self Host) *Membership {
-	return &Membership{self: self, peers: map[netip.AddrPort]*peer{}, sendInterval: minSendInterval, role: role{isActive: true}}
+	return &Membership{self: self, clock: runclock.New(), peers: map[netip.AddrPort]*peer{}, sendInterval: minSendInterval, role: role{isActive: true}}
 }
 
+// Now returns the current time of a clock by which other hosts are not silent while this
+// process does not run.
+func (m *Membership) Now() time.Time { return m.clock.Now() }
+
 // AddPeer adds the address of a possible host.
 func (m *Membership) AddPeer(address netip.AddrPort, now time.Time) {
 	m.mu.Lock()
@@ -151,6 +161,7 @@
 		p.reachableSince = now
 	}
 	p.status, p.sequence = message.Status, message.Sequence
+	p.stoodBefore, p.isOutdated = m.clock.Stood(), false
 	p.receivedAt = now.Add(-max(0, time.Duration(message.AgeMillis)*time.Millisecond))
 	if p.status.Active {
 		p.activeAt = p.receivedAt
@@ -255,6 +266,9 @@
 	sharers := make(map[string]allowance.Sharer, len(m.peers))
 	for address, p := range m.peers {
 		switch {
+		case p.isOutdated && p.wasHeard() && !p.status.Leaving:
+			// It may have used more than it has reported.
+			sharers[address.String()] = allowance.Sharer{}
 		case m.isReachable(p, now) && (!m.role.isLarge || m.role.isActive && p.status.Active):
 			sharers[address.String()] = allowance.Sharer{MaxSilence: reportDelay + maxMissedMessages*m.sendInterval}
 		case m.isReachable(p, now):
@@ -328,8 +342,18 @@
 	return found, isRemote && m.role.isLarge && !isPreferred
 }
 
+// MarkAllOutdated records that this process did not run for some time: what it knows of
+// the others' usage is old.
+func (m *Membership) MarkAllOutdated() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, p := range m.peers {
+		p.isOutdated = true
+	}
+}
+
 // MarkAllUnreachable marks all hosts as unreachable, after this process was
-// suspended. They still share the limits.
+// suspended for long. They still share the limits.
 func (m *Membership) MarkAllUnreachable(now time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/internal/process/peers/transport.go
+++ b/internal/process/peers/transport.go
@@ -107,7 +107,7 @@
 
 // handle processes a message, or the messages of a bundle.
 func (t *Transport) handle(message Message) {
-	now := time.Now()
+	now := t.membership.Now()
 	if len(message.Bundle) == 0 {
 		isNew, isNewlyReachable := t.membership.receive(message, now)
 		if !isNew {
@@ -146,7 +146,7 @@
 // SendBundles sends the bundles of a relay until ctx is done.
 func (t *Transport) SendBundles(ctx context.Context) error {
 	for round := uint64(0); pause.For(ctx, bundleInterval); round++ {
-		bundles := t.membership.planBundles(round, time.Now())
+		bundles := t.membership.planBundles(round, t.membership.Now())
 		if len(bundles) == 0 {
 			continue
 		}
@@ -178,7 +178,7 @@
 			toAll = true
 		case <-timer.C:
 		}
-		if err := t.sendMessage(toAll, time.Now()); err != nil {
+		if err := t.sendMessage(toAll, t.membership.Now()); err != nil {
 			return err
 		}
 	}
