A host that stood still does not take the store for lost

Callers saw nothing themselves. The host's log said "store lost" and "store available again" after each of its standstills, the other hosts were told that it cannot read the store, and endpoints whose entries were deleted meanwhile stayed in use for another two seconds, as after an outage.

Cause: the deadline of the read in progress passed while the process did not run, so the read failed although the store had answered. A host that reads from another one avoided that for two seconds besides.

The test failed before:

TestStandstillIsNoOutage: topic.IsUnavailable() is true

Why it works: a call that fails more than 0.3 s after its deadline was not ended by the store. It is made once more before the store counts as lost.

--- a/internal/process/gateway/shared_read_store.go
+++ b/internal/process/gateway/shared_read_store.go
@@ -162,8 +162,9 @@
 		s.relayedReads.Inc(1)
 		return records, next, nil
 	}
-	if ctx.Err() != nil && errors.Is(ctx.Err(), context.Canceled) {
-		return nil, keyed.Position{}, eris.Wrap(keyed.ErrUnanswered, "stopped")
+	if ctx.Err() != nil {
+		// This process stops, or did not run when the other host replied.
+		return nil, keyed.Position{}, eris.Wrap(keyed.ErrUnanswered, ctx.Err().Error())
 	}
 	s.avoid(address, err)
 	return s.gateway.ports.Store.Read(ctx, partition, from, 0)
--- a/internal/process/keyed/topic.go
+++ b/internal/process/keyed/topic.go
@@ -79,9 +79,14 @@
 		t.expireKept()
 		start, policy := time.Now(), t.pollPolicy()
 		wait := policy.RetryDelay
-		if err := t.poll(ctx, policy); ctx.Err() != nil {
+		err := t.poll(ctx, policy)
+		if errors.Is(err, errLate) {
+			err = t.poll(ctx, policy)
+		}
+		if ctx.Err() != nil {
 			return nil
-		} else if err != nil {
+		}
+		if err != nil {
 			t.markUnavailable(err)
 		} else {
 			wait = policy.MinInterval - time.Since(start)
@@ -92,6 +97,21 @@
 	}
 }
 
+// errLate means that a call failed so long after its deadline that this process did not
+// run: the store may have answered in time.
+var errLate = eris.New("this process did not run")
+
+// maxLateness is how long after its deadline a call of a process that runs may fail.
+const maxLateness = 300 * time.Millisecond
+
+// checkLate returns the error of a call, with errLate if it was late.
+func checkLate(call context.Context, err error) error {
+	if deadline, _ := call.Deadline(); time.Since(deadline) > maxLateness {
+		return errors.Join(errLate, err)
+	}
+	return err
+}
+
 // pollPolicy returns the policy of the next poll. A read does not wait beyond the
 // expiry of a kept record, nor after an outage, when the era may have risen.
 func (t *Topic) pollPolicy() PollPolicy {
@@ -153,7 +173,7 @@
 		return t.reload(ctx, policy)
 	}
 	if err != nil {
-		return err
+		return checkLate(reading, err)
 	}
 	switch {
 	case end.Era > next.Era:
@@ -172,7 +192,7 @@
 	defer cancel()
 	snapshot, err := t.store.Newest(reading, t.partition)
 	if err != nil {
-		return err
+		return checkLate(reading, err)
 	}
 	if next, _ := t.Next(); snapshot.Compare(next) < 0 {
 		return eris.Wrapf(ErrOutdated, "list up to offset %d in era %d", snapshot.Offset, snapshot.Era)
--- a/internal/process/keyed/topic_test.go
+++ b/internal/process/keyed/topic_test.go
@@ -23,6 +23,9 @@
 	era     uint64
 	fail    error
 	reads   int
+	// standstill is how long the process does not run during the next read, whose
+	// deadline passes meanwhile.
+	standstill time.Duration
 }
 
 func (s *memoryStore) put(key, value string) {
@@ -72,6 +75,13 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.reads++
+	if standstill := s.standstill; standstill > 0 {
+		s.standstill = 0
+		s.mu.Unlock()
+		time.Sleep(standstill)
+		s.mu.Lock()
+		return nil, keyed.Position{}, keyed.ErrUnanswered
+	}
 	if s.fail != nil {
 		return nil, keyed.Position{}, s.fail
 	}
@@ -216,6 +226,29 @@
 	})
 }
 
+// A host that had stood still took the store for lost, and endpoints whose entries were
+// deleted meanwhile for ones that may come back.
+func TestStandstillIsNoOutage(t *testing.T) {
+	store := &memoryStore{}
+	store.put("a", "1")
+	follow(t, store, func(topic *keyed.Topic, changes func() []keyed.Change) {
+		settle()
+		changes()
+		store.mu.Lock()
+		store.standstill = 3 * time.Second
+		store.mu.Unlock()
+		time.Sleep(200 * time.Millisecond)
+		store.put("a", "")
+		for range 40 {
+			time.Sleep(100 * time.Millisecond)
+			assert.Assert(t, !topic.IsUnavailable())
+		}
+		got := changes()
+		assert.Equal(t, len(got), 1)
+		assert.Assert(t, !got[0].AfterOutage)
+	})
+}
+
 // A snapshot from another host is applied only if it is newer.
 func TestTopicAdopts(t *testing.T) {
 	store := &memoryStore{fail: keyed.ErrUnanswered}
