The line of a request that is not repeated says why

A begun stream that broke off was logged with how it broke off alone. Whether the route's kind, the attempts, the retry budget or the time kept it from being resumed could not be told, though that decides who is asked next.

TestCutStreamTellsWhyItWasNotResumed failed before:

timeout hit after 30s: "\"msg\":\"request cut\",\"not_repeated\":\"may_run_once\"" is not in the log

--- a/internal/request/relay/attempt.go
+++ b/internal/request/relay/attempt.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"cmp"
 	"errors"
 	"net/http"
 	"time"
@@ -48,11 +49,12 @@
 			return
 		}
 		state := s.retryState(result)
-		decision := repeat.Decide(state)
+		decision, limit := repeat.Decide(state), ""
 		if decision.Retry && result.outcome != repeat.OutcomeNotSent && !s.relay.Limits.AllowRetry(s.service) {
-			decision = repeat.WithoutRetry(state)
+			decision, limit = repeat.WithoutRetry(state), "retry_budget"
 		}
 		if !decision.Retry {
+			s.fields["not_repeated"] = cmp.Or(limit, notRepeatedReason(state))
 			s.respondFailure(decision, result)
 			return
 		}
@@ -63,6 +65,19 @@
 	}
 }
 
+// notRepeatedReason returns why a request is not sent again, apart from the retry budget.
+func notRepeatedReason(state repeat.State) string {
+	withTime := state
+	withTime.TimeLeft = time.Hour
+	switch {
+	case repeat.Decide(withTime).Retry:
+		return "deadline"
+	case !state.Retryable && state.Attempts > 0:
+		return "may_run_once"
+	}
+	return "max_attempts"
+}
+
 // logRetry logs why the request is sent again.
 func (s *serverRequest) logRetry(lease *dispatch.Lease, result sendResult) {
 	s.relay.Log.LogRequest(decisionlog.Failure, func() (string, logrus.Fields) {
