Soak: long streams, slow callers, halts, storms and series of stops

Now some streams last 2 to 5 s, some callers stop reading for 1 to 2 s or read slowly with a receive buffer of 4 kB, requests have queries, chunked bodies and keys, hosts are suspended for 1 to 2 s, several hosts are stopped one after another, storms change time-outs, weights, a quota, teams and the idle time, and entries of serving endpoints are removed. All of it is drawn from random numbers of its own; the other faults of a seed stay the same.

Rules lost and lost at stop tolerate no case, on any connection; a halted host is excused for what is late and for nothing else. A stop excuses a lost response as the platform's rule does: in the last sixth of the grace period, for requests sent in its first 3 s. Rule unasked compares query, prompt and team besides path and body. Whole bodies are not kept.

--- a/soak/caller.go
+++ b/soak/caller.go
@@ -32,11 +32,19 @@
 type caller struct {
 	number    int
 	frontends []string
-	random    *rand.Rand
-	record    *Recorder
-	sent      int
+	// direct are the addresses of the hosts themselves. A proxy would read for a slow
+	// caller.
+	direct []string
+	random *rand.Rand
+	// load is drawn with variants, random numbers apart from the others.
+	load     Load
+	variants *rand.Rand
+	record   *Recorder
+	sent     int
 	// crashesPrompts is set while some prompts, and some requests, crash endpoints.
 	crashesPrompts *atomic.Bool
+	// followsNext is positive while callers of a host that fails go on to the next one.
+	followsNext *atomic.Int32
 }
 
 // run sends requests until the context is done.
@@ -48,7 +56,10 @@
 		response := c.sendRandom(client, host)
 		if response.Err != nil || response.Status != 200 {
 			client.Close()
-			host = c.random.IntN(len(c.frontends))
+			next := (host + 1) % len(c.frontends)
+			if host = c.random.IntN(len(c.frontends)); c.followsNext.Load() > 0 {
+				host = next
+			}
 			client = standin.NewClient(c.frontends[host])
 		}
 		pause := time.Duration(c.random.Int64N(int64(maxThinkTime)))
@@ -75,19 +86,31 @@
 		timer := time.AfterFunc(time.Duration(c.random.Int64N(int64(maxCancelDelay))), cancel)
 		defer timer.Stop()
 	}
-	return c.send(ctx, client, host, c.pickRoute())
+	route := c.pickRoute()
+	v := c.load.draw(c.variants, route)
+	if v.isSlow {
+		client.Close()
+		client = standin.NewClient(c.direct[host])
+		client.ReceiveBuffer = slowBuffer
+		defer client.Close()
+	}
+	return c.send(ctx, client, host, route, v)
 }
 
 // send sends a request and records it and its end. The request is canceled with the
 // context.
-func (c *caller) send(ctx context.Context, client *standin.Client, host int, route string) standin.Response {
+func (c *caller) send(ctx context.Context, client *standin.Client, host int, route string, v variant) standin.Response {
 	c.sent++
 	id := fmt.Sprintf("%04x%012x", c.number, c.sent)
-	request := Request{ID: id, Route: route, Body: c.body(route, id), Host: host, Sent: time.Now()}
+	request := Request{ID: id, Route: route, Target: v.target, Deadline: v.deadline, Body: c.body(route, id), Host: host, Sent: time.Now()}
 	request.Prompt = c.prompt(route, id)
 	c.record.AddRequest(request)
-	response := client.Do(ctx, standin.Request{Route: route, ID: id, Body: request.Body, Deadline: requestDeadline, Prompt: request.Prompt})
-	c.record.EndRequest(id, response, ctx.Err() != nil && response.Err != nil, time.Now())
+	response := client.Do(ctx, standin.Request{
+		ID: id, Target: v.target, Key: key(route), Body: request.Body, Deadline: v.deadline, Prompt: request.Prompt, IsChunked: v.isChunked, Reading: v.reading,
+	})
+	ended := time.Now()
+	response.Body = withoutPadding(response.Body, streamOf(v.target).padding, response.Err == nil)
+	c.record.EndRequest(id, response, ctx.Err() != nil && response.Err != nil, ended)
 	return response
 }
 
--- a/soak/command.go
+++ b/soak/command.go
@@ -28,6 +28,10 @@
 	Callers   int           `long:"callers" default:"12" description:"callers of a run"`
 	Traffic   time.Duration `long:"traffic" default:"20s" description:"how long faults may begin"`
 	Faults    int           `long:"faults" default:"16" description:"faults of a run"`
+	Events    int           `long:"events" default:"8" description:"events of a short stream"`
+	Interval  time.Duration `long:"interval" default:"15ms" description:"time between the events of a short stream"`
+	Long      float64       `long:"long" default:"0.1" description:"ratio of streams that last 2 to 5 s"`
+	Slow      float64       `long:"slow" default:"0.05" description:"ratio of streams whose callers read slowly or stop reading for a while"`
 	Dir       string        `long:"dir" description:"where logs of runs with a broken promise are kept; the system's temporary directory if empty"`
 }
 
@@ -92,6 +96,7 @@
 	report, err := Run(ctx, Options{
 		Seed: seed, Dir: dir, Programs: programs,
 		Size: Size{Hosts: a.Hosts, Endpoints: a.Endpoints, Callers: a.Callers, Traffic: a.Traffic, Faults: a.Faults},
+		Load: Load{Events: a.Events, Interval: a.Interval, LongRatio: a.Long, SlowRatio: a.Slow},
 	})
 	if err != nil {
 		fmt.Printf("seed %d: %v; logs in %s\n", seed, err, dir)
--- a/soak/endpoint.go
+++ b/soak/endpoint.go
@@ -28,14 +28,11 @@
 	// it refuses more. The stand-in's entry states the same number of slots.
 	endpointSlots = 4
 	endpointQueue = 2
-	// processingTime is how long a request takes. streamEvents and eventInterval
-	// are the length and pace of a stream. They resemble a small engine.
+	// processingTime is how long a plain request takes.
 	processingTime = 30 * time.Millisecond
 	// One in longRequests plain requests takes longProcessingTime.
 	longRequests       = 50
 	longProcessingTime = 1800 * time.Millisecond
-	streamEvents       = 8
-	eventInterval      = 15 * time.Millisecond
 	// slowFactor multiplies the times of a slow endpoint.
 	slowFactor = 8
 	// endpointLimit is the limit that an endpoint names, in requests a second.
@@ -47,6 +44,7 @@
 // endpoint is a stand-in for a worker behind a proxy.
 type endpoint struct {
 	number  int
+	service string
 	worker  *standin.Worker
 	proxy   *Proxy
 	domain  string
@@ -72,9 +70,9 @@
 	defer e.running.Add(-1)
 	isFull, isRejecting := e.running.Add(1) > endpointSlots+endpointQueue, e.isRejecting.Load()
 	path := run.Target
-	route := strings.Split(path+"/", "/")[1]
+	route := routeOf(path)
 	isCrashing := !isFull && !isRejecting && (strings.Contains(run.Header.Get("Prompt-Prefix"), crashingPart) || string(run.Body) == crashingBody)
-	e.record.AddAttempt(Attempt{ID: run.ID(), Route: route, Path: path, Body: run.Body, Endpoint: e.number, At: run.At, Refused: isFull || isRejecting, Crashed: isCrashing})
+	e.record.AddAttempt(Attempt{ID: run.ID(), Route: route, Path: path, Body: run.Body, Prompt: run.Header.Get("Prompt-Prefix"), Team: run.Header.Get("Tenant"), Endpoint: e.number, At: run.At, Refused: isFull || isRejecting, Crashed: isCrashing})
 	if e.isLimited.Load() {
 		run.SetLimit(strconv.FormatFloat(endpointLimit, 'f', -1, 64))
 	}
@@ -93,13 +91,13 @@
 	if isFull {
 		return standin.RejectNotExecuted(run)
 	}
-	if route == routeStream || route == routeOnce {
+	if isStream(route) {
 		return e.stream(run)
 	}
 	if !e.work(run, plainProcessingTime(run.ID())) {
 		return false
 	}
-	return standin.Respond(http.StatusOK, expectedBody(route, run.ID()))(run)
+	return standin.Respond(http.StatusOK, expectedBody(path, run.ID()))(run)
 }
 
 // plainProcessingTime returns how long a plain request takes.
@@ -129,11 +127,13 @@
 // stream sends the events that the caller does not have yet.
 func (e *endpoint) stream(run *standin.Run) bool {
 	run.WriteHead(http.StatusOK, -1)
-	for n := run.LastEventID() + 1; n <= streamEvents; n++ {
-		if !e.work(run, eventInterval) {
+	s := streamOf(run.Target)
+	padding := strings.Repeat(paddingByte, s.padding)
+	for n := run.LastEventID() + 1; n <= s.events; n++ {
+		if !e.work(run, s.interval) {
 			return false
 		}
-		run.WriteChunk(formatEvent(run.ID(), n))
+		run.WriteChunk(formatEvent(run.ID(), n, padding))
 	}
 	run.Write("0\r\n\r\n")
 	return true
@@ -156,18 +156,3 @@
 		duration = silencePollInterval
 	}
 }
-
-// formatEvent formats one event of the response stream of a request.
-func formatEvent(id string, n int) string { return fmt.Sprintf("id: %d\ndata: %s %d\n\n", n, id, n) }
-
-// expectedBody is the complete response body of a request.
-func expectedBody(route, id string) string {
-	if route != routeStream && route != routeOnce {
-		return route + " " + id + " " + strconv.Itoa(len(id))
-	}
-	var body strings.Builder
-	for n := 1; n <= streamEvents; n++ {
-		body.WriteString(formatEvent(id, n))
-	}
-	return body.String()
-}
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -95,7 +95,13 @@
 		e.silences.Add(1)
 		time.Sleep(fault.Duration)
 		e.silences.Add(-1)
-	case EndpointDrain, Configure, Evacuate:
+	case HostHalt:
+		f.halt(h, fault.Duration)
+	case HostsStop:
+		f.stopInSeries(ctx, fault)
+	case ConfigStorm:
+		f.storm(fault)
+	case EndpointDrain, EndpointGone, Configure, Evacuate:
 		f.injectOrder(e, fault)
 	default:
 		f.injectLinkFault(h, e, fault)
@@ -204,8 +210,8 @@
 // counts from when the store has the order.
 func (f *fleet) injectOrder(e *endpoint, fault Fault) {
 	name := string(fault.Kind)
-	if fault.Kind == EndpointDrain {
-		name += e.id()
+	if fault.Kind == EndpointDrain || fault.Kind == EndpointGone {
+		name = "endpoint " + e.id()
 	}
 	lock := f.orderLock(name)
 	lock.Lock()
@@ -216,6 +222,10 @@
 		f.putEndpoint(e, true)
 		endExclusions = append(endExclusions, f.record.BeginExclusion(Exclusion{Endpoint: e.number, MaxDelay: maxDrainDelay}))
 		defer f.putEndpoint(e, false)
+	case EndpointGone:
+		f.store.RemoveEntry(e.id())
+		endExclusions = append(endExclusions, f.record.BeginExclusion(Exclusion{Endpoint: e.number, MaxDelay: maxDrainDelay}))
+		defer f.putEndpoint(e, false)
 	case Evacuate:
 		f.store.Evacuate(e.domain)
 		for _, other := range f.endpoints {
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -25,6 +25,8 @@
 	endpoints []*endpoint
 	// crashesPrompts is set while some callers send prompts that crash endpoints.
 	crashesPrompts atomic.Bool
+	// followers counts the series of stops in which callers go on to the next host.
+	followers atomic.Int32
 
 	// mu guards the configuration in force and the fields below.
 	mu      sync.Mutex
@@ -61,13 +63,18 @@
 func newFleet(ctx context.Context, options Options) (*fleet, error) {
 	f := &fleet{lifetime: &lifetime{}, record: NewRecorder(), storeFaults: map[*standin.StoreFaults]struct{}{}, orderLocks: map[string]*sync.Mutex{}}
 	f.store = standin.NewStore(f.lifetime)
-	f.config = standin.Config(service)
+	f.config = newConfig()
 	f.routes = f.config["routes"].([]any)
 	f.configure(f.routes)
 	for n := range options.Size.Endpoints {
-		if err := f.addEndpoint(n); err != nil {
+		e, err := f.addEndpoint(n, service)
+		if err != nil {
 			return f, err
 		}
+		f.endpoints = append(f.endpoints, e)
+	}
+	if _, err := f.addEndpoint(options.Size.Endpoints, otherService); err != nil {
+		return f, err
 	}
 	for n := range options.Size.Hosts {
 		if err := f.addHost(n, options); err != nil {
@@ -97,16 +104,15 @@
 	return proxy, nil
 }
 
-func (f *fleet) addEndpoint(n int) error {
-	e := &endpoint{number: n, domain: domains[n%len(domains)], record: f.record}
+func (f *fleet) addEndpoint(n int, service string) (*endpoint, error) {
+	e := &endpoint{number: n, service: service, domain: domains[n%len(domains)], record: f.record}
 	e.worker = standin.NewWorker(f.lifetime, e.id(), e.serve)
 	var err error
 	if e.proxy, err = f.newProxy(e.worker.Address); err != nil {
-		return err
+		return nil, err
 	}
-	f.endpoints = append(f.endpoints, e)
 	f.putEndpoint(e, false)
-	return nil
+	return e, nil
 }
 
 // putEndpoint writes an endpoint's entry to the store.
@@ -115,7 +121,7 @@
 	defer f.mu.Unlock()
 	f.version++
 	f.store.PutEntry(e.id(), standin.WorkerEntry{
-		Service: service, Address: e.proxy.Address, Zone: e.domain, Sequence: f.version, Draining: isDraining,
+		Service: e.service, Address: e.proxy.Address, Zone: e.domain, Sequence: f.version, Draining: isDraining,
 	})
 }
 
@@ -190,16 +196,23 @@
 	return standin.HostSettings(h.ip, seedAddresses(f.hosts), h.store.Address)
 }
 
+// variantStream selects random numbers apart from those of the callers' other draws.
+const variantStream = 0x76617269616e7473
+
 // newCallers returns the callers of a run.
 func (f *fleet) newCallers(options Options) []*caller {
-	var frontends []string
+	var frontends, direct []string
 	for _, h := range f.hosts {
 		frontends = append(frontends, h.frontend.Address)
+		direct = append(direct, h.ip+":"+standin.FrontendPort)
 	}
 	var callers []*caller
 	for n := range options.Size.Callers {
 		rng := rand.New(rand.NewPCG(options.Seed, uint64(n)))
-		callers = append(callers, &caller{number: n, frontends: frontends, random: rng, record: f.record, crashesPrompts: &f.crashesPrompts})
+		callers = append(callers, &caller{
+			number: n, frontends: frontends, direct: direct, random: rng, record: f.record, crashesPrompts: &f.crashesPrompts, followsNext: &f.followers,
+			load: options.Load, variants: rand.New(rand.NewPCG(options.Seed^variantStream, uint64(n))),
+		})
 	}
 	return callers
 }
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -67,6 +67,17 @@
 	// EndpointSilent makes a sound endpoint pause all responses for a moment. It is no
 	// disruption.
 	EndpointSilent FaultKind = "endpoint-silent"
+
+	// HostHalt suspends a host's process for a second or two, as a machine with too few
+	// processors does. It is no disruption.
+	HostHalt FaultKind = "host-halt"
+	// HostsStop stops several hosts one after another.
+	HostsStop FaultKind = "hosts-stop"
+	// ConfigStorm publishes several versions a second.
+	ConfigStorm FaultKind = "config-storm"
+	// EndpointGone removes the entry of an endpoint that goes on serving, and writes it
+	// again later.
+	EndpointGone FaultKind = "endpoint-gone"
 )
 
 // faultKinds lists all kinds with the maximum duration of each.
--- a/soak/record.go
+++ b/soak/record.go
@@ -11,7 +11,11 @@
 // Request is a request as its caller observed it.
 type Request struct {
 	ID, Route, Body string
-	Host            int
+	// Target is the path and the query.
+	Target string
+	Host   int
+	// Deadline is how long the caller waits.
+	Deadline time.Duration
 	// Prompt lists the parts of the prompt; empty if the request has none.
 	Prompt string
 	// Sent and Ended are times of the soak's clock. Ended is zero while the
@@ -20,14 +24,19 @@
 	// Canceled is set if the caller closed the connection before the response was
 	// complete.
 	Canceled bool
+	// Response is what the caller got, its body without the padding of events.
 	Response standin.Response
+	// IsWhole is set if the body was the expected one, which is not kept then.
+	IsWhole bool
 }
 
 // Attempt is one attempt of a request as its endpoint observed it.
 type Attempt struct {
 	ID, Route, Body string
-	// Path is the request path that the endpoint received.
-	Path     string
+	// Path is the path with the query that the endpoint received, Prompt and Team are
+	// the header fields.
+	Path, Prompt, Team string
+
 	Endpoint int
 	At       time.Time
 	// Refused is set if the endpoint did not execute the request for lack of
@@ -69,6 +78,9 @@
 	Interval
 	// Planned is set for an orderly stop or a reload of settings.
 	Planned bool
+	// Pause is set if a process did not run for a moment, as on a machine with too few
+	// processors. It excuses a delay, but no lost or damaged response.
+	Pause bool
 }
 
 // Exclusion is an interval in which an endpoint, or all endpoints on one route, must
@@ -114,10 +126,17 @@
 
 // EndRequest records the end of a request.
 func (r *Recorder) EndRequest(id string, response standin.Response, canceled bool, at time.Time) {
+	r.mu.Lock()
+	target := r.requests[id].Target
+	r.mu.Unlock()
+	isWhole := response.Body == expectedBody(target, id)
+	if isWhole {
+		response.Body = ""
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	request := r.requests[id]
-	request.Response, request.Canceled, request.Ended = response, canceled, at
+	request.Response, request.Canceled, request.Ended, request.IsWhole = response, canceled, at, isWhole
 }
 
 // AddAttempt records an attempt at an endpoint.
@@ -130,10 +149,20 @@
 // BeginDisruption records a disruption that lasts until the returned function is
 // called.
 func (r *Recorder) BeginDisruption(scope Scope, planned bool) (end func()) {
+	return r.begin(Disruption{Scope: scope, Planned: planned})
+}
+
+// BeginPause records that a host's process does not run until the returned function is
+// called.
+func (r *Recorder) BeginPause(host int) (end func()) {
+	return r.begin(Disruption{Scope: Scope{ScopeHost, host}, Pause: true})
+}
+
+func (r *Recorder) begin(d Disruption) (end func()) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	d := &Disruption{Scope: scope, Interval: Interval{From: time.Now()}, Planned: planned}
-	r.disruptions = append(r.disruptions, d)
+	d.From = time.Now()
+	r.disruptions = append(r.disruptions, &d)
 	return func() {
 		r.mu.Lock()
 		defer r.mu.Unlock()
@@ -199,13 +228,18 @@
 // History returns a copy of the observations, with the requests ordered by the time
 // they were sent.
 func (r *Recorder) History() History {
+	history := r.copy()
+	slices.SortFunc(history.Requests, func(a, b Request) int { return a.Sent.Compare(b.Sent) })
+	return history
+}
+
+func (r *Recorder) copy() History {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	history := History{Now: time.Now(), Attempts: map[string][]Attempt{}, Stops: slices.Clone(r.stops), ProcessFailures: slices.Clone(r.processFailures)}
 	for _, request := range r.requests {
 		history.Requests = append(history.Requests, *request)
 	}
-	slices.SortFunc(history.Requests, func(a, b Request) int { return a.Sent.Compare(b.Sent) })
 	for _, attempt := range r.attempts {
 		history.Attempts[attempt.ID] = append(history.Attempts[attempt.ID], attempt)
 	}
--- a/soak/request_rules.go
+++ b/soak/request_rules.go
@@ -78,7 +78,7 @@
 		for _, request := range history.Requests {
 			for _, attempt := range history.Attempts[request.ID] {
 				isBound := attempt.Endpoint == limit.Endpoint && attempt.At.After(limit.From.Add(contactTime)) && (limit.To.IsZero() || attempt.At.Before(limit.To))
-				if isBound && history.isUndisrupted(Scope{ScopeHost, request.Host}, limit.From, attempt.At, true) {
+				if isBound && history.isUndisrupted(Scope{ScopeHost, request.Host}, limit.From, attempt.At, delays) {
 					arrivals = append(arrivals, attempt.At)
 				}
 			}
--- a/soak/rules.go
+++ b/soak/rules.go
@@ -15,7 +15,8 @@
 	// settleTime is how long a component must have been without faults before the
 	// rules with a time bound apply to it.
 	settleTime = 4 * time.Second
-	// requestDeadline is how long the soak's callers wait for a response.
+	// requestDeadline is how long the soak's callers wait for a response, unless it is
+	// a long one.
 	requestDeadline = 4 * time.Second
 	// deadlineSlack is how long after its deadline a request must have ended.
 	deadlineSlack = 500 * time.Millisecond
@@ -75,21 +76,43 @@
 	return executed
 }
 
-// isUndisrupted reports whether a component had no disruption between settleTime
-// before from and to. Planned disruptions count only if includePlanned is set.
-func (h History) isUndisrupted(scope Scope, from, to time.Time, includePlanned bool) bool {
+// excuse selects the disruptions that excuse a violation.
+type excuse int
+
+const (
+	// unplanned disruptions excuse what a planned one must not cause.
+	unplanned excuse = iota
+	// disruptions excuse a lost response.
+	disruptions
+	// delays are disruptions and pauses of a process. They excuse what is late.
+	delays
+)
+
+func (e excuse) includes(d Disruption) bool {
+	switch {
+	case d.Pause:
+		return e == delays
+	case d.Planned:
+		return e != unplanned
+	}
+	return true
+}
+
+// isUndisrupted reports whether a component had none of the selected disruptions between
+// settleTime before from and to.
+func (h History) isUndisrupted(scope Scope, from, to time.Time, excuse excuse) bool {
 	for _, d := range h.Disruptions {
-		if d.Scope == scope && (includePlanned || !d.Planned) && d.overlaps(from.Add(-settleTime), to) {
+		if d.Scope == scope && excuse.includes(d) && d.overlaps(from.Add(-settleTime), to) {
 			return false
 		}
 	}
 	return true
 }
 
-// reachesStore reports whether neither the host nor the store had a disruption, so
-// that the host knows the state of the store.
+// reachesStore reports whether neither the host nor the store had a disruption or a
+// pause, so that the host knows the state of the store.
 func (h History) reachesStore(host int, from, to time.Time) bool {
-	return h.isUndisrupted(Scope{ScopeHost, host}, from, to, true) && h.isUndisrupted(Scope{Kind: ScopeStore}, from, to, true)
+	return h.isUndisrupted(Scope{ScopeHost, host}, from, to, delays) && h.isUndisrupted(Scope{Kind: ScopeStore}, from, to, delays)
 }
 
 // checkResponses finds responses that are not the endpoint's complete response to
@@ -102,7 +125,10 @@
 	}
 	for _, request := range history.Requests {
 		response := request.Response
-		expected := expectedBody(request.Route, request.ID)
+		expected := ""
+		if !request.IsWhole {
+			expected = expectedBody(request.Target, request.ID)
+		}
 		switch {
 		case request.Ended.IsZero() || response.Status == 0:
 		case errors.Is(response.Err, standin.ErrExtraBytes):
@@ -137,8 +163,8 @@
 	for id, attempts := range history.Attempts {
 		for _, attempt := range attempts {
 			request, found := requests[id]
-			if !found || attempt.Path != standin.Path(request.Route) || attempt.Body != request.Body {
-				violations = append(violations, Violation{"unasked", fmt.Sprintf("%s %q with body %q", attempt.Path, id, attempt.Body), attempt.At})
+			if !found || attempt.Path != request.Target || attempt.Body != request.Body || attempt.Prompt != request.Prompt || attempt.Team != team(request.Route) {
+				violations = append(violations, Violation{"unasked", fmt.Sprintf("%s %q of team %q with body %q and prompt %q", attempt.Path, id, attempt.Team, attempt.Body, attempt.Prompt), attempt.At})
 			}
 		}
 	}
@@ -153,7 +179,7 @@
 		executed := history.executed(request.ID)
 		isHealthy := true
 		for _, attempt := range executed {
-			isHealthy = isHealthy && history.isUndisrupted(Scope{ScopeEndpoint, attempt.Endpoint}, attempt.At, attempt.At.Add(requestDeadline), true)
+			isHealthy = isHealthy && history.isUndisrupted(Scope{ScopeEndpoint, attempt.Endpoint}, attempt.At, attempt.At.Add(request.Deadline), delays)
 		}
 		if len(executed) > maxRouteAttempts && isHealthy {
 			found = append(found, Violation{"attempts", fmt.Sprintf("%s was executed %d times", request.ID, len(executed)), request.Sent})
@@ -172,7 +198,7 @@
 		}
 		for _, attempt := range history.Attempts[request.ID] {
 			if attempt.At.After(request.Ended.Add(cancelSlack)) && history.reachesStore(request.Host, request.Sent, attempt.At) &&
-				history.isUndisrupted(Scope{ScopeEndpoint, attempt.Endpoint}, request.Sent, attempt.At, true) {
+				history.isUndisrupted(Scope{ScopeEndpoint, attempt.Endpoint}, request.Sent, attempt.At, delays) {
 				found = append(found, Violation{"gone", fmt.Sprintf("%s reached an endpoint %v after its caller left", request.ID, attempt.At.Sub(request.Ended)), attempt.At})
 			}
 		}
@@ -189,8 +215,8 @@
 		if end.IsZero() {
 			end = history.Now
 		}
-		due := request.Sent.Add(requestDeadline)
-		if request.Canceled || end.Before(due) || !history.isUndisrupted(Scope{ScopeHost, request.Host}, request.Sent, due.Add(deadlineSlack), true) {
+		due := request.Sent.Add(request.Deadline)
+		if request.Canceled || end.Before(due) || !history.isUndisrupted(Scope{ScopeHost, request.Host}, request.Sent, due.Add(deadlineSlack), delays) {
 			continue
 		}
 		unanswered++
@@ -257,45 +283,6 @@
 	return false
 }
 
-// checkLost finds requests on reused connections that ended without a response,
-// although neither host nor endpoint had a disruption.
-func checkLost(history History) []Violation {
-	var found []Violation
-	for _, request := range history.Requests {
-		if history.isInterrupted(request) && request.Response.Reused && history.isUndisrupted(Scope{ScopeHost, request.Host}, request.Sent, request.Ended, true) {
-			found = append(found, Violation{"lost", fmt.Sprintf("%s %s at host %d: %v", request.Route, request.ID, request.Host, request.Response.Err), request.Ended})
-		}
-	}
-	return ifMoreThan(maxToleratedCases, found)
-}
-
-// checkLostAtStop finds requests that an orderly stop interrupted.
-func checkLostAtStop(history History) []Violation {
-	var violations []Violation
-	for _, request := range history.Requests {
-		host := Scope{ScopeHost, request.Host}
-		if history.isInterrupted(request) && history.isUndisrupted(host, request.Sent, request.Ended, false) && !history.isUndisrupted(host, request.Sent, request.Ended, true) {
-			violations = append(violations, Violation{"lost at stop", fmt.Sprintf("%s %s at host %d: %v", request.Route, request.ID, request.Host, request.Response.Err), request.Ended})
-		}
-	}
-	return violations
-}
-
-// isInterrupted reports whether a request was sent to undisrupted endpoints only and
-// its connection ended without a complete response.
-func (h History) isInterrupted(request Request) bool {
-	if request.Canceled || request.Ended.IsZero() || request.Response.Err == nil || request.Ended.After(request.Sent.Add(requestDeadline)) {
-		return false
-	}
-	executed := h.executed(request.ID)
-	for _, attempt := range h.Attempts[request.ID] {
-		if !h.isUndisrupted(Scope{ScopeEndpoint, attempt.Endpoint}, request.Sent, request.Ended, true) {
-			return false
-		}
-	}
-	return len(executed) > 0
-}
-
 // checkRetries finds windows with more retries than the retry budget allows.
 func checkRetries(history History) []Violation {
 	if len(history.Requests) == 0 {
@@ -345,7 +332,7 @@
 		violations = append(violations, Violation{"end", failure, history.Now})
 	}
 	for _, stop := range history.Stops {
-		if stop.Failure != "" && history.isUndisrupted(Scope{ScopeHost, stop.Host}, stop.RequestedAt, stop.EndedAt, false) {
+		if stop.Failure != "" && history.isUndisrupted(Scope{ScopeHost, stop.Host}, stop.RequestedAt, stop.EndedAt, unplanned) {
 			violations = append(violations, Violation{"stop", fmt.Sprintf("host %d: %s", stop.Host, stop.Failure), stop.EndedAt})
 		}
 	}
--- a/soak/rules_test.go
+++ b/soak/rules_test.go
@@ -18,13 +18,13 @@
 
 // servedRequest returns a request with a complete response.
 func servedRequest(id, route string) Request {
-	response := standin.Response{Status: 200, ID: id, Body: expectedBody(route, id), Sealed: true}
-	return Request{ID: id, Route: route, Body: "b", Sent: sentAt, Ended: afterMs(50), Response: response}
+	response := standin.Response{Status: 200, ID: id, Body: expectedBody(standin.Path(route), id), Sealed: true}
+	return Request{ID: id, Route: route, Target: standin.Path(route), Deadline: requestDeadline, Body: "b", Sent: sentAt, Ended: afterMs(50), Response: response}
 }
 
 // attemptOf returns an attempt of a request.
 func attemptOf(request Request, endpoint, ms int) Attempt {
-	return Attempt{ID: request.ID, Route: request.Route, Path: standin.Path(request.Route), Body: request.Body, Endpoint: endpoint, At: afterMs(ms)}
+	return Attempt{ID: request.ID, Route: request.Route, Path: request.Target, Body: request.Body, Prompt: request.Prompt, Team: team(request.Route), Endpoint: endpoint, At: afterMs(ms)}
 }
 
 // historyOf returns a history of the given requests and attempts.
@@ -53,7 +53,7 @@
 // interrupted returns a request whose connection ended after it was executed.
 func interrupted(id, route string) (Request, []Attempt) {
 	request := servedRequest(id, route)
-	request.Response = standin.Response{Err: errors.New("reset"), Reused: true}
+	request.Response = standin.Response{Err: errors.New("reset")}
 	return request, []Attempt{attemptOf(request, 0, 10)}
 }
 
@@ -66,13 +66,13 @@
 		return []Request{changed}
 	}
 	stream := servedRequest("s", routeStream)
-	stream.Response.Body = formatEvent("s", 1) + formatEvent("s", 3)
+	stream.Response.Body = formatEvent("s", 1, "") + formatEvent("s", 3, "")
 	short := servedRequest("s", routeStream)
-	short.Response.Body = formatEvent("s", 1)
+	short.Response.Body = formatEvent("s", 1, "")
 	broken := short
 	broken.Response.Err = errors.New("broke off")
 	disrupted := func(kind ScopeKind, planned bool, from, to int) []Disruption {
-		return []Disruption{{Scope{Kind: kind}, Interval{afterMs(from), afterMs(to)}, planned}}
+		return []Disruption{{Scope: Scope{Kind: kind}, Interval: Interval{afterMs(from), afterMs(to)}, Planned: planned}}
 	}
 	canceled := func(ms int) History {
 		return historyOfMany(4, func(id string) (Request, []Attempt) {
@@ -93,6 +93,23 @@
 		request := servedRequest(id, routeSafe)
 		return request, []Attempt{attemptOf(request, 0, 1), attemptOf(request, 1, 2), attemptOf(request, 2, 3), attemptOf(request, 3, 4)}
 	})
+	once := historyOfMany(1, func(id string) (Request, []Attempt) { return interrupted(id, routeStream) })
+	endedAfter := func(ms int) History {
+		return historyOfMany(1, func(id string) (Request, []Attempt) {
+			request, attempts := interrupted(id, routeStream)
+			request.Deadline, request.Ended = longDeadline, afterMs(ms)
+			return request, attempts
+		})
+	}
+	paused := []Disruption{{Scope: Scope{Kind: ScopeHost}, Interval: Interval{afterMs(20), afterMs(40)}, Pause: true}}
+	altered := func(change func(*Attempt)) History {
+		attempt := attemptOf(request, 0, 10)
+		change(&attempt)
+		return historyOf([]Request{request}, attempt)
+	}
+	twicePadded := servedRequest("s", routeStream)
+	twicePadded.Target += "?events=2&interval=1ms&padding=3"
+	twicePadded.Response.Body = withoutPadding(formatEvent("s", 1, "...")+formatEvent("s", 1, "...")+formatEvent("s", 2, "..."), 3, true)
 	with := func(history History, change func(*History)) History { change(&history); return history }
 	cases := []struct {
 		name    string
@@ -105,7 +122,7 @@
 		{"executed though reported as not executed", historyOf(change(func(a *Request) { a.Response = standin.Response{Status: 503, ID: "a"} }), attemptOf(request, 0, 10)), "promise"},
 		{"refused and reported as not executed", historyOf(change(func(a *Request) { a.Response = standin.Response{Status: 503, ID: "a"} }), refusedAttempt(attemptOf(request, 0, 10))), ""},
 		{"unsealed", historyOf(change(func(a *Request) { a.Response.Sealed = false })), "answer"},
-		{"response to another request", historyOf(change(func(a *Request) { a.Response.Body = expectedBody(routeUnsafe, "b") })), "answer"},
+		{"response to another request", historyOf(change(func(a *Request) { a.Response.Body = expectedBody(standin.Path(routeUnsafe), "b") })), "answer"},
 		{"response with another ID", historyOf(change(func(a *Request) { a.Response.ID = "b" })), "answer"},
 		{"extra bytes", historyOf(change(func(a *Request) { a.Response.Err = standin.ErrExtraBytes })), "answer"},
 		{"sealed failure", historyOf(change(func(a *Request) { a.Response.Status = 500 })), "answer"},
@@ -124,6 +141,17 @@
 		{"interrupted by a fault of the host", with(interruptedHistory, func(s *History) { s.Disruptions = disrupted(ScopeHost, false, 40, 45) }), ""},
 		{"interrupted by a fault of the endpoint", with(interruptedHistory, func(s *History) { s.Disruptions = disrupted(ScopeEndpoint, false, 20, 45) }), ""},
 		{"interrupted by an orderly stop", with(interruptedHistory, func(s *History) { s.Disruptions = disrupted(ScopeHost, true, 40, 45) }), "lost at stop"},
+		{"one request interrupted", once, "lost"},
+		{"interrupted while the host did not run", with(once, func(s *History) { s.Disruptions = paused }), "lost"},
+		{"interrupted by the store", with(once, func(s *History) { s.Disruptions = disrupted(ScopeStore, false, 40, 45) }), "lost"},
+		{"interrupted early in a stop", with(endedAfter(5000), func(s *History) { s.Disruptions = disrupted(ScopeHost, true, -1000, 7000) }), "lost at stop"},
+		{"interrupted in the last sixth of a stop", with(endedAfter(6000), func(s *History) { s.Disruptions = disrupted(ScopeHost, true, -1000, 7000) }), ""},
+		{"sent late in a stop and interrupted", with(endedAfter(3500), func(s *History) { s.Disruptions = disrupted(ScopeHost, true, -3500, 4000) }), "lost at stop"},
+		{"late response of a host that did not run", with(late(4600), func(s *History) { s.Disruptions = paused }), ""},
+		{"changed query", altered(func(a *Attempt) { a.Path += "?n=1" }), "unasked"},
+		{"changed prompt", altered(func(a *Attempt) { a.Prompt = "c:1" }), "unasked"},
+		{"another team", altered(func(a *Attempt) { a.Team = "others" }), "unasked"},
+		{"padded event twice", historyOf([]Request{twicePadded}), "answer"},
 		{"too many attempts", repeated, "attempts"},
 		{"crashes after the fifth is known", crashed(10, 2000), "budget"},
 		{"crashes while the fifth becomes known", crashed(10, 300), ""},
@@ -179,7 +207,7 @@
 	for _, test := range cases {
 		t.Run(test.name, func(t *testing.T) {
 			assert.Equal(t, len(checkExclusions(test.history)) > 0, test.isViolated)
-			test.history.Disruptions = []Disruption{{Scope{Kind: ScopeStore}, Interval{afterMs(-3500), afterMs(-3400)}, false}}
+			test.history.Disruptions = []Disruption{{Scope: Scope{Kind: ScopeStore}, Interval: Interval{afterMs(-3500), afterMs(-3400)}}}
 			assert.Equal(t, len(checkExclusions(test.history)), 0)
 		})
 	}
--- a/soak/run.go
+++ b/soak/run.go
@@ -21,6 +21,7 @@
 type Options struct {
 	Seed uint64
 	Size Size
+	Load Load
 	// Programs are the builds of a host. Each start of a host's process takes the next
 	// one, so that hosts of all builds run side by side.
 	Programs []Program
@@ -41,7 +42,7 @@
 // Run carries out the plan of a seed. It returns an error if the fleet cannot be
 // started.
 func Run(ctx context.Context, options Options) (Report, error) {
-	report := Report{Seed: options.Seed, Plan: slices.Concat(NewPlan(options.Seed, options.Size), newRequestFaults(options.Seed, options.Size), newStoreReturns(options.Seed, options.Size))}
+	report := Report{Seed: options.Seed, Plan: slices.Concat(NewPlan(options.Seed, options.Size), newRequestFaults(options.Seed, options.Size), newStoreReturns(options.Seed, options.Size), newMachineFaults(options.Seed, options.Size))}
 	slices.SortStableFunc(report.Plan, func(a, b Fault) int { return int(a.Start - b.Start) })
 	f, err := newFleet(ctx, options)
 	defer f.close()
@@ -124,7 +125,7 @@
 	client := standin.NewClient(h.frontend.Address)
 	defer client.Close()
 	for {
-		response := prober.send(ctx, client, h.number, route)
+		response := prober.send(ctx, client, h.number, route, plainVariant(route))
 		if response.Err == nil && response.Status == http.StatusOK {
 			return nil
 		}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -38,6 +38,7 @@
 			report, err := Run(t.Context(), Options{
 				Seed: seed, Dir: dir, Programs: []Program{{Path: program, Env: []string{hostEnv + "=1", "GORACE=atexit_sleep_ms=0"}}},
 				Size: Size{Hosts: 3, Endpoints: 4, Callers: 8, Traffic: 8 * time.Second, Faults: 12},
+				Load: DefaultLoad,
 			})
 			assert.NilError(t, err)
 			if len(report.Violations) > 0 {
