Soak: a host that starts at the end of a run is stopped once it is ready

A rule that ended the run also ended the wait for hosts that were just being started again. The wait has a bound of its own.

--- a/soak/faults.go
+++ b/soak/faults.go
@@ -195,8 +195,9 @@
 		f.record.AddProcessFailure(fmt.Sprintf("host %d cannot be started: %v", h.number, err))
 		return
 	}
-	// Without the store it may take longer; awaitRecovery checks again.
-	_ = h.waitReady(ctx)
+	// Without the store it may take longer; awaitRecovery checks again. A process that is
+	// stopped as it starts, at the end of the run, would end by the signal.
+	_ = h.waitReady(context.WithoutCancel(ctx))
 }
 
 // sendSignal sends a signal to a host and records a failure.
