--- a/soak/host.go
+++ b/soak/host.go
@@ -27,6 +27,8 @@
 	// restartDelay is the time after which the platform restarts a process that
 	// exited unexpectedly.
 	restartDelay = 200 * time.Millisecond
+	// dumpTime is how long a process that did not stop may take to write its stacks.
+	dumpTime = time.Second
 )
 
 // Program is the command that starts a host.
@@ -159,7 +161,8 @@
 	return err
 }
 
-// stop asks the process to stop and kills it after stopGracePeriod.
+// stop asks the process to stop and kills it after stopGracePeriod. A process that still
+// runs then writes the stacks of its goroutines to its log.
 func (h *host) stop() StopResult {
 	p := h.expectExit()
 	result := StopResult{Host: h.number, RequestedAt: time.Now()}
@@ -173,8 +176,14 @@
 		}
 	case <-time.After(stopGracePeriod):
 		result.Failure = "still running after " + stopGracePeriod.String()
-		_ = p.command.Process.Kill() // the process may have exited meanwhile
-		<-p.done
+		// The process may have exited meanwhile.
+		_ = p.command.Process.Signal(syscall.SIGQUIT)
+		select {
+		case <-p.done:
+		case <-time.After(dumpTime):
+			_ = p.command.Process.Kill()
+			<-p.done
+		}
 	}
 	result.EndedAt = time.Now()
 	return result
