Soak: a host cut off from its endpoints delays no other connection

The hosts had logged caller_left at once and closed; the bytes waited in the soak's own proxies. To tell which connections belong to the host that is cut off, the proxy read the socket tables of the machine (36,000 lines, .29 s) once for each connection, under the lock that forwarding needs, for each endpoint in turn.

The table is read once for all connections of a moment, and without the lock.

--- a/soak/faults.go
+++ b/soak/faults.go
@@ -111,15 +111,15 @@
 // cutOffHost cuts a host off from all endpoints for a time.
 func (f *fleet) cutOffHost(h *host, duration time.Duration) {
 	defer f.record.BeginDisruption(Scope{ScopeHost, h.number}, false)()
-	isHost := func(port int) bool {
+	ports := &portTable{read: func() map[int]bool {
 		ports, err := localPorts(h.pid())
 		if err != nil {
 			f.record.AddProcessFailure(fmt.Sprintf("sockets of host %d: %v", h.number, err))
 		}
-		return ports[port]
-	}
+		return ports
+	}}
 	for _, e := range f.endpoints {
-		defer e.proxy.CutOff(isHost)()
+		defer e.proxy.CutOff(ports.has)()
 	}
 	time.Sleep(duration)
 }
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -32,7 +32,7 @@
 	isClosed bool
 	modes    map[*Mode]struct{}
 	// refused holds functions that report which clients are cut off, by their port.
-	refused    map[int]func(port int) bool
+	refused    map[int]portCheck
 	changed    chan struct{}
 	lastCutOff int
 	pairs      map[*connPair]struct{}
@@ -57,7 +57,7 @@
 	}
 	p := &Proxy{
 		Address: listener.Addr().String(), target: target, listener: listener,
-		modes: map[*Mode]struct{}{}, refused: map[int]func(int) bool{}, changed: make(chan struct{}), pairs: map[*connPair]struct{}{},
+		modes: map[*Mode]struct{}{}, refused: map[int]portCheck{}, changed: make(chan struct{}), pairs: map[*connPair]struct{}{},
 	}
 	go p.accept(listener)
 	return p, nil
@@ -119,16 +119,23 @@
 	}
 }
 
+// portCheck reports whether a port is that of a certain client, on a connection that
+// existed at a time.
+type portCheck func(port int, at time.Time) bool
+
 // CutOff resets the connections of the clients whose port the function accepts, and
 // refuses new ones from them, until the returned function is called.
-func (p *Proxy) CutOff(isCutOff func(port int) bool) (end func()) {
+func (p *Proxy) CutOff(isCutOff portCheck) (end func()) {
 	p.mu.Lock()
-	defer p.mu.Unlock()
 	p.lastCutOff++
 	id := p.lastCutOff
 	p.refused[id] = isCutOff
-	for pair := range p.pairs {
-		if isCutOff(clientPort(pair.client)) {
+	pairs := slices.Collect(maps.Keys(p.pairs))
+	p.mu.Unlock()
+	// The check takes long. Meanwhile other connections must go on.
+	now := time.Now()
+	for _, pair := range pairs {
+		if isCutOff(clientPort(pair.client), now) {
 			pair.reset()
 		}
 	}
@@ -142,9 +149,10 @@
 // isCutOff reports whether a client is cut off.
 func (p *Proxy) isCutOff(client net.Conn) bool {
 	p.mu.Lock()
-	functions := slices.Collect(maps.Values(p.refused))
+	checks := slices.Collect(maps.Values(p.refused))
 	p.mu.Unlock()
-	return slices.ContainsFunc(functions, func(isCutOff func(int) bool) bool { return isCutOff(clientPort(client)) })
+	now := time.Now()
+	return slices.ContainsFunc(checks, func(isCutOff portCheck) bool { return isCutOff(clientPort(client), now) })
 }
 
 func clientPort(client net.Conn) int { return client.RemoteAddr().(*net.TCPAddr).Port }
--- a/soak/sockets.go
+++ b/soak/sockets.go
@@ -7,6 +7,8 @@
 	"path/filepath"
 	"strconv"
 	"strings"
+	"sync"
+	"time"
 
 	"github.com/rotisserie/eris"
 )
@@ -44,3 +46,25 @@
 	}
 	return ports, nil
 }
+
+// portTable holds the ports of a process. Reading them takes long on a machine with many
+// connections.
+type portTable struct {
+	read func() map[int]bool
+
+	mu     sync.Mutex
+	ports  map[int]bool
+	readAt time.Time
+}
+
+// has reports whether a port of a connection that existed at a time is in the table,
+// which is read again only if it is older.
+func (t *portTable) has(port int, at time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.readAt.Before(at) {
+		t.readAt = time.Now()
+		t.ports = t.read()
+	}
+	return t.ports[port]
+}
