--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -1,8 +1,10 @@
 package soak
 
 import (
+	"fmt"
 	"io"
 	"maps"
+	"math/rand/v2"
 	"net"
 	"slices"
 	"sync"
@@ -49,9 +51,27 @@
 	}
 }
 
+const (
+	// The kernel gives outgoing connections no ports from firstPort to lastPort unless
+	// it is configured to.
+	firstPort, lastPort = 15000, 32000
+	maxListenTries      = 100
+)
+
+// listenOnFixedPort listens on a port that no outgoing connection takes while the
+// listener is closed.
+func listenOnFixedPort() (net.Listener, error) {
+	for try := 1; ; try++ {
+		listener, err := net.Listen("tcp4", fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(lastPort-firstPort)))
+		if err == nil || try == maxListenTries {
+			return listener, err
+		}
+	}
+}
+
 // NewProxy starts a proxy on a free port.
 func NewProxy(target string) (*Proxy, error) {
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	listener, err := listenOnFixedPort()
 	if err != nil {
 		return nil, err
 	}
--- a/soak/proxy_test.go
+++ b/soak/proxy_test.go
@@ -112,3 +112,15 @@
 	assert.Assert(t, isEchoed(t, conn, echoTimeout))
 	assert.Assert(t, time.Since(start) >= 2*shortWait)
 }
+
+// A target that has ended can listen again, although its port was free meanwhile: no
+// outgoing connection gets a port of a proxy.
+func TestProxyPortIsNotTakenByConnections(t *testing.T) {
+	proxy := newEchoProxy(t)
+	port := proxy.listener.Addr().(*net.TCPAddr).Port
+	assert.Assert(t, port >= firstPort && port < lastPort, "port %d", port)
+	restart := proxy.End()
+	assert.NilError(t, restart())
+	_, err := dial(t, proxy).Write([]byte("a"))
+	assert.NilError(t, err)
+}
