Soak: connections of a host that is cut off are found by both addresses

The proxies took a connection for one of the host that is cut off if that host had any socket with the same local port.

The kernel is asked for the one socket with both addresses (sock_diag), and its inode looked up among the host's descriptors.

--- a/soak/cutoff_test.go
+++ b/soak/cutoff_test.go
@@ -1,6 +1,8 @@
 package soak
 
 import (
+	"net"
+	"os"
 	"testing"
 	"time"
 
@@ -19,7 +21,7 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		proxy.CutOff(func(int, time.Time) bool {
+		proxy.CutOff(func(net.Conn) bool {
 			close(checking)
 			<-checked
 			return false
@@ -33,18 +35,30 @@
 	<-done
 }
 
-// The ports of a process are read again only for connections that are younger than the
-// last reading.
-func TestPortTableIsReadOncePerMoment(t *testing.T) {
-	reads := 0
-	table := portTable{read: func() map[int]bool {
-		reads++
-		return map[int]bool{reads: true}
-	}}
-	before := time.Now()
-	assert.Assert(t, table.has(1, before))
-	assert.Assert(t, !table.has(2, before))
-	assert.Equal(t, reads, 1)
-	assert.Assert(t, table.has(2, time.Now()))
-	assert.Equal(t, reads, 2)
+// A process is known by both addresses of its connection. Another connection with the same
+// port, towards another address, was taken for it.
+func TestSocketsOfAProcess(t *testing.T) {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer listener.Close()
+	client, err := net.Dial("tcp4", listener.Addr().String())
+	assert.NilError(t, err)
+	defer client.Close()
+	accepted, err := listener.Accept()
+	assert.NilError(t, err)
+	defer accepted.Close()
+
+	found, err := hasClientSocket(os.Getpid(), accepted)
+	assert.NilError(t, err)
+	assert.Assert(t, found)
+	found, err = hasClientSocket(os.Getppid(), accepted)
+	assert.NilError(t, err)
+	assert.Assert(t, !found)
+	local, remote := client.LocalAddr().(*net.TCPAddr), client.RemoteAddr().(*net.TCPAddr)
+	inode, err := socketInode(local, remote)
+	assert.NilError(t, err)
+	assert.Assert(t, inode != 0)
+	inode, err = socketInode(local, &net.TCPAddr{IP: remote.IP, Port: remote.Port + 1})
+	assert.NilError(t, err)
+	assert.Assert(t, inode == 0)
 }
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"syscall"
 	"time"
@@ -111,15 +112,15 @@
 // cutOffHost cuts a host off from all endpoints for a time.
 func (f *fleet) cutOffHost(h *host, duration time.Duration) {
 	defer f.record.BeginDisruption(Scope{ScopeHost, h.number}, false)()
-	ports := &portTable{read: func() map[int]bool {
-		ports, err := localPorts(h.pid())
+	isHost := func(accepted net.Conn) bool {
+		found, err := hasClientSocket(h.pid(), accepted)
 		if err != nil {
 			f.record.AddProcessFailure(fmt.Sprintf("sockets of host %d: %v", h.number, err))
 		}
-		return ports
-	}}
+		return found
+	}
 	for _, e := range f.endpoints {
-		defer e.proxy.CutOff(ports.has)()
+		defer e.proxy.CutOff(isHost)()
 	}
 	time.Sleep(duration)
 }
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -33,8 +33,8 @@
 	listener net.Listener
 	isClosed bool
 	modes    map[*Mode]struct{}
-	// refused holds functions that report which clients are cut off, by their port.
-	refused    map[int]portCheck
+	// refused holds functions that report which clients are cut off.
+	refused    map[int]clientCheck
 	changed    chan struct{}
 	lastCutOff int
 	pairs      map[*connPair]struct{}
@@ -77,7 +77,7 @@
 	}
 	p := &Proxy{
 		Address: listener.Addr().String(), target: target, listener: listener,
-		modes: map[*Mode]struct{}{}, refused: map[int]portCheck{}, changed: make(chan struct{}), pairs: map[*connPair]struct{}{},
+		modes: map[*Mode]struct{}{}, refused: map[int]clientCheck{}, changed: make(chan struct{}), pairs: map[*connPair]struct{}{},
 	}
 	go p.accept(listener)
 	return p, nil
@@ -139,13 +139,12 @@
 	}
 }
 
-// portCheck reports whether a port is that of a certain client, on a connection that
-// existed at a time.
-type portCheck func(port int, at time.Time) bool
+// clientCheck reports whether an accepted connection is that of a certain client.
+type clientCheck func(accepted net.Conn) bool
 
-// CutOff resets the connections of the clients whose port the function accepts, and
+// CutOff resets the connections of the clients that the function accepts, and
 // refuses new ones from them, until the returned function is called.
-func (p *Proxy) CutOff(isCutOff portCheck) (end func()) {
+func (p *Proxy) CutOff(isCutOff clientCheck) (end func()) {
 	p.mu.Lock()
 	p.lastCutOff++
 	id := p.lastCutOff
@@ -153,9 +152,8 @@
 	pairs := slices.Collect(maps.Keys(p.pairs))
 	p.mu.Unlock()
 	// The check takes long. Meanwhile other connections must go on.
-	now := time.Now()
 	for _, pair := range pairs {
-		if isCutOff(clientPort(pair.client), now) {
+		if isCutOff(pair.client) {
 			pair.reset()
 		}
 	}
@@ -171,12 +169,9 @@
 	p.mu.Lock()
 	checks := slices.Collect(maps.Values(p.refused))
 	p.mu.Unlock()
-	now := time.Now()
-	return slices.ContainsFunc(checks, func(isCutOff portCheck) bool { return isCutOff(clientPort(client), now) })
+	return slices.ContainsFunc(checks, func(isCutOff clientCheck) bool { return isCutOff(client) })
 }
 
-func clientPort(client net.Conn) int { return client.RemoteAddr().(*net.TCPAddr).Port }
-
 // Close stops the listener, ends all modes and resets all connections.
 func (p *Proxy) Close() {
 	p.updateModes(func() {
--- a/soak/sockets.go
+++ b/soak/sockets.go
@@ -1,70 +1,93 @@
 package soak
 
 import (
-	"bufio"
+	"encoding/binary"
+	"errors"
 	"fmt"
+	"net"
 	"os"
 	"path/filepath"
-	"strconv"
-	"strings"
-	"sync"
-	"time"
+	"syscall"
 
 	"github.com/rotisserie/eris"
 )
 
-// localPorts returns the local ports of a process's IPv4 TCP sockets.
-func localPorts(pid int) (map[int]bool, error) {
+// hasClientSocket reports whether a process has the other socket of an accepted loopback
+// connection. A port alone does not tell: processes may use the same port towards
+// different addresses.
+func hasClientSocket(pid int, accepted net.Conn) (bool, error) {
+	inode, err := socketInode(accepted.RemoteAddr().(*net.TCPAddr), accepted.LocalAddr().(*net.TCPAddr))
+	if err != nil || inode == 0 {
+		return false, err
+	}
 	descriptors, err := filepath.Glob(fmt.Sprintf("/proc/%d/fd/*", pid))
 	if err != nil {
-		return nil, eris.Wrap(err, "descriptors")
+		return false, eris.Wrap(err, "descriptors")
 	}
-	inodes := map[string]bool{}
+	name := fmt.Sprintf("socket:[%d]", inode)
 	for _, descriptor := range descriptors {
 		// A descriptor that was closed meanwhile has no target.
-		target, _ := os.Readlink(descriptor)
-		if inode, found := strings.CutPrefix(target, "socket:["); found {
-			inodes[strings.TrimSuffix(inode, "]")] = true
+		if target, _ := os.Readlink(descriptor); target == name {
+			return true, nil
 		}
 	}
-	table, err := os.Open("/proc/net/tcp")
-	if err != nil {
-		return nil, eris.Wrap(err, "sockets")
-	}
-	defer table.Close()
-	const localAddress, inode = 1, 9 // columns
-	ports := map[int]bool{}
-	for lines := bufio.NewScanner(table); lines.Scan(); {
-		fields := strings.Fields(lines.Text())
-		if len(fields) <= inode || !inodes[fields[inode]] {
-			continue
-		}
-		_, hex, _ := strings.Cut(fields[localAddress], ":")
-		if port, err := strconv.ParseUint(hex, 16, 16); err == nil {
-			ports[int(port)] = true
-		}
-	}
-	return ports, nil
+	return false, nil
 }
 
-// portTable holds the ports of a process. Reading them takes long on a machine with many
-// connections.
-type portTable struct {
-	read func() map[int]bool
+// Parts of the kernel's interface sock_diag(7).
+const (
+	sockDiagByFamily = 20
+	netlinkSockDiag  = 4
+	// diagLength is the length of a request: a netlink header and an inet_diag_req_v2.
+	diagLength = syscall.NLMSG_HDRLEN + 56
+	// diagInodeAt is the position of the inode in a message with an inet_diag_msg.
+	diagInodeAt = syscall.NLMSG_HDRLEN + 68
+	// diagNoCookie selects a socket by its addresses only.
+	diagNoCookie = ^uint64(0)
+)
 
-	mu     sync.Mutex
-	ports  map[int]bool
-	readAt time.Time
-}
+// socketInode returns the inode of the IPv4 TCP socket with the given addresses, or 0 if
+// there is none. The kernel's text table would be slow on a machine with many sockets.
+func socketInode(local, remote *net.TCPAddr) (uint32, error) {
+	request := binary.NativeEndian.AppendUint32(nil, diagLength)
+	request = binary.NativeEndian.AppendUint16(request, sockDiagByFamily)
+	request = binary.NativeEndian.AppendUint16(request, syscall.NLM_F_REQUEST)
+	request = append(request, make([]byte, 8)...) // sequence number and port
+	request = append(request, syscall.AF_INET, syscall.IPPROTO_TCP, 0, 0)
+	request = binary.NativeEndian.AppendUint32(request, ^uint32(0)) // all states
+	request = binary.BigEndian.AppendUint16(request, uint16(local.Port))
+	request = binary.BigEndian.AppendUint16(request, uint16(remote.Port))
+	for _, address := range []*net.TCPAddr{local, remote} {
+		request = append(append(request, address.IP.To4()...), make([]byte, 12)...)
+	}
+	request = binary.NativeEndian.AppendUint32(request, 0) // interface
+	request = binary.NativeEndian.AppendUint64(request, diagNoCookie)
 
-// has reports whether a port of a connection that existed at a time is in the table,
-// which is read again only if it is older.
-func (t *portTable) has(port int, at time.Time) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if t.readAt.Before(at) {
-		t.readAt = time.Now()
-		t.ports = t.read()
+	fd, err := syscall.Socket(syscall.AF_NETLINK, syscall.SOCK_RAW|syscall.SOCK_CLOEXEC, netlinkSockDiag)
+	if err != nil {
+		return 0, eris.Wrap(err, "socket for diagnoses")
+	}
+	defer syscall.Close(fd)
+	if err := syscall.Sendto(fd, request, 0, &syscall.SockaddrNetlink{Family: syscall.AF_NETLINK}); err != nil {
+		return 0, eris.Wrap(err, "ask for a socket")
+	}
+	buffer := make([]byte, syscall.Getpagesize())
+	n, _, err := syscall.Recvfrom(fd, buffer, 0)
+	if err != nil {
+		return 0, eris.Wrap(err, "read a socket")
+	}
+	if n < syscall.NLMSG_HDRLEN+4 {
+		return 0, eris.Errorf("%d bytes about a socket", n)
+	}
+	if binary.NativeEndian.Uint16(buffer[4:]) == syscall.NLMSG_ERROR {
+		code := syscall.Errno(-int32(binary.NativeEndian.Uint32(buffer[syscall.NLMSG_HDRLEN:])))
+		if errors.Is(code, syscall.ENOENT) {
+			return 0, nil
+		}
+		return 0, eris.Wrap(code, "find a socket")
+	}
+	if n < diagInodeAt+4 {
+		return 0, eris.Errorf("%d bytes about a socket", n)
 	}
-	return t.ports[port]
+	return binary.NativeEndian.Uint32(buffer[diagInodeAt:]), nil
 }
