--- a/soak/lost_rules.go
+++ b/soak/lost_rules.go
@@ -42,7 +42,7 @@
 }
 
 func lost(rule string, request Request) Violation {
-	return Violation{rule, fmt.Sprintf("%s %s at host %d, status %d: %v", request.Target, request.ID, request.Host, request.Response.Status, request.Response.Err), request.Ended}
+	return Violation{rule, fmt.Sprintf("%s %s at host %d, status %d, %v after it was sent: %v", request.Target, request.ID, request.Host, request.Response.Status, request.Ended.Sub(request.Sent), request.Response.Err), request.Ended}
 }
 
 // outlastsStop reports whether a request could not end in the grace period of a stop of
--- a/soak/run.go
+++ b/soak/run.go
@@ -105,16 +105,25 @@
 // awaitRecovery waits until all hosts serve all routes again, and returns a
 // violation for each route of a host that is not served in time.
 func (f *fleet) awaitRecovery(ctx context.Context) []Violation {
-	start := time.Now()
+	deadline := time.Now().Add(maxRecoveryTime)
+	violations := make([][]Violation, len(f.hosts))
+	var hosts sync.WaitGroup
+	for n, h := range f.hosts {
+		hosts.Go(func() { violations[n] = f.awaitRoutes(ctx, h, deadline) })
+	}
+	hosts.Wait()
+	return slices.Concat(violations...)
+}
+
+// awaitRoutes waits until a host serves all routes.
+func (f *fleet) awaitRoutes(ctx context.Context, h *host, deadline time.Time) []Violation {
 	var violations []Violation
-	for _, h := range f.hosts {
-		// The prober's number makes its request IDs differ from those of the callers.
-		prober := &caller{number: firstProber + h.number, record: f.record}
-		for _, r := range routeMix {
-			err := f.awaitRoute(ctx, h, prober, r.route, start.Add(maxRecoveryTime))
-			if err != nil && ctx.Err() == nil {
-				violations = append(violations, Violation{"recover", fmt.Sprintf("host %d, %s: %v", h.number, r.route, err), time.Now()})
-			}
+	// The prober's number makes its request IDs differ from those of the callers.
+	prober := &caller{number: firstProber + h.number, record: f.record}
+	for _, r := range routeMix {
+		err := f.awaitRoute(ctx, h, prober, r.route, deadline)
+		if err != nil && ctx.Err() == nil {
+			violations = append(violations, Violation{"recover", fmt.Sprintf("host %d, %s: %v", h.number, r.route, err), time.Now()})
 		}
 	}
 	return violations
@@ -130,7 +139,7 @@
 			return nil
 		}
 		if ctx.Err() != nil || time.Now().After(deadline) {
-			return fmt.Errorf("status %d after %v: %w", response.Status, maxRecoveryTime, response.Err)
+			return fmt.Errorf("status %d after %v: %v", response.Status, maxRecoveryTime, response.Err)
 		}
 		client.Close()
 		time.Sleep(readyPollInterval)
