Soak: a fault of the carrier excuses a lost response

Endpoints do not see which host a connection comes from, so the carrier is taken from the host's log. An orderly stop of the carrier excuses nothing.

--- a/soak/lost_rules.go
+++ b/soak/lost_rules.go
@@ -21,7 +21,7 @@
 func checkLost(history History) []Violation {
 	var violations []Violation
 	for _, request := range history.Requests {
-		if history.isInterrupted(request) && history.isUndisrupted(Scope{ScopeHost, request.Host}, request.Sent, request.Ended, disruptions) {
+		if history.isInterrupted(request) && history.isUndisrupted(Scope{ScopeHost, request.Host}, request.Sent, request.Ended, disruptions) && history.isCarrierSound(request) {
 			violations = append(violations, lost(ruleLost, request))
 		}
 	}
@@ -34,7 +34,7 @@
 	for _, request := range history.Requests {
 		host := Scope{ScopeHost, request.Host}
 		if history.isInterrupted(request) && history.isUndisrupted(host, request.Sent, request.Ended, unplanned) &&
-			!history.isUndisrupted(host, request.Sent, request.Ended, disruptions) && !history.outlastsStop(request) {
+			!history.isUndisrupted(host, request.Sent, request.Ended, disruptions) && !history.outlastsStop(request) && history.isCarrierSound(request) {
 			violations = append(violations, lost(ruleLostAtStop, request))
 		}
 	}
@@ -45,6 +45,13 @@
 	return Violation{rule, fmt.Sprintf("%s %s at host %d, status %d, %v after it was sent: %v", request.Target, request.ID, request.Host, request.Response.Status, request.Ended.Sub(request.Sent), request.Response.Err), request.Ended}
 }
 
+// isCarrierSound reports whether no unplanned disruption affected the host that carried a
+// request for another one.
+func (h History) isCarrierSound(request Request) bool {
+	carrier, isCarried := h.Carriers[request.ID]
+	return !isCarried || h.isUndisrupted(Scope{ScopeHost, carrier}, request.Sent, request.Ended, unplanned)
+}
+
 // outlastsStop reports whether a request could not end in the grace period of a stop of
 // its host.
 func (h History) outlastsStop(request Request) bool {
--- a/soak/record.go
+++ b/soak/record.go
@@ -223,6 +223,8 @@
 	Limits          []Limit
 	Stops           []StopResult
 	ProcessFailures []string
+	// Carriers are the hosts that carried interrupted requests for others, by request.
+	Carriers map[string]int
 }
 
 // History returns a copy of the observations, with the requests ordered by the time
--- a/soak/rules_test.go
+++ b/soak/rules_test.go
@@ -140,6 +140,17 @@
 		{"interrupted without a fault", interruptedHistory, "lost"},
 		{"interrupted by a fault of the host", with(interruptedHistory, func(s *History) { s.Disruptions = disrupted(ScopeHost, false, 40, 45) }), ""},
 		{"interrupted by a fault of the endpoint", with(interruptedHistory, func(s *History) { s.Disruptions = disrupted(ScopeEndpoint, false, 20, 45) }), ""},
+		{"interrupted by a fault of the carrier", with(once, func(s *History) {
+			s.Carriers = map[string]int{"a": 1}
+			s.Disruptions = []Disruption{{Scope: Scope{ScopeHost, 1}, Interval: Interval{afterMs(40), afterMs(45)}}}
+		}), ""},
+		{"interrupted by an orderly stop of the carrier", with(once, func(s *History) {
+			s.Carriers = map[string]int{"a": 1}
+			s.Disruptions = []Disruption{{Scope: Scope{ScopeHost, 1}, Interval: Interval{afterMs(40), afterMs(45)}, Planned: true}}
+		}), "lost"},
+		{"interrupted while a host that is not the carrier had a fault", with(once, func(s *History) {
+			s.Disruptions = []Disruption{{Scope: Scope{ScopeHost, 1}, Interval: Interval{afterMs(40), afterMs(45)}}}
+		}), "lost"},
 		{"interrupted by an orderly stop", with(interruptedHistory, func(s *History) { s.Disruptions = disrupted(ScopeHost, true, 40, 45) }), "lost at stop"},
 		{"one request interrupted", once, "lost"},
 		{"interrupted while the host did not run", with(once, func(s *History) { s.Disruptions = paused }), "lost"},
--- a/soak/run.go
+++ b/soak/run.go
@@ -63,7 +63,7 @@
 	callers.Wait()
 	monitors.Wait()
 	f.stopAll()
-	history := f.record.History()
+	history := f.history()
 	report.Violations = append(Check(history), recovery...)
 	report.countRequests(history)
 	return report, nil
@@ -95,7 +95,7 @@
 			return
 		case <-ticker.C:
 		}
-		if len(Check(f.record.History())) > 0 {
+		if len(Check(f.history())) > 0 {
 			stopTraffic()
 			return
 		}
