--- a/soak/rules.go
+++ b/soak/rules.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
@@ -324,6 +325,14 @@
 	return count
 }
 
+// isHaltedAtEnd reports whether a host did not run at some time in the last sixth of its
+// grace period, so that it could not end.
+func (h History) isHaltedAtEnd(stop StopResult) bool {
+	return slices.ContainsFunc(h.Disruptions, func(d Disruption) bool {
+		return d.Pause && d.Scope == Scope{ScopeHost, stop.Host} && d.overlaps(stop.RequestedAt.Add(stopLastPhase), stop.EndedAt)
+	})
+}
+
 // checkProcesses finds processes that exited unexpectedly, and orderly stops that
 // failed although the host had no unplanned disruption.
 func checkProcesses(history History) []Violation {
@@ -332,7 +341,7 @@
 		violations = append(violations, Violation{"end", failure, history.Now})
 	}
 	for _, stop := range history.Stops {
-		if stop.Failure != "" && history.isUndisrupted(Scope{ScopeHost, stop.Host}, stop.RequestedAt, stop.EndedAt, unplanned) {
+		if stop.Failure != "" && history.isUndisrupted(Scope{ScopeHost, stop.Host}, stop.RequestedAt, stop.EndedAt, unplanned) && !history.isHaltedAtEnd(stop) {
 			violations = append(violations, Violation{"stop", fmt.Sprintf("host %d: %s", stop.Host, stop.Failure), stop.EndedAt})
 		}
 	}
--- a/soak/rules_test.go
+++ b/soak/rules_test.go
@@ -169,6 +169,8 @@
 		{"more than a limit allows", limited(24), "limit"},
 		{"as many as a limit allows", limited(23), ""},
 		{"process exited", History{ProcessFailures: []string{"host 1"}}, "end"},
+		{"stop of a host that was halted as it began takes too long", haltedStop(-500, 1000), "stop"},
+		{"stop of a host that was halted as it should end takes too long", haltedStop(6500, 8100), ""},
 		{"stop takes too long", History{Stops: []StopResult{{Failure: "still runs"}}}, "stop"},
 	}
 	for _, test := range cases {
@@ -186,6 +188,14 @@
 	}
 }
 
+// haltedStop returns a history of a stop that took too long and a halt of the host.
+func haltedStop(fromMs, toMs int) History {
+	return History{
+		Stops:       []StopResult{{RequestedAt: sentAt, EndedAt: afterMs(8000), Failure: "still runs"}},
+		Disruptions: []Disruption{{Scope: Scope{Kind: ScopeHost}, Interval: Interval{afterMs(fromMs), afterMs(toMs)}, Pause: true}},
+	}
+}
+
 // refusedAttempt returns the attempt as one that the endpoint refused.
 func refusedAttempt(attempt Attempt) Attempt {
 	attempt.Refused = true
