--- a/soak/endpoint.go
+++ b/soak/endpoint.go
@@ -62,6 +62,9 @@
 // silencePollInterval is the time between two checks whether a silence is over.
 const silencePollInterval = 5 * time.Millisecond
 
+// chunkEnd ends a chunk.
+const chunkEnd = "\r\n"
+
 // id is the endpoint's name in the store.
 func (e *endpoint) id() string { return fmt.Sprintf("worker-%d", e.number) }
 
@@ -128,14 +131,20 @@
 func (e *endpoint) stream(run *standin.Run) bool {
 	run.WriteHead(http.StatusOK, -1)
 	s := streamOf(run.Target)
-	padding := strings.Repeat(paddingByte, s.padding)
+	padding, end := strings.Repeat(paddingByte, s.padding), ""
 	for n := run.LastEventID() + 1; n <= s.events; n++ {
 		if !e.work(run, s.interval) {
 			return false
 		}
-		run.WriteChunk(formatEvent(run.ID(), n, padding))
+		event := formatEvent(run.ID(), n, padding)
+		if s.endsLate {
+			run.Write("%s%x\r\n%s", end, len(event), event)
+			end = chunkEnd
+		} else {
+			run.WriteChunk(event)
+		}
 	}
-	run.Write("0\r\n\r\n")
+	run.Write("%s0\r\n\r\n", end)
 	return true
 }
 
--- a/soak/load.go
+++ b/soak/load.go
@@ -53,6 +53,8 @@
 	interval time.Duration
 	// padding is the number of bytes that each event has besides.
 	padding int
+	// endsLate is set if the end of each chunk is sent with the next event only.
+	endsLate bool
 }
 
 // variant is what distinguishes a request from others on its route.
@@ -94,7 +96,7 @@
 	case draw < l.LongRatio:
 		v.deadline = longDeadline
 		duration := minLongStream + time.Duration(rng.Int64N(int64(maxLongStream-minLongStream)))
-		return stream{events: int(duration / longInterval), interval: longInterval}
+		return stream{events: int(duration / longInterval), interval: longInterval, endsLate: rng.IntN(2) == 0}
 	case draw < l.LongRatio+l.SlowRatio:
 		v.deadline, v.isSlow = longDeadline, true
 		v.reading.Interval = slowReadInterval
@@ -116,6 +118,7 @@
 	query.Set("events", strconv.Itoa(s.events))
 	query.Set("interval", s.interval.String())
 	query.Set("padding", strconv.Itoa(s.padding))
+	query.Set("endsLate", strconv.FormatBool(s.endsLate))
 }
 
 var defaultStream = stream{events: DefaultLoad.Events, interval: DefaultLoad.Interval}
@@ -132,6 +135,7 @@
 	s.events, _ = strconv.Atoi(values.Get("events"))
 	s.interval, _ = time.ParseDuration(values.Get("interval"))
 	s.padding, _ = strconv.Atoi(values.Get("padding"))
+	s.endsLate, _ = strconv.ParseBool(values.Get("endsLate"))
 	return s
 }
 
--- a/soak/load_test.go
+++ b/soak/load_test.go
@@ -45,13 +45,14 @@
 		case s.interval == longInterval:
 			assert.Assert(t, duration > minLongStream-longInterval && duration <= maxLongStream)
 			count("long", true)
+			count("chunks end late", s.endsLate)
 		default:
 			assert.Equal(t, s, stream{events: 5, interval: time.Millisecond})
 			count("short", true)
 		}
 		assert.Assert(t, duration < v.deadline)
 	}
-	for _, kind := range []string{"query", "chunked", "slow", "stops reading", "long", "short"} {
+	for _, kind := range []string{"query", "chunked", "slow", "stops reading", "long", "chunks end late", "short"} {
 		assert.Assert(t, counts[kind] > 50, "%s: %v", kind, counts)
 	}
 	assert.Equal(t, streamOf(standin.Path(routeStream)), defaultStream)
