--- a/soak/load.go
+++ b/soak/load.go
@@ -29,6 +29,8 @@
 	minLongStream = 2 * time.Second
 	maxLongStream = 5 * time.Second
 	longInterval  = 25 * time.Millisecond
+	// Half of them have many events, which wait in numbers after a pause of the host.
+	denseInterval = 4 * time.Millisecond
 	// The streams of slow callers exceed the buffers on their path.
 	slowEvents    = 400
 	slowInterval  = 4 * time.Millisecond
@@ -96,7 +98,11 @@
 	case draw < l.LongRatio:
 		v.deadline = longDeadline
 		duration := minLongStream + time.Duration(rng.Int64N(int64(maxLongStream-minLongStream)))
-		return stream{events: int(duration / longInterval), interval: longInterval, endsLate: rng.IntN(2) == 0}
+		interval := longInterval
+		if rng.IntN(2) == 0 {
+			interval = denseInterval
+		}
+		return stream{events: int(duration / interval), interval: interval, endsLate: rng.IntN(2) == 0}
 	case draw < l.LongRatio+l.SlowRatio:
 		v.deadline, v.isSlow = longDeadline, true
 		v.reading.Interval = slowReadInterval
--- a/soak/load_test.go
+++ b/soak/load_test.go
@@ -42,9 +42,10 @@
 			assert.Equal(t, s.padding, slowEventSize)
 			count("slow", v.reading.Interval > 0)
 			count("stops reading", v.reading.Pause >= minReadPause && v.reading.Pause <= maxReadPause)
-		case s.interval == longInterval:
+		case s.interval == longInterval, s.interval == denseInterval:
 			assert.Assert(t, duration > minLongStream-longInterval && duration <= maxLongStream)
 			count("long", true)
+			count("dense", s.interval == denseInterval)
 			count("chunks end late", s.endsLate)
 		default:
 			assert.Equal(t, s, stream{events: 5, interval: time.Millisecond})
@@ -52,7 +53,7 @@
 		}
 		assert.Assert(t, duration < v.deadline)
 	}
-	for _, kind := range []string{"query", "chunked", "slow", "stops reading", "long", "chunks end late", "short"} {
+	for _, kind := range []string{"query", "chunked", "slow", "stops reading", "long", "dense", "chunks end late", "short"} {
 		assert.Assert(t, counts[kind] > 50, "%s: %v", kind, counts)
 	}
 	assert.Equal(t, streamOf(standin.Path(routeStream)), defaultStream)
--- a/soak/rules.go
+++ b/soak/rules.go
@@ -137,9 +137,9 @@
 		case response.Status == http.StatusOK && (response.ID != request.ID || !response.Sealed):
 			add(request, "answer", fmt.Sprintf("response to request %q, sealed %v", response.ID, response.Sealed))
 		case response.Status == http.StatusOK && !strings.HasPrefix(expected, response.Body):
-			add(request, "answer", fmt.Sprintf("%q is not a prefix of %q", response.Body, expected))
+			add(request, "answer", "unexpected body "+difference(response.Body, expected))
 		case response.Status == http.StatusOK && response.Err == nil && response.Body != expected:
-			add(request, "answer", fmt.Sprintf("%q looks complete", response.Body))
+			add(request, "answer", fmt.Sprintf("%d bytes of %d look complete", len(response.Body), len(expected)))
 		case response.Status != http.StatusOK && response.Sealed:
 			add(request, "answer", fmt.Sprintf("sealed status %d, but no endpoint sent it", response.Status))
 		}
@@ -150,6 +150,17 @@
 	return violations
 }
 
+// difference describes where a body differs from the expected one.
+func difference(body, expected string) string {
+	at := 0
+	for at < min(len(body), len(expected)) && body[at] == expected[at] {
+		at++
+	}
+	const before, after = 40, 60
+	excerpt := func(text string) string { return text[min(max(at-before, 0), len(text)):min(at+after, len(text))] }
+	return fmt.Sprintf("from byte %d: %q instead of %q", at, excerpt(body), excerpt(expected))
+}
+
 // checkExecutions finds attempts of unknown or altered requests, and requests that
 // are not idempotent and were executed more than once.
 func checkExecutions(history History) []Violation {
--- a/soak/rules_test.go
+++ b/soak/rules_test.go
@@ -280,3 +280,11 @@
 	history.Limits = []Limit{{Endpoint: 0, PerSecond: 3, Interval: Interval{From: afterMs(-10_000)}}}
 	return history
 }
+
+// A long body is reported with the place where it differs only.
+func TestDifferenceOfBodies(t *testing.T) {
+	expected := expectedBody(standin.Path(routeStream), "a")
+	doubled := formatEvent("a", 1, "") + expected
+	assert.Equal(t, difference(doubled, expected), `from byte 21: "id: 1\ndata: a 1\n\nid: 1\ndata: a 1\n\nid: 2\ndata: a 2\n\nid: 3\ndata: a 3\n\nid: 4\ndata: a" instead of "id: 1\ndata: a 1\n\nid: 2\ndata: a 2\n\nid: 3\ndata: a 3\n\nid: 4\ndata: a 4\n\nid: 5\ndata: a"`)
+	assert.Equal(t, difference("x", ""), `from byte 0: "x" instead of ""`)
+}
