A rejection that arrived while the host stood still is read before the silent endpoint ends

Callers lost streams that had begun. While a silent endpoint and another one had the request, the host stood still; the other one rejected it meanwhile. Afterwards the end of the overlap was judged before the rejection was read: the silent endpoint, which would have gone on, was given up, and no endpoint was left.

An overlap whose end is noticed late waits 50 ms more, once.

--- a/internal/request/relay/failover.go
+++ b/internal/request/relay/failover.go
@@ -26,6 +26,9 @@
 	// there before the silent endpoint is given up. An endpoint that rejects a request
 	// does so at once. Two endpoints must not run one stream for 400 ms.
 	maxOverlap = 300 * time.Millisecond
+	// lateResponseTime is how much longer it waits if this process did not run meanwhile:
+	// the response may have arrived.
+	lateResponseTime = 50 * time.Millisecond
 )
 
 // failover looks for another endpoint while the one that runs the request is silent. That
@@ -228,6 +231,7 @@
 	// Bytes that complete no event are no sign that the endpoint goes on.
 	isTrickling := f.conn.ReceivedBytes() != f.progressBytes
 	var overlap <-chan time.Time
+	var overlapEndsAt time.Time
 	for {
 		select {
 		case result := <-results:
@@ -239,12 +243,16 @@
 		case <-sent:
 			sent = nil
 			if f.request.route.Kind == routing.KindStream {
-				overlap = time.After(maxOverlap)
+				overlap, overlapEndsAt = time.After(maxOverlap), time.Now().Add(maxOverlap)
 			}
 		case <-overlap:
 			if f.conn.Arrived() == upstream.ArrivedData && !isTrickling {
 				return openResult{}, silentEndpointGoesOn
 			}
+			if !overlapEndsAt.IsZero() && time.Since(overlapEndsAt) > lateResponseTime {
+				overlap, overlapEndsAt = time.After(lateResponseTime), time.Time{}
+				continue
+			}
 			return openResult{}, silentEndpointEnds
 		case <-ticker.C:
 			switch f.conn.Arrived() {
