A stream of a slow caller does not go on long after its deadline

Each event began a new wait and with it a new time for reading what arrived after the deadline. A caller that read slowly kept its stream and the endpoint's slot to the end: TestStreamOfSlowCallerIsCutAtItsDeadline saw the stream under way 2 s after a deadline of 0.6 s. The time is now counted once for a deadline.

--- a/internal/connection/upstream/stall.go
+++ b/internal/connection/upstream/stall.go
@@ -102,10 +102,10 @@
 
 // Await begins the wait for more of the body, which ends at the deadline. The endpoint
 // counts as silent after maxSilence, or never if it is 0. Bytes that arrive do not extend
-// the wait.
+// the wait, nor does a new wait the time for reading after the deadline.
 func (r *Response) Await(maxSilence time.Duration, deadline time.Time) error {
 	c := r.conn
-	c.wait = responseWait{deadline: deadline, maxSilence: maxSilence}
+	c.wait = responseWait{deadline: deadline, maxSilence: maxSilence, overdueUntil: c.wait.overdueUntil}
 	c.wait.start(time.Now())
 	return c.net.SetReadDeadline(c.wait.nextTimeout())
 }
