A carried stream whose caller leaves is not logged as its carrier's failure

The connection to the carrier is aborted when the caller leaves or the host stops; the read that failed by it was logged as "request cut", carrier_failed (TestCallerOfCarriedStreamLeaves).

--- a/internal/request/relay/carry.go
+++ b/internal/request/relay/carry.go
@@ -199,7 +199,9 @@
 		case errors.Is(err, io.EOF):
 			return
 		case err != nil:
-			s.abort("carrier_failed")
+			if !s.hasCallerLeft() {
+				s.abort("carrier_failed")
+			}
 			return
 		}
 	}
