A connection that times out while the host stands still is tried once more

The timeout of a connection setup was noticed late and taken for an unreachable endpoint (TestDialOfHostThatStandsStill).

--- a/internal/connection/upstream/dial.go
+++ b/internal/connection/upstream/dial.go
@@ -43,7 +43,13 @@
 // DialFunc opens a connection to an address.
 type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
 
-// Dial opens a TCP connection that detects the loss of its peer within some seconds.
+// Dial opens a TCP connection that detects the loss of its peer within some seconds. A
+// timeout that is noticed late says nothing about the peer: it is tried once more.
 func Dial(ctx context.Context, network, address string) (net.Conn, error) {
-	return dialer.DialContext(ctx, network, address)
+	startedAt := time.Now()
+	conn, err := dialer.DialContext(ctx, network, address)
+	if err != nil && ctx.Err() == nil && time.Since(startedAt) > dialTimeout+maxTimerDelay {
+		return dialer.DialContext(ctx, network, address)
+	}
+	return conn, err
 }
