A stop logs the requests of callers that do not read

Callers saw nothing new: their streams end with the process. The log said nothing of some of them.

Cause: a request that is blocked in a write to its caller is not ended by relay.End. It ends when the servers close, and by then the log is ending too.

Why it works: connections whose requests have not ended in time are closed, and the stop waits for these up to 0.1 s more, within the margin for the exit.

--- a/internal/process/gateway/run.go
+++ b/internal/process/gateway/run.go
@@ -38,7 +38,9 @@
 	// maxRequestEnd is how long requests that are ended may take to respond and to be
 	// logged, requestEndCheckInterval the time between checks for that. It is a part of
 	// exitMargin.
-	maxRequestEnd           = 200 * time.Millisecond
+	maxRequestEnd = 200 * time.Millisecond
+	// maxClosedRequestEnd limits the wait for those whose connections were closed then.
+	maxClosedRequestEnd     = 100 * time.Millisecond
 	requestEndCheckInterval = 5 * time.Millisecond
 	// exitMargin is the part of the grace period reserved for process exit.
 	exitMargin = 700 * time.Millisecond
@@ -249,13 +251,26 @@
 // endRequests ends the requests that still run and gives them time to say so.
 func (g *Gateway) endRequests() {
 	g.relay.End()
-	ctx, cancel := context.WithTimeout(context.Background(), maxRequestEnd)
+	if g.awaitRequestEnd(maxRequestEnd) {
+		return
+	}
+	// What is left writes to callers that do not read.
+	for _, server := range []*http.Server{g.frontend, g.peerServer} {
+		_ = server.Close()
+	}
+	g.awaitRequestEnd(maxClosedRequestEnd)
+}
+
+// awaitRequestEnd waits until no request runs, and reports whether that is so in time.
+func (g *Gateway) awaitRequestEnd(timeout time.Duration) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	for g.callerConns.activeCount() > 0 || g.relay.CarryingCount() > 0 {
 		if !pause.For(ctx, requestEndCheckInterval) {
-			return
+			return false
 		}
 	}
+	return true
 }
 
 // serveMetrics writes the counters and the percentiles of the timers as text.
