Bytes between events of a silent endpoint are no part of an event

Callers lost streams, and got 502 for others, without any delay of the host. The header of a response, or the end of a chunk that arrived after its event, counted as bytes that complete no event. Such an endpoint was given up at the end of the overlap although its next events had arrived; if the other endpoint then rejected the stream, none was left.

In a stream, only a pending part of an event is a trickle.

--- a/internal/request/relay/failover.go
+++ b/internal/request/relay/failover.go
@@ -39,8 +39,10 @@
 	// lease and conn belong to the silent endpoint.
 	lease *dispatch.Lease
 	conn  *upstream.Conn
-	// progressBytes is the number of bytes that had been received with the last event.
+	// progressBytes is the number of bytes that had been received when the request was sent.
 	progressBytes int64
+	// isStream is set once the endpoint has begun to send events.
+	isStream bool
 	// search is the search in progress, or nil.
 	search *leaseSearch
 	// nextSearchAt is when the next search may begin.
@@ -95,10 +97,13 @@
 	return earlier(s.deadline, time.Now().Add(searchPollInterval)), true
 }
 
-// recordProgress records that the endpoint has gone on.
-func (f *failover) recordProgress() {
-	f.progressBytes = f.conn.ReceivedBytes()
-	f.stop()
+// isTrickling reports whether the endpoint has sent a part of a header or of an event. The
+// bytes between events are no part of one.
+func (f *failover) isTrickling() bool {
+	if f.isStream {
+		return len(f.request.events.pending) > 0
+	}
+	return f.conn.ReceivedBytes() != f.progressBytes
 }
 
 // stop ends the search.
@@ -229,7 +234,7 @@
 	ticker := time.NewTicker(overlapPollInterval)
 	defer ticker.Stop()
 	// Bytes that complete no event are no sign that the endpoint goes on.
-	isTrickling := f.conn.ReceivedBytes() != f.progressBytes
+	isTrickling := f.isTrickling()
 	var overlap <-chan time.Time
 	var overlapEndsAt time.Time
 	for {
--- a/internal/request/relay/stream.go
+++ b/internal/request/relay/stream.go
@@ -30,7 +30,7 @@
 
 // relayStream forwards events as they arrive.
 func (s *serverRequest) relayStream(lease *dispatch.Lease, response *upstream.Response, f *failover) sendResult {
-	s.events.pending = nil
+	s.events.pending, f.isStream = nil, true
 	stream := &streamRelay{
 		request: s, lease: lease, response: response, failover: f,
 		control: http.NewResponseController(s.w), countBefore: s.events.count,
@@ -96,7 +96,7 @@
 		s.longestGap = max(s.longestGap, now.Sub(r.lastEventAt))
 	}
 	r.lastEventAt = now
-	r.failover.recordProgress()
+	r.failover.stop()
 	if now.Sub(r.firstEventAt) > maxCrashDelay {
 		r.recordSuccess()
 	}
