--- a/internal/connection/upstream/stall.go
+++ b/internal/connection/upstream/stall.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"bytes"
 	"errors"
 	"net"
 	"os"
@@ -253,3 +254,26 @@
 	}
 	return arrived
 }
+
+// maxPeekBytes is how much of what has arrived is looked at.
+const maxPeekBytes = 8 << 10
+
+// HasArrived reports whether a text is among what has arrived and does not lie in the read
+// buffer. It does not block.
+func (c *Conn) HasArrived(text []byte) bool {
+	// Without data, a look with MSG_PEEK would take the error of a reset connection.
+	if c.arrivedInSocket() != ArrivedData {
+		return false
+	}
+	raw, err := c.net.(syscall.Conn).SyscallConn()
+	if err != nil {
+		return false
+	}
+	found := false
+	err = raw.Control(func(fd uintptr) {
+		buffer := make([]byte, maxPeekBytes)
+		n, _, err := unix.Recvfrom(int(fd), buffer, unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		found = err == nil && bytes.Contains(buffer[:n], text)
+	})
+	return err == nil && found
+}
--- a/internal/request/relay/failover.go
+++ b/internal/request/relay/failover.go
@@ -106,6 +106,15 @@
 	return f.conn.ReceivedBytes() != f.progressBytes
 }
 
+// hasGoneOn reports whether the silent endpoint has sent more that is not read yet. Of one
+// that trickles, only the end of an event counts.
+func (f *failover) hasGoneOn(isTrickling bool) bool {
+	if isTrickling {
+		return f.isStream && f.conn.HasArrived(eventDelimiter)
+	}
+	return f.conn.Arrived() == upstream.ArrivedData
+}
+
 // stop ends the search.
 func (f *failover) stop() {
 	if f.search == nil {
@@ -240,7 +249,7 @@
 	for {
 		select {
 		case result := <-results:
-			if f.conn.Arrived() == upstream.ArrivedData && !isTrickling {
+			if f.hasGoneOn(isTrickling) {
 				results <- result
 				return openResult{}, silentEndpointGoesOn
 			}
@@ -251,7 +260,7 @@
 				overlap, overlapEndsAt = time.After(maxOverlap), time.Now().Add(maxOverlap)
 			}
 		case <-overlap:
-			if f.conn.Arrived() == upstream.ArrivedData && !isTrickling {
+			if f.hasGoneOn(isTrickling) {
 				return openResult{}, silentEndpointGoesOn
 			}
 			if !overlapEndsAt.IsZero() && time.Since(overlapEndsAt) > lateResponseTime {
@@ -260,15 +269,11 @@
 			}
 			return openResult{}, silentEndpointEnds
 		case <-ticker.C:
-			switch f.conn.Arrived() {
-			case upstream.ArrivedData:
-				if !isTrickling {
-					return openResult{}, silentEndpointGoesOn
-				}
-			case upstream.ArrivedEnd:
-				if sent == nil {
-					return openResult{}, silentEndpointEnds
-				}
+			if f.hasGoneOn(isTrickling) {
+				return openResult{}, silentEndpointGoesOn
+			}
+			if f.conn.Arrived() == upstream.ArrivedEnd && sent == nil {
+				return openResult{}, silentEndpointEnds
 			}
 		}
 	}
