Two endpoints run one stream for less than 400 ms on a slow host too

The late end of the overlap, taken for a pause of the host beyond 50 ms, added 50 ms: 400 ms together, the bound itself. Beyond 100 ms the host did not run; 20 ms are enough to read what has arrived. TestRejectionArrivesInPauseOfHost covers it as before; found by review.

--- a/internal/request/relay/failover.go
+++ b/internal/request/relay/failover.go
@@ -26,9 +26,11 @@
 	// there before the silent endpoint is given up. An endpoint that rejects a request
 	// does so at once. Two endpoints must not run one stream for 400 ms.
 	maxOverlap = 300 * time.Millisecond
-	// lateResponseTime is how much longer it waits if this process did not run meanwhile:
-	// the response may have arrived.
-	lateResponseTime = 50 * time.Millisecond
+	// maxOverlapDelay is how late the end of that wait may be noticed. Beyond that, this
+	// process did not run, the response may have arrived, and lateResponseTime is given to
+	// read it.
+	maxOverlapDelay  = 100 * time.Millisecond
+	lateResponseTime = 20 * time.Millisecond
 )
 
 // failover looks for another endpoint while the one that runs the request is silent. That
@@ -263,7 +265,7 @@
 			if f.hasGoneOn(isTrickling) {
 				return openResult{}, silentEndpointGoesOn
 			}
-			if !overlapEndsAt.IsZero() && time.Since(overlapEndsAt) > lateResponseTime {
+			if !overlapEndsAt.IsZero() && time.Since(overlapEndsAt) > maxOverlapDelay {
 				overlap, overlapEndsAt = time.After(lateResponseTime), time.Time{}
 				continue
 			}
