An answer under way at its deadline does not count against its endpoint

Two answers whose bodies were under way at the end of callers' short time limits suspended the endpoint, logged as answer_broken (TestAnswersUnderWayAtDeadlineDoNotSuspendWorkers: the third request was refused as overload). As for streams, an answer that has not been silent for a second by the deadline says nothing about its endpoint.

--- a/internal/request/relay/response.go
+++ b/internal/request/relay/response.go
@@ -80,14 +80,19 @@
 
 // relayBuffered reads the whole response and then relays it.
 func (s *serverRequest) relayBuffered(lease *dispatch.Lease, response *upstream.Response, attributes ResponseAttributes) sendResult {
+	startedAt := time.Now()
 	body, err := s.readBuffered(response)
 	response.Finish()
 	if err != nil {
-		if !isTimeout(err) {
+		result, reason := fleet.ResultIncomplete, "answer_broken"
+		switch {
+		case !isTimeout(err):
 			s.checkCrash(lease, 0)
+		case time.Since(startedAt) < minPenalizedSilence && time.Until(s.deadline) <= 0:
+			result, reason = fleet.ResultNeutral, "deadline_passed"
 		}
-		lease.Release(resultUnlessCanceled(s.context(), fleet.ResultIncomplete))
-		return sendResult{outcome: repeat.OutcomeUnknown, reason: "answer_broken"}
+		lease.Release(resultUnlessCanceled(s.context(), result))
+		return sendResult{outcome: repeat.OutcomeUnknown, reason: reason}
 	}
 	isServerError := response.Status >= http.StatusInternalServerError
 	result := fleet.ResultSuccess
