--- a/soak/caller.go
+++ b/soak/caller.go
@@ -102,11 +102,12 @@
 func (c *caller) send(ctx context.Context, client *standin.Client, host int, route string, v variant) standin.Response {
 	c.sent++
 	id := fmt.Sprintf("%04x%012x", c.number, c.sent)
-	request := Request{ID: id, Route: route, Target: v.target, Deadline: v.deadline, Body: c.body(route, id), Host: host, Sent: time.Now()}
+	body := c.body(route, id)
+	request := Request{ID: id, Route: route, Target: targetOf(route, body, v), Deadline: v.deadline, Body: body, Host: host, Sent: time.Now()}
 	request.Prompt = c.prompt(route, id)
 	c.record.AddRequest(request)
 	response := client.Do(ctx, standin.Request{
-		ID: id, Target: v.target, Key: key(route), Body: request.Body, Deadline: v.deadline, Prompt: request.Prompt, IsChunked: v.isChunked, Reading: v.reading,
+		ID: id, Target: request.Target, Key: key(route), Body: body, Deadline: v.deadline, Prompt: request.Prompt, IsChunked: v.isChunked, Reading: v.reading,
 	})
 	ended := time.Now()
 	response.Body = withoutPadding(response.Body, streamOf(v.target).padding, response.Err == nil)
@@ -146,6 +147,15 @@
 	return "question " + id
 }
 
+// targetOf returns the target of a request. Those that crash endpoints are alike on a
+// route, so they have no query.
+func targetOf(route, body string, v variant) string {
+	if body == crashingBody {
+		return standin.Path(route)
+	}
+	return v.target
+}
+
 // prompt returns the parts of a request's prompt; only streams have one.
 func (c *caller) prompt(route, id string) string {
 	switch {
--- a/soak/load_test.go
+++ b/soak/load_test.go
@@ -100,3 +100,11 @@
 		assert.DeepEqual(t, fields["timeoutMs"], unchanged["routes"].([]any)[n].(map[string]any)["timeoutMs"])
 	}
 }
+
+// Requests that crash endpoints had queries, so that no two of them were alike, and the rule
+// on alike ones counted them together.
+func TestCrashingRequestsAreAlike(t *testing.T) {
+	v := variant{target: standin.Path(routeSafe) + "?n=1"}
+	assert.Equal(t, targetOf(routeSafe, crashingBody, v), standin.Path(routeSafe))
+	assert.Equal(t, targetOf(routeSafe, "question", v), v.target)
+}
