A probe that fails late does not make a service look lost

A host that stood still for its probes' 700 ms recorded each as a failure of the path, and might hand its requests to other hosts. A failure over 100 ms after the deadline is not recorded. TestLateProbesDoNotLoseAService failed before (lost after four late probes). Found by review.

--- a/internal/process/dispatch/reach.go
+++ b/internal/process/dispatch/reach.go
@@ -96,9 +96,16 @@
 	return probes
 }
 
-// Run opens the connection and records whether that succeeded.
+// maxProbeLateness is how long after its deadline a probe of a process that runs may fail.
+const maxProbeLateness = 100 * time.Millisecond
+
+// Run opens the connection and records whether that succeeded. A failure long after the
+// deadline says nothing about the endpoint: this process did not run.
 func (p Probe) Run(ctx context.Context) {
 	isOpen := p.pool.OpenIdle(ctx) == nil
+	if deadline, found := ctx.Deadline(); !isOpen && found && time.Since(deadline) > maxProbeLateness {
+		return
+	}
 	p.dispatcher.mu.Lock()
 	defer p.dispatcher.mu.Unlock()
 	if p.dispatcher.pools[p.endpoint] != nil {
