A host without memory for responses does not blame the endpoint

Two responses that the host could not buffer for lack of memory suspended their endpoint, and their lines said answer_broken or stream_broken. The result is neutral now, the reason response_memory. An event beyond the size limit has an error of its own. Found by review.

--- a/internal/request/relay/answered_test.go
+++ b/internal/request/relay/answered_test.go
@@ -33,7 +33,8 @@
 
 type noLimits struct{ Limits }
 
-func (noLimits) CountRequest(string) {}
+func (noLimits) CountRequest(string)    {}
+func (noLimits) AllowRetry(string) bool { return false }
 
 type noQuarantine struct{ Quarantine }
 
--- a/internal/request/relay/response.go
+++ b/internal/request/relay/response.go
@@ -8,6 +8,8 @@
 	"strconv"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"mustarddoor/internal/connection/upstream"
 	"mustarddoor/internal/process/dispatch"
 	"mustarddoor/internal/process/fleet"
@@ -35,6 +37,12 @@
 	stallTargetFactor = 2
 )
 
+// errNoResponseMemory means that this host has no memory for the rest of a response, and
+// reasonResponseMemory is the reason of what ends by that. The endpoint is not to blame.
+var errNoResponseMemory = eris.New("too many responses are held in memory")
+
+const reasonResponseMemory = "response_memory"
+
 // canFailOver reports whether the request may be retried at another endpoint
 // if this one stops responding.
 func (s *serverRequest) canFailOver() bool {
@@ -86,6 +94,8 @@
 	if err != nil {
 		result, reason := fleet.ResultIncomplete, "answer_broken"
 		switch {
+		case errors.Is(err, errNoResponseMemory):
+			result, reason = fleet.ResultNeutral, reasonResponseMemory
 		case !isTimeout(err):
 			s.checkCrash(lease, 0)
 		case time.Since(startedAt) < minPenalizedSilence && time.Until(s.deadline) <= 0:
@@ -126,7 +136,7 @@
 			return nil, errTooLarge
 		}
 		if !s.bufferedMemory.grow(buffer.Len()) {
-			return nil, errNoMemory
+			return nil, errNoResponseMemory
 		}
 		if errors.Is(err, io.EOF) {
 			return buffer.Bytes(), nil
--- a/internal/request/relay/stream.go
+++ b/internal/request/relay/stream.go
@@ -1,17 +1,23 @@
 package relay
 
 import (
+	"cmp"
 	"errors"
 	"io"
 	"net/http"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"mustarddoor/internal/connection/upstream"
 	"mustarddoor/internal/process/dispatch"
 	"mustarddoor/internal/process/fleet"
 	"mustarddoor/internal/request/repeat"
 )
 
+// errEventTooLong means that an event exceeds maxEventBytes.
+var errEventTooLong = eris.New("an event exceeds the limit")
+
 // streamRelay forwards the events of one endpoint's response.
 type streamRelay struct {
 	request  *serverRequest
@@ -60,8 +66,11 @@
 				err = awaitErr
 			}
 		}
-		if len(s.events.pending) > maxEventBytes || !memory.grow(len(s.events.pending)) {
-			break
+		switch {
+		case len(s.events.pending) > maxEventBytes:
+			err = cmp.Or(err, errEventTooLong)
+		case !memory.grow(len(s.events.pending)):
+			err = cmp.Or(err, errNoResponseMemory)
 		}
 	}
 	s.longestDelay = max(s.longestDelay, r.failover.conn.LongestDelay())
@@ -122,14 +131,15 @@
 	return sendResult{done: true}
 }
 
-// breakOff ends an incomplete stream: because of an error, or of the size of its events if
-// err is nil.
+// breakOff ends an incomplete stream.
 func (r *streamRelay) breakOff(err error) sendResult {
 	s := r.request
 	result, reason := fleet.ResultIncomplete, "stream_broken"
 	silence := time.Since(r.waitingSince)
 	switch {
-	case err == nil || !isTimeout(err):
+	case errors.Is(err, errNoResponseMemory):
+		result, reason = fleet.ResultNeutral, reasonResponseMemory
+	case !isTimeout(err):
 		s.checkCrash(r.lease, durationSince(r.firstEventAt))
 	case silence < minStallTimeout && time.Until(s.deadline) <= 0:
 		result, reason = fleet.ResultNeutral, "deadline_passed"
