A silence is not measured anew once another endpoint is looked for

A check for another endpoint that came over 100 ms late began the whole silence anew, which put the take-over off by up to 1.2 s. What has arrived is read first in any case. Found by review; no test of its own.

--- a/internal/connection/upstream/stall.go
+++ b/internal/connection/upstream/stall.go
@@ -201,7 +201,7 @@
 	if !goesOn {
 		return timeout
 	}
-	wait.silentAt = next
+	wait.silentAt, wait.isRepeated = next, true
 	return c.net.SetReadDeadline(wait.nextTimeout())
 }
 
