A stop accepts what ends in its grace even if the host was halted as it began

Change: what may be accepted is counted from the begin of the delay that goes on, or has just ended, as the signal is handled. The end of the stop is counted as before: if the signal came late in the halt, ending sooner would cut streams without need.

--- a/internal/process/gateway/delay.go
+++ b/internal/process/gateway/delay.go
@@ -103,6 +103,20 @@
 	return m.longestSince(since, time.Now())
 }
 
+// Begin returns when the delay may have begun that goes on or has just ended, or now if
+// there is none.
+func (m *delayMonitor) Begin(now time.Time) time.Time {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.expectedAt.IsZero() && now.Sub(m.expectedAt) >= minKnownDelay {
+		return m.expectedAt.Add(-delayCheckInterval)
+	}
+	if n := len(m.recent); n > 0 && now.Sub(m.recent[n-1].to) <= delayCheckInterval {
+		return m.recent[n-1].from.Add(-delayCheckInterval)
+	}
+	return now
+}
+
 // longestSince implements Longest. The caller holds mu.
 func (m *delayMonitor) longestSince(since, now time.Time) time.Duration {
 	longest := time.Duration(0)
--- a/internal/process/gateway/delay_test.go
+++ b/internal/process/gateway/delay_test.go
@@ -55,3 +55,16 @@
 	assert.Equal(t, longestSince(time.Hour), time.Duration(0))
 	assert.Equal(t, len(monitor.recent), 0)
 }
+
+func TestBeginOfDelay(t *testing.T) {
+	monitor := newDelayMonitor(logrus.NewEntry(logrus.New()), metrics.NewRegistry())
+	start := time.Now()
+	monitor.measure(start)
+	assert.Equal(t, monitor.Begin(start.Add(delayCheckInterval)), start.Add(delayCheckInterval), "none")
+	end := start.Add(2 * time.Second)
+	assert.Equal(t, monitor.Begin(end), start, "not measured yet")
+	monitor.measure(end)
+	assert.Equal(t, monitor.Begin(end.Add(time.Millisecond)), start, "just ended")
+	later := end.Add(delayCheckInterval + time.Millisecond)
+	assert.Equal(t, monitor.Begin(later), later, "over")
+}
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -67,7 +67,7 @@
 	// spent is the latest measurement of usage.
 	spent            atomic.Pointer[peers.Usage]
 	malformedEntries metrics.Counter
-	// stopRequestedAt is when the process was asked to stop; nil before that.
+	// stopRequestedAt is when the process was asked to stop at the earliest; nil before that.
 	stopRequestedAt atomic.Pointer[time.Time]
 
 	operatorRecordsMu sync.Mutex
@@ -124,7 +124,12 @@
 	if requestedAt == nil {
 		return nil
 	}
-	return &relay.Stop{RequestedAt: *requestedAt, EndsAt: requestedAt.Add(g.settings.GracePeriod - exitMargin)}
+	return &relay.Stop{RequestedAt: *requestedAt, EndsAt: g.stopEnd(*requestedAt)}
+}
+
+// stopEnd returns when a shutdown ends at the latest that was requested at a time.
+func (g *Gateway) stopEnd(requestedAt time.Time) time.Time {
+	return requestedAt.Add(g.settings.GracePeriod - exitMargin)
 }
 
 func (g *Gateway) isStopping() bool { return g.stopRequestedAt.Load() != nil }
--- a/internal/process/gateway/run.go
+++ b/internal/process/gateway/run.go
@@ -208,11 +208,14 @@
 // responses have been sent or the grace period is nearly over.
 func (g *Gateway) stop(ctx context.Context) error {
 	now := time.Now()
-	g.stopRequestedAt.Store(&now)
+	// The signal may have come while this process did not run. What is accepted ends in the
+	// grace period from then on.
+	requestedAt := g.delays.Begin(now)
+	g.stopRequestedAt.Store(&requestedAt)
 	g.entryHosts.update(now)
 	g.transport.SendNow()
 	g.log.Entry().WithField("busy_connections", g.callerConns.activeCount()).Info("stopping")
-	endsAt := g.stopInProgress().EndsAt
+	endsAt := g.stopEnd(now)
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	for quietChecks := 0; quietChecks < minQuietChecks && time.Now().Before(endsAt); {
