--- a/internal/connection/downstream/downstream.go
+++ b/internal/connection/downstream/downstream.go
@@ -1,4 +1,5 @@
-// Package downstream serves callers' connections and keeps what tells why they failed.
+// Package downstream provides callers' connections that record their first error and their
+// last write.
 package downstream
 
 import (
--- a/internal/connection/upstream/chunked.go
+++ b/internal/connection/upstream/chunked.go
@@ -68,8 +68,8 @@
 	return n, r.end
 }
 
-// step reads some data of a chunk, or one byte beside it. An error of the source may be
-// temporary, those of the encoding are kept in end.
+// step reads some data of a chunk, or one byte of a line. It returns errors of the source,
+// which may be temporary, and keeps errors of the encoding in end.
 func (r *chunkedReader) step(buffer []byte) (int, error) {
 	if r.state == chunkData {
 		n, err := r.source.Read(buffer[:min(uint64(len(buffer)), r.remaining)])
--- a/internal/connection/upstream/dial.go
+++ b/internal/connection/upstream/dial.go
@@ -43,8 +43,8 @@
 // DialFunc opens a connection to an address.
 type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
 
-// Dial opens a TCP connection that detects the loss of its peer within some seconds. A
-// timeout that is noticed late says nothing about the peer: it is tried once more.
+// Dial opens a TCP connection that detects the loss of its peer within some seconds. If
+// this process did not run when the timeout passed, it tries again once.
 func Dial(ctx context.Context, network, address string) (net.Conn, error) {
 	startedAt := time.Now()
 	conn, err := dialer.DialContext(ctx, network, address)
--- a/internal/connection/upstream/stall.go
+++ b/internal/connection/upstream/stall.go
@@ -21,7 +21,7 @@
 	// reset, and the endpoint may receive the request much later.
 	maxUnacknowledged = 2 * time.Second
 	// maxTimerDelay is how late a timeout may be noticed. Beyond that, this process did
-	// not run, and the silence is measured anew.
+	// not run, and the silence is measured again.
 	maxTimerDelay = 100 * time.Millisecond
 	// maxOverdueRead is how long after its deadline what arrives of a response is read.
 	maxOverdueRead = 300 * time.Millisecond
@@ -47,7 +47,7 @@
 	acknowledgedBy time.Time
 	// silentAt is when the endpoint counts as silent; zero without a limit.
 	silentAt time.Time
-	// isRepeated is set if the silence has been measured anew since the last byte.
+	// isRepeated is set if the silence must not be measured again before the next byte.
 	isRepeated bool
 	// overdueUntil is when reading ends after the deadline; zero until it has passed.
 	overdueUntil time.Time
--- a/internal/process/dispatch/reach.go
+++ b/internal/process/dispatch/reach.go
@@ -100,7 +100,7 @@
 const maxProbeLateness = 100 * time.Millisecond
 
 // Run opens the connection and records whether that succeeded. A failure long after the
-// deadline says nothing about the endpoint: this process did not run.
+// deadline is not recorded, because this process did not run.
 func (p Probe) Run(ctx context.Context) {
 	isOpen := p.pool.OpenIdle(ctx) == nil
 	if deadline, found := ctx.Deadline(); !isOpen && found && time.Since(deadline) > maxProbeLateness {
--- a/internal/process/gateway/delay_test.go
+++ b/internal/process/gateway/delay_test.go
@@ -11,8 +11,7 @@
 	"gotest.tools/v3/assert"
 )
 
-// A host that had no processor for a second left no trace of that beside the requests that
-// it cut.
+// Delays of the process were not logged, so that a cut request could not be traced to one.
 func TestProcessDelay(t *testing.T) {
 	output := bytes.Buffer{}
 	logger := logrus.New()
--- a/internal/process/gateway/run.go
+++ b/internal/process/gateway/run.go
@@ -251,7 +251,8 @@
 	return g.callerConns.activeCount() == 0 && g.relay.CarryingCount() == 0
 }
 
-// endRequests ends the requests that still run and gives them time to say so.
+// endRequests ends the requests in progress and waits until they have responded and are
+// logged.
 func (g *Gateway) endRequests() {
 	g.relay.End()
 	if g.awaitRequestEnd(maxRequestEnd) {
--- a/internal/process/peers/membership.go
+++ b/internal/process/peers/membership.go
@@ -342,8 +342,8 @@
 	return found, isRemote && m.role.isLarge && !isPreferred
 }
 
-// MarkAllOutdated records that this process did not run for some time: what it knows of
-// the others' usage is old.
+// MarkAllOutdated records that this process did not run for some time, so that the other
+// hosts may have used more than they have reported.
 func (m *Membership) MarkAllOutdated() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/internal/process/runclock/runclock.go
+++ b/internal/process/runclock/runclock.go
@@ -1,7 +1,7 @@
-// Package runclock provides a clock that stands still while this process does not run.
+// Package runclock provides a clock that does not advance while this process does not run.
 //
-// What others have sent meanwhile is read only afterwards: an age by this clock does not
-// make them silent for a time in which they were not listened to.
+// Messages that arrive in that time are read only afterwards. An age measured with this
+// clock does not include a time in which nothing could be received.
 package runclock
 
 import (
