--- a/internal/request/relay/answered_test.go
+++ b/internal/request/relay/answered_test.go
@@ -20,7 +20,7 @@
 	"mustarddoor/internal/version/routing"
 )
 
-// plainProtocol has no headers of its own.
+// plainProtocol neither adds headers nor reads any.
 type plainProtocol struct{ Protocol }
 
 func (plainProtocol) ParseRequest(*http.Request) RequestAttributes          { return RequestAttributes{ID: "a"} }
--- a/internal/request/relay/events_test.go
+++ b/internal/request/relay/events_test.go
@@ -22,7 +22,7 @@
 	assert.Assert(t, s.isAtEventBoundary())
 }
 
-// A stream that ended with a third line end in a read of its own counted as broken off.
+// A stream whose third line end arrived in a separate read was reported as incomplete.
 func TestSplitterTakesFurtherLineEnds(t *testing.T) {
 	s := eventSplitter{}
 	assert.Equal(t, string(s.add([]byte("id: 1\n\n"))), "id: 1\n\n")
