--- a/internal/process/gateway/copies.go
+++ b/internal/process/gateway/copies.go
@@ -99,6 +99,7 @@
 				return
 			}
 			c.gateway.log.Entry().WithFields(logrus.Fields{"part": number, "operator_next": snapshot.Offset}).Info("started from a copy of the operator's records")
+			snapshot.Source = keyed.SourceCopy
 			c.gateway.operator.Adopt(snapshot)
 		})
 	}
--- a/internal/process/gateway/records.go
+++ b/internal/process/gateway/records.go
@@ -13,7 +13,7 @@
 	g.operatorRecordsMu.Lock()
 	defer g.operatorRecordsMu.Unlock()
 	for _, changed := range change.Records {
-		g.applyOperatorRecord(changed, change.Position.Offset)
+		g.applyOperatorRecord(changed, &change)
 	}
 	evacuated, orders := map[string]bool{}, []canary.Order(nil)
 	for _, record := range g.operatorRecords {
@@ -30,35 +30,35 @@
 
 // applyOperatorRecord applies one record of the operator. The caller holds
 // operatorRecordsMu.
-func (g *Gateway) applyOperatorRecord(changed keyed.Record, offset uint64) {
+func (g *Gateway) applyOperatorRecord(changed keyed.Record, change *keyed.Change) {
 	previous := g.operatorRecords[changed.Key]
 	if len(changed.Value) == 0 {
 		if previous.EvacuatedDomain != "" {
-			g.log.Entry().WithFields(logrus.Fields{"domain": previous.EvacuatedDomain, "offset": offset}).Info("failure domain back in use")
+			g.log.Entry().WithFields(logrus.Fields{"domain": previous.EvacuatedDomain, "offset": change.Position.Offset, "source": change.Source}).Info("failure domain back in use")
 		}
 		delete(g.operatorRecords, changed.Key)
 		return
 	}
 	record, err := g.ports.DecodeOperatorRecord(changed.Key, changed.Value)
 	if err != nil {
-		g.log.Entry().WithError(err).WithField("offset", offset).Warn("rejected a record of the operator")
+		g.log.Entry().WithError(err).WithField("offset", change.Position.Offset).Warn("rejected a record of the operator")
 		return
 	}
 	if record.EvacuatedDomain != "" && previous.EvacuatedDomain == "" {
-		g.log.Entry().WithFields(logrus.Fields{"domain": record.EvacuatedDomain, "offset": offset}).Info("failure domain out of use")
+		g.log.Entry().WithFields(logrus.Fields{"domain": record.EvacuatedDomain, "offset": change.Position.Offset, "source": change.Source}).Info("failure domain out of use")
 	}
 	if record.Move != nil {
-		g.log.Entry().WithFields(logrus.Fields{"service": record.Move.Service, "target": record.Move.Target, "duration_ms": record.Move.Duration.Milliseconds(), "offset": offset}).
+		g.log.Entry().WithFields(logrus.Fields{"service": record.Move.Service, "target": record.Move.Target, "duration_ms": record.Move.Duration.Milliseconds(), "offset": change.Position.Offset, "source": change.Source}).
 			Info("move to a version ordered")
 	}
 	if record.Config != nil {
-		g.applyConfig(*record.Config, offset)
+		g.applyConfig(*record.Config, change)
 	}
 	g.operatorRecords[changed.Key] = record
 }
 
 // applyConfig puts a configuration in force if it is newer.
-func (g *Gateway) applyConfig(config routing.Config, offset uint64) {
+func (g *Gateway) applyConfig(config routing.Config, change *keyed.Change) {
 	if current := g.table.Load(); current != nil && current.Version >= config.Version {
 		return
 	}
@@ -66,8 +66,10 @@
 	g.limits.SetTable(config.Teams)
 	g.dispatcher.SetRoutingTable(table)
 	g.table.Store(table)
-	g.log.Entry().WithFields(logrus.Fields{"config_version": config.Version, "offset": offset, "routes": len(config.Routes), "teams": len(config.Teams)}).
-		Info("configuration in force")
+	g.log.Entry().WithFields(logrus.Fields{
+		"config_version": config.Version, "offset": change.Position.Offset, "routes": len(config.Routes), "teams": len(config.Teams),
+		"source": change.Source, "uptime_ms": g.uptime().Milliseconds(),
+	}).Info("configuration in force")
 }
 
 // applyEndpointsChange applies changed endpoint entries.
--- a/internal/process/gateway/shared_read_store.go
+++ b/internal/process/gateway/shared_read_store.go
@@ -143,6 +143,7 @@
 		return s.gateway.ports.Store.Newest(ctx, partition)
 	}
 	s.relayedReads.Inc(1)
+	reply.Snapshot.Source = keyed.SourceReader
 	return *reply.Snapshot, nil
 }
 
@@ -152,19 +153,19 @@
 }
 
 // Read implements keyed.Store.
-func (s *sharedReadStore) Read(ctx context.Context, partition keyed.Partition, from keyed.Position, wait time.Duration) ([]keyed.Record, keyed.Position, error) {
+func (s *sharedReadStore) Read(ctx context.Context, partition keyed.Partition, from keyed.Position, wait time.Duration) (keyed.Batch, error) {
 	address := s.readerAddress()
 	if !address.IsValid() {
 		return s.gateway.ports.Store.Read(ctx, partition, from, wait)
 	}
-	records, next, err := s.readFromHost(ctx, address, partition, from)
+	batch, err := s.readFromHost(ctx, address, partition, from)
 	if err == nil {
 		s.relayedReads.Inc(1)
-		return records, next, nil
+		return batch, nil
 	}
 	if ctx.Err() != nil {
 		// This process stops, or did not run when the other host replied.
-		return nil, keyed.Position{}, eris.Wrap(keyed.ErrUnanswered, ctx.Err().Error())
+		return keyed.Batch{}, eris.Wrap(keyed.ErrUnanswered, ctx.Err().Error())
 	}
 	s.avoid(address, err)
 	return s.gateway.ports.Store.Read(ctx, partition, from, 0)
@@ -197,18 +198,19 @@
 
 // readFromHost reads records from another host. If that host replies with a
 // snapshot instead, the topic adopts it.
-func (s *sharedReadStore) readFromHost(ctx context.Context, address netip.AddrPort, partition keyed.Partition, from keyed.Position) ([]keyed.Record, keyed.Position, error) {
+func (s *sharedReadStore) readFromHost(ctx context.Context, address netip.AddrPort, partition keyed.Partition, from keyed.Position) (keyed.Batch, error) {
 	reply, err := s.fetchRecords(ctx, address, partition, url.Values{"from": {strconv.FormatUint(from.Offset, 10)}, "era": {strconv.FormatUint(from.Era, 10)}})
 	if err != nil {
-		return nil, keyed.Position{}, err
+		return keyed.Batch{}, err
 	}
 	if reply.Snapshot != nil {
+		reply.Snapshot.Source = keyed.SourceReader
 		s.topic(partition.Topic).Adopt(*reply.Snapshot)
 	}
 	if reply.Era == 0 {
 		reply.Era = from.Era
 	}
-	return reply.Records, keyed.Position{Era: reply.Era, Offset: reply.Next}, nil
+	return keyed.Batch{Records: reply.Records, Next: keyed.Position{Era: reply.Era, Offset: reply.Next}, Source: keyed.SourceReader}, nil
 }
 
 // fetchRecords requests a topic's records from another host.
--- a/internal/process/gateway/state.go
+++ b/internal/process/gateway/state.go
@@ -163,10 +163,12 @@
 	fields := logrus.Fields{"link": address.String()}
 	if s.Operator != nil {
 		fields["operator_next"] = s.Operator.Offset
+		s.Operator.Source = keyed.SourceState
 		g.operator.Adopt(*s.Operator)
 	}
 	if s.Endpoints != nil {
 		fields["endpoints_next"] = s.Endpoints.Offset
+		s.Endpoints.Source = keyed.SourceState
 		g.endpoints.Adopt(*s.Endpoints)
 	}
 	g.log.Entry().WithFields(fields).Info("adopted the state of another host")
--- a/internal/process/keyed/keyed.go
+++ b/internal/process/keyed/keyed.go
@@ -56,15 +56,38 @@
 	return cmp.Or(cmp.Compare(p.Era, other.Era), cmp.Compare(p.Offset, other.Offset))
 }
 
+// Source is the way by which records reached this host.
+type Source string
+
+// The sources of records.
+const (
+	// SourceLog is the store itself.
+	SourceLog Source = "log"
+	// SourceReader is a host that reads the store for others.
+	SourceReader Source = "reader"
+	// SourceState is the state that another host has read.
+	SourceState Source = "state"
+	// SourceCopy is a copy of the records in another partition.
+	SourceCopy Source = "copy"
+)
+
+// Batch is the result of a read.
+type Batch struct {
+	Records []Record
+	// Next is the position that follows the records.
+	Next   Position
+	Source Source
+}
+
 // Store is a client of the shared log.
 type Store interface {
 	// Newest returns the newest record of each key. The result reflects every
 	// record before its position and may reflect later ones.
 	Newest(ctx context.Context, partition Partition) (Snapshot, error)
-	// Read returns the records starting at a position, and the position that
-	// follows them. If there are none, it waits up to wait for new ones. It
-	// fails with ErrTrimmed if the log does not have the records.
-	Read(ctx context.Context, partition Partition, from Position, wait time.Duration) (records []Record, next Position, err error)
+	// Read returns the records starting at a position. If there are none, it waits
+	// up to wait for new ones. It fails with ErrTrimmed if the log does not have the
+	// records.
+	Read(ctx context.Context, partition Partition, from Position, wait time.Duration) (Batch, error)
 	// Append adds a record and returns the new end of the partition. If
 	// expectedEnd is not nil, it fails with ErrConflict unless the partition
 	// ends at that offset.
@@ -80,6 +103,7 @@
 	// neither.
 	Earlier Position              `cbor:"4,keyasint"`
 	Kept    map[string]KeptRecord `cbor:"5,keyasint,omitempty"`
+	Source  Source                `cbor:"-"`
 }
 
 // KeptRecord is a key whose value, or whose absence, was read before the store was
--- a/internal/process/keyed/topic.go
+++ b/internal/process/keyed/topic.go
@@ -66,6 +66,9 @@
 	// AfterOutage is true if the store was unavailable before this change.
 	AfterOutage bool
 	Position    Position
+	// Source is where the records came from; empty if they were kept from before the
+	// store was restored.
+	Source Source
 }
 
 // NewTopic returns a topic that is not loaded yet.
@@ -167,7 +170,7 @@
 	}
 	reading, cancel := context.WithTimeout(ctx, policy.MaxWait+policy.ResponseTimeout)
 	defer cancel()
-	records, end, err := t.store.Read(reading, t.partition, next, policy.MaxWait)
+	batch, err := t.store.Read(reading, t.partition, next, policy.MaxWait)
 	if errors.Is(err, ErrTrimmed) {
 		t.log.WithFields(logrus.Fields{"from": next.Offset, "era": next.Era}).Info("the log does not have the records, reloading the topic")
 		return t.reload(ctx, policy)
@@ -175,14 +178,14 @@
 	if err != nil {
 		return checkLate(reading, err)
 	}
-	switch {
+	switch end := batch.Next; {
 	case end.Era > next.Era:
 		t.log.WithFields(logrus.Fields{"from": next.Offset, "era": next.Era, "store_era": end.Era}).Warn("store restored from an older copy, reloading the topic")
 		return t.reload(ctx, policy)
 	case end.Era < next.Era:
 		return eris.Wrapf(ErrOutdated, "read in era %d", end.Era)
 	}
-	t.apply(next, end, records)
+	t.apply(next, batch)
 	return nil
 }
 
@@ -203,16 +206,16 @@
 
 // apply applies records that start at an offset, unless the topic has moved
 // past it.
-func (t *Topic) apply(from, end Position, records []Record) {
+func (t *Topic) apply(from Position, batch Batch) {
 	outage := t.markAvailable()
 	t.mu.Lock()
-	if !t.loaded || t.next != from || len(records) == 0 {
+	if !t.loaded || t.next != from || len(batch.Records) == 0 {
 		t.mu.Unlock()
 		return
 	}
-	t.content.apply(records, end, time.Now())
-	change := Change{Records: records, AfterOutage: outage, Position: end}
-	t.recent = append(t.recent, records...)
+	t.content.apply(batch.Records, batch.Next, time.Now())
+	change := Change{Records: batch.Records, AfterOutage: outage, Position: batch.Next, Source: batch.Source}
+	t.recent = append(t.recent, batch.Records...)
 	if over := len(t.recent) - maxRecentRecords; over > 0 {
 		t.recent = append([]Record(nil), t.recent[over:]...)
 		t.recentFrom += uint64(over)
@@ -240,7 +243,7 @@
 	if t.loaded {
 		merged = t.merge(merged, t.restore, now)
 	}
-	change := Change{Records: difference(old.values, merged.values), Position: merged.next, AfterOutage: outage}
+	change := Change{Records: difference(old.values, merged.values), Position: merged.next, AfterOutage: outage, Source: snapshot.Source}
 	t.loaded, t.content = true, merged
 	t.recent, t.recentFrom = nil, merged.next.Offset
 	t.wakeReaders()
--- a/internal/process/keyed/topic_test.go
+++ b/internal/process/keyed/topic_test.go
@@ -71,7 +71,7 @@
 	return keyed.Position{Era: s.era, Offset: uint64(len(s.records))}
 }
 
-func (s *memoryStore) Read(_ context.Context, _ keyed.Partition, from keyed.Position, _ time.Duration) ([]keyed.Record, keyed.Position, error) {
+func (s *memoryStore) Read(_ context.Context, _ keyed.Partition, from keyed.Position, _ time.Duration) (keyed.Batch, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.reads++
@@ -80,15 +80,15 @@
 		s.mu.Unlock()
 		time.Sleep(standstill)
 		s.mu.Lock()
-		return nil, keyed.Position{}, keyed.ErrUnanswered
+		return keyed.Batch{}, keyed.ErrUnanswered
 	}
 	if s.fail != nil {
-		return nil, keyed.Position{}, s.fail
+		return keyed.Batch{}, s.fail
 	}
 	if from.Offset < s.first || from.Offset > uint64(len(s.records)) {
-		return nil, keyed.Position{}, keyed.ErrTrimmed
+		return keyed.Batch{}, keyed.ErrTrimmed
 	}
-	return s.records[from.Offset:], s.end(), nil
+	return keyed.Batch{Records: s.records[from.Offset:], Next: s.end(), Source: keyed.SourceLog}, nil
 }
 
 func (s *memoryStore) Append(context.Context, keyed.Partition, keyed.Record, *uint64) (keyed.Position, error) {
