Soak: each acknowledged version must be in force at each host in time

The soak checked answers only, so that a late version whose requests are answered alike passed.

Change: the rule config compares the acknowledgements of the store with the hosts' logs.

--- a/soak/config.go
+++ b/soak/config.go
@@ -133,7 +133,13 @@
 func (f *fleet) change(change func(config map[string]any)) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.version++
 	change(f.config)
+	f.publish()
+}
+
+// publish publishes the configuration as a new version. The caller holds mu.
+func (f *fleet) publish() {
+	f.version++
 	f.store.Configure(f.config, f.version)
+	f.record.AddVersion(f.version)
 }
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -102,6 +102,8 @@
 		f.stopInSeries(ctx, fault)
 	case ConfigStorm:
 		f.storm(fault)
+	case ReadersLoseStore:
+		f.cutReaders(ctx, fault)
 	case EndpointDrain, EndpointGone, Configure, Evacuate:
 		f.injectOrder(e, fault)
 	default:
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -159,17 +159,15 @@
 func (f *fleet) configure(routes []any) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.version++
 	f.config["routes"] = routes
-	f.store.Configure(f.config, f.version)
+	f.publish()
 }
 
 // publishAgain publishes the routes in force as a new version.
 func (f *fleet) publishAgain() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.version++
-	f.store.Configure(f.config, f.version)
+	f.publish()
 }
 
 // routesWithoutToggled returns the routes without the one that Configure removes.
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -78,6 +78,9 @@
 	// EndpointGone removes the entry of an endpoint that goes on serving, and writes it
 	// again later.
 	EndpointGone FaultKind = "endpoint-gone"
+	// ReadersLoseStore cuts hosts off from the store, first those that read it for others,
+	// while versions are published.
+	ReadersLoseStore FaultKind = "readers-lose-store"
 )
 
 // faultKinds lists all kinds with the maximum duration of each.
--- a/soak/record.go
+++ b/soak/record.go
@@ -113,6 +113,7 @@
 	limits          []*Limit
 	stops           []StopResult
 	processFailures []string
+	versions        []Version
 }
 
 // NewRecorder returns an empty recorder.
@@ -237,6 +238,10 @@
 	Limits          []Limit
 	Stops           []StopResult
 	ProcessFailures []string
+	Versions        []Version
+	// InForce holds the versions that each host has put in force, in order; nil before the
+	// end of the run.
+	InForce map[int][]VersionInForce
 	// Carriers are the hosts that carried interrupted requests for others, by request.
 	Carriers map[string]int
 }
@@ -252,7 +257,7 @@
 func (r *Recorder) copy() History {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	history := History{Now: time.Now(), Attempts: map[string][]Attempt{}, Stops: slices.Clone(r.stops), ProcessFailures: slices.Clone(r.processFailures)}
+	history := History{Now: time.Now(), Attempts: map[string][]Attempt{}, Stops: slices.Clone(r.stops), ProcessFailures: slices.Clone(r.processFailures), Versions: slices.Clone(r.versions)}
 	for _, request := range r.requests {
 		history.Requests = append(history.Requests, *request)
 	}
--- a/soak/run.go
+++ b/soak/run.go
@@ -64,6 +64,9 @@
 	monitors.Wait()
 	f.stopAll()
 	history := f.history()
+	if history.InForce, err = f.versionsInForce(); err != nil {
+		return report, err
+	}
 	report.Violations = append(Check(history), recovery...)
 	report.countRequests(history)
 	return report, nil
