A host reads the log itself if its reader has not read it lately

Symptom: requests were handled by an older version than one that had been confirmed (CONFIG on the grown sites), by hosts that reached the log.

Cause: one host of a failure domain reads the log for the others. An empty reply of that host did not say when the log was read, so a reader that had lost the log gave the same answer as one that had found nothing new. Its followers took their topics for up to date. Readers that were cut off even took each other's empty replies for the log's.

Change: a topic records when the log is known to have held nothing that it lacks. A reply to /records carries that time, relative to the request. A follower whose reader is not confirmed for 1.1 s reads the log itself at once, and a reader ends its wait when it reaches that age. A reply of a build without the field confirms nothing. Readers poll every .5 s instead of 1.2 s, so that a reader that reads the log is always confirmed.

--- a/internal/process/gateway/builds_test.go
+++ b/internal/process/gateway/builds_test.go
@@ -27,10 +27,11 @@
 		Earlier: keyed.Position{Era: 1, Offset: 40}, Kept: map[string]keyed.KeptRecord{"rollout/svc": {Stored: []byte("{}"), ForMillis: 500}},
 	}
 	history := allowance.History{0: 12.5, 15: 3}
+	confirmedMillis := int64(-250)
 	return map[string]any{
 		"state":             stateReply{Operator: &snapshot, Endpoints: &snapshot},
-		"records":           recordsReply{Records: []keyed.Record{{Key: "w1", Value: []byte("{}")}, {Key: "w2"}}, Next: 31, Era: 2},
-		"records-snapshot":  recordsReply{Next: 31, Era: 2, Snapshot: &snapshot},
+		"records":           recordsReply{Records: []keyed.Record{{Key: "w1", Value: []byte("{}")}, {Key: "w2"}}, Next: 31, Era: 2, ConfirmedMillis: &confirmedMillis},
+		"records-snapshot":  recordsReply{Next: 31, Era: 2, Snapshot: &snapshot, ConfirmedMillis: &confirmedMillis},
 		"usage":             usageReply{IsComplete: true, Teams: map[string]allowance.History{"team": history}},
 		"usage-record":      usageRecord{WrittenAt: 1_700_000_000_000, Teams: map[string]allowance.History{"team": history}},
 		"quarantine-record": quarantineRecord{WrittenAt: 1_700_000_000_000, Quarantined: []quarantine.PartReport{{Part: 4, AgeMillis: 30, FailedProbes: 1}}},
--- a/internal/process/gateway/shared_read_store.go
+++ b/internal/process/gateway/shared_read_store.go
@@ -44,6 +44,13 @@
 	// well below the time within which a change must be known.
 	relayMaxWait      = 500 * time.Millisecond
 	relayReplyTimeout = 300 * time.Millisecond
+	// maxUnconfirmed is how long ago the log may have been read of which another host
+	// reports that nothing has changed. A host that reads the log for others confirms
+	// that more often. Together with one read of the log it is well below the time
+	// within which a change must be known.
+	maxUnconfirmed = 1100 * time.Millisecond
+	// neverConfirmedAge is reported by a host that has not read the log itself.
+	neverConfirmedAge = time.Hour
 	// avoidDuration is how long a host that did not reply is skipped.
 	avoidDuration = 2 * time.Second
 	// maxRecordsBytes limits the size of a reply.
@@ -52,9 +59,9 @@
 
 // Poll policies of the topics.
 var (
-	// operatorPollPolicy bounds how late a change is noticed when a connection
-	// to the log stalls. A change ends the wait early.
-	operatorPollPolicy = keyed.PollPolicy{MaxWait: 1200 * time.Millisecond, ResponseTimeout: 700 * time.Millisecond, RetryDelay: 150 * time.Millisecond}
+	// operatorPollPolicy confirms that nothing has changed well within
+	// maxUnconfirmed. A change ends the wait early.
+	operatorPollPolicy = keyed.PollPolicy{MaxWait: 500 * time.Millisecond, ResponseTimeout: 700 * time.Millisecond, RetryDelay: 150 * time.Millisecond}
 	// endpointsPollPolicy has a shorter interval than an endpoint's writes. Some
 	// entry changes all the time, so waiting for records would cost a call for
 	// each record.
@@ -138,12 +145,14 @@
 	if known, _ := s.topic(partition.Topic).Next(); err == nil && reply.Snapshot.Position.Compare(known) < 0 {
 		err = keyed.ErrOutdated
 	}
+	if err == nil && reply.isOutdated() {
+		err = errUnconfirmed
+	}
 	if err != nil {
 		s.avoid(address, err)
 		return s.gateway.ports.Store.Newest(ctx, partition)
 	}
 	s.relayedReads.Inc(1)
-	reply.Snapshot.Source = keyed.SourceReader
 	return *reply.Snapshot, nil
 }
 
@@ -163,6 +172,14 @@
 		s.relayedReads.Inc(1)
 		return batch, nil
 	}
+	if errors.Is(err, errUnconfirmed) {
+		s.avoid(address, err)
+		direct, directErr := s.gateway.ports.Store.Read(ctx, partition, from, 0)
+		if directErr != nil && len(batch.Records) > 0 {
+			return batch, nil
+		}
+		return direct, directErr
+	}
 	if ctx.Err() != nil {
 		// This process stops, or did not run when the other host replied.
 		return keyed.Batch{}, eris.Wrap(keyed.ErrUnanswered, ctx.Err().Error())
@@ -190,10 +207,42 @@
 	Snapshot *keyed.Snapshot `cbor:"3,keyasint,omitempty"`
 	// Era is the era of Next; 0 if the host runs a version that does not send it.
 	Era uint64 `cbor:"4,keyasint,omitempty"`
+	// ConfirmedMillis is the time in ms from when the log is known to have held nothing
+	// more than this reply until the request arrived, negative if that was later; nil if
+	// the host runs a version that does not send it.
+	ConfirmedMillis *int64 `cbor:"5,keyasint,omitempty"`
+}
+
+// receivedRecords is a reply from another host to a request sent at a time.
+type receivedRecords struct {
+	recordsReply
+	requestedAt time.Time
+}
+
+// errUnconfirmed means that another host has not read the log lately.
+var errUnconfirmed = eris.New("the other host has not read the log lately")
+
+// confirmedAt returns when the log is known to have held nothing more than the reply, or
+// the zero time.
+func (r *receivedRecords) confirmedAt() time.Time {
+	if r.ConfirmedMillis == nil {
+		return time.Time{}
+	}
+	return r.requestedAt.Add(-time.Duration(*r.ConfirmedMillis) * time.Millisecond)
+}
+
+// isOutdated reports whether the host that replied has not read the log lately.
+func (r *receivedRecords) isOutdated() bool {
+	return r.ConfirmedMillis != nil && time.Since(r.confirmedAt()) > maxUnconfirmed
 }
 
-func newRecordsReply(next keyed.Position) recordsReply {
-	return recordsReply{Next: next.Offset, Era: next.Era}
+// newRecordsReply returns the reply to a request that arrived at a time.
+func newRecordsReply(next keyed.Position, arrivedAt, confirmedAt time.Time) recordsReply {
+	age := neverConfirmedAge.Milliseconds()
+	if !confirmedAt.IsZero() {
+		age = arrivedAt.Sub(confirmedAt).Milliseconds() + 1 // rounded up
+	}
+	return recordsReply{Next: next.Offset, Era: next.Era, ConfirmedMillis: &age}
 }
 
 // readFromHost reads records from another host. If that host replies with a
@@ -204,22 +253,31 @@
 		return keyed.Batch{}, err
 	}
 	if reply.Snapshot != nil {
-		reply.Snapshot.Source = keyed.SourceReader
 		s.topic(partition.Topic).Adopt(*reply.Snapshot)
 	}
 	if reply.Era == 0 {
 		reply.Era = from.Era
 	}
-	return keyed.Batch{Records: reply.Records, Next: keyed.Position{Era: reply.Era, Offset: reply.Next}, Source: keyed.SourceReader}, nil
+	batch := keyed.Batch{
+		Records: reply.Records, Next: keyed.Position{Era: reply.Era, Offset: reply.Next}, Source: keyed.SourceReader, ConfirmedAt: reply.confirmedAt(),
+	}
+	isUnknown := reply.ConfirmedMillis == nil && time.Since(s.topic(partition.Topic).ConfirmedAt()) > maxUnconfirmed
+	if isUnknown || reply.isOutdated() {
+		return batch, errUnconfirmed
+	}
+	return batch, nil
 }
 
 // fetchRecords requests a topic's records from another host.
-func (s *sharedReadStore) fetchRecords(ctx context.Context, address netip.AddrPort, partition keyed.Partition, query url.Values) (recordsReply, error) {
+func (s *sharedReadStore) fetchRecords(ctx context.Context, address netip.AddrPort, partition keyed.Partition, query url.Values) (receivedRecords, error) {
 	ctx, cancel := context.WithTimeout(ctx, relayMaxWait+relayReplyTimeout)
 	defer cancel()
 	query.Set("topic", partition.Topic)
-	reply := recordsReply{}
-	err := fetchFromHost(ctx, s.client, address, recordsPath+"?"+query.Encode(), maxRecordsBytes, &reply)
+	reply := receivedRecords{requestedAt: time.Now()}
+	err := fetchFromHost(ctx, s.client, address, recordsPath+"?"+query.Encode(), maxRecordsBytes, &reply.recordsReply)
+	if reply.Snapshot != nil {
+		reply.Snapshot.Source, reply.Snapshot.ConfirmedAt = keyed.SourceReader, reply.confirmedAt()
+	}
 	return reply, err
 }
 
@@ -233,10 +291,11 @@
 
 // serveRecords serves records, or a snapshot, to another host.
 func (s *sharedReadStore) serveRecords(w http.ResponseWriter, request *http.Request) {
+	arrivedAt := time.Now()
 	query := request.URL.Query()
 	topic := s.topic(query.Get("topic"))
 	if query.Get("snapshot") != "" {
-		s.serveSnapshot(w, topic, keyed.Position{})
+		s.serveSnapshot(w, topic, keyed.Position{}, arrivedAt)
 		return
 	}
 	from, err := parsePosition(query, topic)
@@ -244,18 +303,20 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	ctx, cancel := context.WithTimeout(request.Context(), relayMaxWait)
+	// The other host is to read the log itself as soon as this one may have missed records.
+	wait := min(relayMaxWait, maxUnconfirmed-time.Since(topic.ConfirmedAt()))
+	ctx, cancel := context.WithTimeout(request.Context(), wait)
 	defer cancel()
-	records, next, err := topic.Since(ctx, from)
+	batch, err := topic.Since(ctx, from)
 	switch {
 	case errors.Is(err, keyed.ErrTrimmed):
-		s.serveSnapshot(w, topic, from)
+		s.serveSnapshot(w, topic, from, arrivedAt)
 	case err != nil:
 		// The other host then reads the log itself.
 		w.WriteHeader(http.StatusGone)
 	default:
-		reply := newRecordsReply(next)
-		reply.Records = records
+		reply := newRecordsReply(batch.Next, arrivedAt, batch.ConfirmedAt)
+		reply.Records = batch.Records
 		s.gateway.writeReply(w, reply)
 	}
 }
@@ -274,13 +335,13 @@
 }
 
 // serveSnapshot serves a topic's content.
-func (s *sharedReadStore) serveSnapshot(w http.ResponseWriter, topic *keyed.Topic, next keyed.Position) {
+func (s *sharedReadStore) serveSnapshot(w http.ResponseWriter, topic *keyed.Topic, next keyed.Position, arrivedAt time.Time) {
 	snapshot, known := topic.Snapshot()
 	if !known {
 		w.WriteHeader(http.StatusGone)
 		return
 	}
-	reply := newRecordsReply(next)
+	reply := newRecordsReply(next, arrivedAt, snapshot.ConfirmedAt)
 	reply.Snapshot = &snapshot
 	s.gateway.writeReply(w, reply)
 }
--- a/internal/process/gateway/shared_read_store_test.go
+++ b/internal/process/gateway/shared_read_store_test.go
@@ -43,7 +43,7 @@
 // A host that needs records which its reader no longer has gets the reader's
 // snapshot, and does not read the log itself.
 func TestReaderServesSnapshot(t *testing.T) {
-	reader := newTopicStore(keyed.Snapshot{Position: at(40), Values: map[string][]byte{"config": []byte("new")}})
+	reader := newTopicStore(keyed.Snapshot{Position: at(40), Values: map[string][]byte{"config": []byte("new")}, ConfirmedAt: time.Now()})
 	server := httptest.NewServer(http.HandlerFunc(reader.serveRecords))
 	defer server.Close()
 	behind := newTopicStore(keyed.Snapshot{Position: at(7), Values: map[string][]byte{"config": []byte("old"), "gone": []byte("x")}})
@@ -54,6 +54,7 @@
 	assert.Equal(t, batch.Next, at(7))
 	snapshot, known := behind.gateway.operator.Snapshot()
 	assert.Assert(t, known)
+	snapshot.ConfirmedAt = time.Time{}
 	assert.DeepEqual(t, snapshot, keyed.Snapshot{Position: at(40), Values: map[string][]byte{"config": []byte("new")}})
 }
 
@@ -62,7 +63,9 @@
 func TestReaderServesRestoredStore(t *testing.T) {
 	inEra := func(era, offset uint64) keyed.Position { return keyed.Position{Era: era, Offset: offset} }
 	newest := keyed.Snapshot{Position: inEra(2, 3), Values: map[string][]byte{"config": []byte("new")}, Earlier: inEra(1, 7)}
-	reader := newTopicStore(newest)
+	confirmed := newest
+	confirmed.ConfirmedAt = time.Now()
+	reader := newTopicStore(confirmed)
 	server := httptest.NewServer(http.HandlerFunc(reader.serveRecords))
 	defer server.Close()
 	address := netip.MustParseAddrPort(server.Listener.Addr().String())
@@ -73,6 +76,7 @@
 		assert.Equal(t, len(batch.Records), 0)
 		assert.Equal(t, batch.Next, from)
 		snapshot, _ := follower.gateway.operator.Snapshot()
+		snapshot.ConfirmedAt = time.Time{}
 		assert.DeepEqual(t, snapshot, newest)
 	}
 }
@@ -103,3 +107,65 @@
 	assert.NilError(t, wire.Unmarshal(data, &got))
 	assert.DeepEqual(t, got, older)
 }
+
+// An empty reply from a host that had lost the log passed for "nothing has changed".
+func TestEmptyReplyOfOutdatedReader(t *testing.T) {
+	content := keyed.Snapshot{Position: at(7), Values: map[string][]byte{"config": []byte("old")}}
+	for _, test := range []struct {
+		name string
+		// confirmedFor is how long ago the reader and the follower have read the log.
+		reader, follower time.Duration
+		serve            func(http.Handler) http.Handler
+		isOutdated       bool
+	}{
+		{name: "reads the log", reader: 200 * time.Millisecond, follower: time.Second},
+		{name: "lost the log", reader: 1500 * time.Millisecond, follower: 200 * time.Millisecond, isOutdated: true},
+		{name: "never read the log", reader: -1, follower: 200 * time.Millisecond, isOutdated: true},
+		{name: "loses the log during the request", reader: maxUnconfirmed - 100*time.Millisecond, follower: time.Second, isOutdated: true},
+		{name: "older version", reader: 200 * time.Millisecond, follower: 200 * time.Millisecond, serve: withoutConfirmation},
+		{name: "older version for long", reader: 200 * time.Millisecond, follower: 1500 * time.Millisecond, serve: withoutConfirmation, isOutdated: true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			readAgo := func(age time.Duration) keyed.Snapshot {
+				snapshot := content
+				if age >= 0 {
+					snapshot.ConfirmedAt = time.Now().Add(-age)
+				}
+				return snapshot
+			}
+			reader, follower := newTopicStore(readAgo(test.reader)), newTopicStore(readAgo(test.follower))
+			handler := http.Handler(http.HandlerFunc(reader.serveRecords))
+			if test.serve != nil {
+				handler = test.serve(handler)
+			}
+			server := httptest.NewServer(handler)
+			defer server.Close()
+			address := netip.MustParseAddrPort(server.Listener.Addr().String())
+			sentAt := time.Now()
+			batch, err := follower.readFromHost(t.Context(), address, keyed.Partition{Topic: "op"}, at(7))
+			if test.isOutdated {
+				assert.ErrorIs(t, err, errUnconfirmed)
+				assert.Assert(t, test.serve != nil || time.Since(sentAt) < relayMaxWait, "the follower must read the log as soon as possible")
+				return
+			}
+			assert.NilError(t, err)
+			assert.Assert(t, !batch.ConfirmedAt.After(sentAt), "the reader cannot have read the log later")
+		})
+	}
+}
+
+// withoutConfirmation returns a handler that replies as a host does that does not know when
+// the log was read.
+func withoutConfirmation(handler http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
+		recorder := httptest.NewRecorder()
+		handler.ServeHTTP(recorder, request)
+		reply := recordsReply{}
+		if err := wire.Unmarshal(recorder.Body.Bytes(), &reply); err != nil {
+			w.WriteHeader(http.StatusInternalServerError)
+			return
+		}
+		reply.ConfirmedMillis = nil
+		(&Gateway{}).writeReply(w, reply)
+	})
+}
--- a/internal/process/keyed/keyed.go
+++ b/internal/process/keyed/keyed.go
@@ -77,6 +77,9 @@
 	// Next is the position that follows the records.
 	Next   Position
 	Source Source
+	// ConfirmedAt is when the store is known to have held nothing from Next on; zero if
+	// it may have held more.
+	ConfirmedAt time.Time
 }
 
 // Store is a client of the shared log.
@@ -104,6 +107,9 @@
 	Earlier Position              `cbor:"4,keyasint"`
 	Kept    map[string]KeptRecord `cbor:"5,keyasint,omitempty"`
 	Source  Source                `cbor:"-"`
+	// ConfirmedAt is when the store is known to have held nothing from Position on; zero
+	// if that is unknown.
+	ConfirmedAt time.Time `cbor:"-"`
 }
 
 // KeptRecord is a key whose value, or whose absence, was read before the store was
--- a/internal/process/keyed/topic.go
+++ b/internal/process/keyed/topic.go
@@ -47,6 +47,9 @@
 	// unavailableSince is when the store stopped answering; zero while it
 	// answers.
 	unavailableSince time.Time
+	// confirmedAt is when the store is known to have held nothing that the topic lacks;
+	// zero before that.
+	confirmedAt time.Time
 	// recent holds the newest records; the first has the offset recentFrom.
 	recent     []Record
 	recentFrom uint64
@@ -210,6 +213,7 @@
 	outage := t.markAvailable()
 	t.mu.Lock()
 	if !t.loaded || t.next != from || len(batch.Records) == 0 {
+		t.confirm(batch.Next, batch.ConfirmedAt)
 		t.mu.Unlock()
 		return
 	}
@@ -220,11 +224,28 @@
 		t.recent = append([]Record(nil), t.recent[over:]...)
 		t.recentFrom += uint64(over)
 	}
+	t.confirm(batch.Next, batch.ConfirmedAt)
 	t.wakeReaders()
 	t.mu.Unlock()
 	t.onChange(change)
 }
 
+// confirm records that the store held nothing from a position on at a time. The caller
+// holds mu.
+func (t *Topic) confirm(next Position, at time.Time) {
+	if t.next.Era == next.Era && t.next.Offset >= next.Offset && at.After(t.confirmedAt) {
+		t.confirmedAt = at
+	}
+}
+
+// ConfirmedAt returns when the store is known to have held nothing that the topic lacks,
+// or the zero time.
+func (t *Topic) ConfirmedAt() time.Time {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.confirmedAt
+}
+
 // Adopt applies what is newer in a snapshot received from another host.
 func (t *Topic) Adopt(snapshot Snapshot) { t.replace(snapshot, false, false) }
 
@@ -235,6 +256,7 @@
 	isNewer := snapshot.Compare(t.next) > 0
 	isInformed := snapshot.Era == t.next.Era && snapshot.Earlier.Compare(t.earlier) > 0
 	if t.loaded && !isNewer && !isInformed && !fromStore {
+		t.confirm(snapshot.Position, snapshot.ConfirmedAt)
 		t.mu.Unlock()
 		return
 	}
@@ -245,6 +267,7 @@
 	}
 	change := Change{Records: difference(old.values, merged.values), Position: merged.next, AfterOutage: outage, Source: snapshot.Source}
 	t.loaded, t.content = true, merged
+	t.confirm(snapshot.Position, snapshot.ConfirmedAt)
 	t.recent, t.recentFrom = nil, merged.next.Offset
 	t.wakeReaders()
 	t.mu.Unlock()
@@ -295,31 +318,29 @@
 	t.advanced = make(chan struct{})
 }
 
-// Since returns the records starting at a position, and the position that
-// follows them. If there are none, it waits for new ones until ctx is done. It
-// fails with ErrTrimmed if the records are no longer kept, and with ErrRefused
-// if the topic is not loaded.
-func (t *Topic) Since(ctx context.Context, from Position) ([]Record, Position, error) {
+// Since returns the records starting at a position. If there are none, it waits for
+// new ones until ctx is done. It fails with ErrTrimmed if the records are no longer
+// kept, and with ErrRefused if the topic is not loaded.
+func (t *Topic) Since(ctx context.Context, from Position) (Batch, error) {
 	for {
 		t.mu.Lock()
 		loaded, next, advanced := t.loaded, t.next, t.advanced
+		batch := Batch{Next: from, ConfirmedAt: t.confirmedAt}
 		isKept := from.Compare(Position{Era: next.Era, Offset: t.recentFrom}) >= 0
-		var records []Record
 		if isKept && from.Compare(next) < 0 {
-			records = append(records, t.recent[from.Offset-t.recentFrom:]...)
+			batch.Records, batch.Next = slices.Clone(t.recent[from.Offset-t.recentFrom:]), next
 		}
 		t.mu.Unlock()
 		switch {
 		case !loaded:
-			return nil, Position{}, ErrRefused
+			return Batch{}, ErrRefused
 		case !isKept:
-			return nil, Position{}, ErrTrimmed
-		case len(records) > 0:
-			return records, next, nil
+			return Batch{}, ErrTrimmed
+		case len(batch.Records) > 0 || ctx.Err() != nil:
+			return batch, nil
 		}
 		select {
 		case <-ctx.Done():
-			return nil, from, nil
 		case <-advanced:
 		}
 	}
@@ -330,7 +351,7 @@
 func (t *Topic) Snapshot() (Snapshot, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	snapshot := Snapshot{Position: t.next, Values: maps.Clone(t.values), Earlier: t.earlier}
+	snapshot := Snapshot{Position: t.next, Values: maps.Clone(t.values), Earlier: t.earlier, ConfirmedAt: t.confirmedAt}
 	for key, kept := range t.kept {
 		if snapshot.Kept == nil {
 			snapshot.Kept = map[string]KeptRecord{}
