A host that has lost the log neither reads nor writes for others

Symptom: while most hosts were cut off from the log, the first host of a failure domain counted as the one that reads the log again after 2 s, and its duties as the writer of the fleet (copies, reports of roll-outs, usage) were not done for as long as it was cut off.

Cause: a host reported that the log answers it if it got the records, be it from another host. Such a host was the preferred reader again: two hosts read from each other in turn. As the leader it went on trying to write.

Change: the log is reached if the last direct call to the operator's records succeeded. A host that gets them from another one probes that every .5 s while the log is lost, or once a call to another partition has failed.

--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -28,6 +28,7 @@
 type Gateway struct {
 	settings  Settings
 	ports     Ports
+	logAccess *logAccess
 	startedAt time.Time
 	// self describes this host to the others.
 	self     peers.Host
@@ -77,8 +78,10 @@
 // New returns a gateway that is not running yet.
 func New(settings Settings, ports Ports) (*Gateway, error) {
 	log := decisionlog.New(ports.Log, ports.Metrics)
+	access := newLogAccess(ports.Store, keyed.Partition{Topic: ports.Topics.Operator}, log.Entry())
+	ports.Store = access
 	g := &Gateway{
-		settings: settings, ports: ports, log: log, registry: ports.Metrics, startedAt: time.Now(),
+		settings: settings, ports: ports, logAccess: access, log: log, registry: ports.Metrics, startedAt: time.Now(),
 		operatorRecords:  map[string]OperatorRecord{},
 		malformedEntries: metrics.GetOrRegisterCounter("endpoints.malformed", ports.Metrics),
 	}
@@ -149,7 +152,7 @@
 // isLeader reports whether this host is the leader of the reachable hosts that can
 // access the log.
 func (g *Gateway) isLeader() bool {
-	return !g.operator.IsUnavailable() &&
+	return !g.logAccess.isLost() &&
 		g.membership.IsLeader(func(s peers.Status) bool { return !s.StoreUnavailable && s.Loaded }, g.membership.Now())
 }
 
@@ -169,7 +172,7 @@
 	loads, waiting := g.dispatcher.Loads()
 	status := peers.Status{
 		Ready: g.IsReady(), Leaving: g.isStopping(), WaitingServices: waiting, Usage: g.limits.Usage(isFull),
-		StoreUnavailable: g.operator.IsUnavailable(), Spent: g.spent.Load(), Carries: g.carries.Load(),
+		StoreUnavailable: g.logAccess.isLost(), Spent: g.spent.Load(), Carries: g.carries.Load(),
 		Quarantine: g.quarantine.evidence(isFull), LostServices: g.carriers.lostServices(),
 	}
 	operatorNext, isOperatorKnown := g.operator.Next()
--- a/internal/process/gateway/hoststate.go
+++ b/internal/process/gateway/hoststate.go
@@ -28,7 +28,8 @@
 	// KeptRecords is the number of records that the host had read before that, and
 	// that were not written again.
 	KeptRecords int `json:"kept_records"`
-	// LogUnavailable is set if this host cannot access the platform's log.
+	// LogUnavailable is set if this host cannot access the platform's log. It may get the
+	// records from another host.
 	LogUnavailable bool `json:"log_lost"`
 	// Reader is the host that reads the log on behalf of this one; empty if it
 	// reads the log itself.
@@ -61,7 +62,7 @@
 	addresses, reachable := g.membership.SharingHosts(g.membership.Now())
 	s := HostState{
 		Host: g.settings.Name, Domain: g.settings.Domain, Ready: g.IsReady(), Stopping: g.isStopping(),
-		LogUnavailable: g.operator.IsUnavailable(), Hosts: len(addresses), Reachable: reachable, Endpoints: g.dispatcher.EndpointStates(),
+		LogUnavailable: g.logAccess.isLost(), Hosts: len(addresses), Reachable: reachable, Endpoints: g.dispatcher.EndpointStates(),
 	}
 	if table := g.table.Load(); table != nil {
 		s.ConfigVersion = table.Version
--- a/internal/process/gateway/run.go
+++ b/internal/process/gateway/run.go
@@ -83,6 +83,7 @@
 	addActor(g.registerHost)
 	addActor(g.tick)
 	addActor(g.catchUp)
+	addActor(g.probeLog)
 	addActor(g.snapshotCopies.run)
 	addActor(g.moveTracker.run)
 	addActor(g.quarantine.run)
--- a/internal/process/gateway/shared_read_store.go
+++ b/internal/process/gateway/shared_read_store.go
@@ -90,7 +90,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	avoid := func(address netip.AddrPort) bool { return now.Before(s.avoidedUntil[address]) }
-	address := s.gateway.membership.LogReader(avoid, !s.gateway.operator.IsUnavailable(), s.gateway.membership.Now())
+	address := s.gateway.membership.LogReader(avoid, !s.gateway.logAccess.isLost(), s.gateway.membership.Now())
 	if address == s.gateway.settings.PeerAddress {
 		return netip.AddrPort{}
 	}
--- a/internal/process/keyed/topic.go
+++ b/internal/process/keyed/topic.go
@@ -103,16 +103,22 @@
 	}
 }
 
-// errLate means that a call failed so long after its deadline that this process did not
-// run: the store may have answered in time.
+// errLate means that a call failed late, as defined by IsLate.
 var errLate = eris.New("this process did not run")
 
 // maxLateness is how long after its deadline a call of a process that runs may fail.
 const maxLateness = 300 * time.Millisecond
 
+// IsLate reports whether the deadline of a call has passed for so long that this process
+// did not run: the store may have answered in time.
+func IsLate(call context.Context) bool {
+	deadline, hasDeadline := call.Deadline()
+	return hasDeadline && time.Since(deadline) > maxLateness
+}
+
 // checkLate returns the error of a call, with errLate if it was late.
 func checkLate(call context.Context, err error) error {
-	if deadline, _ := call.Deadline(); time.Since(deadline) > maxLateness {
+	if IsLate(call) {
 		return errors.Join(errLate, err)
 	}
 	return err
