After a failed read, a topic waits as its new policy says

Symptom: in a failure domain of 20 hosts, the host that reads the log waited for 1.5 s after a failed read, though it could read from another host at once.

Cause: the delay was taken from the policy before the read, that of a host with no other to read from.

Result: TestRetryDelayAfterFailure fails before the change.

--- a/internal/process/keyed/topic.go
+++ b/internal/process/keyed/topic.go
@@ -84,7 +84,7 @@
 	for {
 		t.expireKept()
 		start, policy := time.Now(), t.pollPolicy()
-		wait := policy.RetryDelay
+		wait := time.Duration(0)
 		err := t.poll(ctx, policy)
 		if errors.Is(err, errLate) {
 			err = t.poll(ctx, policy)
@@ -94,6 +94,8 @@
 		}
 		if err != nil {
 			t.markUnavailable(err)
+			// Another host may be found to read from.
+			wait = t.pollPolicy().RetryDelay
 		} else {
 			wait = policy.MinInterval - time.Since(start)
 		}
--- a/internal/process/keyed/topic_test.go
+++ b/internal/process/keyed/topic_test.go
@@ -288,3 +288,29 @@
 		assert.Equal(t, batch.Next, at(2))
 	})
 }
+
+// After a failed read the topic waited for as long as it does without another host to read
+// from, though one had been found.
+func TestRetryDelayAfterFailure(t *testing.T) {
+	store := &memoryStore{}
+	store.put("a", "1")
+	var topic atomic.Pointer[keyed.Topic]
+	policy := func() keyed.PollPolicy {
+		policy := policy()
+		policy.RetryDelay = 10 * time.Second
+		if followed := topic.Load(); followed != nil && followed.IsUnavailable() {
+			policy.RetryDelay = 50 * time.Millisecond
+		}
+		return policy
+	}
+	followAt(t, policy, store, func(followed *keyed.Topic, changes func() []keyed.Change) {
+		topic.Store(followed)
+		settle()
+		store.set(keyed.ErrUnanswered)
+		settle()
+		store.set(nil)
+		store.put("a", "2")
+		settle()
+		assert.Assert(t, !followed.IsUnavailable())
+	})
+}
