Changes of a topic are reported in the order in which they were read

Symptom: an evacuation, an order or an endpoint's entry that had been replaced could stay in force until the next change.

Cause: onChange was called after the lock had been released, from the goroutine that polls and from the one that adopts other hosts' state.

Change: a lock is held from a change until onChange has returned.

--- a/internal/process/keyed/topic.go
+++ b/internal/process/keyed/topic.go
@@ -41,6 +41,10 @@
 	// onChange is called after each change, without mu held.
 	onChange func(Change)
 
+	// changing is held from a change until onChange has returned, so that changes are
+	// reported in order. It is locked before mu.
+	changing sync.Mutex
+
 	mu     sync.Mutex
 	loaded bool
 	content
@@ -148,6 +152,8 @@
 // expireKept puts the store's state in force where an earlier one was kept for long
 // enough.
 func (t *Topic) expireKept() {
+	t.changing.Lock()
+	defer t.changing.Unlock()
 	t.mu.Lock()
 	records := t.expire(time.Now())
 	change := Change{Records: records, Position: t.next}
@@ -218,6 +224,8 @@
 // apply applies records that start at an offset, unless the topic has moved
 // past it.
 func (t *Topic) apply(from Position, batch Batch) {
+	t.changing.Lock()
+	defer t.changing.Unlock()
 	outage := t.markAvailable()
 	t.mu.Lock()
 	if !t.loaded || t.next != from || len(batch.Records) == 0 {
@@ -260,6 +268,8 @@
 // replace merges a snapshot into the topic's content. A snapshot from the store is
 // applied even at the current position, because the log may have dropped records.
 func (t *Topic) replace(snapshot Snapshot, fromStore, outage bool) {
+	t.changing.Lock()
+	defer t.changing.Unlock()
 	t.mu.Lock()
 	isNewer := snapshot.Compare(t.next) > 0
 	isInformed := snapshot.Era == t.next.Era && snapshot.Earlier.Compare(t.earlier) > 0
