A host that advances slowly counts as behind the others

Symptom: in a storm of changes, a host that followed a slow reader could stay behind for as long as the storm lasted, without fetching another host's state.

Cause: the lag was measured from the last record that the host had read, however far the others were ahead. It never reached the limit while any record arrived.

Change: the lag is measured from when another host was first seen at a position until this one reaches it.

Result: TestLagOfHostThatAdvancesSlowly/behind_for_longer fails before the change.

--- a/internal/process/gateway/state.go
+++ b/internal/process/gateway/state.go
@@ -60,10 +60,10 @@
 	for pause.For(ctx, catchUpInterval) {
 		now := g.membership.Now()
 		operatorNext, known := g.operator.Next()
-		address := operator.check(g.membership, now, known, operatorNext, func(s peers.Status) keyed.Position { return s.OperatorPosition() })
+		address := operator.check(g.membership.FindReachable, now, known, operatorNext, func(s peers.Status) keyed.Position { return s.OperatorPosition() })
 		if !address.IsValid() {
 			endpointsNext, known := g.endpoints.Next()
-			address = endpoints.check(g.membership, now, known, endpointsNext, func(s peers.Status) keyed.Position { return s.EndpointsPosition() })
+			address = endpoints.check(g.membership.FindReachable, now, known, endpointsNext, func(s peers.Status) keyed.Position { return s.EndpointsPosition() })
 		}
 		if !address.IsValid() {
 			address = restored.check(g.membership, now, g.operator, g.endpoints)
@@ -78,17 +78,29 @@
 	return nil
 }
 
-// lagDetector detects that another host has been ahead for too long.
+// findHost returns the address of a reachable host that satisfies a condition, as
+// Membership.FindReachable does.
+type findHost func(condition func(peers.Status) bool, now time.Time) (found netip.AddrPort, isRemote bool)
+
+// lagDetector detects that this host has not read for too long what another one has.
 type lagDetector struct {
 	allowed time.Duration
-	next    keyed.Position
-	since   time.Time
+	// target is a position that another host has reached, since is when this host was
+	// first found not to have reached it.
+	target keyed.Position
+	since  time.Time
 }
 
 // check returns the address of a host that is ahead once the lag exceeds the
 // allowed time.
-func (d *lagDetector) check(membership *peers.Membership, now time.Time, known bool, next keyed.Position, nextOf func(peers.Status) keyed.Position) netip.AddrPort {
-	address, isRemote := membership.FindReachable(func(s peers.Status) bool { return nextOf(s).Compare(next) > 0 }, now)
+func (d *lagDetector) check(find findHost, now time.Time, known bool, next keyed.Position, nextOf func(peers.Status) keyed.Position) netip.AddrPort {
+	newest := next
+	address, isRemote := find(func(s peers.Status) bool {
+		if nextOf(s).Compare(newest) > 0 {
+			newest = nextOf(s)
+		}
+		return nextOf(s).Compare(next) > 0
+	}, now)
 	if !address.IsValid() {
 		d.since = time.Time{}
 		return netip.AddrPort{}
@@ -96,8 +108,8 @@
 	if !known {
 		return address
 	}
-	if d.since.IsZero() || next != d.next {
-		d.since, d.next = now, next
+	if d.since.IsZero() || next.Compare(d.target) >= 0 {
+		d.since, d.target = now, newest
 	}
 	allowed := d.allowed
 	if isRemote {
@@ -106,7 +118,7 @@
 	if now.Sub(d.since) < allowed {
 		return netip.AddrPort{}
 	}
-	d.since = now
+	d.since, d.target = now, newest
 	return address
 }
 
