--- a/soak/config.go
+++ b/soak/config.go
@@ -1,6 +1,8 @@
 package soak
 
 import (
+	"fmt"
+	"maps"
 	"time"
 
 	"mustarddoor/platform/standin"
@@ -37,9 +39,15 @@
 	return teamName
 }
 
-// newConfig returns the configuration at the start of a run.
-func newConfig() map[string]any {
+// newConfig returns the configuration at the start of a run, with additional routes that get
+// no requests.
+func newConfig(additional int) map[string]any {
 	config := standin.Config(service)
+	for n := range additional {
+		route := maps.Clone(config["routes"].([]any)[0].(map[string]any))
+		route["name"], route["pathPrefix"] = fmt.Sprint("additional-", n), fmt.Sprintf("/additional-%d/", n)
+		config["routes"] = append(config["routes"].([]any), route)
+	}
 	for _, route := range config["routes"].([]any) {
 		if fields := route.(map[string]any); fields["routeKind"] == "streaming" {
 			fields["timeoutMs"] = streamTimeout.Milliseconds()
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -63,7 +63,7 @@
 func newFleet(ctx context.Context, options Options) (*fleet, error) {
 	f := &fleet{lifetime: &lifetime{}, record: NewRecorder(), storeFaults: map[*standin.StoreFaults]struct{}{}, orderLocks: map[string]*sync.Mutex{}}
 	f.store = standin.NewStore(f.lifetime)
-	f.config = newConfig()
+	f.config = newConfig(options.Size.Routes)
 	f.routes = f.config["routes"].([]any)
 	f.configure(f.routes)
 	for n := range options.Size.Endpoints {
--- a/soak/load_test.go
+++ b/soak/load_test.go
@@ -78,7 +78,7 @@
 
 // The changes of a storm can be undone.
 func TestConfigChanges(t *testing.T) {
-	config, unchanged := newConfig(), newConfig()
+	config, unchanged := newConfig(0), newConfig(0)
 	for _, isUndone := range []bool{false, true} {
 		for n, change := range configChanges {
 			before := len(config)
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -117,6 +117,8 @@
 	Traffic time.Duration
 	// Faults is the number of faults.
 	Faults int
+	// Routes is the number of routes in the configuration that get no requests.
+	Routes int
 }
 
 // warmup is the time without faults at the start of the traffic.
--- a/soak/run.go
+++ b/soak/run.go
@@ -42,7 +42,7 @@
 // Run carries out the plan of a seed. It returns an error if the fleet cannot be
 // started.
 func Run(ctx context.Context, options Options) (Report, error) {
-	report := Report{Seed: options.Seed, Plan: slices.Concat(NewPlan(options.Seed, options.Size), newRequestFaults(options.Seed, options.Size), newStoreReturns(options.Seed, options.Size), newMachineFaults(options.Seed, options.Size))}
+	report := Report{Seed: options.Seed, Plan: slices.Concat(NewPlan(options.Seed, options.Size), newRequestFaults(options.Seed, options.Size), newStoreReturns(options.Seed, options.Size), newMachineFaults(options.Seed, options.Size), newReaderCuts(options.Seed, options.Size))}
 	slices.SortStableFunc(report.Plan, func(a, b Fault) int { return int(a.Start - b.Start) })
 	f, err := newFleet(ctx, options)
 	defer f.close()
