Hosts show how long ago they knew all records of the log

Change: store.operator_unconfirmed_ms, store.endpoints_unconfirmed_ms, the same in /host, and unconfirmed_ms with each configuration in force: the time for which the host may have lacked it without knowing.

--- a/internal/process/gateway/hoststate.go
+++ b/internal/process/gateway/hoststate.go
@@ -34,6 +34,11 @@
 	// Reader is the host that reads the log on behalf of this one; empty if it
 	// reads the log itself.
 	Reader string `json:"reader"`
+	// OperatorUnconfirmedMillis and EndpointsUnconfirmedMillis are the times in ms since
+	// the log is known to have held no record that this host lacks, -1 if that was never
+	// known.
+	OperatorUnconfirmedMillis  int64 `json:"operator_unconfirmed_ms"`
+	EndpointsUnconfirmedMillis int64 `json:"endpoints_unconfirmed_ms"`
 	// Hosts is the number of hosts that share the limits, Heard the number of
 	// those that are reachable.
 	Hosts     int `json:"hosts"`
@@ -74,6 +79,7 @@
 	_, keptEndpoints := g.endpoints.Kept()
 	s.KeptRecords = keptOperator + keptEndpoints
 	s.Carries, s.EntryAddresses, s.Demand = g.carries.Load(), g.entryHosts.selected(), g.entryHosts.demand()
+	s.OperatorUnconfirmedMillis, s.EndpointsUnconfirmedMillis = unconfirmedMillis(g.operator.ConfirmedAt()), unconfirmedMillis(g.endpoints.ConfirmedAt())
 	s.Active = len(g.membership.ActiveHosts(g.membership.Now()))
 	s.LostServices = g.dispatcher.LostServices()
 	s.QuarantinedParts = g.quarantine.tracker.Quarantined()
--- a/internal/process/gateway/records.go
+++ b/internal/process/gateway/records.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"time"
+
 	"github.com/sirupsen/logrus"
 
 	"mustarddoor/internal/process/keyed"
@@ -68,10 +70,19 @@
 	g.table.Store(table)
 	g.log.Entry().WithFields(logrus.Fields{
 		"config_version": config.Version, "offset": change.Position.Offset, "routes": len(config.Routes), "teams": len(config.Teams),
-		"source": change.Source, "uptime_ms": g.uptime().Milliseconds(),
+		"source": change.Source, "uptime_ms": g.uptime().Milliseconds(), "unconfirmed_ms": unconfirmedMillis(change.ConfirmedAt),
 	}).Info("configuration in force")
 }
 
+// unconfirmedMillis returns the time in ms since a topic was confirmed, or -1 if it never
+// was.
+func unconfirmedMillis(confirmedAt time.Time) int64 {
+	if confirmedAt.IsZero() {
+		return -1
+	}
+	return time.Since(confirmedAt).Milliseconds()
+}
+
 // applyEndpointsChange applies changed endpoint entries.
 func (g *Gateway) applyEndpointsChange(change keyed.Change) {
 	for _, changed := range change.Records {
--- a/internal/process/keyed/topic.go
+++ b/internal/process/keyed/topic.go
@@ -73,6 +73,9 @@
 	// AfterOutage is true if the store was unavailable before this change.
 	AfterOutage bool
 	Position    Position
+	// ConfirmedAt is when the store was known, before this change, to hold nothing that
+	// the topic lacked; zero if it never was.
+	ConfirmedAt time.Time
 	// Source is where the records came from; empty if they were kept from before the
 	// store was restored.
 	Source Source
@@ -234,7 +237,7 @@
 		return
 	}
 	t.content.apply(batch.Records, batch.Next, time.Now())
-	change := Change{Records: batch.Records, AfterOutage: outage, Position: batch.Next, Source: batch.Source}
+	change := Change{Records: batch.Records, AfterOutage: outage, Position: batch.Next, ConfirmedAt: t.confirmedAt, Source: batch.Source}
 	t.recent = append(t.recent, batch.Records...)
 	if over := len(t.recent) - maxRecentRecords; over > 0 {
 		t.recent = append([]Record(nil), t.recent[over:]...)
@@ -283,7 +286,7 @@
 	if t.loaded {
 		merged = t.merge(merged, t.restore, now)
 	}
-	change := Change{Records: difference(old.values, merged.values), Position: merged.next, AfterOutage: outage, Source: snapshot.Source}
+	change := Change{Records: difference(old.values, merged.values), Position: merged.next, AfterOutage: outage, ConfirmedAt: t.confirmedAt, Source: snapshot.Source}
 	t.loaded, t.content = true, merged
 	t.confirm(snapshot.Position, snapshot.ConfirmedAt)
 	t.recent, t.recentFrom = nil, merged.next.Offset
--- a/internal/process/keyed/topic_test.go
+++ b/internal/process/keyed/topic_test.go
@@ -26,6 +26,15 @@
 	// standstill is how long the process does not run during the next read, whose
 	// deadline passes meanwhile.
 	standstill time.Duration
+	// isConfirming is set if replies say when they were the log's state.
+	isConfirming bool
+}
+
+func (s *memoryStore) confirmedAt() time.Time {
+	if !s.isConfirming {
+		return time.Time{}
+	}
+	return time.Now()
 }
 
 func (s *memoryStore) put(key, value string) {
@@ -63,7 +72,7 @@
 			delete(newest, record.Key)
 		}
 	}
-	return keyed.Snapshot{Position: s.end(), Values: newest}, s.fail
+	return keyed.Snapshot{Position: s.end(), Values: newest, ConfirmedAt: s.confirmedAt()}, s.fail
 }
 
 // end returns the end of the log. The caller holds mu.
@@ -88,7 +97,7 @@
 	if from.Offset < s.first || from.Offset > uint64(len(s.records)) {
 		return keyed.Batch{}, keyed.ErrTrimmed
 	}
-	return keyed.Batch{Records: s.records[from.Offset:], Next: s.end(), Source: keyed.SourceLog}, nil
+	return keyed.Batch{Records: s.records[from.Offset:], Next: s.end(), Source: keyed.SourceLog, ConfirmedAt: s.confirmedAt()}, nil
 }
 
 func (s *memoryStore) Append(context.Context, keyed.Partition, keyed.Record, *uint64) (keyed.Position, error) {
@@ -314,3 +323,36 @@
 		assert.Assert(t, !followed.IsUnavailable())
 	})
 }
+
+// A topic is confirmed by what the store says, not by what another host has read.
+func TestTopicIsConfirmedByTheStore(t *testing.T) {
+	store := &memoryStore{isConfirming: true}
+	store.put("a", "1")
+	follow(t, store, func(topic *keyed.Topic, changes func() []keyed.Change) {
+		settle()
+		assert.Assert(t, time.Since(topic.ConfirmedAt()) <= 100*time.Millisecond)
+		store.set(keyed.ErrUnanswered)
+		settle()
+		lostAt := topic.ConfirmedAt()
+		topic.Adopt(keyed.Snapshot{Position: at(2), Values: map[string][]byte{"a": []byte("2")}})
+		settle()
+		assert.Equal(t, topic.ConfirmedAt(), lostAt)
+		batch, err := topic.Since(canceled(), at(2))
+		assert.NilError(t, err)
+		assert.Equal(t, batch.ConfirmedAt, lostAt)
+		changes()
+		store.set(nil)
+		store.put("a", "2")
+		store.put("a", "3")
+		settle()
+		assert.Equal(t, changes()[0].ConfirmedAt, lostAt)
+		assert.Assert(t, time.Since(topic.ConfirmedAt()) <= 100*time.Millisecond)
+	})
+}
+
+// canceled returns a context that is done.
+func canceled() context.Context {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	return ctx
+}
