A reader that has lost the log gives no empty reply

Symptom: during an upgrade, a host of the build before that follows a reader of this one would have asked again at once after each empty reply, and would not have read the log itself. Found by reading, before it was given out.

Cause: a reader ends its wait when it has not read the log for 1.1 s, and replied with no records. The build before takes that for a long poll that has ended.

Change: it replies 410, as one that has not loaded the topic does. Followers of both builds then read the log.

--- a/internal/process/gateway/shared_read_store.go
+++ b/internal/process/gateway/shared_read_store.go
@@ -233,9 +233,12 @@
 
 // isOutdated reports whether the host that replied has not read the log lately.
 func (r *receivedRecords) isOutdated() bool {
-	return r.ConfirmedMillis != nil && time.Since(r.confirmedAt()) > maxUnconfirmed
+	return r.ConfirmedMillis != nil && isOutdated(r.confirmedAt())
 }
 
+// isOutdated reports whether what was confirmed at a time may lack changes by now.
+func isOutdated(confirmedAt time.Time) bool { return time.Since(confirmedAt) >= maxUnconfirmed }
+
 // newRecordsReply returns the reply to a request that arrived at a time.
 func newRecordsReply(next keyed.Position, arrivedAt, confirmedAt time.Time) recordsReply {
 	age := neverConfirmedAge.Milliseconds()
@@ -261,7 +264,7 @@
 	batch := keyed.Batch{
 		Records: reply.Records, Next: keyed.Position{Era: reply.Era, Offset: reply.Next}, Source: keyed.SourceReader, ConfirmedAt: reply.confirmedAt(),
 	}
-	isUnknown := reply.ConfirmedMillis == nil && time.Since(s.topic(partition.Topic).ConfirmedAt()) > maxUnconfirmed
+	isUnknown := reply.ConfirmedMillis == nil && isOutdated(s.topic(partition.Topic).ConfirmedAt())
 	if isUnknown || reply.isOutdated() {
 		return batch, errUnconfirmed
 	}
@@ -311,7 +314,7 @@
 	switch {
 	case errors.Is(err, keyed.ErrTrimmed):
 		s.serveSnapshot(w, topic, from, arrivedAt)
-	case err != nil:
+	case err != nil, len(batch.Records) == 0 && isOutdated(batch.ConfirmedAt):
 		// The other host then reads the log itself.
 		w.WriteHeader(http.StatusGone)
 	default:
