Split the files of the shared reads and of the topic

No change of behaviour: the replies of hosts that read for others, and what a topic shows of its state, have files of their own. A read that falls back to the log has one path for all failures of the reader.

--- a/internal/process/gateway/shared_read_store.go
+++ b/internal/process/gateway/shared_read_store.go
@@ -24,8 +24,8 @@
 // with the fleet. It implements keyed.Store for the topics that all hosts
 // follow.
 //
-// A host whose reader fails immediately reads the log itself, so that losing the
-// reader costs at most the timeout of one call.
+// A host whose reader fails, or has not read the log lately itself, reads the log
+// immediately, so that losing the reader costs at most the timeout of one call.
 type sharedReadStore struct {
 	gateway      *Gateway
 	client       *http.Client
@@ -172,20 +172,17 @@
 		s.relayedReads.Inc(1)
 		return batch, nil
 	}
-	if errors.Is(err, errUnconfirmed) {
-		s.avoid(address, err)
-		direct, directErr := s.gateway.ports.Store.Read(ctx, partition, from, 0)
-		if directErr != nil && len(batch.Records) > 0 {
-			return batch, nil
-		}
-		return direct, directErr
-	}
 	if ctx.Err() != nil {
 		// This process stops, or did not run when the other host replied.
 		return keyed.Batch{}, eris.Wrap(keyed.ErrUnanswered, ctx.Err().Error())
 	}
 	s.avoid(address, err)
-	return s.gateway.ports.Store.Read(ctx, partition, from, 0)
+	direct, err := s.gateway.ports.Store.Read(ctx, partition, from, 0)
+	if err != nil && len(batch.Records) > 0 {
+		// The other host has records all the same.
+		return batch, nil
+	}
+	return direct, err
 }
 
 // avoid records that a host did not serve its records.
@@ -197,57 +194,6 @@
 	s.gateway.log.Entry().WithError(err).WithField("link", address.String()).Info("cannot read from another host, reading the log directly")
 }
 
-// recordsReply is the reply to a read from another host. It holds a snapshot
-// instead of records if that host no longer has them, as after the log was
-// trimmed: if every host then listed the topic itself, the load on the log would
-// grow with the fleet.
-type recordsReply struct {
-	Records  []keyed.Record  `cbor:"1,keyasint,omitempty"`
-	Next     uint64          `cbor:"2,keyasint"`
-	Snapshot *keyed.Snapshot `cbor:"3,keyasint,omitempty"`
-	// Era is the era of Next; 0 if the host runs a version that does not send it.
-	Era uint64 `cbor:"4,keyasint,omitempty"`
-	// ConfirmedMillis is the time in ms from when the log is known to have held nothing
-	// more than this reply until the request arrived, negative if that was later; nil if
-	// the host runs a version that does not send it.
-	ConfirmedMillis *int64 `cbor:"5,keyasint,omitempty"`
-}
-
-// receivedRecords is a reply from another host to a request sent at a time.
-type receivedRecords struct {
-	recordsReply
-	requestedAt time.Time
-}
-
-// errUnconfirmed means that another host has not read the log lately.
-var errUnconfirmed = eris.New("the other host has not read the log lately")
-
-// confirmedAt returns when the log is known to have held nothing more than the reply, or
-// the zero time.
-func (r *receivedRecords) confirmedAt() time.Time {
-	if r.ConfirmedMillis == nil {
-		return time.Time{}
-	}
-	return r.requestedAt.Add(-time.Duration(*r.ConfirmedMillis) * time.Millisecond)
-}
-
-// isOutdated reports whether the host that replied has not read the log lately.
-func (r *receivedRecords) isOutdated() bool {
-	return r.ConfirmedMillis != nil && isOutdated(r.confirmedAt())
-}
-
-// isOutdated reports whether what was confirmed at a time may lack changes by now.
-func isOutdated(confirmedAt time.Time) bool { return time.Since(confirmedAt) >= maxUnconfirmed }
-
-// newRecordsReply returns the reply to a request that arrived at a time.
-func newRecordsReply(next keyed.Position, arrivedAt, confirmedAt time.Time) recordsReply {
-	age := neverConfirmedAge.Milliseconds()
-	if !confirmedAt.IsZero() {
-		age = arrivedAt.Sub(confirmedAt).Milliseconds() + 1 // rounded up
-	}
-	return recordsReply{Next: next.Offset, Era: next.Era, ConfirmedMillis: &age}
-}
-
 // readFromHost reads records from another host. If that host replies with a
 // snapshot instead, the topic adopts it.
 func (s *sharedReadStore) readFromHost(ctx context.Context, address netip.AddrPort, partition keyed.Partition, from keyed.Position) (keyed.Batch, error) {
--- /dev/null
+++ b/internal/process/keyed/topic_state.go
@@ -0,0 +1,80 @@
+package keyed
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"time"
+)
+
+// wakeReaders wakes the readers that wait for records. The caller holds mu.
+func (t *Topic) wakeReaders() {
+	close(t.advanced)
+	t.advanced = make(chan struct{})
+}
+
+// Since returns the records starting at a position. If there are none, it waits for
+// new ones until ctx is done. It fails with ErrTrimmed if the records are no longer
+// kept, and with ErrRefused if the topic is not loaded.
+func (t *Topic) Since(ctx context.Context, from Position) (Batch, error) {
+	for {
+		t.mu.Lock()
+		loaded, next, advanced := t.loaded, t.next, t.advanced
+		batch := Batch{Next: from, ConfirmedAt: t.confirmedAt}
+		isKept := from.Compare(Position{Era: next.Era, Offset: t.recentFrom}) >= 0
+		if isKept && from.Compare(next) < 0 {
+			batch.Records, batch.Next = slices.Clone(t.recent[from.Offset-t.recentFrom:]), next
+		}
+		t.mu.Unlock()
+		switch {
+		case !loaded:
+			return Batch{}, ErrRefused
+		case !isKept:
+			return Batch{}, ErrTrimmed
+		case len(batch.Records) > 0 || ctx.Err() != nil:
+			return batch, nil
+		}
+		select {
+		case <-ctx.Done():
+		case <-advanced:
+		}
+	}
+}
+
+// Snapshot returns a copy of the topic's content, and false until the topic is
+// loaded.
+func (t *Topic) Snapshot() (Snapshot, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	snapshot := Snapshot{Position: t.next, Values: maps.Clone(t.values), Earlier: t.earlier, ConfirmedAt: t.confirmedAt}
+	for key, kept := range t.kept {
+		if snapshot.Kept == nil {
+			snapshot.Kept = map[string]KeptRecord{}
+		}
+		snapshot.Kept[key] = KeptRecord{Stored: kept.stored, ForMillis: time.Until(kept.until).Milliseconds()}
+	}
+	return snapshot, t.loaded
+}
+
+// Kept returns the position that had been read before the store was restored, and
+// how many records are kept from then.
+func (t *Topic) Kept() (earlier Position, count int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.earlier, len(t.kept)
+}
+
+// Next returns the position up to which the topic has been read, and false until
+// the topic is loaded.
+func (t *Topic) Next() (Position, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.next, t.loaded
+}
+
+// IsUnavailable reports whether the store has stopped answering.
+func (t *Topic) IsUnavailable() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return !t.unavailableSince.IsZero()
+}
