--- a/internal/process/gateway/log_access.go
+++ b/internal/process/gateway/log_access.go
@@ -88,7 +88,7 @@
 	return !a.lostSince.IsZero()
 }
 
-// needsProbe reports whether a call is needed to tell if this host reaches the log.
+// needsProbe reports whether a call is needed to find out if this host reaches the log.
 // readsLog is set if it reads the log anyway.
 func (a *logAccess) needsProbe(readsLog bool) bool {
 	a.mu.Lock()
--- a/internal/process/keyed/topic_test.go
+++ b/internal/process/keyed/topic_test.go
@@ -26,7 +26,7 @@
 	// standstill is how long the process does not run during the next read, whose
 	// deadline passes meanwhile.
 	standstill time.Duration
-	// isConfirming is set if replies say when they were the log's state.
+	// isConfirming is set if replies include the time at which they were current.
 	isConfirming bool
 }
 
@@ -324,7 +324,7 @@
 	})
 }
 
-// A topic is confirmed by what the store says, not by what another host has read.
+// Only the store confirms a topic. The state of another host does not.
 func TestTopicIsConfirmedByTheStore(t *testing.T) {
 	store := &memoryStore{isConfirming: true}
 	store.put("a", "1")
