A reader refuses records that its link cannot deliver in time

Cause: a reader with a link of 10 Mbit/s sent a configuration of 400 routes to all hosts of its failure domain at once. None got it within the .8 s of a read, and each then read the log all the same.

Change: records for other hosts may take half of the link's capacity, with bursts of .5 s. A reply beyond that is refused with 410, and the other host reads the log at once.

Result: TestReaderWithNarrowLinkRefusesWhatItCannotDeliver.

--- a/internal/process/gateway/fetch.go
+++ b/internal/process/gateway/fetch.go
@@ -39,12 +39,22 @@
 
 // writeReply encodes a value as the reply to another host.
 func (g *Gateway) writeReply(w http.ResponseWriter, value any) {
+	g.writeReplyIf(w, value, func(int) bool { return true })
+}
+
+// writeReplyIf is writeReply for a reply that may be sent only if mayWrite allows its
+// size in bytes. Otherwise the status is 410.
+func (g *Gateway) writeReplyIf(w http.ResponseWriter, value any, mayWrite func(size int) bool) {
 	data, err := wire.Marshal(value)
 	if err != nil {
 		g.log.Entry().WithError(err).Error("cannot encode reply to another host")
 		w.WriteHeader(http.StatusInternalServerError)
 		return
 	}
+	if !mayWrite(len(data)) {
+		w.WriteHeader(http.StatusGone)
+		return
+	}
 	// A write error means that the other host has disconnected; it then reads
 	// elsewhere.
 	_, _ = w.Write(data)
--- a/internal/process/gateway/shared_read_store.go
+++ b/internal/process/gateway/shared_read_store.go
@@ -12,6 +12,7 @@
 
 	"github.com/rcrowley/go-metrics"
 	"github.com/rotisserie/eris"
+	"golang.org/x/time/rate"
 
 	"mustarddoor/internal/process/keyed"
 )
@@ -31,6 +32,9 @@
 	client       *http.Client
 	relayedReads metrics.Counter
 	failedRelays metrics.Counter
+	// refusedReplies counts the replies beyond what limiter allows, in bytes.
+	refusedReplies metrics.Counter
+	limiter        *rate.Limiter
 
 	mu sync.Mutex
 	// avoidedUntil holds the hosts whose records could not be read, and until
@@ -80,9 +84,31 @@
 		client:       &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2}},
 		relayedReads: metrics.GetOrRegisterCounter("store.reads_relayed", g.registry),
 		failedRelays: metrics.GetOrRegisterCounter("store.relays_failed", g.registry),
+
+		refusedReplies: metrics.GetOrRegisterCounter("store.replies_refused", g.registry),
+		limiter:        newRecordsLimiter(g.settings.LinkMbps),
 	}
 }
 
+const (
+	// recordsBandwidthShare is the fraction of a host's network link that records for
+	// other hosts may use; the rest is for requests.
+	recordsBandwidthShare = 0.5
+	// recordsBurstDuration is how much of that rate may be sent as one burst. It is well
+	// below relayReplyTimeout.
+	recordsBurstDuration = 500 * time.Millisecond
+)
+
+// newRecordsLimiter limits the bytes of records that a host sends to others for a link
+// capacity in Mbit/s. There is no limit if the capacity is unknown.
+func newRecordsLimiter(mbps int) *rate.Limiter {
+	if mbps <= 0 {
+		return rate.NewLimiter(rate.Inf, 0)
+	}
+	bytes := float64(mbps) * 1e6 / 8 * recordsBandwidthShare
+	return rate.NewLimiter(rate.Limit(bytes), int(bytes*recordsBurstDuration.Seconds()))
+}
+
 // readerAddress returns the address of the host to read from, or the zero
 // address to read the log directly.
 func (s *sharedReadStore) readerAddress() netip.AddrPort {
@@ -266,10 +292,22 @@
 	default:
 		reply := newRecordsReply(batch.Next, arrivedAt, batch.ConfirmedAt)
 		reply.Records = batch.Records
-		s.gateway.writeReply(w, reply)
+		s.writeRecords(w, reply)
 	}
 }
 
+// writeRecords sends a reply, unless the link could not deliver it in time. The other host
+// then reads the log itself.
+func (s *sharedReadStore) writeRecords(w http.ResponseWriter, reply recordsReply) {
+	s.gateway.writeReplyIf(w, reply, func(size int) bool {
+		isAllowed := s.limiter.AllowN(time.Now(), size)
+		if !isAllowed {
+			s.refusedReplies.Inc(1)
+		}
+		return isAllowed
+	})
+}
+
 // parsePosition returns the position from which another host reads a topic. A host
 // that runs a version that does not send the era is taken to know the newest.
 func parsePosition(query url.Values, topic *keyed.Topic) (from keyed.Position, err error) {
@@ -292,5 +330,5 @@
 	}
 	reply := newRecordsReply(next, arrivedAt, snapshot.ConfirmedAt)
 	reply.Snapshot = &snapshot
-	s.gateway.writeReply(w, reply)
+	s.writeRecords(w, reply)
 }
--- a/internal/process/gateway/shared_read_store_test.go
+++ b/internal/process/gateway/shared_read_store_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 	"gotest.tools/v3/assert"
 
@@ -37,7 +38,7 @@
 	policy := func() keyed.PollPolicy { return keyed.PollPolicy{} }
 	g.operator = keyed.NewTopic(keyed.Partition{Topic: "op"}, nil, policy, keyed.RestorePolicy{}, logrus.NewEntry(logrus.New()), func(keyed.Change) {})
 	g.operator.Adopt(snapshot)
-	return &sharedReadStore{gateway: g, client: http.DefaultClient}
+	return &sharedReadStore{gateway: g, client: http.DefaultClient, limiter: newRecordsLimiter(0), refusedReplies: metrics.NewCounter()}
 }
 
 // A host that needs records which its reader no longer has gets the reader's
@@ -182,3 +183,33 @@
 	reader.serveRecords(recorder, httptest.NewRequest(http.MethodGet, recordsPath+"?topic=op&from=7&era=0", nil))
 	assert.Equal(t, recorder.Code, http.StatusGone)
 }
+
+// A reader with a narrow link sent a large configuration to all hosts of its failure domain
+// at once: none got it within the time limit of the read.
+func TestReaderWithNarrowLinkRefusesWhatItCannotDeliver(t *testing.T) {
+	const (
+		mbps      = 10
+		hosts     = 20
+		valueSize = 100_000
+	)
+	reader := newTopicStore(keyed.Snapshot{Position: at(7), Values: map[string][]byte{"config": make([]byte, valueSize)}, ConfirmedAt: time.Now()})
+	reader.limiter = newRecordsLimiter(mbps)
+	fetch := func(from string) *httptest.ResponseRecorder {
+		recorder := httptest.NewRecorder()
+		reader.serveRecords(recorder, httptest.NewRequest(http.MethodGet, recordsPath+"?topic=op&era=0&from="+from, nil))
+		return recorder
+	}
+	sent, refused := 0, 0
+	for range hosts {
+		got := fetch("6")
+		sent += got.Body.Len()
+		if got.Code == http.StatusGone {
+			refused++
+		}
+	}
+	delivery := time.Duration(float64(sent*8) / (mbps * 1e6) * float64(time.Second))
+	assert.Assert(t, sent >= valueSize && delivery < relayReplyTimeout, "%d bytes take %v", sent, delivery)
+	assert.Assert(t, refused > 0)
+	assert.Equal(t, reader.refusedReplies.Count(), int64(refused))
+	assert.Equal(t, fetch("7").Code, http.StatusOK, "small replies are sent")
+}
