--- a/internal/process/gateway/shared_read_store.go
+++ b/internal/process/gateway/shared_read_store.go
@@ -32,9 +32,10 @@
 	client       *http.Client
 	relayedReads metrics.Counter
 	failedRelays metrics.Counter
-	// refusedReplies counts the replies beyond what limiter allows, in bytes.
-	refusedReplies metrics.Counter
+	// limiter bounds the bytes of records sent to other hosts, refusedReplies counts the
+	// replies that were not sent for that.
 	limiter        *rate.Limiter
+	refusedReplies metrics.Counter
 
 	mu sync.Mutex
 	// avoidedUntil holds the hosts whose records could not be read, and until
@@ -94,8 +95,8 @@
 	// recordsBandwidthShare is the fraction of a host's network link that records for
 	// other hosts may use; the rest is for requests.
 	recordsBandwidthShare = 0.5
-	// recordsBurstDuration is how much of that rate may be sent as one burst. It is well
-	// below relayReplyTimeout.
+	// recordsBurstDuration is how much of that rate may be sent as one burst. The link
+	// delivers it within relayReplyTimeout.
 	recordsBurstDuration = 500 * time.Millisecond
 )
 
--- a/internal/process/gateway/shared_read_store_test.go
+++ b/internal/process/gateway/shared_read_store_test.go
@@ -114,7 +114,7 @@
 	content := keyed.Snapshot{Position: at(7), Values: map[string][]byte{"config": []byte("old")}}
 	for _, test := range []struct {
 		name string
-		// confirmedFor is how long ago the reader and the follower have read the log.
+		// reader and follower are how long ago each has read the log; negative if never.
 		reader, follower time.Duration
 		serve            func(http.Handler) http.Handler
 		isOutdated       bool
@@ -185,7 +185,7 @@
 }
 
 // A reader with a narrow link sent a large configuration to all hosts of its failure domain
-// at once: none got it within the time limit of the read.
+// at once, and some of their reads timed out.
 func TestReaderWithNarrowLinkRefusesWhatItCannotDeliver(t *testing.T) {
 	const (
 		mbps      = 10
