--- a/internal/process/gateway/lag_test.go
+++ b/internal/process/gateway/lag_test.go
@@ -24,8 +24,8 @@
 	}
 	for _, test := range []struct {
 		name string
-		// lag is how many records this host has read less than the other one, which reads
-		// one in each interval.
+		// lag is by how many records this host is behind the other one, which reads one in
+		// each interval.
 		lag      uint64
 		interval time.Duration
 		isBehind bool
--- a/internal/process/gateway/shared_read_store.go
+++ b/internal/process/gateway/shared_read_store.go
@@ -206,7 +206,7 @@
 	s.avoid(address, err)
 	direct, err := s.gateway.ports.Store.Read(ctx, partition, from, 0)
 	if err != nil && len(batch.Records) > 0 {
-		// The other host has records all the same.
+		// Without the log, records of a host that has not read it lately are the newest.
 		return batch, nil
 	}
 	return direct, err
--- a/internal/process/gateway/state.go
+++ b/internal/process/gateway/state.go
@@ -82,7 +82,7 @@
 // Membership.FindReachable does.
 type findHost func(condition func(peers.Status) bool, now time.Time) (found netip.AddrPort, isRemote bool)
 
-// lagDetector detects that this host has not read for too long what another one has.
+// lagDetector detects that this host has been behind another one for too long.
 type lagDetector struct {
 	allowed time.Duration
 	// target is a position that another host has reached, since is when this host was
