Interfaces of the singleton duties

The parts are built side by side, so their interfaces come first. Result: builds; nothing uses them yet.

--- a/internal/process/gateway/settings.go
+++ b/internal/process/gateway/settings.go
@@ -14,6 +14,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"mustarddoor/internal/connection/upstream"
+	"mustarddoor/internal/process/duty"
 	"mustarddoor/internal/process/fleet"
 	"mustarddoor/internal/process/keyed"
 	"mustarddoor/internal/request/relay"
@@ -59,6 +60,26 @@
 	EndpointHeartbeat time.Duration
 	// FirstStart means that the whole fleet is starting for the first time.
 	FirstStart bool
+	// Duties configures the singleton duties; the zero value means none.
+	Duties DutySettings
+}
+
+// DutySettings are the settings of the singleton duties.
+type DutySettings struct {
+	// ReportsUsage is set if the hosts report the teams' usage, OrdersEndpoints if
+	// they order the number of endpoints.
+	ReportsUsage, OrdersEndpoints bool
+	// CallsPerSecond is what the platform accepts of all hosts together.
+	CallsPerSecond float64
+	// IsFenced is set if the platform refuses calls with an old fencing token.
+	IsFenced bool
+	// LeaseDuration is the time within which the duties must not return to a host.
+	LeaseDuration time.Duration
+	// UsageWindow is the length of a window of usage. UsageTolerance is the share by
+	// which a report may be off, UsageLateness the time after the end of a window
+	// until which its report is due.
+	UsageWindow, UsageLateness time.Duration
+	UsageTolerance             float64
 }
 
 // Topics are the names of the log topics that the daemon uses.
@@ -70,6 +91,8 @@
 	Copies string
 	// Reports holds the reports to the operator.
 	Reports string
+	// Duties holds the claims and records of the singleton duties.
+	Duties string
 }
 
 // OperatorRecord is a decoded record of the operator; at most one field is set.
@@ -94,6 +117,8 @@
 	DecodeReport func(record keyed.Record) (service, target string, stage canary.Stage, err error)
 	// DecodeEntry decodes an endpoint's entry.
 	DecodeEntry func(id string, value []byte) (fleet.Entry, error)
+	// Duties sends the calls of the singleton duties; nil if there are none.
+	Duties duty.Platform
 	// DialEndpoint opens connections to endpoints.
 	DialEndpoint upstream.DialFunc
 	// Servers returns additional HTTP handlers by listen address.
--- a/internal/version/routing/config.go
+++ b/internal/version/routing/config.go
@@ -81,6 +81,16 @@
 	ColdRateLimit float64
 	// Engine is nil for services without language-model engines.
 	Engine *Engine
+	// Scaling is nil if the number of endpoints is not ours to order.
+	Scaling *Scaling
+}
+
+// Scaling bounds the number of a service's endpoints.
+type Scaling struct {
+	// MinEndpoints and MaxEndpoints hold for each failure domain.
+	MinEndpoints, MaxEndpoints int
+	// StartDuration is the time from an order until new endpoints serve.
+	StartDuration time.Duration
 }
 
 // Team is a customer whose requests share one limit.
