A queued request gets an endpoint that is free as its wait ends

Change: the request that is next in the queue is placed as its wait ends, if an endpoint is free then.

--- a/internal/process/dispatch/dispatch.go
+++ b/internal/process/dispatch/dispatch.go
@@ -179,10 +179,7 @@
 	case <-ctx.Done():
 	case <-timer.C:
 	}
-	d.mu.Lock()
-	queue.Remove(pending.waiter)
-	lease := pending.lease
-	d.mu.Unlock()
+	lease := d.leaveQueue(queue, pending, ctx.Err() == nil)
 	if ctx.Err() != nil {
 		if lease != nil {
 			lease.Release(fleet.ResultNeutral)
@@ -200,6 +197,30 @@
 	}
 }
 
+// leaveQueue removes a request whose wait has ended from the queue, and returns its
+// lease, if any. An endpoint that has become available since the queue was last served
+// is still assigned to a request that is next and whose caller waits.
+func (d *Dispatcher) leaveQueue(queue *waitQueue, pending *pendingJob, isAwaited bool) *Lease {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if pending.lease == nil && isAwaited && queue.Peek() == pending.waiter {
+		now := time.Now()
+		if lease := d.place(pending.job, nil, now); lease != nil {
+			d.dequeue(queue, pending, lease, now)
+		}
+	}
+	queue.Remove(pending.waiter)
+	return pending.lease
+}
+
+// dequeue assigns a lease to a queued request. The caller holds mu.
+func (d *Dispatcher) dequeue(queue *waitQueue, pending *pendingJob, lease *Lease, now time.Time) {
+	queue.Remove(pending.waiter)
+	queue.dequeueRate.dequeued += pending.waiter.SlotTime
+	queue.recordServed(pending.job, now)
+	pending.lease = lease
+}
+
 // canBypassQueue reports whether a request may be placed ahead of the queued
 // ones.
 func (d *Dispatcher) canBypassQueue(queue *waitQueue, job *Job, now time.Time) bool {
@@ -359,10 +380,7 @@
 			return
 		}
 		freed = nil
-		queue.Remove(next)
-		queue.dequeueRate.dequeued += next.SlotTime
-		queue.recordServed(pending.job, now)
-		pending.lease = lease
+		d.dequeue(queue, pending, lease, now)
 		pending.result <- lease
 	}
 }
