Singleton duties: lease, usage counts and reports

Change: package duty claims the duties with a conditional append and derives the fencing token from the claim's era and offset; hosts count the requests that begin to run, and the holder collects, saves and reports them. Active only if settings and ports call for it.

--- /dev/null
+++ b/internal/process/duty/state.go
@@ -0,0 +1,386 @@
+package duty
+
+import (
+	"bytes"
+	"errors"
+	"maps"
+	"slices"
+	"time"
+
+	"mustarddoor/internal/process/keyed"
+)
+
+// Config configures the lease of a host. Its durations are derived from the time within
+// which the duties must not return to a host.
+type Config struct {
+	// Holder is the name of this host, Incarnation identifies its process.
+	Holder      string
+	Incarnation int64
+	// LeaseDuration is how long a lease lasts after a renewal, and the time within
+	// which the duties must not return to a host.
+	LeaseDuration time.Duration
+	// IsFenced is set if the receivers of calls refuse old fencing tokens.
+	IsFenced bool
+}
+
+const (
+	// renewalsPerLease is how many renewals, or reads of other hosts, there are in a lease.
+	renewalsPerLease = 3
+	// sendMarginShare is the part of a lease, at its end, in which nothing is sent any
+	// more, so that a call arrives within the lease.
+	sendMarginShare = 6
+	// watchMarginShare is the part of a lease by which the watch of another host's
+	// lease is longer.
+	watchMarginShare = 10
+	// unfencedMargin is how much longer the watch is if no fence stops a late call.
+	unfencedMargin = time.Second
+	// releaseDelay is the time from the last send of a host that stops to the release:
+	// calls in progress end within it.
+	releaseDelay = time.Second
+	// retryDelay is the delay after a call that the store has refused or not answered.
+	retryDelay = 300 * time.Millisecond
+)
+
+func (c Config) interval() time.Duration { return c.LeaseDuration / renewalsPerLease }
+
+// watch returns how long a claim must stand unrenewed until another host takes over.
+func (c Config) watch() time.Duration {
+	watch := c.LeaseDuration + c.LeaseDuration/watchMarginShare
+	if !c.IsFenced {
+		watch += unfencedMargin
+	}
+	return watch
+}
+
+// returnDelay returns how long after its last lease a host may hold the duties again,
+// if another one may have held them in between.
+func (c Config) returnDelay() time.Duration {
+	return c.LeaseDuration + c.LeaseDuration/watchMarginShare
+}
+
+// state decides on the lease of one host. Times are those of a clock that counts the
+// time in which the host is suspended; only differences between times of this host are
+// used. It makes no calls: next returns the one to make, and the other methods take
+// the results.
+type state struct {
+	Config
+
+	// isSeen is set once the records were read, isKnown while the partition is known to
+	// end at position unless another host writes.
+	isSeen, isKnown bool
+	position        keyed.Position
+	// newest is the claim in force; nil if there is none.
+	newest *claim
+	// changedAt is when this host first saw the newest record.
+	changedAt time.Time
+	values    map[string]savedValue
+	// unsaved holds the keys of values that have to be saved again.
+	unsaved []string
+
+	// own is the claim of the last grant, number that of the last claim of this process.
+	// Claims from firstNumber on were made on top of what it had read in claimEra.
+	own         claim
+	number      uint64
+	firstNumber uint64
+	claimEra    uint64
+	isHeld      bool
+	// until is when the lease lapses, lastUntil when the last one did, or when the
+	// process started: an earlier process may have held one.
+	until, lastUntil time.Time
+	renewedAt        time.Time
+	heldSince        time.Time
+
+	polledAt, retryAt time.Time
+	// stoppedAt is when the host began to stop; zero before that.
+	stoppedAt  time.Time
+	isReleased bool
+}
+
+func newState(config Config, now time.Time) *state {
+	return &state{Config: config, lastUntil: now, values: map[string]savedValue{}}
+}
+
+type actionKind int
+
+const (
+	actionNone actionKind = iota
+	// actionLoad reads all records, actionPoll those from the known position on.
+	actionLoad
+	actionPoll
+	// The others append a record on condition that the partition ends at position.
+	actionClaim
+	actionRenew
+	actionRelease
+	actionSave
+)
+
+// action is a call to the store.
+type action struct {
+	kind     actionKind
+	position keyed.Position
+	record   keyed.Record
+	claim    claim
+	sentAt   time.Time
+}
+
+// grant returns the fencing token if this host may send a call now.
+func (s *state) grant(now time.Time) (token uint64, isGranted bool) {
+	if !s.isHeld || !now.Before(s.until) || !s.stoppedAt.IsZero() {
+		return 0, false
+	}
+	return s.own.Token, true
+}
+
+// next returns the call to make. isCandidate is set if this host is one of those that
+// take over, timeOfDay is in Unix milliseconds.
+func (s *state) next(now time.Time, isCandidate bool, timeOfDay int64) action {
+	switch {
+	case s.isReleased || now.Before(s.retryAt) || !s.isHeld && (!isCandidate || !s.stoppedAt.IsZero()):
+		return action{}
+	case !s.isKnown:
+		return action{kind: actionLoad, sentAt: now}
+	case s.isHeld:
+		return s.nextOfHolder(now, timeOfDay)
+	case s.mayClaim(now):
+		return s.newClaim(now, timeOfDay)
+	case now.Sub(s.polledAt) >= s.interval():
+		s.polledAt = now
+		return action{kind: actionPoll, position: s.position, sentAt: now}
+	}
+	return action{}
+}
+
+func (s *state) nextOfHolder(now time.Time, timeOfDay int64) action {
+	switch {
+	case s.position.Era != s.claimEra && !now.Before(s.until):
+		s.end(now)
+		s.isKnown = false
+		return action{}
+	case !s.stoppedAt.IsZero():
+		if now.Sub(s.stoppedAt) < releaseDelay {
+			return action{}
+		}
+		released := s.own
+		released.IsReleased = true
+		return s.newAppend(actionRelease, released, now)
+	case len(s.unsaved) > 0:
+		return s.newSave(s.unsaved[0], s.values[s.unsaved[0]].Value, now)
+	case s.position.Era != s.claimEra:
+		return s.newClaim(now, timeOfDay)
+	case now.Sub(s.renewedAt) >= s.interval():
+		renewed := s.own
+		renewed.Renewal++
+		return s.newAppend(actionRenew, renewed, now)
+	}
+	return action{}
+}
+
+// mayClaim reports whether this host may claim the duties, which it does not hold.
+func (s *state) mayClaim(now time.Time) bool {
+	if s.isOwn(s.newest) {
+		// An append of this host was not answered, or its lease has lapsed. Nobody
+		// has claimed since.
+		return true
+	}
+	if now.Sub(s.lastUntil) < s.returnDelay() {
+		return false
+	}
+	isFree := s.newest != nil && s.newest.IsReleased && s.newest.Era == s.position.Era
+	return isFree || now.Sub(s.changedAt) >= s.watch()
+}
+
+// isOwn reports whether a claim is one of this process that it has made on top of what it
+// had read in the present era.
+func (s *state) isOwn(c *claim) bool {
+	return c != nil && c.Holder == s.Holder && c.Incarnation == s.Incarnation && c.Number >= s.firstNumber &&
+		s.firstNumber > 0 && s.claimEra == s.position.Era
+}
+
+// newClaim returns the append of a new claim.
+func (s *state) newClaim(now time.Time, timeOfDay int64) action {
+	s.number++
+	made := claim{Holder: s.Holder, Incarnation: s.Incarnation, Number: s.number, Era: s.position.Era, Since: timeOfDay}
+	switch {
+	case s.isHeld:
+		made.Since = s.own.Since // this host has saved the values of the earlier era again
+	case s.newest != nil && s.newest.Era == s.position.Era && len(s.outdated()) == 0:
+		made.Since = s.newest.Since
+	}
+	if !s.isHeld && (s.firstNumber == 0 || s.claimEra != s.position.Era) {
+		s.firstNumber, s.claimEra = made.Number, s.position.Era
+	}
+	return s.newAppend(actionClaim, made, now)
+}
+
+func (s *state) newAppend(kind actionKind, c claim, now time.Time) action {
+	value, err := wire.Marshal(c)
+	if err != nil {
+		return action{} // no claim fails to encode
+	}
+	return action{kind: kind, position: s.position, record: keyed.Record{Key: claimKey, Value: value}, claim: c, sentAt: now}
+}
+
+// newSave returns the append of a value.
+func (s *state) newSave(key string, value []byte, now time.Time) action {
+	record, err := wire.Marshal(savedValue{Era: s.position.Era, Value: value})
+	if err != nil {
+		return action{} // bytes do not fail to encode
+	}
+	return action{kind: actionSave, position: s.position, record: keyed.Record{Key: key, Value: record}, sentAt: now}
+}
+
+// outdated returns the keys of values of an earlier era. The holder saves them again, so
+// that a value of an earlier era that replaces another one late is recognized.
+func (s *state) outdated() []string {
+	var keys []string
+	for _, key := range slices.Sorted(maps.Keys(s.values)) {
+		if s.values[key].Era != s.position.Era {
+			keys = append(keys, key)
+		}
+	}
+	return keys
+}
+
+// loaded takes the result of a load.
+func (s *state) loaded(snapshot keyed.Snapshot, now time.Time) {
+	if s.isSeen && snapshot.Era < s.position.Era {
+		s.failed(action{kind: actionLoad}, keyed.ErrOutdated, now)
+		return
+	}
+	if !s.isSeen || snapshot.Position != s.position {
+		s.changedAt = now
+	}
+	s.isSeen, s.isKnown, s.position, s.polledAt = true, true, snapshot.Position, now
+	s.newest = decodeClaim(snapshot.Values[claimKey])
+	stored := map[string]savedValue{}
+	for key, record := range snapshot.Values {
+		if saved, isValid := decodeSaved(record); isValid && key != claimKey {
+			stored[key] = saved
+		}
+	}
+	s.settle(now)
+	s.unsaved = nil
+	if !s.isHeld {
+		s.values = stored
+		return
+	}
+	// The store was restored, or a late append of an earlier holder was added.
+	for _, key := range slices.Sorted(maps.Keys(s.values)) {
+		if !bytes.Equal(s.values[key].Value, stored[key].Value) || stored[key].Era != s.position.Era {
+			s.unsaved = append(s.unsaved, key)
+		}
+	}
+}
+
+// read takes the result of a poll.
+func (s *state) read(batch keyed.Batch, now time.Time) {
+	if batch.Next.Era != s.position.Era {
+		s.isKnown = false
+		return
+	}
+	for _, record := range batch.Records {
+		saved, isValid := decodeSaved(record.Value)
+		switch {
+		case record.Key == claimKey:
+			s.newest = decodeClaim(record.Value)
+		case isValid:
+			s.values[record.Key] = saved
+		default:
+			delete(s.values, record.Key)
+		}
+		s.changedAt = now
+	}
+	s.position = batch.Next
+	s.settle(now)
+}
+
+// settle ends the grant if the records show that another host has claimed the duties, or
+// may have.
+func (s *state) settle(now time.Time) {
+	isLost := s.isHeld && !s.isOwn(s.newest)
+	if s.position.Era != s.claimEra {
+		// The store was restored. Until this lease lapses, no other host takes over.
+		isTaken := s.newest != nil && s.newest.Era == s.position.Era && s.newest.Incarnation != s.Incarnation
+		isLost = s.isHeld && (isTaken || !now.Before(s.until))
+	}
+	if isLost {
+		s.end(now)
+	}
+}
+
+// end ends the grant.
+func (s *state) end(now time.Time) {
+	s.isHeld, s.unsaved = false, nil
+	s.lastUntil = s.until
+	if now.Before(s.until) {
+		s.lastUntil = now
+	}
+}
+
+// appended takes the answer of an append, which ends at end. It reports whether the record
+// was added to what this host had read.
+func (s *state) appended(a action, end keyed.Position, now time.Time) bool {
+	if end.Era != a.position.Era || s.position != a.position {
+		s.isKnown = false // the store was restored in between
+		return false
+	}
+	s.position, s.changedAt = end, now
+	until := a.sentAt.Add(s.LeaseDuration - s.LeaseDuration/sendMarginShare)
+	switch a.kind {
+	case actionClaim:
+		return s.claimed(a, until)
+	case actionRenew:
+		s.own, s.newest = a.claim, &a.claim
+	case actionRelease:
+		s.end(now)
+		s.isReleased = true
+		return true
+	case actionSave:
+		s.values[a.record.Key], _ = decodeSaved(a.record.Value)
+		s.unsaved = slices.DeleteFunc(s.unsaved, func(key string) bool { return key == a.record.Key })
+	}
+	if s.isHeld && end.Era == s.claimEra {
+		s.until, s.renewedAt = until, a.sentAt
+	}
+	return true
+}
+
+// claimed takes the answer of a claim.
+func (s *state) claimed(a action, until time.Time) bool {
+	token, isValid := fencingToken(s.position)
+	s.newest = &a.claim
+	if !isValid {
+		return false
+	}
+	if !s.isHeld {
+		s.heldSince, s.unsaved = a.sentAt, s.outdated()
+	}
+	if s.claimEra != s.position.Era {
+		s.firstNumber, s.claimEra = a.claim.Number, s.position.Era
+	}
+	s.own = a.claim
+	s.own.Token = token
+	s.isHeld, s.until, s.renewedAt = true, until, a.sentAt
+	return true
+}
+
+// failed takes the error of a call.
+func (s *state) failed(a action, err error, now time.Time) {
+	isAppend := a.kind != actionLoad && a.kind != actionPoll
+	switch {
+	case errors.Is(err, keyed.ErrConflict) || errors.Is(err, keyed.ErrTrimmed):
+		s.isKnown = false
+		return
+	case isAppend && !errors.Is(err, keyed.ErrRefused):
+		s.isKnown = false // the record may be added later
+	}
+	s.retryAt = now.Add(retryDelay)
+}
+
+// stop begins the end of this host: it sends nothing any more, and then releases the
+// duties.
+func (s *state) stop(now time.Time) {
+	if s.stoppedAt.IsZero() {
+		s.stoppedAt = now
+	}
+}
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -35,11 +35,13 @@
 	log      *decisionlog.Log
 	registry metrics.Registry
 
-	limits         *sharedLimits
-	quarantine     *promptQuarantine
-	carriers       *carriers
-	delays         *delayMonitor
-	usageHistory   *usageHistory
+	limits       *sharedLimits
+	quarantine   *promptQuarantine
+	carriers     *carriers
+	delays       *delayMonitor
+	usageHistory *usageHistory
+	// duties is nil unless the settings call for duties.
+	duties         *duties
 	dispatcher     *dispatch.Dispatcher
 	relay          *relay.Relay
 	membership     *peers.Membership
@@ -90,9 +92,10 @@
 	g.quarantine = newPromptQuarantine(g)
 	g.carriers = newCarriers(g)
 	g.delays = newDelayMonitor(log.Entry(), ports.Metrics)
+	g.duties = newDuties(g)
 	g.relay = relay.New(relay.Config{
 		Protocol: ports.Protocol, Dispatcher: g.dispatcher, Limits: g.limits, Quarantine: g.quarantine, Carriers: g.carriers,
-		Table: g.table.Load, Stop: g.stopInProgress, LongestDelay: g.delays.Longest, Log: log, Metrics: ports.Metrics,
+		Table: g.table.Load, Stop: g.stopInProgress, LongestDelay: g.delays.Longest, CountRun: g.duties.countRun(), Log: log, Metrics: ports.Metrics,
 	})
 	g.self = peers.Host{
 		Name: settings.Name, PeerAddress: settings.PeerAddress, FrontendAddress: settings.FrontendAddress,
@@ -178,6 +181,7 @@
 		StoreUnavailable: g.logAccess.isLost(), Spent: g.spent.Load(), Carries: g.carries.Load(),
 		Quarantine: g.quarantine.evidence(isFull), LostServices: g.carriers.lostServices(),
 	}
+	status.CountsUsage = g.duties.countsUsage()
 	operatorNext, isOperatorKnown := g.operator.Next()
 	endpointsNext, areEndpointsKnown := g.endpoints.Next()
 	status.SetPositions(operatorNext, endpointsNext)
--- a/internal/process/gateway/hoststate.go
+++ b/internal/process/gateway/hoststate.go
@@ -58,8 +58,10 @@
 	// endpoints; other hosts carry its requests to them.
 	LostServices []string `json:"lost_services"`
 	// QuarantinedParts are the prompt parts that requests must not have.
-	QuarantinedParts []quarantine.Part        `json:"quarantined_parts"`
-	Endpoints        []dispatch.EndpointState `json:"endpoints"`
+	QuarantinedParts []quarantine.Part `json:"quarantined_parts"`
+	// Duties is absent unless the settings call for duties.
+	Duties    *DutiesState             `json:"duties,omitempty"`
+	Endpoints []dispatch.EndpointState `json:"endpoints"`
 }
 
 // State returns the host's current state.
@@ -81,7 +83,7 @@
 	s.Carries, s.EntryAddresses, s.Demand = g.carries.Load(), g.entryHosts.selected(), g.entryHosts.demand()
 	s.OperatorUnconfirmedMillis, s.EndpointsUnconfirmedMillis = unconfirmedMillis(g.operator.ConfirmedAt()), unconfirmedMillis(g.endpoints.ConfirmedAt())
 	s.Active = len(g.membership.ActiveHosts(g.membership.Now()))
-	s.LostServices = g.dispatcher.LostServices()
+	s.LostServices, s.Duties = g.dispatcher.LostServices(), g.duties.hostState()
 	s.QuarantinedParts = g.quarantine.tracker.Quarantined()
 	if relay := g.membership.Relay(); relay.IsValid() {
 		s.Relay = relay.String()
--- a/internal/process/gateway/run.go
+++ b/internal/process/gateway/run.go
@@ -92,6 +92,7 @@
 	addActor(g.carriers.run)
 	addActor(g.callerConns.closeIdle)
 	addActor(g.delays.run)
+	g.duties.addActors(addActor)
 	g.frontend = &http.Server{
 		Handler: g.relay, ReadHeaderTimeout: defaultHeaderTimeout,
 		MaxHeaderBytes: maxHeaderBytes, ConnState: g.callerConns.onStateChange, ConnContext: downstream.Context, ErrorLog: nil,
@@ -112,6 +113,7 @@
 	peerHandler.HandleFunc("GET "+statePath, g.serveState)
 	peerHandler.HandleFunc("GET "+recordsPath, g.sharedReads.serveRecords)
 	peerHandler.HandleFunc("GET "+usagePath, g.serveUsage)
+	g.duties.addHandlers(peerHandler)
 	g.peerServer.ConnState = g.peerConns.onStateChange
 	hosts, err := g.serve(&group, g.settings.PeerAddress.String(), g.peerServer)
 	if err != nil {
@@ -213,6 +215,7 @@
 	// grace period from then on.
 	requestedAt := g.delays.Begin(now)
 	g.stopRequestedAt.Store(&requestedAt)
+	g.duties.stop()
 	g.entryHosts.update(now)
 	g.transport.SendNow()
 	g.log.Entry().WithField("busy_connections", g.callerConns.activeCount()).Info("stopping")
--- a/internal/process/gateway/suspend.go
+++ b/internal/process/gateway/suspend.go
@@ -33,15 +33,22 @@
 // sinceBoot returns the time since boot, or the last reading if the clock cannot
 // be read.
 func (d *suspendDetector) sinceBoot() time.Duration {
-	now := unix.Timespec{}
-	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &now); err != nil {
+	now, err := sinceBoot()
+	if err != nil {
 		if !d.clockFailed {
 			d.log.WithError(err).Warn("cannot read the boot-time clock, suspension of the machine is not detected")
 		}
 		d.clockFailed = true
 		return d.last
 	}
-	return time.Duration(now.Nano())
+	return now
+}
+
+// sinceBoot returns the time since boot, with the time in which the machine was suspended.
+func sinceBoot() (time.Duration, error) {
+	now := unix.Timespec{}
+	err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &now)
+	return time.Duration(now.Nano()), err
 }
 
 // check returns how long the process did not run since the last call, or 0 if
--- a/internal/process/peers/message.go
+++ b/internal/process/peers/message.go
@@ -160,6 +160,8 @@
 	// LostServices holds the hashes of the services of which the host can reach no
 	// endpoint.
 	LostServices []uint32 `cbor:"20,keyasint,omitempty"`
+	// CountsUsage means that the host has counts of requests for the usage reports.
+	CountsUsage bool `cbor:"21,keyasint,omitempty"`
 }
 
 // SetPositions sets how far the host has read. A topic that was not yet read in the
--- a/internal/process/peers/roles.go
+++ b/internal/process/peers/roles.go
@@ -235,21 +235,54 @@
 // that satisfy a condition: the lowest address of those that carry no callers,
 // so that losing the leader interrupts no request, or else the lowest address.
 func (m *Membership) IsLeader(condition func(Status) bool, now time.Time) bool {
+	overall, _ := m.LeaderRanks(condition, now)
+	return overall == 0
+}
+
+// LeaderRanks returns how many reachable hosts that satisfy a condition are preferred over
+// this one as a leader, overall and in its failure domain.
+func (m *Membership) LeaderRanks(condition func(Status) bool, now time.Time) (overall, inDomain int) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	for address, p := range m.peers {
-		if !m.isReachable(p, now) || !condition(p.status) {
+	for _, p := range m.peers {
+		if !m.isReachable(p, now) || !condition(p.status) || !m.isPreferredLeader(p) {
 			continue
 		}
-		if p.status.Carries != m.carries {
-			if m.carries {
-				return false
-			}
-			continue
+		overall++
+		if p.host.Domain == m.self.Domain {
+			inDomain++
 		}
-		if address.Compare(m.self.PeerAddress) < 0 {
-			return false
+	}
+	return overall, inDomain
+}
+
+// isPreferredLeader reports whether another host is preferred over this one as a leader.
+func (m *Membership) isPreferredLeader(p *peer) bool {
+	if p.status.Carries != m.carries {
+		return m.carries
+	}
+	return p.address.Compare(m.self.PeerAddress) < 0
+}
+
+// ReachableProcess is the running process of another host.
+type ReachableProcess struct {
+	PeerAddress netip.AddrPort
+	Incarnation int64
+	// CountsUsage is set if the host has counts of requests, or serves callers.
+	CountsUsage bool
+}
+
+// ReachableProcesses returns the processes of the other hosts.
+func (m *Membership) ReachableProcesses(now time.Time) []ReachableProcess {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var processes []ReachableProcess
+	for address, p := range m.peers {
+		if m.isReachable(p, now) {
+			processes = append(processes, ReachableProcess{
+				PeerAddress: address, Incarnation: p.host.Incarnation, CountsUsage: p.status.CountsUsage || p.status.Carries,
+			})
 		}
 	}
-	return true
+	return processes
 }
--- a/internal/request/relay/relay.go
+++ b/internal/request/relay/relay.go
@@ -59,8 +59,11 @@
 	// LongestDelay returns the longest time since a moment in which this process did not
 	// run although it had to.
 	LongestDelay func(since time.Time) time.Duration
-	Log          *decisionlog.Log
-	Metrics      metrics.Registry
+	// CountRun is called once for each request of a caller that begins to run, with the
+	// team's name; nil if these are not counted.
+	CountRun func(team string)
+	Log      *decisionlog.Log
+	Metrics  metrics.Registry
 }
 
 // Stop is an orderly shutdown of the process.
@@ -182,6 +185,8 @@
 	bufferedMemory responseMemory
 	events         eventSplitter
 	headerSent     bool
+	// isRunCounted is set once the request has been counted as one that runs.
+	isRunCounted bool
 	// firstSentAt is when the response to the caller began.
 	firstSentAt time.Time
 	// longestGap is the longest pause between events from one endpoint.
--- a/internal/request/relay/response.go
+++ b/internal/request/relay/response.go
@@ -58,6 +58,15 @@
 	return max(minStallTimeout, stallTargetFactor*s.route.TargetLatency) + lease.ExpectedFirstResponse
 }
 
+// countRun counts the request when an endpoint first responds to it.
+func (s *serverRequest) countRun() {
+	if s.relay.CountRun == nil || s.isRunCounted || s.team == nil {
+		return
+	}
+	s.isRunCounted = true
+	s.relay.CountRun(s.team.Name)
+}
+
 func earlier(a, b time.Time) time.Time {
 	if a.Before(b) {
 		return a
@@ -88,6 +97,7 @@
 
 // relayBuffered reads the whole response and then relays it.
 func (s *serverRequest) relayBuffered(lease *dispatch.Lease, response *upstream.Response, attributes ResponseAttributes) sendResult {
+	s.countRun()
 	startedAt := time.Now()
 	body, err := s.readBuffered(response)
 	response.Finish()
--- a/internal/request/relay/stream.go
+++ b/internal/request/relay/stream.go
@@ -100,6 +100,7 @@
 	if r.firstEventAt.IsZero() {
 		r.firstEventAt = now
 		r.lease.RecordFirstEvent()
+		s.countRun()
 	}
 	if !r.lastEventAt.IsZero() {
 		s.longestGap = max(s.longestGap, now.Sub(r.lastEventAt))
