--- a/internal/process/duty/lease.go
+++ b/internal/process/duty/lease.go
@@ -48,7 +48,7 @@
 const (
 	// checkInterval is the time between checks whether a call is due.
 	checkInterval = 100 * time.Millisecond
-	// callTimeout limits a call to the store.
+	// callTimeout limits a call to the store, beside the time for which it waits.
 	callTimeout = 800 * time.Millisecond
 	// maxSaveCalls limits the calls of one Save.
 	maxSaveCalls = 4
@@ -88,7 +88,7 @@
 
 // perform makes a call to the store and passes on its result. The caller holds calls.
 func (l *Lease) perform(ctx context.Context, a action) error {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, cancel := context.WithTimeout(ctx, callTimeout+a.wait)
 	defer cancel()
 	var (
 		snapshot keyed.Snapshot
@@ -100,7 +100,7 @@
 	case actionLoad:
 		snapshot, err = l.ports.Store.Newest(ctx, l.ports.Partition)
 	case actionPoll:
-		batch, err = l.ports.Store.Read(ctx, l.ports.Partition, a.position, 0)
+		batch, err = l.ports.Store.Read(ctx, l.ports.Partition, a.position, a.wait)
 	default:
 		end, err = l.ports.Store.Append(ctx, l.ports.Partition, a.record, &a.position.Offset)
 	}
@@ -181,6 +181,10 @@
 	if key == claimKey || len(value) == 0 {
 		return eris.Wrapf(keyed.ErrRefused, "save %q of %d bytes", key, len(value))
 	}
+	// A candidate's call may wait for records.
+	if _, err := l.nextSave(key, value); err != nil {
+		return err
+	}
 	l.calls.Lock()
 	defer l.calls.Unlock()
 	for range maxSaveCalls {
--- a/internal/process/duty/state.go
+++ b/internal/process/duty/state.go
@@ -24,8 +24,11 @@
 }
 
 const (
-	// renewalsPerLease is how many renewals, or reads of other hosts, there are in a lease.
+	// renewalsPerLease is how many renewals there are in a lease.
 	renewalsPerLease = 3
+	// minPollShare is the part of the time between two renewals that is the least between
+	// two polls.
+	minPollShare = 5
 	// sendMarginShare is the part of a lease, at its end, in which nothing is sent any
 	// more, so that a call arrives within the lease.
 	sendMarginShare = 6
@@ -120,7 +123,9 @@
 	position keyed.Position
 	record   keyed.Record
 	claim    claim
-	sentAt   time.Time
+	// wait is how long a poll waits for records.
+	wait   time.Duration
+	sentAt time.Time
 }
 
 // grant returns the fencing token if this host may send a call now.
@@ -143,13 +148,23 @@
 		return s.nextOfHolder(now, timeOfDay)
 	case s.mayClaim(now):
 		return s.newClaim(now, timeOfDay)
-	case now.Sub(s.polledAt) >= s.interval():
+	case now.Sub(s.polledAt) >= s.interval()/minPollShare:
 		s.polledAt = now
-		return action{kind: actionPoll, position: s.position, sentAt: now}
+		return action{kind: actionPoll, position: s.position, wait: s.pollWait(now), sentAt: now}
 	}
 	return action{}
 }
 
+// pollWait returns how long a poll waits for records: longer than there are none while the
+// holder runs, but not beyond the time to take over.
+func (s *state) pollWait(now time.Time) time.Duration {
+	wait := s.interval() + s.interval()/minPollShare
+	if left := s.changedAt.Add(s.watch()).Sub(now); left > 0 {
+		wait = min(wait, left)
+	}
+	return wait
+}
+
 func (s *state) nextOfHolder(now time.Time, timeOfDay int64) action {
 	switch {
 	case s.position.Era != s.claimEra && !now.Before(s.until):
--- a/internal/process/gateway/usagereports.go
+++ b/internal/process/gateway/usagereports.go
@@ -59,7 +59,7 @@
 	maxCollectCalls = 16
 	// reportCallTimeout limits a call to the platform, reportRetryDelay is the delay
 	// after a failed one.
-	reportCallTimeout = 800 * time.Millisecond
+	reportCallTimeout = 2 * time.Second
 	reportRetryDelay  = 500 * time.Millisecond
 )
 
