--- a/internal/process/duty/lease_test.go
+++ b/internal/process/duty/lease_test.go
@@ -14,6 +14,7 @@
 	"gotest.tools/v3/assert"
 
 	"mustarddoor/internal/process/keyed"
+	"mustarddoor/internal/process/pause"
 )
 
 func position(era, offset uint64) keyed.Position { return keyed.Position{Era: era, Offset: offset} }
@@ -44,7 +45,7 @@
 	f.mu.Lock()
 	f.calls++
 	f.mu.Unlock()
-	for deadline := time.Now().Add(wait); ; time.Sleep(10 * time.Millisecond) {
+	for deadline := time.Now().Add(wait); ; pause.For(ctx, 10*time.Millisecond) {
 		f.mu.Lock()
 		batch, err := f.store.read(from)
 		f.mu.Unlock()
