--- a/internal/command/host.go
+++ b/internal/command/host.go
@@ -56,6 +56,9 @@
 	}
 	t.add("callers", fmt.Sprint(len(state.EntryAddresses)), carries, fmt.Sprintf("sent to %s; need %.2f cores, %.1f Mbit/s, %.0f connections",
 		strings.Join(state.EntryAddresses, " "), state.Demand.Cores, state.Demand.LinkMbps, state.Demand.Connections))
+	if state.Duties != nil {
+		t.add("duties", state.Duties.Holder, dutiesState(state), dutiesDetail(state.Duties))
+	}
 	for _, service := range state.LostServices {
 		t.add("service", service, "out of reach", "other hosts carry the requests to it")
 	}
@@ -98,3 +101,21 @@
 	}
 	return "in use"
 }
+
+func dutiesState(state gateway.HostState) string {
+	switch {
+	case state.Duties.Holder == "":
+		return "holder unknown here"
+	case state.Duties.Holder == state.Host && state.Duties.HeldMillis > 0:
+		return fmt.Sprintf("held for %d s", state.Duties.HeldMillis/1000)
+	}
+	return "held by another host"
+}
+
+func dutiesDetail(duties *gateway.DutiesState) string {
+	detail := fmt.Sprintf("fencing token %d, ", duties.Token)
+	if duties.ReportedMillis < 0 {
+		return detail + "no usage reported by this host"
+	}
+	return detail + fmt.Sprintf("window %d reported %d s ago, %d windows missed", duties.ReportedWindow, duties.ReportedMillis/1000, duties.MissedWindows)
+}
--- a/internal/process/gateway/builds_test.go
+++ b/internal/process/gateway/builds_test.go
@@ -5,12 +5,14 @@
 	"os"
 	"path/filepath"
 	"reflect"
+	"slices"
 	"testing"
 
 	"gotest.tools/v3/assert"
 
 	"mustarddoor/internal/connection/codec/codectest"
 	"mustarddoor/internal/process/allowance"
+	"mustarddoor/internal/process/duty"
 	"mustarddoor/internal/process/keyed"
 	"mustarddoor/internal/process/quarantine"
 )
@@ -36,9 +38,16 @@
 		"usage-record":      usageRecord{WrittenAt: 1_700_000_000_000, Teams: map[string]allowance.History{"team": history}},
 		"quarantine-record": quarantineRecord{WrittenAt: 1_700_000_000_000, Quarantined: []quarantine.PartReport{{Part: 4, AgeMillis: 30, FailedProbes: 1}}},
 		"copy":              snapshot,
+		"usage-counts": usageCounts{
+			Incarnation: 1_700_000_000_000_000_000, Clocks: duty.Reading{SinceBootMicros: 5_000_000, TimeOfDayMicros: 1_700_000_000_000_000},
+			Now: 1_700_000_000_000_100, Windows: []duty.WindowCounts{{Window: 340_000_000, Counts: map[string]int64{"team": 12}}},
+		},
 	}
 }
 
+// unknownSamples are the samples that a build did not have yet.
+var unknownSamples = map[string][]string{"fb8e695": {"usage-counts"}}
+
 // Hosts read the replies and records of other builds, which may know fewer fields or more,
 // and other builds find what they know in those of this one.
 func TestRecordsOfOtherBuilds(t *testing.T) {
@@ -52,6 +61,9 @@
 			assert.NilError(t, os.WriteFile(filepath.Join(*buildSamples, name+".cbor"), encoded, 0o644))
 		}
 		for _, build := range builds {
+			if slices.Contains(unknownSamples[filepath.Base(build)], name) {
+				continue
+			}
 			t.Run(filepath.Base(build)+"/"+name, func(t *testing.T) {
 				older, err := os.ReadFile(filepath.Join(build, name+".cbor"))
 				assert.NilError(t, err)
