Numbers of endpoints: decision and runner, first form

Change: hosts measure what their callers need of a service and tell the others; package autoscale decides the numbers; gateway.orderRunner sends them on the holder of the duties. Nothing runs yet, because no holder is passed to newOrderRunner.

--- a/internal/process/dispatch/dispatch.go
+++ b/internal/process/dispatch/dispatch.go
@@ -130,6 +130,7 @@
 	queue := d.queue(job.Service)
 	if !job.IsRetry && !job.PreviouslyRefused {
 		queue.Shares.RecordAsked(job.Route.Name, job.Priority, queue.meanSlotTime(job), now)
+		queue.demand.record(queue.meanSlotTime(job), now)
 	}
 	if d.canBypassQueue(queue, job, now) {
 		if lease := d.place(job, nil, now); lease != nil {
--- a/internal/process/dispatch/queue.go
+++ b/internal/process/dispatch/queue.go
@@ -16,6 +16,7 @@
 	// slot.
 	slotTimes   map[string]*slotTimeEstimate
 	dequeueRate dequeueRate
+	demand      demandMeter
 }
 
 // dequeueRate measures how fast queued work is dispatched.
--- a/internal/process/fleet/fleet.go
+++ b/internal/process/fleet/fleet.go
@@ -161,10 +161,17 @@
 
 // IsUsable reports whether an endpoint accepts requests at all: it is listed,
 // not draining, not in a grace period, and its failure domain is not excluded.
-func (f *Fleet) IsUsable(e *Endpoint) bool {
-	return !e.gone && !e.Draining && !e.leaving && !e.unreadable && e.graceUntil.IsZero() && !f.excludedDomains[e.Domain]
+func (f *Fleet) IsUsable(e *Endpoint) bool { return f.IsServing(e) && !f.IsExcluded(e.Domain) }
+
+// IsServing reports whether an endpoint accepts requests unless its failure domain is
+// excluded.
+func (f *Fleet) IsServing(e *Endpoint) bool {
+	return !e.gone && !e.Draining && !e.leaving && !e.unreadable && e.graceUntil.IsZero()
 }
 
+// IsExcluded reports whether a failure domain must receive no new requests.
+func (f *Fleet) IsExcluded(domain string) bool { return f.excludedDomains[domain] }
+
 // MedianFailureRate returns the median failure rate of a service's endpoints.
 // It serves as the baseline: a failure that affects all endpoints alike is no
 // reason to avoid any of them.
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -40,6 +40,7 @@
 	carriers       *carriers
 	delays         *delayMonitor
 	usageHistory   *usageHistory
+	orders         *orderRunner
 	dispatcher     *dispatch.Dispatcher
 	relay          *relay.Relay
 	membership     *peers.Membership
@@ -121,6 +122,7 @@
 	g.snapshotCopies = newSnapshotCopies(g)
 	g.moveTracker = newMoveTracker(g)
 	g.usageHistory = &usageHistory{gateway: g}
+	g.orders = newOrderRunner(g, nil)
 	return g, nil
 }
 
@@ -177,6 +179,7 @@
 		Ready: g.IsReady(), Leaving: g.isStopping(), WaitingServices: waiting, Usage: g.limits.Usage(isFull),
 		StoreUnavailable: g.logAccess.isLost(), Spent: g.spent.Load(), Carries: g.carries.Load(),
 		Quarantine: g.quarantine.evidence(isFull), LostServices: g.carriers.lostServices(),
+		Demands: g.orders.demands(),
 	}
 	operatorNext, isOperatorKnown := g.operator.Next()
 	endpointsNext, areEndpointsKnown := g.endpoints.Next()
--- a/internal/process/gateway/hoststate.go
+++ b/internal/process/gateway/hoststate.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"time"
 
 	"mustarddoor/internal/process/dispatch"
 	"mustarddoor/internal/process/entryset"
@@ -60,6 +61,8 @@
 	// QuarantinedParts are the prompt parts that requests must not have.
 	QuarantinedParts []quarantine.Part        `json:"quarantined_parts"`
 	Endpoints        []dispatch.EndpointState `json:"endpoints"`
+	// EndpointOrders are the newest orders of endpoints, on the host that holds the duties.
+	EndpointOrders []EndpointOrderState `json:"endpoint_orders,omitempty"`
 }
 
 // State returns the host's current state.
@@ -83,6 +86,7 @@
 	s.Active = len(g.membership.ActiveHosts(g.membership.Now()))
 	s.LostServices = g.dispatcher.LostServices()
 	s.QuarantinedParts = g.quarantine.tracker.Quarantined()
+	s.EndpointOrders = g.orders.states(time.Now())
 	if relay := g.membership.Relay(); relay.IsValid() {
 		s.Relay = relay.String()
 	}
--- a/internal/process/gateway/run.go
+++ b/internal/process/gateway/run.go
@@ -89,6 +89,7 @@
 	addActor(g.quarantine.run)
 	addActor(g.usageHistory.run)
 	addActor(g.adoptUsage)
+	addActor(g.orders.run)
 	addActor(g.carriers.run)
 	addActor(g.callerConns.closeIdle)
 	addActor(g.delays.run)
--- a/internal/process/peers/builds_test.go
+++ b/internal/process/peers/builds_test.go
@@ -50,6 +50,7 @@
 			OperatorEarlier:  &keyed.Position{Era: 1, Offset: 20},
 			EndpointsEarlier: &keyed.Position{Era: 1, Offset: 4000},
 			LostServices:     []uint32{11},
+			Demands:          []ServiceDemand{{Service: 11, MilliSlots: 12500, Queued: 4}},
 		},
 		KnownHosts: []netip.AddrPort{netip.MustParseAddrPort("10.2.0.17:7600")},
 		KnownCount: 6, IsSummary: true, AgeMillis: 200,
--- a/internal/process/peers/message.go
+++ b/internal/process/peers/message.go
@@ -105,6 +105,17 @@
 	return evidences
 }
 
+// ServiceDemand is what a host's callers need of a service's endpoints.
+type ServiceDemand struct {
+	_ struct{} `cbor:",toarray"`
+	// Service is the hash of the service's name.
+	Service uint32
+	// MilliSlots is the slot time that arriving requests need per time, in thousandths.
+	MilliSlots int
+	// Queued is the number of requests that wait.
+	Queued int
+}
+
 // Usage is what a host spent on callers lately.
 type Usage struct {
 	_ struct{} `cbor:",toarray"`
@@ -160,6 +171,9 @@
 	// LostServices holds the hashes of the services of which the host can reach no
 	// endpoint.
 	LostServices []uint32 `cbor:"20,keyasint,omitempty"`
+	// Demands is what the host's callers need of the services whose number of endpoints
+	// is ordered.
+	Demands []ServiceDemand `cbor:"30,keyasint,omitempty"`
 }
 
 // SetPositions sets how far the host has read. A topic that was not yet read in the
--- a/internal/process/peers/roles.go
+++ b/internal/process/peers/roles.go
@@ -253,3 +253,16 @@
 	}
 	return true
 }
+
+// ReachableStatuses returns the newest statuses of the other reachable hosts.
+func (m *Membership) ReachableStatuses(now time.Time) []Status {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var statuses []Status
+	for _, p := range m.peers {
+		if m.isReachable(p, now) {
+			statuses = append(statuses, p.status)
+		}
+	}
+	return statuses
+}
--- a/internal/version/routing/table.go
+++ b/internal/version/routing/table.go
@@ -75,6 +75,19 @@
 // Service returns the service with the given name, or nil.
 func (t *Table) Service(name string) *Service { return t.services[name] }
 
+// ScaledServices returns the services whose number of endpoints is ours to order, sorted
+// by name.
+func (t *Table) ScaledServices() []*Service {
+	var scaled []*Service
+	for _, service := range t.services {
+		if service.Scaling != nil {
+			scaled = append(scaled, service)
+		}
+	}
+	slices.SortFunc(scaled, func(a, b *Service) int { return strings.Compare(a.Name, b.Name) })
+	return scaled
+}
+
 // ChooseService selects one of the route's services by weight. draw is a
 // random number, uniform in [0, 1).
 func (r *Route) ChooseService(draw float64) string {
