--- a/internal/process/autoscale/autoscale.go
+++ b/internal/process/autoscale/autoscale.go
@@ -95,13 +95,11 @@
 const (
 	// maxBusyShare is the share of busy slots above which requests begin to wait: hosts
 	// know of each other's requests with a delay, and endpoints are not equally fast.
-	maxBusyShare = 0.9
-	// targetBusyShare is the share of busy slots that an order for more aims at.
-	targetBusyShare = 0.8
-	// calmBusyShare is the share up to which an order for fewer goes.
-	calmBusyShare = 0.7
+	maxBusyShare = 0.85
+	// targetBusyShare is the share of busy slots that orders aim at.
+	targetBusyShare = 0.7
 	// maxCalmStep is the largest share of a domain's endpoints given up at a time.
-	maxCalmStep = 0.1
+	maxCalmStep = 0.25
 	// holdStarts is the hold time, for which the highest demand counts, as a multiple of
 	// the time until new endpoints serve, within minHold and maxHold.
 	holdStarts = 4
@@ -118,8 +116,6 @@
 	minHostsShare = 0.75
 	// missingStarts is after how many start times ordered endpoints count as missing.
 	missingStarts = 2
-	// minOrderAge is the time between orders for more endpoints in a domain.
-	minOrderAge = 2 * time.Second
 )
 
 // sample is the demand at a time.
@@ -251,7 +247,7 @@
 	}
 	var orders []Order
 	for _, domain := range inUse {
-		if count <= domain.effective(service, now) || !domain.OrderedAt.IsZero() && now.Sub(domain.OrderedAt) < minOrderAge {
+		if count <= domain.effective(service, now) {
 			continue
 		}
 		if count <= domain.Ordered {
@@ -265,27 +261,33 @@
 }
 
 // fewer returns the orders for fewer endpoints: a step towards what the peak needs, so
-// that the other domains could bear it if one of them were lost.
+// that the other domains could bear it if one of them were lost. A domain with more than
+// its part keeps it while others have less.
 func (p *Planner) fewer(service *Service, inUse []Domain, d Decision, now time.Time) []Order {
 	hold := service.holdTime()
 	isKnown := now.Sub(p.samples[0].at) >= hold && p.hearsMostHosts(service, now)
 	if !isKnown || service.IsMoving || p.samples[len(p.samples)-1].demand.Queued > 0 {
 		return nil
 	}
-	busyShare := calmBusyShare
+	busyShare := targetBusyShare
 	if n := float64(len(inUse)); n > 1 {
 		busyShare = min(busyShare, (n-1)/n)
 	}
 	count := service.perDomain(d.Peak, busyShare, len(inUse))
+	spare := -count * len(inUse)
+	for _, domain := range inUse {
+		spare += min(domain.effective(service, now), domain.base())
+	}
 	var orders []Order
 	for _, domain := range inUse {
 		base := domain.base()
 		isSettled := domain.Leaving == 0 && now.Sub(domain.OrderedAt) >= hold
-		if count >= base || !isSettled {
+		step := min(max(int(maxCalmStep*float64(base)), 1), base-count, spare)
+		if step <= 0 || !isSettled {
 			continue
 		}
-		step := max(int(maxCalmStep*float64(base)), 1)
-		orders = append(orders, Order{Domain: domain.Name, Count: max(count, base-step), Pattern: PatternCalm})
+		spare -= step
+		orders = append(orders, Order{Domain: domain.Name, Count: base - step, Pattern: PatternCalm})
 	}
 	return orders
 }
--- a/internal/process/dispatch/scaling.go
+++ b/internal/process/dispatch/scaling.go
@@ -23,9 +23,9 @@
 	Slots int
 }
 
-// demandWindow is the time in which the weight of a request in the demand falls to 1/e:
-// a few times that of a request, so that the demand follows a burst.
-const demandWindow = 2 * time.Second
+// demandWindow is the time in which the weight of a request in the demand falls to 1/e. It
+// is short compared with a burst.
+const demandWindow = time.Second
 
 // demandMeter measures the slot time that requests need per time, with exponentially
 // decaying weight.
--- a/internal/process/gateway/hoststate.go
+++ b/internal/process/gateway/hoststate.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"net/http"
-	"time"
 
 	"mustarddoor/internal/process/dispatch"
 	"mustarddoor/internal/process/entryset"
@@ -86,7 +85,7 @@
 	s.Active = len(g.membership.ActiveHosts(g.membership.Now()))
 	s.LostServices = g.dispatcher.LostServices()
 	s.QuarantinedParts = g.quarantine.tracker.Quarantined()
-	s.EndpointOrders = g.orders.states(time.Now())
+	s.EndpointOrders = g.orders.states()
 	if relay := g.membership.Relay(); relay.IsValid() {
 		s.Relay = relay.String()
 	}
--- a/internal/process/gateway/ordercall.go
+++ b/internal/process/gateway/ordercall.go
@@ -14,9 +14,10 @@
 	// order. It doubles with each attempt.
 	minOrderRetryDelay = time.Second
 	maxOrderRetryDelay = 8 * time.Second
-	// orderRepeatDelay is the time from the response to an order until it is sent once
-	// more, if an older order without a response may be carried out after it.
-	orderRepeatDelay = 10 * time.Second
+	// maxOrderLateness is how long after it was sent an order without a response may be
+	// carried out. An order that has a response is sent once more after that time, if
+	// such an older one may have followed it.
+	maxOrderLateness = 10 * time.Second
 )
 
 // unknownCount stands for the number in an order of an earlier holder.
@@ -35,19 +36,21 @@
 	// one may follow.
 	attempts int
 	retryAt  time.Time
-	// unanswered holds the numbers of orders without a response, which may still be
-	// carried out.
-	unanswered map[int]bool
+	// unanswered holds the numbers of orders without a response, and when the last one was
+	// sent. They may still be carried out.
+	unanswered map[int]time.Time
 	// repeatAt is when to send the order once more; the zero time if that is not needed.
 	repeatAt time.Time
 }
 
 // adoptOrder returns an order that an earlier holder recorded. It may not have been sent.
-// isFenced is set if the platform refuses the earlier holder's calls from the next one on.
-func adoptOrder(count int, isFenced bool, now time.Time) *domainOrder {
-	order := &domainOrder{count: count, orderedAt: now, isDue: true, unanswered: map[int]bool{}}
+// The record may be from an older copy of the store: endpoints that are present are not
+// given up for it. isFenced is set if the platform refuses the earlier holder's calls from
+// the next one on.
+func adoptOrder(recorded, present int, isFenced bool, now time.Time) *domainOrder {
+	order := &domainOrder{count: max(recorded, present), orderedAt: now, isDue: true, unanswered: map[int]time.Time{}}
 	if !isFenced {
-		order.unanswered[unknownCount] = true
+		order.unanswered[unknownCount] = now
 	}
 	return order
 }
@@ -70,15 +73,17 @@
 func (o *domainOrder) record(count int, err error, now time.Time) {
 	if err == nil {
 		o.isDue, o.attempts = o.count != count, 0
-		delete(o.unanswered, count)
-		if len(o.unanswered) > 0 {
-			o.repeatAt = now.Add(orderRepeatDelay)
+		for other, sentAt := range o.unanswered {
+			if now.Sub(sentAt) >= maxOrderLateness {
+				delete(o.unanswered, other)
+			} else if other != count {
+				o.repeatAt = now.Add(maxOrderLateness)
+			}
 		}
-		clear(o.unanswered)
 		return
 	}
 	if !eris.Is(err, duty.ErrRefused) && !eris.Is(err, duty.ErrFenced) {
-		o.unanswered[count] = true
+		o.unanswered[count] = now
 	}
 	delay := min(minOrderRetryDelay<<min(o.attempts, 10), maxOrderRetryDelay)
 	o.attempts++
--- a/internal/process/gateway/orders.go
+++ b/internal/process/gateway/orders.go
@@ -28,6 +28,7 @@
 	holder  duty.Holder
 	// observe returns the present state of the services whose endpoints are ordered.
 	observe func() []scaledService
+	now     func() time.Time
 
 	mu       sync.Mutex
 	planners map[string]*autoscale.Planner
@@ -74,7 +75,7 @@
 		return nil
 	}
 	r := &orderRunner{
-		gateway: g, holder: holder, planners: map[string]*autoscale.Planner{},
+		gateway: g, holder: holder, now: time.Now, planners: map[string]*autoscale.Planner{},
 		orders: map[string]map[string]*domainOrder{}, saved: map[string]map[string]int{}, domains: map[string]map[string]bool{},
 	}
 	r.observe = r.observeServices
@@ -88,13 +89,14 @@
 		return nil
 	}
 	for pause.For(ctx, orderInterval) {
-		r.round(ctx, time.Now())
+		r.round(ctx)
 	}
 	return nil
 }
 
 // round records the demand and, on the holder, decides on orders and sends them.
-func (r *orderRunner) round(ctx context.Context, now time.Time) {
+func (r *orderRunner) round(ctx context.Context) {
+	now := r.now()
 	r.mu.Lock()
 	services := r.observe()
 	for _, service := range services {
@@ -146,7 +148,12 @@
 		}
 		orders := map[string]*domainOrder{}
 		for domain, count := range record.Counts {
-			orders[domain] = adoptOrder(count, r.gateway.settings.Duties.IsFenced, now)
+			present := 0
+			if i := slices.IndexFunc(service.state.Domains, func(d autoscale.Domain) bool { return d.Name == domain }); i >= 0 {
+				present = service.state.Domains[i].Present
+			}
+			count = min(count, service.state.Scaling.MaxEndpoints)
+			orders[domain] = adoptOrder(count, min(present, service.state.Scaling.MaxEndpoints), r.gateway.settings.Duties.IsFenced, now)
 		}
 		r.orders[service.name], r.saved[service.name] = orders, record.Counts
 		r.gateway.log.Entry().WithFields(logrus.Fields{"service": service.name, "counts": record.Counts}).Info("read back the last orders of endpoints")
@@ -170,7 +177,7 @@
 	for _, decided := range decision.Orders {
 		order := orders[decided.Domain]
 		if order == nil {
-			order = &domainOrder{unanswered: map[int]bool{}}
+			order = &domainOrder{unanswered: map[int]time.Time{}}
 			orders[decided.Domain] = order
 		}
 		before := order.count
@@ -245,7 +252,7 @@
 	if order == nil || r.token != token {
 		return
 	}
-	order.record(call.Count, err, time.Now())
+	order.record(call.Count, err, r.now())
 	if err != nil {
 		log.WithError(err).WithField("attempts", order.attempts).Warn("order of endpoints failed")
 		return
@@ -361,7 +368,7 @@
 
 // states returns the newest orders, sorted by service and failure domain; none unless
 // this host holds the duties.
-func (r *orderRunner) states(now time.Time) []EndpointOrderState {
+func (r *orderRunner) states() []EndpointOrderState {
 	if r == nil {
 		return nil
 	}
@@ -375,7 +382,7 @@
 		for domain, order := range orders {
 			states = append(states, EndpointOrderState{
 				Service: service, Domain: domain, Count: order.count, Pattern: string(order.pattern),
-				AgeMillis: now.Sub(order.orderedAt).Milliseconds(), Waiting: order.isDue,
+				AgeMillis: r.now().Sub(order.orderedAt).Milliseconds(), Waiting: order.isDue,
 			})
 		}
 	}
