--- a/internal/process/autoscale/autoscale.go
+++ b/internal/process/autoscale/autoscale.go
@@ -174,7 +174,8 @@
 	}
 	d.Slots = float64(effective) * service.SlotsPerEndpoint
 	if len(inUse) > 0 {
-		if d.Expected > maxBusyShare*d.Slots {
+		// A rise that begins well below what the endpoints serve may end before they are busy.
+		if d.Expected > maxBusyShare*d.Slots && d.Demand > targetBusyShare*d.Slots {
 			d.Orders = p.more(&service, inUse, d, now)
 		} else {
 			d.Orders = p.fewer(&service, inUse, d, now)
--- a/internal/process/autoscale/autoscale_test.go
+++ b/internal/process/autoscale/autoscale_test.go
@@ -77,6 +77,7 @@
 			"rise", []Demand{{Slots: 480, Hosts: 10}, {Slots: 530, Hosts: 10}}, nil,
 			[]Order{{"z0", 46, PatternRise}, {"z1", 46, PatternRise}, {"z2", 46, PatternRise}},
 		},
+		{"rise while many are idle", []Demand{{Slots: 300, Hosts: 10}, {Slots: 435, Hosts: 10}}, nil, nil},
 		{"demand that returns has no trend", []Demand{{Slots: 530, Hosts: 10}, {Slots: 480, Hosts: 10}, {Slots: 530, Hosts: 10}}, nil, nil},
 		{"traffic that begins has no trend", []Demand{{}, {Slots: 500, Hosts: 10}}, nil, nil},
 		{"burst whose endpoints are starting", steady(600), func(s *Service) { ordered(s, 43, 5*time.Second) }, nil},
