--- a/internal/process/gateway/ordercall_test.go
+++ b/internal/process/gateway/ordercall_test.go
@@ -73,12 +73,12 @@
 			}
 			order.record(order.count, err, now)
 		}
-		for range rapid.IntRange(1, 60).Draw(t, "seconds") {
+		for range rapid.IntRange(20, 200).Draw(t, "seconds") {
 			switch rapid.IntRange(0, 9).Draw(t, "event") {
 			case 0:
 				newest = rapid.IntRange(1, 5).Draw(t, "count")
 				order.set(autoscale.Order{Count: newest}, now)
-			case 1:
+			case 1, 2:
 				token++
 				if newest > 0 {
 					order = adoptOrder(newest, 0, platform.isFenced, now)
