--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -42,6 +42,7 @@
 	usageHistory *usageHistory
 	// duties is nil unless the settings call for duties.
 	duties         *duties
+	orders         *orderRunner
 	dispatcher     *dispatch.Dispatcher
 	relay          *relay.Relay
 	membership     *peers.Membership
@@ -124,6 +125,7 @@
 	g.snapshotCopies = newSnapshotCopies(g)
 	g.moveTracker = newMoveTracker(g)
 	g.usageHistory = &usageHistory{gateway: g}
+	g.orders = newOrderRunner(g, g.DutyHolder())
 	return g, nil
 }
 
@@ -180,6 +182,7 @@
 		Ready: g.IsReady(), Leaving: g.isStopping(), WaitingServices: waiting, Usage: g.limits.Usage(isFull),
 		StoreUnavailable: g.logAccess.isLost(), Spent: g.spent.Load(), Carries: g.carries.Load(),
 		Quarantine: g.quarantine.evidence(isFull), LostServices: g.carriers.lostServices(),
+		Demands: g.orders.demands(),
 	}
 	status.CountsUsage = g.duties.countsUsage()
 	operatorNext, isOperatorKnown := g.operator.Next()
--- a/internal/process/gateway/hoststate.go
+++ b/internal/process/gateway/hoststate.go
@@ -60,8 +60,10 @@
 	// QuarantinedParts are the prompt parts that requests must not have.
 	QuarantinedParts []quarantine.Part `json:"quarantined_parts"`
 	// Duties is absent unless the settings call for duties.
-	Duties    *DutiesState             `json:"duties,omitempty"`
-	Endpoints []dispatch.EndpointState `json:"endpoints"`
+	Duties *DutiesState `json:"duties,omitempty"`
+	// EndpointOrders are the newest orders of endpoints, on the host that holds the duties.
+	EndpointOrders []EndpointOrderState     `json:"endpoint_orders,omitempty"`
+	Endpoints      []dispatch.EndpointState `json:"endpoints"`
 }
 
 // State returns the host's current state.
@@ -85,6 +87,7 @@
 	s.Active = len(g.membership.ActiveHosts(g.membership.Now()))
 	s.LostServices, s.Duties = g.dispatcher.LostServices(), g.duties.hostState()
 	s.QuarantinedParts = g.quarantine.tracker.Quarantined()
+	s.EndpointOrders = g.orders.states()
 	if relay := g.membership.Relay(); relay.IsValid() {
 		s.Relay = relay.String()
 	}
