--- a/internal/process/gateway/duties.go
+++ b/internal/process/gateway/duties.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"sync/atomic"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -20,8 +19,6 @@
 	lease   *duty.Lease
 	clock   *duty.Clock
 	usage   *usageReports
-	// isStopped is set when the host stops.
-	isStopped atomic.Bool
 }
 
 // newDuties returns nil unless the settings call for duties.
@@ -151,7 +148,7 @@
 	return nil
 }
 
-// dutyCounter returns a counter of the duties.
+// counter returns a counter of the duties.
 func (d *duties) counter(name string) metrics.Counter {
 	return metrics.GetOrRegisterCounter("duties."+name, d.gateway.registry)
 }
