Duties: a holder that is cut off yields

Cause: a holder that reaches the store but not the platform, or no other host, kept the lease and reported nothing. Change: after 4 s of failed calls it releases the duties and rests 15 s.

--- a/internal/process/duty/lease.go
+++ b/internal/process/duty/lease.go
@@ -119,6 +119,9 @@
 		err = eris.Wrapf(keyed.ErrUnanswered, "append to %v: the store was restored", l.ports.Partition)
 	}
 	l.logChange(wasHeld, before.Token)
+	if a.kind == actionRelease {
+		l.ports.Log.WithError(err).WithField("fencing_token", before.Token).Info("duties released")
+	}
 	return err
 }
 
@@ -130,8 +133,6 @@
 	case s.isHeld && (!wasHeld || s.own.Token != before):
 		l.claims.Inc(1)
 		l.ports.Log.WithFields(fields).WithField("values_since_ms", s.own.Since).Info("duties claimed")
-	case wasHeld && !s.isHeld && s.isReleased:
-		l.ports.Log.WithFields(fields).Info("duties released")
 	case wasHeld && !s.isHeld:
 		l.losses.Inc(1)
 		if s.newest != nil {
@@ -148,6 +149,14 @@
 	l.state.stop(l.ports.Now())
 }
 
+// Yield releases the duties as Stop does, so that another host takes over. This one does
+// not claim them for some time.
+func (l *Lease) Yield(rest time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.state.yield(l.ports.Now(), rest)
+}
+
 // Grant implements Holder.
 func (l *Lease) Grant() (Grant, bool) {
 	l.mu.Lock()
--- a/internal/process/duty/model_test.go
+++ b/internal/process/duty/model_test.go
@@ -156,6 +156,8 @@
 			h.refusedUntil = m.now.Add(m.upTo(8 * time.Second))
 		case faults && m.chance(0.5):
 			h.state.stop(m.now)
+		case faults && m.chance(2):
+			h.state.yield(m.now, m.upTo(6*time.Second))
 		}
 		m.run(h, faults)
 	}
--- a/internal/process/duty/state.go
+++ b/internal/process/duty/state.go
@@ -43,9 +43,9 @@
 	heldSince        time.Time
 
 	polledAt, retryAt time.Time
-	// stoppedAt is when the host began to stop; zero before that.
-	stoppedAt  time.Time
-	isReleased bool
+	// stoppedAt is when the host began to give up the duties, zero if it does not, and
+	// restsUntil until when it does not claim them; zero for good.
+	stoppedAt, restsUntil time.Time
 }
 
 func newState(config Config, now time.Time) *state {
@@ -88,8 +88,14 @@
 // next returns the call to make. isCandidate is set if this host is one of those that
 // take over, timeOfDay is in Unix milliseconds.
 func (s *state) next(now time.Time, isCandidate bool, timeOfDay int64) action {
+	if !s.restsUntil.IsZero() && !now.Before(s.restsUntil) {
+		s.stoppedAt, s.restsUntil = time.Time{}, time.Time{}
+	}
 	switch {
-	case s.isReleased || now.Before(s.retryAt) || !s.isHeld && (!isCandidate || !s.stoppedAt.IsZero()):
+	case now.Before(s.retryAt):
+		return action{}
+	case !s.isHeld && (!isCandidate || !s.stoppedAt.IsZero()):
+		s.isKnown = false // other hosts may write
 		return action{}
 	case !s.isKnown:
 		return action{kind: actionLoad, sentAt: now}
@@ -124,6 +130,8 @@
 		if now.Sub(s.stoppedAt) < releaseDelay {
 			return action{}
 		}
+		// Another host may claim as soon as the record is sent.
+		s.end(now)
 		released := s.own
 		released.IsReleased = true
 		return s.newAppend(actionRelease, released, now)
@@ -296,9 +304,7 @@
 	case actionRenew:
 		s.own, s.newest = a.claim, &a.claim
 	case actionRelease:
-		s.end(now)
-		s.isReleased = true
-		return true
+		s.newest = &a.claim
 	case actionSave:
 		s.values[a.record.Key], _ = decodeSaved(a.record.Value)
 		s.unsaved = slices.DeleteFunc(s.unsaved, func(key string) bool { return key == a.record.Key })
@@ -347,4 +353,12 @@
 	if s.stoppedAt.IsZero() {
 		s.stoppedAt = now
 	}
+	s.restsUntil = time.Time{}
+}
+
+// yield gives up the duties as stop does, for some time.
+func (s *state) yield(now time.Time, rest time.Duration) {
+	if s.isHeld && s.stoppedAt.IsZero() {
+		s.stoppedAt, s.restsUntil = now, now.Add(rest)
+	}
 }
--- a/internal/process/duty/takeover_test.go
+++ b/internal/process/duty/takeover_test.go
@@ -54,6 +54,7 @@
 		{"restarted", func(m *model, h *modelHost) { m.start(h) }, 4 * time.Second},
 		{"frozen", func(m *model, h *modelHost) { h.frozenUntil = m.now.Add(6 * time.Second) }, 4 * time.Second},
 		{"cut from the store", func(m *model, h *modelHost) { h.refusedUntil = m.now.Add(6 * time.Second) }, 4 * time.Second},
+		{"yielding", func(m *model, h *modelHost) { h.state.yield(m.now, 8*time.Second) }, 2500 * time.Millisecond},
 		{"stopped", func(m *model, h *modelHost) { h.state.stop(m.now) }, 2500 * time.Millisecond},
 	}
 	for _, isFenced := range []bool{true, false} {
@@ -105,6 +106,19 @@
 	assert.NilError(t, m.check())
 }
 
+// A host that has yielded claims the duties again if no other host does.
+func TestYieldAlone(t *testing.T) {
+	m := newModel(5, true)
+	m.hosts = m.hosts[:1]
+	first := m.awaitHolder(t, nil, 6*time.Second)
+	first.state.yield(m.now, 8*time.Second)
+	m.play(7 * time.Second)
+	assert.Assert(t, m.holder(t) == nil)
+	m.play(2 * time.Second)
+	assert.Equal(t, m.holder(t), first)
+	assert.NilError(t, m.check())
+}
+
 // The duties do not return to a host within the time for which that is forbidden, even if
 // its successor releases them.
 func TestReturn(t *testing.T) {
--- a/internal/process/gateway/duties_test.go
+++ b/internal/process/gateway/duties_test.go
@@ -60,6 +60,8 @@
 	calls   int
 	holders []duty.Grant
 	windows map[int64]map[string]int64
+	// failsFor is the host whose calls are refused, accepted the last one whose call is not.
+	failsFor, accepted string
 	// differing counts the reports that differ from an earlier one of their window.
 	differing int
 }
@@ -67,6 +69,10 @@
 func (p *dutyPlatform) ReportUsage(_ context.Context, grant duty.Grant, report duty.UsageReport) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if grant.Holder == p.failsFor {
+		return duty.ErrRefused
+	}
+	p.accepted = grant.Holder
 	p.calls++
 	p.holders = append(p.holders, grant)
 	if known, found := p.windows[report.Window]; found && known["a"] != report.Counts["a"] {
@@ -180,6 +186,30 @@
 	assert.Equal(t, platform.differing, 0)
 }
 
+// A holder that does not reach the platform lets another host take over.
+func TestHolderYields(t *testing.T) {
+	store, platform := &dutyStore{}, &dutyPlatform{windows: map[int64]map[string]int64{}}
+	first, _ := startDutyHost(t, "1", nil, testDuties, store, platform)
+	startDutyHost(t, "2", []netip.AddrPort{first.settings.PeerAddress}, testDuties, store, platform)
+	awaitOther := func(other string) (accepted string) {
+		t.Helper()
+		poll.WaitOn(t, func(poll.LogT) poll.Result {
+			platform.mu.Lock()
+			defer platform.mu.Unlock()
+			if accepted = platform.accepted; accepted == other {
+				return poll.Continue("reports come from %q", accepted)
+			}
+			return poll.Success()
+		}, poll.WithTimeout(15*time.Second))
+		return accepted
+	}
+	holder := awaitOther("")
+	platform.mu.Lock()
+	platform.failsFor = holder
+	platform.mu.Unlock()
+	awaitOther(holder)
+}
+
 // Without settings that call for duties nothing is counted, told to other hosts, read or
 // written.
 func TestNoDuties(t *testing.T) {
--- a/internal/process/gateway/usagereports.go
+++ b/internal/process/gateway/usagereports.go
@@ -36,8 +36,11 @@
 	answeredAt time.Time
 	// retryAt is when the next call may be made after a failed one.
 	retryAt time.Time
-	// collectedAt is when the last round of the collection began.
+	// collectedAt is when the last round of the collection ended.
 	collectedAt time.Time
+	// reachedAt is when the holder last read another host, failingSince when its calls to
+	// the platform began to fail; zero while they do not.
+	reachedAt, failingSince time.Time
 }
 
 const (
@@ -61,6 +64,12 @@
 	// after a failed one.
 	reportCallTimeout = 2 * time.Second
 	reportRetryDelay  = 500 * time.Millisecond
+	// maxFailing is how long a holder's calls to the platform may fail, or those to all
+	// other hosts, until it lets another host try; yieldRest is how long it then rests.
+	maxFailing = 4 * time.Second
+	yieldRest  = 15 * time.Second
+	// minKnownHosts is the number of hosts with counts of which a holder must reach one.
+	minKnownHosts = 3
 )
 
 func newUsageReports(d *duties, boot func() time.Duration) *usageReports {
@@ -111,19 +120,39 @@
 // that may take over reads the clocks.
 func (u *usageReports) collect(ctx context.Context) error {
 	return every(ctx, dutyCheckInterval, func(ctx context.Context) {
+		_, isHolder := u.duties.lease.Grant()
 		u.mu.Lock()
 		idle := time.Since(u.collectedAt)
+		if !isHolder {
+			u.reachedAt, u.failingSince = time.Now(), time.Time{}
+		}
 		u.mu.Unlock()
-		_, isHolder := u.duties.lease.Grant()
 		switch {
 		case isHolder && idle >= collectInterval:
 			u.collectRound(ctx, u.nextWindow(), u.sources(true))
+			u.yieldIfCutOff()
 		case !isHolder && idle >= clockInterval && u.duties.isCandidate():
 			u.collectRound(ctx, noWindow, u.sources(false))
 		}
 	})
 }
 
+// yieldIfCutOff yields the duties if this host reaches none of the hosts with counts.
+func (u *usageReports) yieldIfCutOff() {
+	u.mu.Lock()
+	unreached := time.Since(u.reachedAt)
+	isCutOff := unreached >= maxFailing && len(u.bases) >= minKnownHosts
+	u.mu.Unlock()
+	if isCutOff {
+		u.yield("reaches no other host", unreached)
+	}
+}
+
+func (u *usageReports) yield(reason string, since time.Duration) {
+	u.duties.gateway.log.Entry().WithFields(logrus.Fields{"reason": reason, "since_ms": since.Milliseconds()}).Warn("duties yielded")
+	u.duties.lease.Yield(yieldRest)
+}
+
 // noWindow is after all windows.
 const noWindow = 1 << 62
 
@@ -210,6 +239,9 @@
 		return
 	}
 	source.Incarnation = reply.Incarnation
+	u.mu.Lock()
+	u.reachedAt = time.Now()
+	u.mu.Unlock()
 	base, isValid := u.duties.clock.AddSample(source.Address, reply.Clocks, sentAt, u.boot())
 	u.mu.Lock()
 	defer u.mu.Unlock()
@@ -315,15 +347,31 @@
 		}
 		u.retryAt = time.Now().Add(delay)
 		log.WithError(err).Warn("usage report failed")
+		u.recordFailure()
 		return
 	}
 	u.sent.Inc(1)
 	u.mu.Lock()
-	u.answered, u.answeredAt = report.Window, time.Now()
+	u.answered, u.answeredAt, u.failingSince = report.Window, time.Now(), time.Time{}
 	u.mu.Unlock()
 	log.Info("usage reported")
 }
 
+// recordFailure records a failed call to the platform and yields the duties if these fail
+// for long: another host may reach it.
+func (u *usageReports) recordFailure() {
+	now := time.Now()
+	u.mu.Lock()
+	if u.failingSince.IsZero() {
+		u.failingSince = now
+	}
+	failing := now.Sub(u.failingSince)
+	u.mu.Unlock()
+	if failing >= maxFailing {
+		u.yield("calls to the platform fail", failing)
+	}
+}
+
 // lastReport returns the last window that this host has reported, and the time since then
 // in ms, or -1.
 func (u *usageReports) lastReport() (window, ageMillis int64) {
