host: show the orders of endpoints

Cause: the orders were to be seen at /host only. Change: a line for each order in the host command. Result: builds, vet; no run on a live host.

--- a/internal/command/host.go
+++ b/internal/command/host.go
@@ -62,6 +62,9 @@
 	for _, part := range state.QuarantinedParts {
 		t.add("prompt part", part.String(), "quarantined", "endpoints ended as they responded to it")
 	}
+	for _, order := range state.EndpointOrders {
+		t.add("order", order.Service+" in "+order.Domain, orderState(order), orderDetail(order))
+	}
 	for _, e := range state.Endpoints {
 		detail := fmt.Sprintf("%s %s in %s, %d of %d slots in use (%d local), %d pending tokens, step %d us, %.0f%% failed",
 			e.Service, e.Version, e.Domain, e.Busy, e.Slots, e.OwnBusy, e.PendingTokens, e.InterTokenMicros, e.FailureRate*100)
@@ -73,6 +76,21 @@
 	return t
 }
 
+func orderState(order gateway.EndpointOrderState) string {
+	if order.Waiting {
+		return "no response yet"
+	}
+	return "accepted"
+}
+
+func orderDetail(order gateway.EndpointOrderState) string {
+	pattern := order.Pattern
+	if pattern == "" {
+		pattern = "read back"
+	}
+	return fmt.Sprintf("%d endpoints (%s), %d s ago", order.Count, pattern, order.AgeMillis/1000)
+}
+
 func hostReadiness(state gateway.HostState) string {
 	switch {
 	case state.Stopping:
