--- a/internal/process/gateway/shared_read_store.go
+++ b/internal/process/gateway/shared_read_store.go
@@ -36,6 +36,7 @@
 	// replies that were not sent for that.
 	limiter        *rate.Limiter
 	refusedReplies metrics.Counter
+	logReads       logReads
 
 	mu sync.Mutex
 	// avoidedUntil holds the hosts whose records could not be read, and until
@@ -49,6 +50,8 @@
 	// well below the time within which a change must be known.
 	relayMaxWait      = 500 * time.Millisecond
 	relayReplyTimeout = 300 * time.Millisecond
+	// relayMinWait keeps reads from a host whose replies confirm nothing apart.
+	relayMinWait = 50 * time.Millisecond
 	// maxUnconfirmed is how long ago the log may have been read of which another host
 	// reports that nothing has changed. A host that reads the log for others confirms
 	// that more often. Together with one read of the log it is well below the time
@@ -64,9 +67,9 @@
 
 // Poll policies of the topics.
 var (
-	// operatorPollPolicy confirms that nothing has changed well within
-	// maxUnconfirmed. A change ends the wait early.
-	operatorPollPolicy = keyed.PollPolicy{MaxWait: 500 * time.Millisecond, ResponseTimeout: 700 * time.Millisecond, RetryDelay: 150 * time.Millisecond}
+	// operatorPollPolicy confirms that nothing has changed within maxUnconfirmed. Its
+	// MaxWait depends on how fast the store replies.
+	operatorPollPolicy = keyed.PollPolicy{ResponseTimeout: 700 * time.Millisecond, RetryDelay: 150 * time.Millisecond}
 	// endpointsPollPolicy has a shorter interval than an endpoint's writes. Some
 	// entry changes all the time, so waiting for records would cost a call for
 	// each record.
@@ -124,7 +127,11 @@
 	return address
 }
 
-func (s *sharedReadStore) operatorPolicy() keyed.PollPolicy { return s.pollPolicy(operatorPollPolicy) }
+func (s *sharedReadStore) operatorPolicy() keyed.PollPolicy {
+	direct := operatorPollPolicy
+	direct.MaxWait = s.logReads.operatorWait()
+	return s.pollPolicy(direct)
+}
 
 func (s *sharedReadStore) endpointsPolicy() keyed.PollPolicy {
 	return s.pollPolicy(endpointsPollPolicy)
@@ -165,7 +172,7 @@
 	if !address.IsValid() {
 		return s.gateway.ports.Store.Newest(ctx, partition)
 	}
-	reply, err := s.fetchRecords(ctx, address, partition, url.Values{"snapshot": {"1"}})
+	reply, err := s.fetchRecords(ctx, address, partition, url.Values{"snapshot": {"1"}}, relayMaxWait)
 	if err == nil && reply.Snapshot == nil {
 		err = eris.New("no snapshot in the reply")
 	}
@@ -192,7 +199,7 @@
 func (s *sharedReadStore) Read(ctx context.Context, partition keyed.Partition, from keyed.Position, wait time.Duration) (keyed.Batch, error) {
 	address := s.readerAddress()
 	if !address.IsValid() {
-		return s.gateway.ports.Store.Read(ctx, partition, from, wait)
+		return s.logReads.read(ctx, s.gateway.ports.Store, partition, from, wait)
 	}
 	batch, err := s.readFromHost(ctx, address, partition, from)
 	if err == nil {
@@ -204,7 +211,7 @@
 		return keyed.Batch{}, eris.Wrap(keyed.ErrUnanswered, ctx.Err().Error())
 	}
 	s.avoid(address, err)
-	direct, err := s.gateway.ports.Store.Read(ctx, partition, from, 0)
+	direct, err := s.logReads.read(ctx, s.gateway.ports.Store, partition, from, 0)
 	if err != nil && len(batch.Records) > 0 {
 		// Without the log, records of a host that has not read it lately are the newest.
 		return batch, nil
@@ -224,7 +231,12 @@
 // readFromHost reads records from another host. If that host replies with a
 // snapshot instead, the topic adopts it.
 func (s *sharedReadStore) readFromHost(ctx context.Context, address netip.AddrPort, partition keyed.Partition, from keyed.Position) (keyed.Batch, error) {
-	reply, err := s.fetchRecords(ctx, address, partition, url.Values{"from": {strconv.FormatUint(from.Offset, 10)}, "era": {strconv.FormatUint(from.Era, 10)}})
+	// What is known here holds until it counts as unconfirmed. A reader that is silent is
+	// noticed then.
+	wait := min(max(maxUnconfirmed-time.Since(s.topic(partition.Topic).ConfirmedAt()), relayMinWait), relayMaxWait)
+	reply, err := s.fetchRecords(ctx, address, partition, url.Values{
+		"from": {strconv.FormatUint(from.Offset, 10)}, "era": {strconv.FormatUint(from.Era, 10)}, relayWaitField: {strconv.FormatInt(wait.Milliseconds(), 10)},
+	}, wait)
 	if err != nil {
 		return keyed.Batch{}, err
 	}
@@ -244,9 +256,9 @@
 	return batch, nil
 }
 
-// fetchRecords requests a topic's records from another host.
-func (s *sharedReadStore) fetchRecords(ctx context.Context, address netip.AddrPort, partition keyed.Partition, query url.Values) (receivedRecords, error) {
-	ctx, cancel := context.WithTimeout(ctx, relayMaxWait+relayReplyTimeout)
+// fetchRecords requests a topic's records from another host, which may wait for them.
+func (s *sharedReadStore) fetchRecords(ctx context.Context, address netip.AddrPort, partition keyed.Partition, query url.Values, wait time.Duration) (receivedRecords, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+relayReplyTimeout)
 	defer cancel()
 	query.Set("topic", partition.Topic)
 	reply := receivedRecords{requestedAt: time.Now()}
@@ -280,7 +292,7 @@
 		return
 	}
 	// The other host is to read the log itself as soon as this one may have missed records.
-	wait := min(relayMaxWait, maxUnconfirmed-time.Since(topic.ConfirmedAt()))
+	wait := min(relayWait(query), maxUnconfirmed-time.Since(topic.ConfirmedAt()))
 	ctx, cancel := context.WithTimeout(request.Context(), wait)
 	defer cancel()
 	batch, err := topic.Since(ctx, from)
@@ -309,6 +321,20 @@
 	})
 }
 
+// relayWaitField is the query field for the time in ms that a read from another host
+// waits for records.
+const relayWaitField = "wait"
+
+// relayWait returns how long a read waits for records at most. A host that runs a version
+// that does not send it waits for relayMaxWait.
+func relayWait(query url.Values) time.Duration {
+	millis, err := strconv.ParseUint(query.Get(relayWaitField), 10, 32)
+	if err != nil {
+		return relayMaxWait
+	}
+	return min(time.Duration(millis)*time.Millisecond, relayMaxWait)
+}
+
 // parsePosition returns the position from which another host reads a topic. A host
 // that runs a version that does not send the era is taken to know the newest.
 func parsePosition(query url.Values, topic *keyed.Topic) (from keyed.Position, err error) {
