--- a/internal/process/gateway/log_reads.go
+++ b/internal/process/gateway/log_reads.go
@@ -31,21 +31,24 @@
 	latency time.Duration
 }
 
-// operatorWait returns how long a read of the operator's topic may wait: until it is
-// confirmed, two replies may be as slow as the last ones.
-func (r *logReads) operatorWait() time.Duration {
+// operatorWait returns how long a read of the operator's topic may wait that was confirmed
+// some time ago: it is to be confirmed again before it counts as unconfirmed if the store
+// replies as slowly as before.
+func (r *logReads) operatorWait(age time.Duration) time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return min(max(maxUnconfirmed-confirmationMargin-2*r.latency, operatorMinWait), operatorMaxWait)
+	wait := min(max(maxUnconfirmed-confirmationMargin-2*r.latency, operatorMinWait), operatorMaxWait)
+	// A read that ends early with a change confirms only what held when it was sent.
+	return max(wait-max(age-r.latency, 0), relayMinWait)
 }
 
 // overdueAfter returns how long a read that waits may have no reply until it is repeated: a
-// connection can go silent without a reset, and what was confirmed counts as unconfirmed
-// then.
+// connection can go silent without a reset, and what was confirmed is about to count as
+// unconfirmed then.
 func (r *logReads) overdueAfter(wait time.Duration) time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return max(maxUnconfirmed-r.latency, wait+r.latency+confirmationMargin)
+	return wait + r.latency + confirmationMargin
 }
 
 // observe records how long a read took that was allowed to wait for records.
--- a/internal/process/gateway/log_reads_test.go
+++ b/internal/process/gateway/log_reads_test.go
@@ -21,7 +21,10 @@
 	keyed.Store
 	latency  time.Duration
 	isSilent bool
-	calls    atomic.Int64
+	// changeInterval is the time between changes, which end the wait of a read; 0 if there
+	// are none.
+	changeInterval time.Duration
+	calls          atomic.Int64
 }
 
 func (s *delayedStore) Read(ctx context.Context, _ keyed.Partition, from keyed.Position, wait time.Duration) (keyed.Batch, error) {
@@ -31,6 +34,10 @@
 	if s.isSilent && wait > 0 {
 		duration = time.Hour
 	}
+	hasChanged := s.changeInterval > 0 && duration > s.changeInterval
+	if hasChanged {
+		duration, wait = s.changeInterval, 0
+	}
 	select {
 	case <-ctx.Done():
 		return keyed.Batch{}, keyed.ErrUnanswered
@@ -46,7 +53,7 @@
 	startedAt := time.Now()
 	confirmedAt, longest := startedAt, time.Duration(0)
 	for time.Since(startedAt) < duration {
-		wait := reads.operatorWait()
+		wait := reads.operatorWait(time.Since(confirmedAt))
 		ctx, cancel := context.WithTimeout(t.Context(), wait+operatorPollPolicy.ResponseTimeout)
 		batch, err := reads.read(ctx, store, keyed.Partition{Topic: "op"}, at(7), wait)
 		cancel()
@@ -69,6 +76,7 @@
 		"fast store":        {store: &delayedStore{latency: 10 * time.Millisecond}, maxCalls: 34, maxAge: maxUnconfirmed},
 		"slow store":        {store: &delayedStore{latency: 250 * time.Millisecond}, maxCalls: 45, maxAge: maxUnconfirmed},
 		"silent connection": {store: &delayedStore{latency: 10 * time.Millisecond, isSilent: true}, maxCalls: 60, maxAge: maxUnconfirmed + 100*time.Millisecond},
+		"changes":           {store: &delayedStore{latency: 10 * time.Millisecond, changeInterval: 700 * time.Millisecond}, maxCalls: 70, maxAge: maxUnconfirmed},
 		"both":              {store: &delayedStore{latency: 250 * time.Millisecond, isSilent: true}, maxCalls: 90, maxAge: maxUnconfirmed + 500*time.Millisecond},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/process/gateway/shared_read_store.go
+++ b/internal/process/gateway/shared_read_store.go
@@ -129,7 +129,7 @@
 
 func (s *sharedReadStore) operatorPolicy() keyed.PollPolicy {
 	direct := operatorPollPolicy
-	direct.MaxWait = s.logReads.operatorWait()
+	direct.MaxWait = s.logReads.operatorWait(time.Since(s.gateway.operator.ConfirmedAt()))
 	return s.pollPolicy(direct)
 }
 
