A cut answer or one without a valid status is no answer

Cause: a response without a length counted as complete at the end of the connection's input, though the connection was reset under the request that was still being written, which only the writing notices. Every status under 200 was taken for an informational one and skipped, also 000, 099, +20 and 101; those above 599 were answers. Informational responses were bounded in bytes only.

Change: the end of a response without a length counts once the endpoint's host has received the whole request; a write error, a reset or the deadline before that makes it incomplete. Final statuses are three digits from 200 to 599, at most 16 informational responses come before them, 101 is none. Anything else is ErrNoResponse: the request may have run.

--- a/internal/connection/upstream/exchange.go
+++ b/internal/connection/upstream/exchange.go
@@ -27,7 +27,7 @@
 
 	conn        *Conn
 	body        io.Reader
-	writeDone   <-chan error
+	write       *requestWrite
 	idleTimeout time.Duration
 	closeAfter  bool
 	// framed is set if the header delimits the body, by a length or by chunked
@@ -74,21 +74,21 @@
 		return nil, eris.Wrapf(ErrNotSent, "set write deadline: %v", err)
 	}
 	header := encodeRequestHeader(request)
-	writeDone := make(chan error, 1)
+	write := newRequestWrite()
 	if !isLong {
 		n, err := c.net.Write(append(header, request.Body...))
 		if err != nil && n == 0 && !c.reused {
 			return nil, eris.Wrapf(ErrNotSent, "write: %v", err)
 		}
 		// Even if the write failed, a response may already have arrived.
-		writeDone <- err
+		write.finish(err)
 	} else {
 		go func() {
 			_, err := c.net.Write(header)
 			if err == nil {
 				_, err = c.net.Write(request.Body)
 			}
-			writeDone <- err
+			write.finish(err)
 		}()
 	}
 	if err := c.beginWait(deadline, isLong); err != nil {
@@ -99,7 +99,7 @@
 		if err != nil {
 			return nil, err
 		}
-		response.writeDone = writeDone
+		response.write = write
 		if !isStale(response.Header) {
 			return response, nil
 		}
@@ -134,31 +134,23 @@
 func (c *Conn) readResponseHeader(method string) (*Response, error) {
 	c.limited.setLimit(maxResponseHeaderBytes)
 	defer c.limited.removeLimit()
-	for {
-		response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
-		if err != nil {
-			// Part of a line counts as malformed, whatever kept the rest away.
-			if c.limited.failure != nil {
-				err = c.limited.failure
-			}
-			return nil, &noResponseError{cause: err}
-		}
-		if response.StatusCode < http.StatusOK {
-			continue
+	response, err := readFinalResponse(c.reader, method)
+	if err != nil {
+		// Part of a line counts as malformed, whatever kept the rest away.
+		if c.limited.failure != nil {
+			err = c.limited.failure
 		}
-		if response.StatusCode == http.StatusSwitchingProtocols || response.ProtoMajor != 1 {
-			return nil, eris.Wrapf(ErrNoResponse, "unsupported response protocol %s", response.Proto)
-		}
-		return &Response{
-			Status:      response.StatusCode,
-			Header:      response.Header,
-			conn:        c,
-			body:        c.bodyOf(response),
-			idleTimeout: parseKeepAliveTimeout(response.Header.Get("Keep-Alive")),
-			closeAfter:  response.Close,
-			framed:      response.ContentLength >= 0 || len(response.TransferEncoding) > 0,
-		}, nil
+		return nil, &noResponseError{cause: err}
 	}
+	return &Response{
+		Status:      response.StatusCode,
+		Header:      response.Header,
+		conn:        c,
+		body:        c.bodyOf(response),
+		idleTimeout: parseKeepAliveTimeout(response.Header.Get("Keep-Alive")),
+		closeAfter:  response.Close,
+		framed:      response.ContentLength >= 0 || len(response.TransferEncoding) > 0,
+	}, nil
 }
 
 // bodyOf returns the reader of a response's body.
@@ -186,9 +178,15 @@
 }
 
 // Read reads the body. It waits only while it has nothing to return. It returns io.EOF at
-// the end of a complete body and another error if the body is truncated.
+// the end of a complete body and another error if the body is truncated. At the end of a body
+// that ends with its connection, it waits until the endpoint's host has received the request.
 func (r *Response) Read(buffer []byte) (int, error) {
 	n, err := r.body.Read(buffer)
+	if err == io.EOF && !r.framed && !r.complete {
+		if endErr := r.confirmEnd(); endErr != nil {
+			return n, endErr
+		}
+	}
 	if err == io.EOF {
 		r.complete = true
 	}
@@ -207,14 +205,8 @@
 		r.conn.Abort()
 		return
 	}
-	select {
-	case err := <-r.writeDone:
-		if err != nil {
-			r.conn.Abort()
-			return
-		}
-	default:
-		// The response arrived before the whole request body was sent.
+	if !r.write.isWritten() {
+		// The response arrived before the whole request body was sent, or it was not sent.
 		r.conn.Abort()
 		return
 	}
