Engines' answers that are none interrupt a request

Cause: net/http passes on statuses of 000, 099, +20, 101 and 600 as answers (000 would even end in WriteHeader(0)), and takes a response without a length for whole though its connection was reset while the request was being written.

Change: the engine client checks the status, and at the end of such a response that the request had been written; otherwise ErrInterrupted, as the engine may have started it.

--- a/internal/connection/engine/client.go
+++ b/internal/connection/engine/client.go
@@ -76,10 +76,11 @@
 // request to another address.
 func refuseRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 
-// Send sends the call once and returns the response, whatever its status. It
-// fails with ErrNotStarted or ErrInterrupted.
+// Send sends the call once and returns the response, whatever its status, unless
+// that is none. It fails with ErrNotStarted or ErrInterrupted.
 func (c *Client) Send(ctx context.Context, call Call) (*Response, error) {
-	req, err := newRequest(ctx, call)
+	traced, write := traceWrite(ctx)
+	req, err := newRequest(traced, call)
 	if err != nil {
 		return nil, eris.Wrap(ErrNotStarted, err.Error())
 	}
@@ -87,10 +88,14 @@
 	if err != nil {
 		return nil, classifyError(err)
 	}
+	body, err := checkResponse(ctx, resp, write)
+	if err != nil {
+		return nil, err
+	}
 	return &Response{
 		Status:      resp.StatusCode,
 		ContentType: resp.Header.Get("Content-Type"),
-		Body:        resp.Body,
+		Body:        body,
 	}, nil
 }
 
