Options: slots matched to queued requests, fair shares between teams

Cause: under overload a free slot goes to the first request of the queue, also if the endpoint cannot serve it on time, and a hot team's excess is refused alike to all teams. Change: dispatch.Options, set by flags of the daemon; both are off by default.

--- a/cmd/mustarddoor-platform/main.go
+++ b/cmd/mustarddoor-platform/main.go
@@ -9,7 +9,7 @@
 )
 
 func main() {
-	if err := platform.Main(); err != nil {
+	if err := platform.Main(os.Args[1:]); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
 	}
--- a/internal/process/admission/admission.go
+++ b/internal/process/admission/admission.go
@@ -17,13 +17,19 @@
 import (
 	"container/heap"
 	"math"
+	"slices"
 	"time"
 )
 
 // Waiter is a queued request.
 type Waiter struct {
+	// Kind names requests that are alike.
+	Kind string
 	// Urgent requests go before all others while they can be on time.
 	Urgent bool
+	// OverShare is set if the request's team is over its fair share of slot time.
+	// The request is then not urgent and keeps a part of its worth only.
+	OverShare bool
 	// Value is what the request is worth for each second that it occupies a
 	// slot, relative to a request of the most urgent rank that takes one second.
 	Value float64
@@ -56,6 +62,9 @@
 	rankFactor = 3
 	// lateFactor is the share of its worth that a late response keeps.
 	lateFactor = 0.3
+	// overShareFactor is the share of its worth that a request of a team over its fair
+	// share keeps: it goes after the others' requests of the next ranks.
+	overShareFactor = 0.3
 )
 
 // Value returns what a request is worth for the time that it occupies a slot,
@@ -70,7 +79,7 @@
 }
 
 // isFirst reports whether the waiter goes before all that are not.
-func (w *Waiter) isFirst() bool { return w.Urgent && !w.Late }
+func (w *Waiter) isFirst() bool { return w.Urgent && !w.Late && !w.OverShare }
 
 // Precedes reports whether the waiter goes before another one whatever their
 // latest start times.
@@ -99,6 +108,27 @@
 	return q.waiting[0]
 }
 
+// Heads returns the next waiter of each kind, in the order of service.
+func (q *Queue) Heads() []*Waiter {
+	var heads waiters
+	for _, w := range q.waiting {
+		i := slices.IndexFunc(heads, func(head *Waiter) bool { return head.Kind == w.Kind })
+		switch {
+		case i < 0:
+			heads = append(heads, w)
+		case (waiters{w, heads[i]}).Less(0, 1):
+			heads[i] = w
+		}
+	}
+	slices.SortFunc(heads, func(a, b *Waiter) int {
+		if (waiters{a, b}).Less(0, 1) {
+			return -1
+		}
+		return 1
+	})
+	return heads
+}
+
 // Remove removes a waiter and reports whether it was in the queue.
 func (q *Queue) Remove(w *Waiter) bool {
 	if w.index < 0 || w.index >= len(q.waiting) || q.waiting[w.index] != w {
--- a/internal/process/admission/decision.go
+++ b/internal/process/admission/decision.go
@@ -21,6 +21,8 @@
 	TimeLeft time.Duration
 	// PreviouslyRefused is set if the caller comes back after a refusal.
 	PreviouslyRefused bool
+	// OverShare is set if the request's team is over its fair share of slot time.
+	OverShare bool
 	// SlotTime is the expected time that the request occupies a slot.
 	SlotTime time.Duration
 	// MeanSlotTime is the mean of that time for the kind of request.
@@ -30,11 +32,14 @@
 // NewWaiter returns the waiter for a request.
 func NewWaiter(demand Demand, isLate bool, queue *Queue, now time.Time) *Waiter {
 	w := &Waiter{
-		Urgent: demand.Rank == 0, Late: isLate, SlotTime: demand.SlotTime, index: -1,
+		Kind: demand.Kind, Urgent: demand.Rank == 0, Late: isLate, OverShare: demand.OverShare, SlotTime: demand.SlotTime, index: -1,
 		StartBy: now.Add(demand.TargetLatency - demand.FirstResponseTime),
 		Value:   Value(demand.Rank, isLate, demand.MeanSlotTime),
 	}
-	if !isLate && queue.Shares.IsStarved(demand.Kind) {
+	switch {
+	case demand.OverShare:
+		w.Value *= overShareFactor
+	case !isLate && queue.Shares.IsStarved(demand.Kind):
 		w.Value = math.Inf(1)
 	}
 	return w
--- a/internal/process/admission/shares.go
+++ b/internal/process/admission/shares.go
@@ -28,17 +28,20 @@
 // share counts requests with exponentially decaying weight.
 type share struct {
 	asked, served float64
-	// work is the slot time of the served requests, in seconds.
-	work      float64
-	updatedAt time.Time
-	// example is a waiter of this kind that is on time.
-	example *Waiter
+	// work is the slot time of the served requests, in seconds; overShareWork is the
+	// part of it that went to teams over their share.
+	work, overShareWork float64
+	updatedAt           time.Time
+	// example is a waiter of this kind that is on time, overShareExample one of a
+	// team over its share.
+	example, overShareExample *Waiter
 }
 
 func (s *share) decay(now time.Time) {
 	if elapsed := now.Sub(s.updatedAt); elapsed > 0 {
 		factor := math.Exp(-elapsed.Seconds() / shareWindow.Seconds())
 		s.asked, s.served, s.work, s.updatedAt = s.asked*factor, s.served*factor, s.work*factor, now
+		s.overShareWork *= factor
 	}
 }
 
@@ -59,6 +62,7 @@
 	k := s.kind(kind, now)
 	k.asked++
 	k.example = &Waiter{Urgent: rank == 0, Value: Value(rank, false, meanSlotTime)}
+	k.overShareExample = &Waiter{Urgent: rank == 0, Value: k.example.Value * overShareFactor, OverShare: true}
 	s.total.asked++
 }
 
@@ -71,6 +75,11 @@
 	s.total.work += slotTime.Seconds()
 }
 
+// RecordOverShare records that a served request was of a team over its share.
+func (s *Shares) RecordOverShare(kind string, slotTime time.Duration, now time.Time) {
+	s.kind(kind, now).overShareWork += slotTime.Seconds()
+}
+
 // IsStarved reports whether a kind of request is served much less often than all
 // requests of the service.
 func (s *Shares) IsStarved(kind string) bool {
@@ -91,8 +100,14 @@
 	sum := 0.0
 	for _, k := range s.kinds {
 		k.decay(now)
-		if k.example != nil && k.example.Precedes(w) {
-			sum += k.work
+		if k.example == nil {
+			continue
+		}
+		if k.example.Precedes(w) {
+			sum += k.work - k.overShareWork
+		}
+		if k.overShareExample.Precedes(w) {
+			sum += k.overShareWork
 		}
 	}
 	return min(sum/s.total.work, 1)
--- a/internal/process/choose/choose.go
+++ b/internal/process/choose/choose.go
@@ -87,17 +87,36 @@
 // that is the first token.
 func FirstResponseTime(c Candidate, d Demand) time.Duration { return c.BaseLatency + prefillTime(c, d) }
 
+// Fits reports whether an endpoint can serve a request without harm: its first
+// response meets the target latency, its last one the deadline, and its prefill makes
+// no other stream late.
+func Fits(c Candidate, d Demand) bool {
+	return !isLate(c, d) && !isTruncated(c, d) && !delaysOthers(c, d)
+}
+
+func isLate(c Candidate, d Demand) bool {
+	return d.TargetLatency > 0 && FirstResponseTime(c, d) > d.TargetLatency
+}
+
+func isTruncated(c Candidate, d Demand) bool {
+	return d.TimeLeft > 0 && FirstResponseTime(c, d)+time.Duration(outputLengthMargin*d.OutputTokens*float64(c.InterTokenLatency)) > d.TimeLeft
+}
+
+func delaysOthers(c Candidate, d Demand) bool {
+	return c.Busy > 0 && d.TargetGap > 0 && d.PromptTokens > 0 && prefillTime(c, d) > d.TargetGap
+}
+
 // cost is the quantity that selection minimizes.
 func cost(c Candidate, d Demand) time.Duration {
 	firstResponse := FirstResponseTime(c, d)
 	total := firstResponse + time.Duration(decodeWeight*d.OutputTokens*float64(c.InterTokenLatency))
-	if d.TargetLatency > 0 && firstResponse > d.TargetLatency {
+	if isLate(c, d) {
 		total += lateCost
 	}
-	if d.TimeLeft > 0 && firstResponse+time.Duration(outputLengthMargin*d.OutputTokens*float64(c.InterTokenLatency)) > d.TimeLeft {
+	if isTruncated(c, d) {
 		total += truncationCost
 	}
-	if d.TargetGap > 0 && d.PromptTokens > 0 && prefillTime(c, d) > d.TargetGap {
+	if delaysOthers(c, d) {
 		total += time.Duration(c.Busy) * prefillDelayCost
 	}
 	total += time.Duration(c.ExcessFailureRate * float64(failureCost))
--- a/internal/process/dispatch/dispatch.go
+++ b/internal/process/dispatch/dispatch.go
@@ -28,6 +28,8 @@
 	// Service is the service that handles the request.
 	Service string
 	Route   *routing.Route
+	// Team is the name of the caller's team, or empty.
+	Team string
 	// Priority is the request's priority; 0 is the highest.
 	Priority int
 	// PromptTokens and OutputTokens are the expected token counts.
@@ -55,6 +57,8 @@
 	// number of requests queued before this one.
 	SlotShare   float64
 	QueueLength int
+	// OverShare is set if the request's team was over its fair share of slot time.
+	OverShare bool
 }
 
 // Error implements error.
@@ -76,6 +80,7 @@
 	dial              upstream.DialFunc
 	connectionsOpened metrics.Counter
 	notify            func(EndpointChange)
+	options           Options
 
 	mu     sync.Mutex
 	fleet  *fleet.Fleet
@@ -104,10 +109,11 @@
 // pendingJob is a queued request. result receives its lease. lease holds the same
 // lease, so that a request whose timer fires at that moment still finds it.
 type pendingJob struct {
-	waiter *admission.Waiter
-	job    *Job
-	result chan *Lease
-	lease  *Lease
+	waiter   *admission.Waiter
+	job      *Job
+	queuedAt time.Time
+	result   chan *Lease
+	lease    *Lease
 }
 
 // New returns a dispatcher without endpoints, which it connects to with dial. It calls notify for each endpoint
@@ -130,13 +136,12 @@
 	queue := d.queue(job.Service)
 	if !job.IsRetry && !job.PreviouslyRefused {
 		queue.Shares.RecordAsked(job.Route.Name, job.Priority, queue.meanSlotTime(job), now)
+		d.recordAsked(queue, job, now)
 	}
-	if d.canBypassQueue(queue, job, now) {
-		if lease := d.place(job, nil, now); lease != nil {
-			queue.recordServed(job, now)
-			d.mu.Unlock()
-			return lease, nil
-		}
+	if lease := d.placeArrival(queue, job, now); lease != nil {
+		d.recordServed(queue, job, now)
+		d.mu.Unlock()
+		return lease, nil
 	}
 	capacity, usable := d.capacity(job, now)
 	if usable == 0 || !d.hasUntriedEndpoint(job) {
@@ -145,14 +150,19 @@
 	}
 	decision := admission.Decide(d.admissionDemand(queue, job, now), &queue.Queue, capacity, now)
 	if decision.Waiter == nil {
-		queueLength := queue.Len()
+		if lease := d.placeAnywhere(queue, job, now); lease != nil {
+			d.recordServed(queue, job, now)
+			d.mu.Unlock()
+			return lease, nil
+		}
+		queueLength, isOverShare := queue.Len(), d.isOverShare(queue, job, now)
 		d.mu.Unlock()
 		return nil, &Refusal{
 			Reason: ReasonOverload, RetryAfter: decision.RetryAfter, PredictedWait: decision.PredictedWait,
-			SlotShare: capacity.Slots, QueueLength: queueLength,
+			SlotShare: capacity.Slots, QueueLength: queueLength, OverShare: isOverShare,
 		}
 	}
-	pending := &pendingJob{waiter: decision.Waiter, job: job, result: make(chan *Lease, 1)}
+	pending := &pendingJob{waiter: decision.Waiter, job: job, queuedAt: now, result: make(chan *Lease, 1)}
 	decision.Waiter.Data = pending
 	queue.Push(decision.Waiter)
 	d.mu.Unlock()
@@ -222,7 +232,7 @@
 func (d *Dispatcher) admissionDemand(queue *waitQueue, job *Job, now time.Time) admission.Demand {
 	return admission.Demand{
 		Kind: job.Route.Name, Rank: job.Priority, TargetLatency: job.Route.TargetLatency, FirstResponseTime: d.minFirstResponseTime(job, now),
-		AbandonTimeout: abandonTimeout(job.Route), TimeLeft: job.TimeLeft, PreviouslyRefused: job.PreviouslyRefused,
+		AbandonTimeout: abandonTimeout(job.Route), TimeLeft: job.TimeLeft, PreviouslyRefused: job.PreviouslyRefused, OverShare: d.isOverShare(queue, job, now),
 		SlotTime: queue.slotTime(job), MeanSlotTime: queue.meanSlotTime(job),
 	}
 }
@@ -302,6 +312,12 @@
 // none. A slot that this host has just freed may be taken without competing for
 // it. The caller holds mu.
 func (d *Dispatcher) place(job *Job, freed *fleet.Endpoint, now time.Time) *Lease {
+	return d.placeWhere(job, selectionDemand(job), freed, false, now)
+}
+
+// placeWhere is place for a demand of the job. With mustFit, it leaves out the
+// endpoints that the job does not fit. The caller holds mu.
+func (d *Dispatcher) placeWhere(job *Job, demand choose.Demand, freed *fleet.Endpoint, mustFit bool, now time.Time) *Lease {
 	endpoints := d.fleet.ByService(job.Service)
 	candidates := make([]choose.Candidate, len(endpoints))
 	filter := d.versionFilter(job, endpoints)
@@ -323,7 +339,10 @@
 			c.Blocked = true
 		}
 	}
-	index := filter.pick(endpoints, candidates, selectionDemand(job), d.rand.Float64())
+	if mustFit {
+		blockUnfit(candidates, demand)
+	}
+	index := filter.pick(endpoints, candidates, demand, d.rand.Float64())
 	if index < 0 {
 		return nil
 	}
@@ -335,7 +354,7 @@
 	return &Lease{
 		Endpoint: e.ID, Pool: d.pools[e],
 		Busy: candidates[index].Busy, Slots: e.Slots, LoadAge: e.LoadAge(now), EntrySequence: e.Sequence, HostCount: d.hostCount,
-		ExpectedFirstResponse: choose.FirstResponseTime(candidates[index], selectionDemand(job)),
+		ExpectedFirstResponse: choose.FirstResponseTime(candidates[index], demand),
 		dispatcher:            d, endpoint: e, job: job, startedAt: now,
 	}
 }
@@ -347,6 +366,10 @@
 	if queue == nil {
 		return
 	}
+	if d.options.MatchSlots {
+		d.matchQueue(queue, freed, now)
+		return
+	}
 	for queue.Len() > 0 {
 		next := queue.Peek()
 		pending := next.Data.(*pendingJob)
@@ -359,10 +382,6 @@
 			return
 		}
 		freed = nil
-		queue.Remove(next)
-		queue.dequeueRate.dequeued += next.SlotTime
-		queue.recordServed(pending.job, now)
-		pending.lease = lease
-		pending.result <- lease
+		d.grant(queue, pending, lease, now)
 	}
 }
--- a/internal/process/dispatch/queue.go
+++ b/internal/process/dispatch/queue.go
@@ -5,6 +5,7 @@
 
 	"mustarddoor/internal/process/admission"
 	"mustarddoor/internal/process/choose"
+	"mustarddoor/internal/process/fairshare"
 	"mustarddoor/internal/process/fleet"
 )
 
@@ -16,6 +17,8 @@
 	// slot.
 	slotTimes   map[string]*slotTimeEstimate
 	dequeueRate dequeueRate
+	// teams holds the teams' slot time, if fair shares are on.
+	teams fairshare.Tracker
 }
 
 // dequeueRate measures how fast queued work is dispatched.
@@ -133,13 +136,6 @@
 	return defaultSlotTime(job)
 }
 
-// recordServed records that a job got an endpoint.
-func (q *waitQueue) recordServed(job *Job, now time.Time) {
-	if !job.IsRetry {
-		q.Shares.RecordServed(job.Route.Name, q.slotTime(job), now)
-	}
-}
-
 // spareBusyShare is the share of busy slots below which a service has spare
 // capacity: nothing queues then, and a request takes no slot that another one
 // will need soon.
--- a/internal/process/gateway/settings.go
+++ b/internal/process/gateway/settings.go
@@ -14,6 +14,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"mustarddoor/internal/connection/upstream"
+	"mustarddoor/internal/process/dispatch"
 	"mustarddoor/internal/process/duty"
 	"mustarddoor/internal/process/fleet"
 	"mustarddoor/internal/process/keyed"
@@ -60,6 +61,8 @@
 	EndpointHeartbeat time.Duration
 	// FirstStart means that the whole fleet is starting for the first time.
 	FirstStart bool
+	// Dispatch are the decisions under load that the deployment switches on.
+	Dispatch dispatch.Options
 	// Duties configures the singleton duties; the zero value means none.
 	Duties DutySettings
 }
--- a/internal/request/relay/attempt.go
+++ b/internal/request/relay/attempt.go
@@ -114,6 +114,9 @@
 	s.fields["predicted_wait_ms"] = refusal.PredictedWait.Milliseconds()
 	s.fields["queued"] = refusal.QueueLength
 	s.fields["slots"] = refusal.SlotShare
+	if refusal.OverShare {
+		s.fields["over_share"] = true
+	}
 	s.fields["queue_wait_ms"] = refusal.QueueWait.Milliseconds()
 	if s.respondEndpointFailure() {
 		return
--- a/internal/request/relay/relay.go
+++ b/internal/request/relay/relay.go
@@ -324,6 +324,9 @@
 		TimeLeft: time.Until(s.deadline), PreviouslyRefused: s.isCallerRetry,
 		IsRetry: s.sends > 0, ExcludedEndpoints: s.excludedEndpoints,
 	}
+	if s.team != nil {
+		job.Team = s.team.Name
+	}
 	if s.caller.HasTokenCounts {
 		job.PromptTokens = float64(s.caller.PromptTokens)
 		job.OutputTokens = float64(s.caller.MaxTokens)
--- a/internal/version/routing/table.go
+++ b/internal/version/routing/table.go
@@ -15,6 +15,8 @@
 	services     map[string]*Service
 	teamsByKey   map[string]*Team
 	teamsByName  map[string]*Team
+	// hasComparableLimits is set if all teams have a limit in the same unit.
+	hasComparableLimits bool
 }
 
 // NewTable builds the table for a configuration.
@@ -45,6 +47,9 @@
 			t.teamsByKey[key] = team
 		}
 	}
+	t.hasComparableLimits = !slices.ContainsFunc(config.Teams, func(team Team) bool {
+		return team.Rate <= 0 || team.CountsTokens != config.Teams[0].CountsTokens
+	})
 	return t
 }
 
@@ -72,6 +77,9 @@
 // need no API key.
 func (t *Table) HasTeams() bool { return len(t.teamsByName) > 0 }
 
+// HasComparableLimits reports whether all teams have a limit in the same unit.
+func (t *Table) HasComparableLimits() bool { return t.hasComparableLimits }
+
 // Service returns the service with the given name, or nil.
 func (t *Table) Service(name string) *Service { return t.services[name] }
 
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -17,7 +17,7 @@
 
 func TestMain(m *testing.M) {
 	if os.Getenv(hostEnv) != "" {
-		if err := platform.Main(); err != nil {
+		if err := platform.Main(nil); err != nil {
 			fmt.Fprintln(os.Stderr, err)
 			os.Exit(1)
 		}
