--- a/internal/process/admission/admission.go
+++ b/internal/process/admission/admission.go
@@ -28,7 +28,8 @@
 	// Urgent requests go before all others while they can be on time.
 	Urgent bool
 	// OverShare is set if the request's team is over its fair share of slot time.
-	// The request is then not urgent and keeps a part of its worth only.
+	// The request is then not urgent, goes after others of its kind and has no part in
+	// what starving kinds get.
 	OverShare bool
 	// Value is what the request is worth for each second that it occupies a
 	// slot, relative to a request of the most urgent rank that takes one second.
@@ -62,9 +63,6 @@
 	rankFactor = 3
 	// lateFactor is the share of its worth that a late response keeps.
 	lateFactor = 0.3
-	// overShareFactor is the share of its worth that a request of a team over its fair
-	// share keeps: it goes after the others' requests of the next ranks.
-	overShareFactor = 0.3
 )
 
 // Value returns what a request is worth for the time that it occupies a slot,
@@ -87,7 +85,10 @@
 	if w.isFirst() != other.isFirst() {
 		return w.isFirst()
 	}
-	return !w.isFirst() && w.Value > other.Value
+	if !w.isFirst() && w.Value != other.Value {
+		return w.Value > other.Value
+	}
+	return !w.OverShare && other.OverShare
 }
 
 // Len returns the number of waiters.
--- a/internal/process/admission/admission_test.go
+++ b/internal/process/admission/admission_test.go
@@ -176,3 +176,29 @@
 		assert.Equal(t, v.Waiter != nil, want)
 	}
 }
+
+// The heads of a queue are the first of each kind, and the first of them is the next.
+func TestHeads(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		queue := &admission.Queue{}
+		for range rapid.IntRange(0, 30).Draw(t, "waiters") {
+			d := demand(rapid.IntRange(0, 2).Draw(t, "rank"))
+			d.OverShare = rapid.Bool().Draw(t, "over share")
+			queue.Push(admission.NewWaiter(d, rapid.Bool().Draw(t, "late"), queue, start))
+		}
+		heads := queue.Heads()
+		var inOrder []*admission.Waiter
+		seen := map[string]bool{}
+		for next := queue.Peek(); next != nil; next = queue.Peek() {
+			queue.Remove(next)
+			if !seen[next.Kind] {
+				inOrder = append(inOrder, next)
+				seen[next.Kind] = true
+			}
+		}
+		assert.Equal(t, len(heads), len(inOrder))
+		for i := range heads {
+			assert.Assert(t, heads[i] == inOrder[i])
+		}
+	})
+}
--- a/internal/process/admission/decision.go
+++ b/internal/process/admission/decision.go
@@ -36,10 +36,7 @@
 		StartBy: now.Add(demand.TargetLatency - demand.FirstResponseTime),
 		Value:   Value(demand.Rank, isLate, demand.MeanSlotTime),
 	}
-	switch {
-	case demand.OverShare:
-		w.Value *= overShareFactor
-	case !isLate && queue.Shares.IsStarved(demand.Kind):
+	if !isLate && !demand.OverShare && queue.Shares.IsStarved(demand.Kind) {
 		w.Value = math.Inf(1)
 	}
 	return w
--- a/internal/process/admission/shares.go
+++ b/internal/process/admission/shares.go
@@ -62,7 +62,7 @@
 	k := s.kind(kind, now)
 	k.asked++
 	k.example = &Waiter{Urgent: rank == 0, Value: Value(rank, false, meanSlotTime)}
-	k.overShareExample = &Waiter{Urgent: rank == 0, Value: k.example.Value * overShareFactor, OverShare: true}
+	k.overShareExample = &Waiter{Urgent: rank == 0, Value: k.example.Value, OverShare: true}
 	s.total.asked++
 }
 
--- a/internal/process/dispatch/dispatch.go
+++ b/internal/process/dispatch/dispatch.go
@@ -81,6 +81,7 @@
 	connectionsOpened metrics.Counter
 	notify            func(EndpointChange)
 	options           Options
+	counters          optionCounters
 
 	mu     sync.Mutex
 	fleet  *fleet.Fleet
@@ -156,6 +157,9 @@
 			return lease, nil
 		}
 		queueLength, isOverShare := queue.Len(), d.isOverShare(queue, job, now)
+		if isOverShare {
+			d.counters.refusedOverShare.Inc(1)
+		}
 		d.mu.Unlock()
 		return nil, &Refusal{
 			Reason: ReasonOverload, RetryAfter: decision.RetryAfter, PredictedWait: decision.PredictedWait,
--- a/internal/process/dispatch/match.go
+++ b/internal/process/dispatch/match.go
@@ -9,7 +9,7 @@
 
 // matchWaitShare is the share of its longest wait for which a queued request leaves
 // slots alone that it does not fit. From then on it takes any slot.
-const matchWaitShare = 0.75
+const matchWaitShare = 0.35
 
 // placeArrival assigns a free endpoint to a request that arrives, ahead of the queued
 // ones if it may be. It returns nil if there is none. The caller holds mu.
@@ -105,11 +105,20 @@
 // matchNext assigns an endpoint to one queued request and returns both, or a nil lease.
 func (d *Dispatcher) matchNext(queue *waitQueue, freed *fleet.Endpoint, now time.Time) (*pendingJob, *Lease) {
 	queue.Expire(now) // awaitLease refuses them when their timers fire
-	for _, waiter := range queue.Heads() {
+	for i, waiter := range queue.Heads() {
 		pending := waiter.Data.(*pendingJob)
-		if lease := d.placeWhere(pending.job, pending.remainingDemand(now), freed, pending.isChoosy(now), now); lease != nil {
-			return pending, lease
+		isChoosy := pending.isChoosy(now)
+		lease := d.placeWhere(pending.job, pending.remainingDemand(now), freed, isChoosy, now)
+		if lease == nil {
+			continue
+		}
+		if i > 0 {
+			d.counters.outOfOrder.Inc(1)
+		}
+		if !isChoosy {
+			d.counters.anySlot.Inc(1)
 		}
+		return pending, lease
 	}
 	return nil, nil
 }
--- a/internal/process/dispatch/options.go
+++ b/internal/process/dispatch/options.go
@@ -1,6 +1,13 @@
 package dispatch
 
-import "time"
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+)
 
 // Options are the decisions that a deployment switches on.
 type Options struct {
@@ -12,8 +19,28 @@
 	FairShares bool
 }
 
-// Use sets the options. It is called before the dispatcher is used.
-func (d *Dispatcher) Use(options Options) { d.options = options }
+// optionCounters count the decisions that the options change. Without an option, its
+// counters are nil.
+type optionCounters struct {
+	// outOfOrder counts the requests that got a slot before an earlier one that it did
+	// not fit, anySlot those that had waited so long that they got any slot.
+	outOfOrder, anySlot metrics.Counter
+	// refusedOverShare counts the refusals to teams over their share.
+	refusedOverShare metrics.Counter
+}
+
+// Use sets the options and registers their counters. It is called before the dispatcher is
+// used.
+func (d *Dispatcher) Use(options Options, registry metrics.Registry) {
+	d.options = options
+	if options.MatchSlots {
+		d.counters.outOfOrder = metrics.GetOrRegisterCounter("dispatch.out_of_order", registry)
+		d.counters.anySlot = metrics.GetOrRegisterCounter("dispatch.any_slot", registry)
+	}
+	if options.FairShares {
+		d.counters.refusedOverShare = metrics.GetOrRegisterCounter("dispatch.refused_over_share", registry)
+	}
+}
 
 // recordAsked records that a job's team asks for slot time. The caller holds mu.
 func (d *Dispatcher) recordAsked(queue *waitQueue, job *Job, now time.Time) {
@@ -53,3 +80,34 @@
 	}
 	return 1
 }
+
+// TeamShare is the recent slot time of a team at a service as this host decided on it.
+// Times are in seconds and count less the longer ago they are.
+type TeamShare struct {
+	Service string  `json:"service"`
+	Team    string  `json:"team"`
+	Asked   float64 `json:"asked_seconds"`
+	Granted float64 `json:"granted_seconds"`
+	// Share is the most that the team may have before it is over its share; absent while
+	// there is room for all.
+	Share *float64 `json:"share_seconds,omitempty"`
+}
+
+// TeamShares returns the shares of all teams, sorted by service and team. There are none
+// without fair shares.
+func (d *Dispatcher) TeamShares() []TeamShare {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var shares []TeamShare
+	for service, queue := range d.queues {
+		for _, team := range queue.teams.Teams(time.Now()) {
+			share := TeamShare{Service: service, Team: team.Name, Asked: team.Asked, Granted: team.Granted}
+			if !math.IsInf(team.Share, 1) {
+				share.Share = &team.Share
+			}
+			shares = append(shares, share)
+		}
+	}
+	slices.SortStableFunc(shares, func(a, b TeamShare) int { return cmp.Compare(a.Service, b.Service) })
+	return shares
+}
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -87,7 +87,7 @@
 	}
 	g.limits = newSharedLimits(&g.settings)
 	g.dispatcher = dispatch.New(settings.Domain, ports.DialEndpoint, metrics.GetOrRegisterCounter("endpoints.connections_opened", ports.Metrics), g.logEndpointChange)
-	g.dispatcher.Use(settings.Dispatch)
+	g.dispatcher.Use(settings.Dispatch, ports.Metrics)
 	g.quarantine = newPromptQuarantine(g)
 	g.carriers = newCarriers(g)
 	g.delays = newDelayMonitor(log.Entry(), ports.Metrics)
--- a/internal/process/gateway/hoststate.go
+++ b/internal/process/gateway/hoststate.go
@@ -60,6 +60,8 @@
 	// QuarantinedParts are the prompt parts that requests must not have.
 	QuarantinedParts []quarantine.Part        `json:"quarantined_parts"`
 	Endpoints        []dispatch.EndpointState `json:"endpoints"`
+	// TeamShares are the teams' shares of slot time, if fair shares are on.
+	TeamShares []dispatch.TeamShare `json:"team_shares,omitempty"`
 }
 
 // State returns the host's current state.
@@ -82,6 +84,7 @@
 	s.OperatorUnconfirmedMillis, s.EndpointsUnconfirmedMillis = unconfirmedMillis(g.operator.ConfirmedAt()), unconfirmedMillis(g.endpoints.ConfirmedAt())
 	s.Active = len(g.membership.ActiveHosts(g.membership.Now()))
 	s.LostServices = g.dispatcher.LostServices()
+	s.TeamShares = g.dispatcher.TeamShares()
 	s.QuarantinedParts = g.quarantine.tracker.Quarantined()
 	if relay := g.membership.Relay(); relay.IsValid() {
 		s.Relay = relay.String()
