--- a/internal/process/dispatch/match.go
+++ b/internal/process/dispatch/match.go
@@ -9,7 +9,7 @@
 
 // matchWaitShare is the share of its longest wait for which a queued request leaves
 // slots alone that it does not fit. From then on it takes any slot.
-const matchWaitShare = 0.35
+const matchWaitShare = 0.5
 
 // placeArrival assigns a free endpoint to a request that arrives, ahead of the queued
 // ones if it may be. It returns nil if there is none. The caller holds mu.
