--- a/internal/process/dispatch/match.go
+++ b/internal/process/dispatch/match.go
@@ -24,7 +24,8 @@
 	if queue.Len() == 0 && d.countContendingHosts(job.Service, now) == 0 {
 		return d.place(job, nil, now)
 	}
-	// A slot that is free although requests are queued fits none of them.
+	// A slot that is still free then fits none of the queued requests.
+	d.matchQueue(queue, nil, now)
 	return d.placeWhere(job, arrivalDemand(job), nil, true, now)
 }
 
