--- a/internal/process/gateway/hoststate.go
+++ b/internal/process/gateway/hoststate.go
@@ -64,6 +64,8 @@
 	// EndpointOrders are the newest orders of endpoints, on the host that holds the duties.
 	EndpointOrders []EndpointOrderState     `json:"endpoint_orders,omitempty"`
 	Endpoints      []dispatch.EndpointState `json:"endpoints"`
+	// TeamShares are the teams' shares of slot time, if fair shares are on.
+	TeamShares []dispatch.TeamShare `json:"team_shares,omitempty"`
 }
 
 // State returns the host's current state.
@@ -86,6 +88,7 @@
 	s.OperatorUnconfirmedMillis, s.EndpointsUnconfirmedMillis = unconfirmedMillis(g.operator.ConfirmedAt()), unconfirmedMillis(g.endpoints.ConfirmedAt())
 	s.Active = len(g.membership.ActiveHosts(g.membership.Now()))
 	s.LostServices, s.Duties = g.dispatcher.LostServices(), g.duties.hostState()
+	s.TeamShares = g.dispatcher.TeamShares()
 	s.QuarantinedParts = g.quarantine.tracker.Quarantined()
 	s.EndpointOrders = g.orders.states()
 	if relay := g.membership.Relay(); relay.IsValid() {
