Callers' memory and connections follow the machine

Cause: a body's buffer was allocated from its announced length before it was reserved, its growth was not counted, heads and connections had no common bound, the total for bodies was fixed, and maxBodyBytes 0 meant none. Change: package intake decides the totals and whose connection is closed when they are used up; downstream.Guard keeps the account.

--- a/internal/connection/downstream/downstream.go
+++ b/internal/connection/downstream/downstream.go
@@ -12,10 +12,22 @@
 
 	"github.com/rotisserie/eris"
 	"golang.org/x/sys/unix"
+
+	"mustarddoor/internal/connection/intake"
 )
 
 // Listener accepts connections as *Conn.
-type Listener struct{ *net.TCPListener }
+type Listener struct {
+	*net.TCPListener
+	// port is nil if the connections are not limited.
+	port *port
+}
+
+// port is a listener's part of a guard. Its count is guarded by the guard's lock.
+type port struct {
+	guard      *Guard
+	max, count int
+}
 
 // Listen listens on an address.
 func Listen(address string) (*Listener, error) {
@@ -23,30 +35,60 @@
 	if err != nil {
 		return nil, eris.Wrapf(err, "listen on %s", address)
 	}
-	return &Listener{listener.(*net.TCPListener)}, nil
+	return &Listener{TCPListener: listener.(*net.TCPListener)}, nil
 }
 
-// Accept implements net.Listener.
+// Limit makes the listener keep to a number of connections and to the guard's limits. It
+// must be called before Accept.
+func (l *Listener) Limit(guard *Guard, connections int) {
+	l.port = &port{guard: guard, max: connections}
+}
+
+// Accept implements net.Listener. Connections beyond the limit are closed.
 func (l *Listener) Accept() (net.Conn, error) {
-	conn, err := l.AcceptTCP()
-	if err != nil {
-		return nil, err
+	for {
+		conn, err := l.AcceptTCP()
+		if err != nil {
+			return nil, err
+		}
+		c := &Conn{TCPConn: conn, port: l.port}
+		if l.port == nil || l.port.guard.admit(c) {
+			return c, nil
+		}
+		// The caller learns of it when it sends or reads.
+		_ = conn.Close()
 	}
-	return &Conn{TCPConn: conn}, nil
 }
 
 // Conn is a caller's connection.
 type Conn struct {
 	*net.TCPConn
 
+	port *port
+	// holder is what the connection holds, isShed is set once it was closed for want of
+	// room. They and the counts below are guarded by the guard's lock.
+	holder intake.Holder
+	isShed bool
+	// headBytes and headLines count what has arrived of a head, bodyProgress the bytes of a
+	// body since the last progress.
+	headBytes, headLines, bodyProgress int
+	// checkedAt is when unread bytes were found last.
+	checkedAt time.Time
+
 	mu          sync.Mutex
 	failure     error
 	lastWriteAt time.Time
+	requests    int
 }
 
 // Read implements net.Conn.
 func (c *Conn) Read(buffer []byte) (int, error) {
 	n, err := c.TCPConn.Read(buffer)
+	if c.port != nil && !c.port.guard.read(c, buffer[:n]) {
+		n, err = 0, ErrShed
+		// The server ends the connection.
+		_ = c.TCPConn.Close()
+	}
 	c.recordFailure(err)
 	return n, err
 }
@@ -74,6 +116,14 @@
 	}
 }
 
+// CountRequest counts a request and returns the number so far.
+func (c *Conn) CountRequest() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.requests++
+	return c.requests
+}
+
 // Failure returns the first error of the connection, or nil. The end of the caller's input
 // is io.EOF.
 func (c *Conn) Failure() error {
--- a/internal/process/gateway/connections.go
+++ b/internal/process/gateway/connections.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"mustarddoor/internal/connection/downstream"
 	"mustarddoor/internal/process/pause"
 )
 
@@ -30,6 +31,7 @@
 
 // onStateChange records a connection's new state.
 func (c *connections) onStateChange(conn net.Conn, state http.ConnState) {
+	downstream.OnState(conn, state)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	delete(c.fresh, conn)
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -14,6 +14,8 @@
 	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
 
+	"mustarddoor/internal/connection/downstream"
+	"mustarddoor/internal/connection/intake"
 	"mustarddoor/internal/process/decisionlog"
 	"mustarddoor/internal/process/dispatch"
 	"mustarddoor/internal/process/fleet"
@@ -61,6 +63,8 @@
 	entryHosts *entryHosts
 	// usage is used by the periodic tasks only.
 	usage *usageMeter
+	// guard bounds what callers and other hosts take before they are served.
+	guard *downstream.Guard
 
 	table atomic.Pointer[routing.Table]
 	// carries is set if callers are sent to this host or it serves some.
@@ -90,7 +94,9 @@
 	g.quarantine = newPromptQuarantine(g)
 	g.carriers = newCarriers(g)
 	g.delays = newDelayMonitor(log.Entry(), ports.Metrics)
+	g.guard = downstream.NewGuard(intake.LimitsOf(g.machine()), ports.Metrics)
 	g.relay = relay.New(relay.Config{
+		Guard:    g.guard,
 		Protocol: ports.Protocol, Dispatcher: g.dispatcher, Limits: g.limits, Quarantine: g.quarantine, Carriers: g.carriers,
 		Table: g.table.Load, Stop: g.stopInProgress, LongestDelay: g.delays.Longest, Log: log, Metrics: ports.Metrics,
 	})
--- a/internal/process/gateway/run.go
+++ b/internal/process/gateway/run.go
@@ -20,6 +20,7 @@
 	"github.com/sirupsen/logrus"
 
 	"mustarddoor/internal/connection/downstream"
+	"mustarddoor/internal/connection/intake"
 	"mustarddoor/internal/process/pause"
 	"mustarddoor/internal/process/telemetry"
 	"mustarddoor/internal/request/relay"
@@ -92,28 +93,32 @@
 	addActor(g.carriers.run)
 	addActor(g.callerConns.closeIdle)
 	addActor(g.delays.run)
+	addActor(g.logIntake)
 	g.frontend = &http.Server{
 		Handler: g.relay, ReadHeaderTimeout: defaultHeaderTimeout,
-		MaxHeaderBytes: maxHeaderBytes, ConnState: g.callerConns.onStateChange, ConnContext: downstream.Context, ErrorLog: nil,
+		MaxHeaderBytes: maxHeaderBytes, ConnState: g.callerConns.onStateChange, ConnContext: downstream.Context,
 	}
-	callers, err := g.serve(&group, g.settings.FrontendAddress, g.frontend)
+	limits := intake.LimitsOf(g.machine())
+	callers, err := g.serve(&group, g.settings.FrontendAddress, g.frontend, limits.Callers)
 	if err != nil {
 		return err
 	}
 	peerHandler := http.NewServeMux()
-	g.peerServer = newHTTPServer(http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
+	g.peerServer = g.newHTTPServer(http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
 		// A carried request has a path of the caller's.
 		if relay.IsCarried(request) {
+			// A small request on the connection may have set one. On an error, writes fail.
+			_ = http.NewResponseController(w).SetWriteDeadline(time.Time{})
 			g.relay.ServeCarried(w, request)
 			return
 		}
-		peerHandler.ServeHTTP(w, request)
+		serveSmall(peerHandler, w, request)
 	}))
 	peerHandler.HandleFunc("GET "+statePath, g.serveState)
 	peerHandler.HandleFunc("GET "+recordsPath, g.sharedReads.serveRecords)
 	peerHandler.HandleFunc("GET "+usagePath, g.serveUsage)
 	g.peerServer.ConnState = g.peerConns.onStateChange
-	hosts, err := g.serve(&group, g.settings.PeerAddress.String(), g.peerServer)
+	hosts, err := g.serve(&group, g.settings.PeerAddress.String(), g.peerServer, limits.Peers)
 	if err != nil {
 		return err
 	}
@@ -126,7 +131,8 @@
 		handlers[g.settings.MetricsAddress] = admin
 	}
 	for address, handler := range handlers {
-		if _, err := g.serve(&group, address, newHTTPServer(handler)); err != nil {
+		server := g.newHTTPServer(http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) { serveSmall(handler, w, request) }))
+		if _, err := g.serve(&group, address, server, limits.Others); err != nil {
 			return err
 		}
 	}
@@ -157,19 +163,20 @@
 	}
 }
 
-func newHTTPServer(handler http.Handler) *http.Server {
+func (g *Gateway) newHTTPServer(handler http.Handler) *http.Server {
 	return &http.Server{
 		Handler: handler, ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout,
-		MaxHeaderBytes: maxHeaderBytes, ConnContext: downstream.Context,
+		MaxHeaderBytes: maxHeaderBytes, ConnState: downstream.OnState, ConnContext: downstream.Context,
 	}
 }
 
-// serve listens on an address and adds a server to the group.
-func (g *Gateway) serve(group *run.Group, address string, server *http.Server) (net.Listener, error) {
+// serve listens on an address for a number of connections and adds a server to the group.
+func (g *Gateway) serve(group *run.Group, address string, server *http.Server, connections int) (net.Listener, error) {
 	listener, err := downstream.Listen(address)
 	if err != nil {
 		return nil, err
 	}
+	listener.Limit(g.guard, connections)
 	interrupted := make(chan struct{})
 	group.Add(func() error {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
--- a/internal/request/relay/body.go
+++ b/internal/request/relay/body.go
@@ -1,13 +1,15 @@
 package relay
 
 import (
-	"bytes"
+	"cmp"
 	"errors"
 	"io"
 	"net/http"
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"mustarddoor/internal/connection/intake"
 )
 
 var (
@@ -16,8 +18,10 @@
 )
 
 const (
-	// bodyReadBytes is the read size for request bodies.
+	// bodyReadBytes is the read size for bodies of responses.
 	bodyReadBytes = 16 << 10
+	// firstBodyBytes is the size of the first buffer for a body, at most.
+	firstBodyBytes = 16 << 10
 	// maxRefusedBodyWait is how long a refusal waits for the rest of the request's body.
 	maxRefusedBodyWait = time.Second
 )
@@ -27,15 +31,17 @@
 // recorded that the caller left.
 func (s *serverRequest) readBody() bool {
 	if !s.hasBody() {
-		return true
+		return s.markArrived()
+	}
+	if s.conn != nil {
+		s.conn.BeginBody()
 	}
 	err := s.copyBodyInTime()
 	s.bodyEnded = err == nil || isTimeout(err)
 	if err == nil && time.Until(s.deadline) > 0 {
-		return true
+		return s.markArrived()
 	}
-	s.relay.bodyBudget.release(len(s.body))
-	s.body = nil
+	s.releaseBody()
 	switch {
 	case err == nil:
 		s.refuse(http.StatusServiceUnavailable, "deadline_passed", withJitter(defaultRetryAfter))
@@ -51,6 +57,16 @@
 	return false
 }
 
+// markArrived records that the whole request has arrived, and reports whether it may
+// proceed.
+func (s *serverRequest) markArrived() bool {
+	if s.conn == nil || s.conn.EndBody() {
+		return true
+	}
+	s.outcome = outcome{outcomeCallerLeft, 0, "closed_for_room"}
+	return false
+}
+
 func (s *serverRequest) hasBody() bool {
 	return s.request.Body != nil && s.request.Body != http.NoBody
 }
@@ -59,6 +75,9 @@
 // reads before it responds, so that the connection can be reused.
 func (s *serverRequest) limitBodyWait() {
 	if s.hasBody() && !s.bodyEnded {
+		if s.conn != nil {
+			s.conn.EndRequest()
+		}
 		// On an error, the connection is closed.
 		_ = http.NewResponseController(s.w).SetReadDeadline(time.Now().Add(maxRefusedBodyWait))
 	}
@@ -93,32 +112,56 @@
 	return err
 }
 
-// copyBody buffers the body within the size and memory limits.
+// maxBodyBytes returns the limit of the configuration.
+func (s *serverRequest) maxBodyBytes() int {
+	return cmp.Or(max(s.table.Limits.BodyBytes, 0), intake.DefaultBodyBytes)
+}
+
+// copyBody buffers the body within the size and memory limits. What the caller announces
+// takes no memory until it arrives.
 func (s *serverRequest) copyBody() error {
-	maxBytes := s.table.Limits.BodyBytes
-	if maxBytes > 0 && s.request.ContentLength > int64(maxBytes) {
+	maxBytes := s.maxBodyBytes()
+	if s.request.ContentLength > int64(maxBytes) {
 		return errTooLarge
 	}
-	buffer := bytes.Buffer{}
-	if s.request.ContentLength > 0 {
-		buffer.Grow(int(s.request.ContentLength) + bytes.MinRead)
+	expected := maxBytes
+	if s.request.ContentLength >= 0 {
+		expected = int(s.request.ContentLength)
 	}
 	for {
-		n, err := io.CopyN(&buffer, s.request.Body, bodyReadBytes)
-		if n > 0 {
-			if !s.relay.bodyBudget.reserve(int(n)) {
-				return errNoMemory
+		if len(s.body) == cap(s.body) {
+			// One more byte shows the end of the body, or that it is too large.
+			if err := s.growBody(min(max(2*cap(s.body), firstBodyBytes), expected+1)); err != nil {
+				return err
 			}
-			s.body = buffer.Bytes()
 		}
-		if maxBytes > 0 && buffer.Len() > maxBytes {
+		n, err := s.request.Body.Read(s.body[len(s.body):cap(s.body)])
+		s.body = s.body[:len(s.body)+n]
+		switch {
+		case len(s.body) > maxBytes:
 			return errTooLarge
-		}
-		if errors.Is(err, io.EOF) {
+		case errors.Is(err, io.EOF):
 			return nil
-		}
-		if err != nil {
+		case err != nil:
 			return eris.Wrap(err, "read")
 		}
 	}
 }
+
+// growBody moves the body to a buffer of another size.
+func (s *serverRequest) growBody(size int) error {
+	if !s.relay.Guard.ReserveBody(s.conn, size) {
+		return errNoMemory
+	}
+	former := cap(s.body)
+	s.body = append(make([]byte, 0, size), s.body...)
+	s.bodyMemory = size
+	s.relay.Guard.ReleaseBody(s.conn, former)
+	return nil
+}
+
+// releaseBody gives the body up.
+func (s *serverRequest) releaseBody() {
+	s.relay.Guard.ReleaseBody(s.conn, s.bodyMemory)
+	s.body, s.bodyMemory = nil, 0
+}
--- a/internal/request/relay/memory.go
+++ b/internal/request/relay/memory.go
@@ -3,8 +3,6 @@
 import "sync"
 
 const (
-	// maxBodyMemoryBytes is the total memory for request bodies.
-	maxBodyMemoryBytes = 24 << 20
 	// maxResponseMemoryBytes is the total memory for parts of responses that cannot be
 	// relayed yet, beyond freeResponseBytes of each.
 	maxResponseMemoryBytes = 16 << 20
--- a/internal/request/relay/relay.go
+++ b/internal/request/relay/relay.go
@@ -10,6 +10,8 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 
+	"mustarddoor/internal/connection/downstream"
+	"mustarddoor/internal/connection/intake"
 	"mustarddoor/internal/process/decisionlog"
 	"mustarddoor/internal/process/dispatch"
 	"mustarddoor/internal/process/quarantine"
@@ -59,8 +61,10 @@
 	// LongestDelay returns the longest time since a moment in which this process did not
 	// run although it had to.
 	LongestDelay func(since time.Time) time.Duration
-	Log          *decisionlog.Log
-	Metrics      metrics.Registry
+	// Guard bounds the memory for requests; nil means the limits of an unknown machine.
+	Guard   *downstream.Guard
+	Log     *decisionlog.Log
+	Metrics metrics.Registry
 }
 
 // Stop is an orderly shutdown of the process.
@@ -76,7 +80,6 @@
 	answered, refused, failed, callerLeft  metrics.Counter
 	retries, resumed, crashes, quarantined metrics.Counter
 	duration, firstEventLatency, queueWait metrics.Timer
-	bodyBudget                             memoryBudget
 	responseBudget                         memoryBudget
 	carriedCount                           metrics.Counter
 	// carrying counts the requests in progress for other hosts.
@@ -92,6 +95,9 @@
 func New(config Config) *Relay {
 	registry := config.Metrics
 	ended, end := context.WithCancel(context.Background())
+	if config.Guard == nil {
+		config.Guard = downstream.NewGuard(intake.LimitsOf(intake.Machine{}), registry)
+	}
 	return &Relay{
 		ended: ended, end: end,
 		Config:            config,
@@ -107,7 +113,6 @@
 		duration:          metrics.GetOrRegisterTimer("request.took", registry),
 		firstEventLatency: metrics.GetOrRegisterTimer("request.first_answer", registry),
 		queueWait:         metrics.GetOrRegisterTimer("request.waited", registry),
-		bodyBudget:        memoryBudget{available: maxBodyMemoryBytes},
 		responseBudget:    memoryBudget{available: maxResponseMemoryBytes},
 	}
 }
@@ -130,6 +135,7 @@
 	defer cancel(nil)
 	defer context.AfterFunc(r.ended, func() { cancel(errStopped) })()
 	s := &serverRequest{relay: r, w: w, request: request, ctx: ctx, carried: carried, startedAt: startedAt, caller: r.Protocol.ParseRequest(request)}
+	s.conn = downstream.FromContext(ctx)
 	// net/http silently ignores a Content-Length beside a chunked body.
 	// Closing the connection keeps bytes after such a body from being read as
 	// another request (request smuggling).
@@ -156,7 +162,11 @@
 	team  *routing.Team
 	// service is the service chosen from the route's shares.
 	service string
-	body    []byte
+	// conn is the caller's connection, or nil if it is unknown.
+	conn *downstream.Conn
+	body []byte
+	// bodyMemory is what is reserved for the body.
+	bodyMemory int
 	// bodyEnded is set once no more of the body is awaited.
 	bodyEnded bool
 	// deadline is when the final response is due.
@@ -243,7 +253,7 @@
 	if !s.readBody() {
 		return
 	}
-	defer s.relay.bodyBudget.release(len(s.body))
+	defer s.releaseBody()
 	s.bufferedMemory.budget = &s.relay.responseBudget
 	defer s.bufferedMemory.release()
 	s.relay.traffic.add(len(s.body))
