--- a/internal/connection/downstream/downstream.go
+++ b/internal/connection/downstream/downstream.go
@@ -8,6 +8,7 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -72,9 +73,14 @@
 	// headBytes and headLines count what has arrived of a head, bodyProgress the bytes of a
 	// body since the last progress.
 	headBytes, headLines, bodyProgress int
+	// isPipelining is set once a caller has sent a request before the response to the last.
+	isPipelining bool
 	// checkedAt is when unread bytes were found last.
 	checkedAt time.Time
 
+	// hasWritten is set once the response to the request has begun.
+	hasWritten atomic.Bool
+
 	mu          sync.Mutex
 	failure     error
 	lastWriteAt time.Time
@@ -95,6 +101,7 @@
 
 // Write implements net.Conn.
 func (c *Conn) Write(data []byte) (int, error) {
+	c.hasWritten.Store(true)
 	n, err := c.TCPConn.Write(data)
 	c.recordFailure(err)
 	c.mu.Lock()
--- a/internal/connection/downstream/guard.go
+++ b/internal/connection/downstream/guard.go
@@ -122,6 +122,8 @@
 		if c.bodyProgress += len(data); c.bodyProgress >= intake.MinProgress {
 			c.bodyProgress, c.holder.Since = 0, time.Now()
 		}
+	case phase == intake.PhaseServing && !c.hasWritten.Load():
+		c.isPipelining = true
 	}
 	return true
 }
@@ -207,6 +209,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	c.holder.Phase, c.holder.Since, c.bodyProgress = phase, time.Now(), 0
+	c.hasWritten.Store(false)
 	if phase == intake.PhaseKept {
 		g.heads -= c.holder.Head
 		c.holder.Head = 0
@@ -221,6 +224,17 @@
 // open here.
 func (c *Conn) EndBody() bool { return c.setPhase(intake.PhaseServing) }
 
+// IsPipelining reports whether the caller has sent a request before the response to the last
+// one began.
+func (c *Conn) IsPipelining() bool {
+	if c.port == nil {
+		return false
+	}
+	c.port.guard.mu.Lock()
+	defer c.port.guard.mu.Unlock()
+	return c.isPipelining
+}
+
 // EndRequest records that a request is refused before its body has arrived.
 func (c *Conn) EndRequest() { c.setPhase(intake.PhaseEnding) }
 
--- a/internal/connection/intake/intake_test.go
+++ b/internal/connection/intake/intake_test.go
@@ -36,7 +36,7 @@
 		"refused":      {Phase: intake.PhaseEnding, Since: now, Body: 1},
 		"slow head":    {Phase: intake.PhaseHead, Since: ago(3 * time.Second), Head: 10},
 		"silent":       {Phase: intake.PhaseNew, Since: ago(2 * time.Second)},
-		"stalled body": {Phase: intake.PhaseBody, Since: ago(2 * time.Second), Head: 5, Body: 100},
+		"stalled body": {Phase: intake.PhaseBody, Since: ago(1500 * time.Millisecond), Head: 5, Body: 100},
 		"large body":   {Phase: intake.PhaseBody, Since: now, Body: 5000},
 		"small body":   {Phase: intake.PhaseBody, Since: now, Body: 50},
 		"young":        {Phase: intake.PhaseNew, Since: ago(300 * time.Millisecond)},
--- a/internal/connection/intake/limits.go
+++ b/internal/connection/intake/limits.go
@@ -47,8 +47,8 @@
 	// An eighth of the descriptors is left to connections to endpoints.
 	connections := min(max(m.Descriptors-reservedDescriptors, 0)*7/8, m.MemoryBytes/4/connectionBytes)
 	return Limits{
-		Callers:    max(connections*9/14, 16),
-		Peers:      max(connections/7, 16),
+		Callers:    max(connections*8/14, 16),
+		Peers:      max(connections*3/14, 16),
 		Others:     max(connections/14, 8),
 		HeadMemory: max(m.MemoryBytes/16, minHeadMemory),
 		BodyMemory: max(m.MemoryBytes/5, minBodyMemory),
--- a/internal/request/relay/body.go
+++ b/internal/request/relay/body.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"errors"
 	"io"
+	"math"
 	"net/http"
 	"time"
 
@@ -114,7 +115,7 @@
 
 // maxBodyBytes returns the limit of the configuration.
 func (s *serverRequest) maxBodyBytes() int {
-	return cmp.Or(max(s.table.Limits.BodyBytes, 0), intake.DefaultBodyBytes)
+	return cmp.Or(min(max(s.table.Limits.BodyBytes, 0), math.MaxInt32-1), intake.DefaultBodyBytes)
 }
 
 // copyBody buffers the body within the size and memory limits. What the caller announces
--- a/internal/request/relay/relay.go
+++ b/internal/request/relay/relay.go
@@ -138,8 +138,9 @@
 	s.conn = downstream.FromContext(ctx)
 	// net/http silently ignores a Content-Length beside a chunked body.
 	// Closing the connection keeps bytes after such a body from being read as
-	// another request (request smuggling).
-	if r.Stop() != nil || len(request.TransferEncoding) > 0 {
+	// another request (request smuggling). A caller that doesn't await its responses
+	// gives way to others.
+	if r.Stop() != nil || len(request.TransferEncoding) > 0 || s.conn != nil && s.conn.IsPipelining() {
 		w.Header().Set("Connection", "close")
 	}
 	s.serve()
