Memory of closed bodies is in use until it is released

Cause: the memory of a connection that was closed for another one was given away while its request still held it: 105 MB once, of 96. The last growth of a buffer took room for twice the largest body. Change: the next caller waits for the release; buffers grow by halves of the expected size.

--- a/internal/connection/downstream/guard.go
+++ b/internal/connection/downstream/guard.go
@@ -27,8 +27,11 @@
 
 	mu    sync.Mutex
 	conns map[*Conn]bool
-	// heads and bodies are the bytes of memory in use.
-	heads, bodies int
+	// heads and bodies are the bytes of memory in use, ending those of the bodies whose
+	// connections were closed for others. They are in use until released.
+	heads, bodies, ending int
+	// changed is signaled when a connection was closed or its memory released.
+	changed sync.Cond
 }
 
 // NewGuard returns a guard that counts in a registry.
@@ -37,6 +40,7 @@
 		limits: limits, conns: map[*Conn]bool{},
 		shed: map[intake.Resource]metrics.Counter{}, refused: map[intake.Resource]metrics.Counter{},
 	}
+	g.changed.L = &g.mu
 	for _, r := range []intake.Resource{intake.ResourceConnection, intake.ResourceHeadMemory, intake.ResourceBodyMemory} {
 		g.shed[r] = metrics.GetOrRegisterCounter("intake.shed_for_"+r.String(), registry)
 		g.refused[r] = metrics.GetOrRegisterCounter("intake.refused_for_"+r.String(), registry)
@@ -65,41 +69,45 @@
 }
 
 // ReserveBody reserves memory for a request's body and reports whether that is available.
-// The connection is nil if it is unknown.
+// It waits for what is about to be released. The connection is nil if it is unknown.
 func (g *Guard) ReserveBody(c *Conn, size int) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if c != nil && c.isShed {
-		return false
-	}
 	held := 0
 	if c != nil {
 		held = c.holder.Body
 	}
 	limit := g.limits.BodyMemoryFor(held + size)
-	for g.bodies+size > limit {
-		if !g.shedOne(c, intake.ResourceBodyMemory, held, size) {
+	for c == nil || !c.isShed {
+		switch {
+		case g.bodies+size <= limit:
+			g.bodies += size
+			if c != nil {
+				c.holder.Body += size
+			}
+			return true
+		case g.bodies-g.ending+size <= limit:
+			g.changed.Wait()
+		case !g.shedOne(c, intake.ResourceBodyMemory, held, size):
 			g.refused[intake.ResourceBodyMemory].Inc(1)
 			return false
 		}
 	}
-	g.bodies += size
-	if c != nil {
-		c.holder.Body += size
-	}
-	return true
+	return false
 }
 
 // ReleaseBody returns memory for a request's body.
 func (g *Guard) ReleaseBody(c *Conn, size int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.bodies -= size
 	if c != nil {
-		// The memory of a connection that was closed was returned then.
-		size = min(size, c.holder.Body)
 		c.holder.Body -= size
+		if c.isShed {
+			g.ending -= size
+		}
 	}
-	g.bodies -= size
+	g.changed.Broadcast()
 }
 
 // read records what has arrived and reports whether the connection may stay.
@@ -167,7 +175,9 @@
 		}
 		g.shed[r].Inc(1)
 		first.isShed = true
+		g.ending += first.holder.Body
 		g.remove(first)
+		g.changed.Broadcast()
 		// The server ends the connection when it finds it closed.
 		_ = first.TCPConn.Close()
 		return true
@@ -188,7 +198,7 @@
 	return true
 }
 
-// remove returns what a connection holds.
+// remove drops a connection. The memory of its body is in use until it is released.
 func (g *Guard) remove(c *Conn) {
 	if !g.conns[c] {
 		return
@@ -196,8 +206,7 @@
 	delete(g.conns, c)
 	c.port.count--
 	g.heads -= c.holder.Head
-	g.bodies -= c.holder.Body
-	c.holder.Head, c.holder.Body = 0, 0
+	c.holder.Head = 0
 }
 
 // setPhase records what a connection is doing and reports whether it is still open here.
--- a/internal/connection/downstream/guard_test.go
+++ b/internal/connection/downstream/guard_test.go
@@ -115,9 +115,18 @@
 	assert.NilError(t, ended.Close())
 	g.guard.ReleaseBody(ended, 100)
 	assert.Assert(t, g.guard.ReserveBody(large, 900))
-	assert.Assert(t, g.guard.ReserveBody(small, 200), "the larger one gives way")
-	assert.Assert(t, !g.guard.ReserveBody(large, 10), "it is closed")
+	reserved := make(chan bool)
+	go func() { reserved <- g.guard.ReserveBody(small, 200) }()
+	_, err := large.Read(make([]byte, 1))
+	assert.ErrorIs(t, err, downstream.ErrShed, "the larger one gives way")
+	assert.Assert(t, !g.guard.ReserveBody(large, 10))
+	select {
+	case <-reserved:
+		t.Fatal("memory was given away that is still in use")
+	case <-time.After(20 * time.Millisecond):
+	}
 	g.guard.ReleaseBody(large, 900)
+	assert.Assert(t, <-reserved)
 	assert.Assert(t, g.guard.ReserveBody(nil, 800))
 	assert.Assert(t, small.EndBody())
 	assert.Assert(t, !g.guard.ReserveBody(nil, 1), "a body that has arrived stays")
--- a/internal/request/relay/body.go
+++ b/internal/request/relay/body.go
@@ -132,7 +132,7 @@
 	for {
 		if len(s.body) == cap(s.body) {
 			// One more byte shows the end of the body, or that it is too large.
-			if err := s.growBody(min(max(2*cap(s.body), firstBodyBytes), expected+1)); err != nil {
+			if err := s.growBody(nextBodySize(cap(s.body), expected+1)); err != nil {
 				return err
 			}
 		}
@@ -149,6 +149,16 @@
 	}
 }
 
+// nextBodySize returns the size of the buffer after one of a size, about twice that. The
+// last one has the expected size.
+func nextBodySize(size, expected int) int {
+	next := expected
+	for next > firstBodyBytes && (next+1)/2 > size {
+		next = (next + 1) / 2
+	}
+	return next
+}
+
 // growBody moves the body to a buffer of another size.
 func (s *serverRequest) growBody(size int) error {
 	if !s.relay.Guard.ReserveBody(s.conn, size) {
--- a/internal/request/relay/body_test.go
+++ b/internal/request/relay/body_test.go
@@ -54,7 +54,7 @@
 	}
 	status, _ := post(endlessReader{}, -1)
 	assert.Equal(t, status, http.StatusRequestEntityTooLarge)
-	status, _ = post(strings.NewReader("x"), intake.DefaultBodyBytes+1)
+	status, _ = post(io.LimitReader(endlessReader{}, intake.DefaultBodyBytes+1), intake.DefaultBodyBytes+1)
 	assert.Equal(t, status, http.StatusRequestEntityTooLarge)
 
 	r.Guard = downstream.NewGuard(intake.Limits{BodyMemory: firstBodyBytes}, registry)
