--- a/internal/process/gateway/intake.go
+++ b/internal/process/gateway/intake.go
@@ -13,8 +13,10 @@
 )
 
 const (
-	// smallWriteTime is how long a client may take to read the response to a small request.
-	smallWriteTime = 30 * time.Second
+	// peerWriteTime is how long another host may take to read the response to a small
+	// request, otherWriteTime the clients of the further ports.
+	peerWriteTime  = 30 * time.Second
+	otherWriteTime = 5 * time.Second
 	// maxSmallRequests is the number of small requests served on a connection, so that one
 	// that sends them without a pause gives way to others.
 	maxSmallRequests = 200
@@ -27,8 +29,9 @@
 	return intake.Machine{MemoryBytes: g.settings.MemoryMB << 20, Descriptors: g.settings.FileDescriptors}
 }
 
-// serveSmall serves a request that has no body and a response of bounded size.
-func serveSmall(handler http.Handler, w http.ResponseWriter, request *http.Request) {
+// serveSmall serves a request that has no body and a response of bounded size, which the
+// client must read in time.
+func serveSmall(handler http.Handler, w http.ResponseWriter, request *http.Request, writeTime time.Duration) {
 	control := http.NewResponseController(w)
 	conn := downstream.FromContext(request.Context())
 	isLast := conn != nil && conn.CountRequest() >= maxSmallRequests
@@ -40,7 +43,7 @@
 	if isLast {
 		w.Header().Set("Connection", "close")
 	}
-	_ = control.SetWriteDeadline(time.Now().Add(smallWriteTime))
+	_ = control.SetWriteDeadline(time.Now().Add(writeTime))
 	handler.ServeHTTP(w, request)
 }
 
--- a/internal/process/gateway/run.go
+++ b/internal/process/gateway/run.go
@@ -112,7 +112,7 @@
 			g.relay.ServeCarried(w, request)
 			return
 		}
-		serveSmall(peerHandler, w, request)
+		serveSmall(peerHandler, w, request, peerWriteTime)
 	}))
 	peerHandler.HandleFunc("GET "+statePath, g.serveState)
 	peerHandler.HandleFunc("GET "+recordsPath, g.sharedReads.serveRecords)
@@ -131,7 +131,7 @@
 		handlers[g.settings.MetricsAddress] = admin
 	}
 	for address, handler := range handlers {
-		server := g.newHTTPServer(http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) { serveSmall(handler, w, request) }))
+		server := g.newHTTPServer(http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) { serveSmall(handler, w, request, otherWriteTime) }))
 		if _, err := g.serve(&group, address, server, limits.Others); err != nil {
 			return err
 		}
--- a/internal/request/relay/body.go
+++ b/internal/request/relay/body.go
@@ -27,6 +27,10 @@
 	maxRefusedBodyWait = time.Second
 )
 
+// reasonShed is the reason of a request whose connection was closed for another one before
+// the request had arrived.
+const reasonShed = "closed_for_room"
+
 // readBody buffers the whole body, because the request may have to be retried.
 // It reports whether the request may proceed; if not, it has responded or
 // recorded that the caller left.
@@ -64,7 +68,7 @@
 	if s.conn == nil || s.conn.EndBody() {
 		return true
 	}
-	s.outcome = outcome{outcomeCallerLeft, 0, "closed_for_room"}
+	s.outcome = outcome{outcomeCallerLeft, 0, reasonShed}
 	return false
 }
 
--- a/internal/request/relay/body_test.go
+++ b/internal/request/relay/body_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -62,3 +63,35 @@
 	assert.Equal(t, status, http.StatusServiceUnavailable)
 	assert.Assert(t, r.Guard.ReserveBody(nil, firstBodyBytes), "all memory is returned")
 }
+
+// A request that arrived as its connection was closed for another one was sent on although
+// its caller could not get the response, and kept its memory.
+func TestConnectionIsClosedAsRequestArrives(t *testing.T) {
+	r, registry := newTestRelay("http://127.0.0.1:1")
+	r.Guard = downstream.NewGuard(intake.Limits{BodyMemory: 100}, registry)
+	listener, err := downstream.Listen("127.0.0.1:0")
+	assert.NilError(t, err)
+	defer listener.Close()
+	listener.Limit(r.Guard, 2)
+	connect := func() *downstream.Conn {
+		caller, err := net.Dial("tcp4", listener.Addr().String())
+		assert.NilError(t, err)
+		t.Cleanup(func() { _ = caller.Close() })
+		conn, err := listener.Accept()
+		assert.NilError(t, err)
+		t.Cleanup(func() { _ = conn.Close() })
+		return conn.(*downstream.Conn)
+	}
+	s := &serverRequest{relay: r, conn: connect(), ctx: t.Context()}
+	s.conn.BeginBody()
+	assert.NilError(t, s.growBody(90))
+	next := connect()
+	reserved := make(chan bool)
+	go func() { reserved <- r.Guard.ReserveBody(next, 50) }()
+	_, err = s.conn.Read(make([]byte, 1))
+	assert.ErrorIs(t, err, downstream.ErrShed)
+	assert.Assert(t, !s.markArrived())
+	assert.Equal(t, s.outcome, outcome{outcomeCallerLeft, 0, reasonShed})
+	s.releaseBody()
+	assert.Assert(t, <-reserved)
+}
--- a/internal/request/relay/report.go
+++ b/internal/request/relay/report.go
@@ -58,6 +58,8 @@
 	}
 	failure := conn.Failure()
 	switch {
+	case errors.Is(failure, downstream.ErrShed):
+		s.outcome.reason = reasonShed
 	case errors.Is(failure, io.EOF) || errors.Is(failure, syscall.ECONNRESET) || errors.Is(failure, syscall.EPIPE):
 	case errors.Is(failure, net.ErrClosed):
 		s.abort(reasonStopped)
