--- a/internal/connection/downstream/downstream.go
+++ b/internal/connection/downstream/downstream.go
@@ -1,5 +1,5 @@
 // Package downstream provides callers' connections that record their first error and their
-// last write.
+// last write, and keeps what they take of a process within its limits.
 package downstream
 
 import (
--- a/internal/process/gateway/run.go
+++ b/internal/process/gateway/run.go
@@ -104,7 +104,7 @@
 		return err
 	}
 	peerHandler := http.NewServeMux()
-	g.peerServer = g.newHTTPServer(http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
+	g.peerServer = newHTTPServer(http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
 		// A carried request has a path of the caller's.
 		if relay.IsCarried(request) {
 			// A small request on the connection may have set one. On an error, writes fail.
@@ -131,7 +131,7 @@
 		handlers[g.settings.MetricsAddress] = admin
 	}
 	for address, handler := range handlers {
-		server := g.newHTTPServer(http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) { serveSmall(handler, w, request, otherWriteTime) }))
+		server := newHTTPServer(http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) { serveSmall(handler, w, request, otherWriteTime) }))
 		if _, err := g.serve(&group, address, server, limits.Others); err != nil {
 			return err
 		}
@@ -163,7 +163,7 @@
 	}
 }
 
-func (g *Gateway) newHTTPServer(handler http.Handler) *http.Server {
+func newHTTPServer(handler http.Handler) *http.Server {
 	return &http.Server{
 		Handler: handler, ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout,
 		MaxHeaderBytes: maxHeaderBytes, ConnState: downstream.OnState, ConnContext: downstream.Context,
