--- a/internal/request/relay/relay.go
+++ b/internal/request/relay/relay.go
@@ -10,6 +10,8 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 
+	"mustarddoor/internal/connection/downstream"
+	"mustarddoor/internal/connection/intake"
 	"mustarddoor/internal/process/decisionlog"
 	"mustarddoor/internal/process/dispatch"
 	"mustarddoor/internal/process/quarantine"
@@ -62,8 +64,10 @@
 	// CountRun is called once for each request of a caller that begins to run, with the
 	// team's name; nil if these are not counted.
 	CountRun func(team string)
-	Log      *decisionlog.Log
-	Metrics  metrics.Registry
+	// Guard bounds the memory for requests; nil means the limits of an unknown machine.
+	Guard   *downstream.Guard
+	Log     *decisionlog.Log
+	Metrics metrics.Registry
 }
 
 // Stop is an orderly shutdown of the process.
@@ -79,7 +83,6 @@
 	answered, refused, failed, callerLeft  metrics.Counter
 	retries, resumed, crashes, quarantined metrics.Counter
 	duration, firstEventLatency, queueWait metrics.Timer
-	bodyBudget                             memoryBudget
 	responseBudget                         memoryBudget
 	carriedCount                           metrics.Counter
 	// carrying counts the requests in progress for other hosts.
@@ -95,6 +98,9 @@
 func New(config Config) *Relay {
 	registry := config.Metrics
 	ended, end := context.WithCancel(context.Background())
+	if config.Guard == nil {
+		config.Guard = downstream.NewGuard(intake.LimitsOf(intake.Machine{}), registry)
+	}
 	return &Relay{
 		ended: ended, end: end,
 		Config:            config,
@@ -110,7 +116,6 @@
 		duration:          metrics.GetOrRegisterTimer("request.took", registry),
 		firstEventLatency: metrics.GetOrRegisterTimer("request.first_answer", registry),
 		queueWait:         metrics.GetOrRegisterTimer("request.waited", registry),
-		bodyBudget:        memoryBudget{available: maxBodyMemoryBytes},
 		responseBudget:    memoryBudget{available: maxResponseMemoryBytes},
 	}
 }
@@ -133,10 +138,12 @@
 	defer cancel(nil)
 	defer context.AfterFunc(r.ended, func() { cancel(errStopped) })()
 	s := &serverRequest{relay: r, w: w, request: request, ctx: ctx, carried: carried, startedAt: startedAt, caller: r.Protocol.ParseRequest(request)}
+	s.conn = downstream.FromContext(ctx)
 	// net/http silently ignores a Content-Length beside a chunked body.
 	// Closing the connection keeps bytes after such a body from being read as
-	// another request (request smuggling).
-	if r.Stop() != nil || len(request.TransferEncoding) > 0 {
+	// another request (request smuggling). A caller that doesn't await its responses
+	// gives way to others.
+	if r.Stop() != nil || len(request.TransferEncoding) > 0 || s.conn != nil && s.conn.IsPipelining() {
 		w.Header().Set("Connection", "close")
 	}
 	s.serve()
@@ -159,7 +166,11 @@
 	team  *routing.Team
 	// service is the service chosen from the route's shares.
 	service string
-	body    []byte
+	// conn is the caller's connection, or nil if it is unknown.
+	conn *downstream.Conn
+	body []byte
+	// bodyMemory is what is reserved for the body.
+	bodyMemory int
 	// bodyEnded is set once no more of the body is awaited.
 	bodyEnded bool
 	// deadline is when the final response is due.
@@ -245,10 +256,10 @@
 		s.refuseStopping()
 		return
 	}
+	defer s.releaseBody()
 	if !s.readBody() {
 		return
 	}
-	defer s.relay.bodyBudget.release(len(s.body))
 	s.bufferedMemory.budget = &s.relay.responseBudget
 	defer s.bufferedMemory.release()
 	s.relay.traffic.add(len(s.body))
@@ -289,39 +300,6 @@
 	s.deadline = s.startedAt.Add(timeout)
 }
 
-// charge takes the request's cost from its team's limit. If the limit does not
-// cover it, charge refuses the request and returns false.
-func (s *serverRequest) charge() bool {
-	if s.team == nil || s.team.Rate <= 0 {
-		return true
-	}
-	amount := 1.0
-	if s.team.CountsTokens {
-		amount = s.team.DefaultTokens
-		if s.caller.HasTokenCounts {
-			amount = float64(s.caller.PromptTokens + s.caller.MaxTokens)
-		}
-	}
-	allowed, wait := s.relay.Limits.Charge(s.team, amount, false)
-	if !allowed && s.relay.Dispatcher.HasSpareCapacity(s.service) {
-		allowed, wait = s.relay.Limits.Charge(s.team, amount, true)
-	}
-	if !allowed {
-		s.refuse(http.StatusTooManyRequests, "team_limit", wait)
-		return false
-	}
-	s.charged, s.chargedAt = amount, time.Now()
-	return true
-}
-
-// refund returns the charge of a request that has not run.
-func (s *serverRequest) refund() {
-	if s.charged > 0 && s.attempts == 0 {
-		s.relay.Limits.Refund(s.team, s.charged, s.chargedAt)
-		s.charged = 0
-	}
-}
-
 // job returns the dispatcher's description of the request.
 func (s *serverRequest) job() *dispatch.Job {
 	job := &dispatch.Job{
