--- a/internal/process/gateway/duties.go
+++ b/internal/process/gateway/duties.go
@@ -21,12 +21,18 @@
 	usage   *usageReports
 }
 
+// defaultLeaseDuration applies if the settings name none.
+const defaultLeaseDuration = 3 * time.Second
+
 // newDuties returns nil unless the settings call for duties.
 func newDuties(g *Gateway) *duties {
 	settings := g.settings.Duties
 	if !settings.ReportsUsage && !settings.OrdersEndpoints || g.ports.Duties == nil || g.ports.Topics.Duties == "" {
 		return nil
 	}
+	if settings.LeaseDuration <= 0 {
+		settings.LeaseDuration = defaultLeaseDuration
+	}
 	boot := newBootClock()
 	d := &duties{gateway: g, clock: duty.NewClock(boot, time.Now)}
 	config := duty.Config{
@@ -38,7 +44,7 @@
 		Now:       func() time.Time { return time.Unix(0, 0).Add(boot()) },
 		TimeOfDay: d.clock.Now, IsCandidate: d.isCandidate, Log: g.log.Entry(), Metrics: g.registry,
 	})
-	if settings.ReportsUsage {
+	if settings.ReportsUsage && settings.UsageWindow > 0 && settings.UsageLateness > 0 {
 		d.usage = newUsageReports(d, boot)
 	}
 	return d
