The soak plays the singleton duties

Cause: the soak knew nothing of the duties, so that faults of several parts at once were not played against their holder.

--- a/soak/carriers.go
+++ b/soak/carriers.go
@@ -10,6 +10,7 @@
 // history returns the observations, with the carriers of interrupted requests.
 func (f *fleet) history() History {
 	history := f.record.History()
+	history.DutyViolations = f.duties.Violations()
 	history.Carriers = map[string]int{}
 	for _, request := range history.Requests {
 		if !history.isInterrupted(request) || !history.isUndisrupted(Scope{ScopeHost, request.Host}, request.Sent, request.Ended, unplanned) {
--- a/soak/config.go
+++ b/soak/config.go
@@ -53,6 +53,7 @@
 			fields["timeoutMs"] = streamTimeout.Milliseconds()
 		}
 	}
+	config["services"].([]any)[0].(map[string]any)["scaling"] = newScaling()
 	config["services"] = append(config["services"].([]any), map[string]any{"name": otherService, "healthPath": "/health", "maxConnections": 50})
 	config["tenants"] = []any{newTeam(teamName, teamKey)}
 	return config
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -21,6 +21,7 @@
 	lifetime  *lifetime
 	record    *Recorder
 	store     *standin.Store
+	duties    *standin.Duties
 	hosts     []*host
 	endpoints []*endpoint
 	// crashesPrompts is set while some callers send prompts that crash endpoints.
@@ -63,6 +64,7 @@
 func newFleet(ctx context.Context, options Options) (*fleet, error) {
 	f := &fleet{lifetime: &lifetime{}, record: NewRecorder(), storeFaults: map[*standin.StoreFaults]struct{}{}, orderLocks: map[string]*sync.Mutex{}}
 	f.store = standin.NewStore(f.lifetime)
+	f.duties = standin.NewDuties(f.lifetime, dutyOptions)
 	f.config = newConfig(options.Size.Routes)
 	f.routes = f.config["routes"].([]any)
 	f.configure(f.routes)
@@ -142,6 +144,7 @@
 		combined.DropReplies = combined.DropReplies || fault.DropReplies
 	}
 	f.store.SetFaults(combined)
+	f.duties.SetFaults(dutyFaults(combined))
 }
 
 // orderLock returns the lock that a fault holds while its order of the given name
@@ -191,7 +194,8 @@
 }
 
 func (f *fleet) settings(h *host) string {
-	return standin.HostSettings(h.ip, seedAddresses(f.hosts), h.store.Address)
+	settings := standin.HostSettings(h.ip, seedAddresses(f.hosts), h.store.Address)
+	return standin.WithDuties(settings, f.duties.Address, dutyOptions)
 }
 
 // variantStream selects random numbers apart from those of the callers' other draws.
--- a/soak/record.go
+++ b/soak/record.go
@@ -242,6 +242,8 @@
 	// InForce holds the versions that each host has put in force, in order; nil before the
 	// end of the run.
 	InForce map[int][]VersionInForce
+	// DutyViolations are the broken rules of the singleton duties that the platform saw.
+	DutyViolations []string
 	// Carriers are the hosts that carried interrupted requests for others, by request.
 	Carriers map[string]int
 }
--- a/soak/rules.go
+++ b/soak/rules.go
@@ -56,7 +56,7 @@
 	var violations []Violation
 	for _, rule := range []func(History) []Violation{
 		checkResponses, checkExecutions, checkAttempts, checkCanceled, checkDeadlines, checkExclusions, checkRejections,
-		checkLost, checkLostAtStop, checkRetries, checkCrashes, checkLimits, checkProcesses, checkVersions,
+		checkLost, checkLostAtStop, checkRetries, checkCrashes, checkLimits, checkProcesses, checkVersions, checkDuties,
 	} {
 		violations = append(violations, rule(history)...)
 	}
