A host that restarts leaves cold endpoints alone until it knows the others

All 80 hosts had been killed and started at 36.4 s; until a host knows the others, it takes itself for one of a few that share the endpoint's rate, and sends it a request at once. Change: a host that starts in a running fleet sends nothing to cold endpoints with a limited rate for its first 2 s. Result: TestHostsRestartWhileEndpointIsCold fails before (280 requests in a second) and passes.

--- a/internal/process/dispatch/dispatch.go
+++ b/internal/process/dispatch/dispatch.go
@@ -96,6 +96,9 @@
 	// contendingHosts holds, by hashed service name, the other hosts that have
 	// queued requests for the service and when each last reported so.
 	contendingHosts map[uint32]map[string]time.Time
+	// coldHeldUntil is when this host knows with which hosts it shares cold endpoints; it
+	// sends them nothing before.
+	coldHeldUntil time.Time
 	// rateLimitsChangedAt is when the limit that an endpoint names last changed.
 	rateLimitsChangedAt time.Time
 	// reach tracks, by service, whether this host can reach any endpoint; silent holds
--- a/internal/process/dispatch/update.go
+++ b/internal/process/dispatch/update.go
@@ -76,8 +76,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.table = table
-	now := time.Now()
-	d.fleet.All(func(e *fleet.Endpoint) { d.limitColdRate(e, now) })
+	d.limitColdRates(time.Now())
 }
 
 // SetHosts sets the hosts that share the endpoints. This host may be absent: it
@@ -106,6 +105,29 @@
 	maxColdHosts = 8
 )
 
+// HoldColdUntil keeps requests from cold endpoints whose rate is limited until a time. A
+// host that starts in a running fleet does not know yet with which hosts it shares them:
+// if all hosts restart at once, each would take itself for one of a few.
+func (d *Dispatcher) HoldColdUntil(until time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.coldHeldUntil = until
+	d.limitColdRates(time.Now())
+}
+
+// limitColdRates applies limitColdRate to all endpoints. The caller holds mu.
+func (d *Dispatcher) limitColdRates(now time.Time) {
+	d.fleet.All(func(e *fleet.Endpoint) { d.limitColdRate(e, now) })
+}
+
+// endColdHold lifts HoldColdUntil once its time has come. The caller holds mu.
+func (d *Dispatcher) endColdHold(now time.Time) {
+	if !d.coldHeldUntil.IsZero() && !now.Before(d.coldHeldUntil) {
+		d.coldHeldUntil = time.Time{}
+		d.limitColdRates(now)
+	}
+}
+
 // limitColdRate limits the rate of this host's requests to an endpoint while it
 // is cold.
 func (d *Dispatcher) limitColdRate(e *fleet.Endpoint, now time.Time) {
@@ -120,6 +142,8 @@
 		// The configuration sets no rate: cold endpoints get as many requests
 		// as warm ones.
 		e.SetColdLimit(1e6, 1, now)
+	case now.Before(d.coldHeldUntil):
+		e.SetColdLimit(0, 0, now)
 	case d.isAmongFirst(e, maxColdHosts):
 		e.SetColdLimit(rate*coldRateShare/float64(min(d.hostCount, maxColdHosts)), 1, now)
 	default:
@@ -193,6 +217,7 @@
 func (d *Dispatcher) Tick() {
 	d.mu.Lock()
 	now := time.Now()
+	d.endColdHold(now)
 	expired := d.fleet.ExpireRemoved(now)
 	var changes []EndpointChange
 	for _, e := range expired {
--- a/internal/process/gateway/entry.go
+++ b/internal/process/gateway/entry.go
@@ -15,6 +15,9 @@
 	// settleTime is how long a host must have been reachable to be preferred
 	// over hosts that come and go.
 	settleTime = 2 * time.Second
+	// coldHoldTime is how long a host that starts in a running fleet leaves cold endpoints
+	// alone: it then knows with which hosts it shares them.
+	coldHoldTime = settleTime
 	// reservedDescriptors is the number of file descriptors that serve no
 	// connection of a caller. Each of the others serves one, together with a
 	// connection to an endpoint.
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -95,6 +95,9 @@
 	g.limits = newSharedLimits(&g.settings)
 	g.dispatcher = dispatch.New(settings.Domain, ports.DialEndpoint, metrics.GetOrRegisterCounter("endpoints.connections_opened", ports.Metrics), g.logEndpointChange)
 	g.dispatcher.Use(settings.Dispatch, ports.Metrics)
+	if !settings.FirstStart {
+		g.dispatcher.HoldColdUntil(g.startedAt.Add(coldHoldTime))
+	}
 	g.quarantine = newPromptQuarantine(g)
 	g.carriers = newCarriers(g)
 	g.delays = newDelayMonitor(log.Entry(), ports.Metrics)
