The test of unread requests waits for the server's read, not its state change

After the state change to idle, net/http sets the read deadline of the connection anew and only then reads. The test expired the connection as soon as the state had changed: if the server's deadline came second, it took that of expire back, the read never ended, and the test waited for an EOF. In the middle part it passed then without having checked anything. The product is not at fault: it expires connections that have been idle for the limit and a second, and tries again each 500 ms while they are idle.

Change: The connection announces its first read after it has become idle and waits there. The test expires the connection then. What it checks is the same; the caller's connection has a deadline, so that a fault fails instead of hanging.

--- a/internal/process/gateway/connections_test.go
+++ b/internal/process/gateway/connections_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -58,10 +59,11 @@
 	assert.Equal(t, len(c.expired), 0)
 }
 
-// heldListener accepts connections that are not read from while held is full.
+// heldListener accepts connections whose first read after each idleNow waits: it sends to
+// waiting and receives from resume.
 type heldListener struct {
 	net.Listener
-	held chan struct{}
+	waiting, resume chan struct{}
 }
 
 func (l *heldListener) Accept() (net.Conn, error) {
@@ -69,17 +71,20 @@
 	if err != nil {
 		return nil, err
 	}
-	return &heldConn{TCPConn: conn.(*net.TCPConn), held: l.held}, nil
+	return &heldConn{TCPConn: conn.(*net.TCPConn), listener: l}, nil
 }
 
 type heldConn struct {
 	*net.TCPConn
-	held chan struct{}
+	listener *heldListener
+	idleNow  atomic.Bool
 }
 
 func (c *heldConn) Read(buffer []byte) (int, error) {
-	c.held <- struct{}{}
-	<-c.held
+	if c.idleNow.Swap(false) {
+		c.listener.waiting <- struct{}{}
+		<-c.listener.resume
+	}
 	return c.TCPConn.Read(buffer)
 }
 
@@ -89,21 +94,18 @@
 	c := newConnections(nil)
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	assert.NilError(t, err)
-	held, idle := make(chan struct{}, 1), make(chan struct{}, 1)
+	// The server sets its own read deadline between the state change and the read, so
+	// the read is what to wait for.
+	held := &heldListener{Listener: listener, waiting: make(chan struct{}, 1), resume: make(chan struct{}, 1)}
 	server := &http.Server{
 		Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) }),
 		ConnState: func(conn net.Conn, state http.ConnState) {
-			if state == http.StateIdle {
-				held <- struct{}{} // the server reads the next request after this
-			}
 			c.onStateChange(conn, state)
-			if state == http.StateIdle {
-				idle <- struct{}{}
-			}
+			conn.(*heldConn).idleNow.Store(state == http.StateIdle)
 		},
 	}
 	done := make(chan error, 1)
-	go func() { done <- server.Serve(&heldListener{Listener: listener, held: held}) }()
+	go func() { done <- server.Serve(held) }()
 	t.Cleanup(func() {
 		assert.NilError(t, server.Close())
 		assert.ErrorIs(t, <-done, http.ErrServerClosed)
@@ -111,6 +113,7 @@
 	caller, err := net.Dial("tcp4", listener.Addr().String())
 	assert.NilError(t, err)
 	t.Cleanup(func() { assert.NilError(t, caller.Close()) })
+	assert.NilError(t, caller.SetDeadline(time.Now().Add(30*time.Second))) // fails instead of hanging
 	reader := bufio.NewReader(caller)
 	ask := func() {
 		_, err := caller.Write([]byte("POST / HTTP/1.1\r\nHost: a.example\r\nContent-Length: 0\r\n\r\n"))
@@ -123,17 +126,17 @@
 	}
 	ask()
 	readResponse()
-	<-idle
+	<-held.waiting
 
 	ask()
 	time.Sleep(20 * time.Millisecond) // loopback has delivered it by then
 	c.expire(-time.Second)
-	<-held
+	held.resume <- struct{}{}
 	readResponse()
 
-	<-idle
+	<-held.waiting
 	c.expire(-time.Second)
-	<-held
+	held.resume <- struct{}{}
 	_, err = reader.ReadByte()
 	assert.ErrorIs(t, err, io.EOF, "nothing has arrived")
 }
