Hosts of a large fleet that become active at once learn of each other

Hosts that became active in the same moments (a burst, a hot tenant) took each other for idle until they counted as silent after 8 s.

Change: A host tells all reachable ones when it becomes active, as it did when it became idle. One message per host and change of role.

Packages peers and allowance pass with -race.

--- a/internal/process/peers/exchange_test.go
+++ b/internal/process/peers/exchange_test.go
@@ -245,6 +245,24 @@
 	}
 }
 
+// Idle hosts that became active at the same moment took each other for idle for up to 8 s:
+// they did not exchange what they use of the teams' limits, and each used the rest alone.
+func TestIdleHostsBecomeActiveAtOnce(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		const domains, carrying, idle, more = 3, 2, 18, 6
+		n := newNetwork(t, domains, carrying, idle)
+		time.Sleep(5 * time.Second)
+		for i, h := range n.hosts {
+			h.membership.SetCarries(i%(carrying+idle) < carrying+more)
+		}
+		time.Sleep(time.Second)
+		for _, h := range n.hosts {
+			assert.Equal(t, len(h.membership.ActiveHosts(time.Now())), domains*(carrying+more), "%v", h.address)
+		}
+	})
+}
+
 // Nobody sends callers to an idle host 7 s after it was lost.
 func TestIdleLossIsNoticed(t *testing.T) {
 	t.Parallel()
--- a/internal/process/peers/membership.go
+++ b/internal/process/peers/membership.go
@@ -76,9 +76,10 @@
 	role         role
 	// carries is set if callers are sent to this host or it serves some.
 	carries bool
-	// announcesIdle is set when this host has become idle, until it has told the
-	// others, who would take it for unreachable.
-	announcesIdle bool
+	// announcesRole is set when this host has become idle or active, until it has told
+	// the others: they would take it for unreachable, or for idle while relays tell active
+	// hosts only of idle ones.
+	announcesRole bool
 	// bundleReceivedAt is when the last bundle arrived, bundleReceivedFrom the
 	// relay that sent it.
 	bundleReceivedAt   time.Time
--- a/internal/process/peers/roles.go
+++ b/internal/process/peers/roles.go
@@ -55,8 +55,8 @@
 	if next.isActive && !wasActive {
 		m.expectDirectMessages(now)
 	}
-	if wasActive && !next.isActive {
-		m.announcesIdle = true
+	if next.isActive != wasActive {
+		m.announcesRole = true
 	}
 	m.role = next
 }
@@ -91,7 +91,7 @@
 }
 
 // recipients returns the addresses that are due a message: the hosts that this
-// one exchanges messages with, or all reachable ones when it has become idle, and
+// one exchanges messages with, or all reachable ones when its role has changed, and
 // unreachable ones to probe. isProbing is set if there are any of the latter.
 func (m *Membership) recipients(now time.Time) (to []netip.AddrPort, isProbing bool) {
 	m.mu.Lock()
@@ -99,8 +99,8 @@
 	m.updateRole(now)
 	probeInterval := max(minProbeInterval, time.Duration(len(m.peers))*probeIntervalPerHost)
 	exchanging := 0
-	toAll := m.announcesIdle
-	m.announcesIdle = false
+	toAll := m.announcesRole
+	m.announcesRole = false
 	for address, p := range m.peers {
 		switch {
 		case m.isReachable(p, now):
