A host that restarts takes the teams' usage from an active host

Change: Active hosts are asked first, those of the failure domain before others; idle ones only if no active one is known or answers with all of it.

--- a/internal/process/gateway/usagetakeover.go
+++ b/internal/process/gateway/usagetakeover.go
@@ -10,6 +10,7 @@
 
 	"mustarddoor/internal/process/allowance"
 	"mustarddoor/internal/process/pause"
+	"mustarddoor/internal/process/peers"
 )
 
 // usagePath is where hosts that start fetch the teams' usage.
@@ -67,17 +68,27 @@
 	return nil
 }
 
-// nextUsageSource returns a reachable host that was not asked yet, preferably of this
-// host's failure domain, or the zero address.
-func (g *Gateway) nextUsageSource(asked map[netip.AddrPort]bool) (address netip.AddrPort) {
-	for _, host := range g.membership.ReadyHosts(g.membership.Now()) {
-		if asked[host.PeerAddress] {
-			continue
+// nextUsageSource returns a reachable host that was not asked yet, or the zero address.
+func (g *Gateway) nextUsageSource(asked map[netip.AddrPort]bool) netip.AddrPort {
+	return usageSource(g.membership.ReadyHosts(g.membership.Now()), g.settings.Domain, asked)
+}
+
+// usageSource returns a host that was not asked yet, or the zero address. Active hosts come
+// first: idle ones know the usage later, and nothing new while their relay is down. Hosts of
+// the failure domain come before others.
+func usageSource(hosts []peers.ReadyHost, domain string, asked map[netip.AddrPort]bool) (address netip.AddrPort) {
+	bestRank := -1
+	for _, host := range hosts {
+		rank := 0
+		if host.Active {
+			rank += 2
+		}
+		if host.Domain == domain {
+			rank++
 		}
-		if host.Domain == g.settings.Domain {
-			return host.PeerAddress
+		if rank > bestRank && !asked[host.PeerAddress] {
+			address, bestRank = host.PeerAddress, rank
 		}
-		address = host.PeerAddress
 	}
 	return address
 }
--- a/internal/process/peers/membership.go
+++ b/internal/process/peers/membership.go
@@ -194,9 +194,11 @@
 	// which it has been reachable.
 	Spent        Usage
 	ReachableFor time.Duration
-	// Carries is set if callers are sent to it. LostServices holds the hashes of the
-	// services of which it can reach no endpoint.
+	// Carries is set if callers are sent to it, Active if it exchanges messages with the
+	// other active hosts itself. LostServices holds the hashes of the services of which it
+	// can reach no endpoint.
 	Carries      bool
+	Active       bool
 	LostServices []uint32
 }
 
@@ -210,7 +212,7 @@
 		if !isHeard || !p.status.Ready || p.status.Leaving || p.host.FrontendAddress == "" {
 			continue
 		}
-		ready := ReadyHost{Host: p.host, ReachableFor: now.Sub(p.reachableSince), Carries: p.status.Carries, LostServices: p.status.LostServices}
+		ready := ReadyHost{Host: p.host, ReachableFor: now.Sub(p.reachableSince), Carries: p.status.Carries, Active: p.status.Active, LostServices: p.status.LostServices}
 		if p.status.Spent != nil {
 			ready.Spent = *p.status.Spent
 		}
