--- a/internal/connection/intake/limits.go
+++ b/internal/connection/intake/limits.go
@@ -60,7 +60,8 @@
 	// each of its bytes and lines.
 	headByteCost = 2
 	headLineCost = 128
-	// freeHeadMemory is what each head may take beside the total. Most heads take less.
+	// freeHeadMemory is the part of each head that does not count against the total. Most
+	// heads are smaller.
 	freeHeadMemory = 8 << 10
 	// smallBodyMemory is what a body may take of the eighth of the total that larger ones
 	// leave to it.
--- a/internal/connection/upstream/request_write.go
+++ b/internal/connection/upstream/request_write.go
@@ -83,7 +83,7 @@
 			return
 		}
 		isOpen = true
-		// A kernel that does not tell is taken to have delivered the request.
+		// If the kernel does not report it, the request counts as delivered.
 		count, _ = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ)
 	})
 	return count, err == nil && isOpen
--- a/internal/process/admission/admission.go
+++ b/internal/process/admission/admission.go
@@ -12,7 +12,7 @@
 // A caller that comes back after a refusal is late already, which lowers its
 // worth. No kind of request starves: one that is served much less often than the
 // others goes first until it is not. Requests of a team over its fair share yield to
-// those of the other teams, if the caller of this package says so.
+// those of the other teams, if OverShare is set.
 package admission
 
 import (
--- a/internal/process/autoscale/autoscale.go
+++ b/internal/process/autoscale/autoscale.go
@@ -109,10 +109,11 @@
 	// maxTrend how much of the present demand it may add.
 	riseWindow = 4 * time.Second
 	maxTrend   = 0.25
-	// maxSampleGap is the time without a sample after which those before say nothing.
+	// maxSampleGap is the longest time between two samples; after a longer one, the
+	// earlier samples are discarded.
 	maxSampleGap = 10 * time.Second
-	// minHostsShare is the share of the most hosts heard in the hold time below which the
-	// demand is not known well enough to order fewer endpoints.
+	// minHostsShare is the share of hosts, of the most that reported demand in the hold
+	// time, that must report it for fewer endpoints to be ordered.
 	minHostsShare = 0.75
 	// missingStarts is after how many start times ordered endpoints count as missing.
 	missingStarts = 2
@@ -252,7 +253,7 @@
 			continue
 		}
 		if count <= domain.Ordered {
-			// The number stands, but its endpoints did not come or were lost.
+			// This many were ordered already, but some did not start or were lost.
 			orders = append(orders, Order{Domain: domain.Name, Count: domain.Ordered, Pattern: PatternLoss})
 			continue
 		}
@@ -293,7 +294,7 @@
 	return orders
 }
 
-// hearsMostHosts reports whether about as many hosts are heard as in the hold time.
+// hearsMostHosts reports whether about as many hosts report demand as did in the hold time.
 func (p *Planner) hearsMostHosts(service *Service, now time.Time) bool {
 	most := 0
 	for _, s := range p.recent(service, now) {
