--- a/internal/process/autoscale/autoscale.go
+++ b/internal/process/autoscale/autoscale.go
@@ -93,8 +93,8 @@
 }
 
 const (
-	// maxBusyShare is the share of busy slots above which requests begin to wait: hosts
-	// know of each other's requests with a delay, and endpoints are not equally fast.
+	// maxBusyShare is the share of busy slots above which requests begin to wait: a host
+	// receives the loads of the others late, and endpoints differ in speed.
 	maxBusyShare = 0.85
 	// targetBusyShare is the share of busy slots that orders aim at.
 	targetBusyShare = 0.7
--- a/internal/process/autoscale/autoscale_test.go
+++ b/internal/process/autoscale/autoscale_test.go
@@ -143,7 +143,7 @@
 	assert.DeepEqual(t, p.Decide(s, now).Orders, []Order{{"z2", 10, PatternIdleDomain}})
 }
 
-// After a pause of this process, what was seen before says nothing.
+// Samples from before a pause of this process are discarded.
 func TestGapInSamples(t *testing.T) {
 	p, s := Planner{}, newService(30, 30, 30)
 	now := observe(&p, Demand{Slots: 300, Hosts: 10}, 2*time.Minute, begin).Add(maxSampleGap + time.Second)
--- a/internal/process/duty/lease.go
+++ b/internal/process/duty/lease.go
@@ -48,7 +48,8 @@
 const (
 	// checkInterval is the time between checks whether a call is due.
 	checkInterval = 100 * time.Millisecond
-	// callTimeout limits a call to the store, beside the time for which it waits.
+	// callTimeout limits a call to the store, in addition to the time for which it waits
+	// for records.
 	callTimeout = 800 * time.Millisecond
 	// maxSaveCalls limits the calls of one Save.
 	maxSaveCalls = 4
@@ -176,8 +177,8 @@
 	return slices.Clone(saved.Value), found
 }
 
-// Since returns from when on the saved values are complete, as far as this host holds the
-// duties. Earlier holders may have saved values before that which the store has lost.
+// Since returns the time from which the saved values are complete. It is valid only while
+// this host holds the duties. The store may have lost values that were saved earlier.
 func (l *Lease) Since() time.Time {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -229,8 +230,8 @@
 
 // Status describes the duties as this host knows them.
 type Status struct {
-	// Holder is the host that holds the duties as far as this host knows, Token its
-	// fencing token. Hosts that are not about to take over do not know.
+	// Holder is the last known host that holds the duties, Token its fencing token. Both
+	// are empty on hosts that are no candidates.
 	Holder string `json:"holder"`
 	Token  uint64 `json:"fencing_token"`
 	// HeldMillis is for how long this host has held the duties, in ms; 0 if it does not.
--- a/internal/process/duty/takeover_test.go
+++ b/internal/process/duty/takeover_test.go
@@ -43,7 +43,7 @@
 const forever = time.Hour
 
 // Whatever ends a holder, another host holds the duties within seconds, and the first one
-// does not act beside it when it is back.
+// sends nothing when it is back.
 func TestTakeOver(t *testing.T) {
 	cases := []struct {
 		name  string
@@ -79,7 +79,7 @@
 	}
 }
 
-// A host that wakes beside its successor finds its lease lapsed before it takes any answer.
+// A host that wakes after another one has taken over finds its lease lapsed before it takes any answer.
 func TestWokenHolderSendsNothing(t *testing.T) {
 	m := newModel(5, true)
 	first := m.awaitHolder(t, nil, 6*time.Second)
--- a/internal/process/duty/usage.go
+++ b/internal/process/duty/usage.go
@@ -165,7 +165,8 @@
 	return len(c.seenUntil) > 0
 }
 
-// Expire drops the windows and processes that were not heard of for the retention.
+// Expire drops windows and processes whose counts were last received longer ago than the
+// retention.
 func (c *Collection) Expire(now time.Time) {
 	oldest := now.Add(-c.retention)
 	maps.DeleteFunc(c.windows, func(window int64, _ map[Process]map[string]int64) bool {
--- a/internal/process/duty/usage_test.go
+++ b/internal/process/duty/usage_test.go
@@ -115,7 +115,7 @@
 	assert.Assert(t, isNear(c.Now()))
 	base, _ := sample("a", -9*time.Second)
 	assert.Assert(t, isNear(c.Now()))
-	// The host with the wrong time is told the right one.
+	// The host whose clock is wrong receives the agreed time.
 	other := NewClock(func() time.Duration { return 5*time.Hour + elapsed }, func() time.Time { return now().Add(-9 * time.Second) })
 	assert.Assert(t, !isNear(other.Now()))
 	other.Adopt(base)
--- a/internal/process/gateway/duties.go
+++ b/internal/process/gateway/duties.go
@@ -64,7 +64,8 @@
 	}
 }
 
-// maxOverallCandidates is the number of candidates beside those of each failure domain.
+// maxOverallCandidates is the number of candidates in addition to one of each failure
+// domain.
 const maxOverallCandidates = 2
 
 // isCandidate reports whether this host takes over the duties if nobody holds them: it is
--- a/internal/process/gateway/duties_test.go
+++ b/internal/process/gateway/duties_test.go
@@ -210,8 +210,7 @@
 	awaitOther(holder)
 }
 
-// Without settings that call for duties nothing is counted, told to other hosts, read or
-// written.
+// If the settings name no duties, nothing is counted, sent to other hosts, read or written.
 func TestNoDuties(t *testing.T) {
 	withPlatform := func(platform duty.Platform, settings DutySettings) {
 		store := &dutyStore{}
--- a/internal/process/gateway/log_reads_test.go
+++ b/internal/process/gateway/log_reads_test.go
@@ -108,8 +108,8 @@
 	}
 }
 
-// A reader waits as long as the other host asks for, and as before for one that runs a
-// version that does not say it.
+// A reader waits as long as the other host asks for, and relayMaxWait if it is
+// of a version that sends no wait.
 func TestRelayWait(t *testing.T) {
 	for query, want := range map[string]time.Duration{"": relayMaxWait, "?wait=120": 120 * time.Millisecond, "?wait=0": 0, "?wait=9000": relayMaxWait, "?wait=x": relayMaxWait, "?wait=-1": relayMaxWait} {
 		assert.Equal(t, relayWait(httptest.NewRequest(http.MethodGet, recordsPath+query, nil).URL.Query()), want, query)
