Logs and metrics tell how much of a reply arrived, and how large a configuration is

The incident's hypotheses differ in what a read that was given up had received, in how many bytes the hosts receive in all, and in how long a configuration takes to apply. No change of logic.

--- a/internal/process/gateway/fetch.go
+++ b/internal/process/gateway/fetch.go
@@ -2,13 +2,13 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"net/netip"
 
 	"github.com/rotisserie/eris"
 
 	"mustarddoor/internal/connection/codec"
+	"mustarddoor/internal/connection/transfer"
 )
 
 // wire encodes data exchanged between hosts. The limits allow an array as long
@@ -17,7 +17,7 @@
 
 // fetchFromHost reads up to maxBytes from a path of another host and decodes
 // them into target.
-func fetchFromHost(ctx context.Context, client *http.Client, address netip.AddrPort, path string, maxBytes int64, target any) error {
+func (g *Gateway) fetchFromHost(ctx context.Context, client *http.Client, address netip.AddrPort, path string, maxBytes int64, target any) error {
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address.String()+path, nil)
 	if err != nil {
 		return eris.Wrap(err, "request")
@@ -30,7 +30,7 @@
 	if response.StatusCode != http.StatusOK {
 		return eris.Errorf("fetch: status %d", response.StatusCode)
 	}
-	data, err := io.ReadAll(io.LimitReader(response.Body, maxBytes))
+	data, err := transfer.ReadBody(response, maxBytes, g.fetchedBytes)
 	if err != nil {
 		return eris.Wrap(err, "read")
 	}
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -16,6 +16,7 @@
 
 	"mustarddoor/internal/connection/downstream"
 	"mustarddoor/internal/connection/intake"
+	"mustarddoor/internal/connection/transfer"
 	"mustarddoor/internal/process/decisionlog"
 	"mustarddoor/internal/process/dispatch"
 	"mustarddoor/internal/process/fleet"
@@ -75,6 +76,8 @@
 	// spent is the latest measurement of usage.
 	spent            atomic.Pointer[peers.Usage]
 	malformedEntries metrics.Counter
+	// fetchedBytes counts what was fetched from other hosts.
+	fetchedBytes transfer.Counters
 	// stopRequestedAt is when the process was asked to stop at the earliest; nil before that.
 	stopRequestedAt atomic.Pointer[time.Time]
 
@@ -91,6 +94,7 @@
 		settings: settings, ports: ports, logAccess: access, log: log, registry: ports.Metrics, startedAt: time.Now(),
 		operatorRecords:  map[string]OperatorRecord{},
 		malformedEntries: metrics.GetOrRegisterCounter("endpoints.malformed", ports.Metrics),
+		fetchedBytes:     transfer.NewCounters("peers.fetch", ports.Metrics),
 	}
 	g.limits = newSharedLimits(&g.settings)
 	g.dispatcher = dispatch.New(settings.Domain, ports.DialEndpoint, metrics.GetOrRegisterCounter("endpoints.connections_opened", ports.Metrics), g.logEndpointChange)
--- a/internal/process/gateway/records.go
+++ b/internal/process/gateway/records.go
@@ -41,6 +41,7 @@
 		delete(g.operatorRecords, changed.Key)
 		return
 	}
+	startedAt := time.Now()
 	record, err := g.ports.DecodeOperatorRecord(changed.Key, changed.Value)
 	if err != nil {
 		g.log.Entry().WithError(err).WithField("offset", change.Position.Offset).Warn("rejected a record of the operator")
@@ -54,13 +55,19 @@
 			Info("move to a version ordered")
 	}
 	if record.Config != nil {
-		g.applyConfig(*record.Config, change)
+		g.applyConfig(*record.Config, change, receivedConfig{bytes: len(changed.Value), startedAt: startedAt})
 	}
 	g.operatorRecords[changed.Key] = record
 }
 
+// receivedConfig is the size of a configuration and when its decoding began.
+type receivedConfig struct {
+	bytes     int
+	startedAt time.Time
+}
+
 // applyConfig puts a configuration in force if it is newer.
-func (g *Gateway) applyConfig(config routing.Config, change *keyed.Change) {
+func (g *Gateway) applyConfig(config routing.Config, change *keyed.Change, received receivedConfig) {
 	if current := g.table.Load(); current != nil && current.Version >= config.Version {
 		return
 	}
@@ -71,6 +78,7 @@
 	g.log.Entry().WithFields(logrus.Fields{
 		"config_version": config.Version, "offset": change.Position.Offset, "routes": len(config.Routes), "teams": len(config.Teams),
 		"source": change.Source, "uptime_ms": g.uptime().Milliseconds(), "unconfirmed_ms": unconfirmedMillis(change.ConfirmedAt),
+		"bytes": received.bytes, "apply_ms": time.Since(received.startedAt).Milliseconds(),
 	}).Info("configuration in force")
 }
 
--- a/internal/process/gateway/shared_read_store.go
+++ b/internal/process/gateway/shared_read_store.go
@@ -262,7 +262,7 @@
 	defer cancel()
 	query.Set("topic", partition.Topic)
 	reply := receivedRecords{requestedAt: time.Now()}
-	err := fetchFromHost(ctx, s.client, address, recordsPath+"?"+query.Encode(), maxRecordsBytes, &reply.recordsReply)
+	err := s.gateway.fetchFromHost(ctx, s.client, address, recordsPath+"?"+query.Encode(), maxRecordsBytes, &reply.recordsReply)
 	if reply.Snapshot != nil {
 		reply.Snapshot.Source, reply.Snapshot.ConfirmedAt = keyed.SourceReader, reply.confirmedAt()
 	}
--- a/internal/process/gateway/state.go
+++ b/internal/process/gateway/state.go
@@ -169,7 +169,7 @@
 // fetchState adopts the records of another host.
 func (g *Gateway) fetchState(ctx context.Context, client *http.Client, address netip.AddrPort) error {
 	s := stateReply{}
-	if err := fetchFromHost(ctx, client, address, statePath, maxStateBytes, &s); err != nil {
+	if err := g.fetchFromHost(ctx, client, address, statePath, maxStateBytes, &s); err != nil {
 		return err
 	}
 	fields := logrus.Fields{"link": address.String()}
--- a/internal/process/gateway/usagereports.go
+++ b/internal/process/gateway/usagereports.go
@@ -232,7 +232,7 @@
 	reply := usageCounts{}
 	address, err := parsePeerAddress([]byte(source.Address))
 	if err == nil {
-		err = fetchFromHost(ctx, u.client, address, usageCountsPath+"?"+query.Encode(), maxCountsBytes, &reply)
+		err = u.duties.gateway.fetchFromHost(ctx, u.client, address, usageCountsPath+"?"+query.Encode(), maxCountsBytes, &reply)
 	}
 	if err != nil {
 		u.duties.gateway.log.Entry().WithError(err).WithField("link", source.Address).Info("cannot read the usage of another host")
--- a/internal/process/gateway/usagetakeover.go
+++ b/internal/process/gateway/usagetakeover.go
@@ -54,7 +54,7 @@
 		}
 		asked[address] = true
 		reply := usageReply{}
-		if err := fetchFromHost(ctx, client, address, usagePath, maxStateBytes, &reply); err != nil {
+		if err := g.fetchFromHost(ctx, client, address, usagePath, maxStateBytes, &reply); err != nil {
 			g.log.Entry().WithError(err).WithField("link", address.String()).Warn("cannot fetch the teams' usage")
 			continue
 		}
