--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"maps"
@@ -9,6 +10,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"golang.org/x/time/rate"
 )
 
 // Mode is what a proxy does to connections. Held bytes are forwarded when the mode
@@ -20,6 +23,9 @@
 	Delay time.Duration
 	// Refuse resets each new connection.
 	Refuse bool
+	// BytesPerSecond limits the bytes from the target on all connections together; 0 means
+	// no limit.
+	BytesPerSecond int
 }
 
 // Proxy forwards TCP connections to a target.
@@ -37,7 +43,9 @@
 	refused    map[int]clientCheck
 	changed    chan struct{}
 	lastCutOff int
-	pairs      map[*connPair]struct{}
+	// narrow limits the bytes from the target.
+	narrow *rate.Limiter
+	pairs  map[*connPair]struct{}
 }
 
 // connPair is a client's connection and the matching connection to the target.
@@ -78,6 +86,7 @@
 	p := &Proxy{
 		Address: listener.Addr().String(), target: target, listener: listener,
 		modes: map[*Mode]struct{}{}, refused: map[int]clientCheck{}, changed: make(chan struct{}), pairs: map[*connPair]struct{}{},
+		narrow: rate.NewLimiter(rate.Inf, proxyBufferBytes),
 	}
 	go p.accept(listener)
 	return p, nil
@@ -126,6 +135,13 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	update()
+	limit := rate.Inf
+	for mode := range p.modes {
+		if mode.BytesPerSecond > 0 {
+			limit = min(limit, rate.Limit(mode.BytesPerSecond))
+		}
+	}
+	p.narrow.SetLimit(limit)
 	close(p.changed)
 	p.changed = make(chan struct{})
 }
@@ -213,8 +229,10 @@
 	p.pairs[pair] = struct{}{}
 	p.mu.Unlock()
 	var pumps sync.WaitGroup
-	pumps.Go(func() { p.forward(pair, upstream, client, func(m Mode) bool { return m.HoldIn }) })
-	pumps.Go(func() { p.forward(pair, client, upstream, func(m Mode) bool { return m.HoldOut }) })
+	pumps.Go(func() {
+		p.forward(pair, upstream, client, rate.NewLimiter(rate.Inf, 0), func(m Mode) bool { return m.HoldIn })
+	})
+	pumps.Go(func() { p.forward(pair, client, upstream, p.narrow, func(m Mode) bool { return m.HoldOut }) })
 	pumps.Wait()
 	p.mu.Lock()
 	delete(p.pairs, pair)
@@ -223,12 +241,16 @@
 	_ = upstream.Close()
 }
 
+// proxyBufferBytes is how much of a connection is forwarded at once.
+const proxyBufferBytes = 32 << 10
+
 // forward copies bytes until the connection ends, and propagates the end: a close
 // as a close, a reset as a reset.
-func (p *Proxy) forward(pair *connPair, to, from net.Conn, isHeld func(Mode) bool) {
-	buffer := make([]byte, 32*1024)
+func (p *Proxy) forward(pair *connPair, to, from net.Conn, limiter *rate.Limiter, isHeld func(Mode) bool) {
+	buffer := make([]byte, proxyBufferBytes)
 	for {
 		n, err := from.Read(buffer)
+		_ = limiter.WaitN(context.Background(), n) // without a deadline it does not fail
 		p.wait(isHeld)
 		if n > 0 {
 			if _, writeErr := to.Write(buffer[:n]); writeErr != nil {
