Replies are given up for lack of progress, not for their size

Callers saw requests handled by versions that had been replaced up to 15 s before (CONFIG), on hosts with narrow links once the configuration was large.

Cause: a read of the log had .7 s for all of its reply, a fetch of another host's state 1 s, a read from another host .8 s. A reply that the link could not deliver in that time was thrown away and requested again from the start. The hosts were not slow: a configuration of 602 kB took less than .1 s to apply.

A reply now has that time to begin, and as much again after each part of it that arrives, up to 4 s. A host on a link of 10 Mbit/s thus gets 1 MB in .9 s where it got it never. An overdue read of the log is not repeated while its reply arrives.

--- a/internal/connection/transfer/body.go
+++ b/internal/connection/transfer/body.go
@@ -2,6 +2,7 @@
 package transfer
 
 import (
+	"context"
 	"io"
 	"net/http"
 
@@ -23,10 +24,10 @@
 	}
 }
 
-// ReadBody reads the body of a response, up to maxBytes. Its error names the number of bytes
-// that have arrived.
-func ReadBody(response *http.Response, maxBytes int64, counters Counters) ([]byte, error) {
-	data, err := io.ReadAll(io.LimitReader(response.Body, maxBytes))
+// ReadBody reads the body of a response, up to maxBytes, and moves the deadline of a context
+// of WithTimeout meanwhile. Its error names the number of bytes that have arrived.
+func ReadBody(ctx context.Context, response *http.Response, maxBytes int64, counters Counters) ([]byte, error) {
+	data, err := io.ReadAll(io.LimitReader(progressReader{ctx: ctx, reader: response.Body}, maxBytes))
 	counters.Read.Inc(int64(len(data)))
 	if err != nil {
 		counters.Discarded.Inc(int64(len(data)))
--- a/internal/process/gateway/copies.go
+++ b/internal/process/gateway/copies.go
@@ -8,6 +8,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
 
+	"mustarddoor/internal/connection/transfer"
 	"mustarddoor/internal/process/keyed"
 	"mustarddoor/internal/process/pause"
 )
@@ -88,7 +89,7 @@
 	var wait sync.WaitGroup
 	for number := range copyCount {
 		wait.Go(func() {
-			callCtx, cancel := context.WithTimeout(ctx, copyTimeout)
+			callCtx, cancel := transfer.WithTimeout(ctx, 0, copyTimeout)
 			defer cancel()
 			snapshot, err := c.read(callCtx, number)
 			if err != nil {
--- a/internal/process/gateway/fetch.go
+++ b/internal/process/gateway/fetch.go
@@ -30,7 +30,7 @@
 	if response.StatusCode != http.StatusOK {
 		return eris.Errorf("fetch: status %d", response.StatusCode)
 	}
-	data, err := transfer.ReadBody(response, maxBytes, g.fetchedBytes)
+	data, err := transfer.ReadBody(ctx, response, maxBytes, g.fetchedBytes)
 	if err != nil {
 		return eris.Wrap(err, "read")
 	}
--- a/internal/process/gateway/log_access.go
+++ b/internal/process/gateway/log_access.go
@@ -8,6 +8,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"mustarddoor/internal/connection/transfer"
 	"mustarddoor/internal/process/keyed"
 	"mustarddoor/internal/process/pause"
 )
@@ -106,7 +107,7 @@
 			continue
 		}
 		next, _ := g.operator.Next()
-		callCtx, cancel := context.WithTimeout(ctx, probeTimeout)
+		callCtx, cancel := transfer.WithTimeout(ctx, 0, probeTimeout)
 		_, err := g.logAccess.Read(callCtx, g.logAccess.partition, next, 0)
 		cancel()
 		if err != nil {
--- a/internal/process/gateway/log_reads.go
+++ b/internal/process/gateway/log_reads.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"mustarddoor/internal/connection/transfer"
 	"mustarddoor/internal/process/keyed"
 )
 
@@ -92,6 +93,10 @@
 	for pending := 1; ; {
 		select {
 		case <-overdue.C:
+			if transfer.HasBegun(ctx) {
+				// A second one would take longer, and slow down the first.
+				continue
+			}
 			pending++
 			go start(0)
 		case result := <-results:
--- a/internal/process/gateway/shared_read_store.go
+++ b/internal/process/gateway/shared_read_store.go
@@ -14,6 +14,7 @@
 	"github.com/rotisserie/eris"
 	"golang.org/x/time/rate"
 
+	"mustarddoor/internal/connection/transfer"
 	"mustarddoor/internal/process/keyed"
 )
 
@@ -46,8 +47,8 @@
 
 const (
 	// relayMaxWait is how long a read from another host waits for records, and
-	// relayResponseTimeout how much longer the reply may take. Their sum is
-	// well below the time within which a change must be known.
+	// relayReplyTimeout how much longer the reply may take to begin, and to continue.
+	// Their sum is well below the time within which a change must be known.
 	relayMaxWait      = 500 * time.Millisecond
 	relayReplyTimeout = 300 * time.Millisecond
 	// relayMinWait keeps reads from a host whose replies confirm nothing apart.
@@ -258,7 +259,7 @@
 
 // fetchRecords requests a topic's records from another host, which may wait for them.
 func (s *sharedReadStore) fetchRecords(ctx context.Context, address netip.AddrPort, partition keyed.Partition, query url.Values, wait time.Duration) (receivedRecords, error) {
-	ctx, cancel := context.WithTimeout(ctx, wait+relayReplyTimeout)
+	ctx, cancel := transfer.WithTimeout(ctx, wait, relayReplyTimeout)
 	defer cancel()
 	query.Set("topic", partition.Topic)
 	reply := receivedRecords{requestedAt: time.Now()}
--- a/internal/process/gateway/shared_read_store_test.go
+++ b/internal/process/gateway/shared_read_store_test.go
@@ -11,6 +11,7 @@
 	"github.com/sirupsen/logrus"
 	"gotest.tools/v3/assert"
 
+	"mustarddoor/internal/connection/transfer"
 	"mustarddoor/internal/process/keyed"
 )
 
@@ -34,7 +35,8 @@
 
 // newTopicStore returns a store whose operator topic holds a snapshot.
 func newTopicStore(snapshot keyed.Snapshot) *sharedReadStore {
-	g := &Gateway{ports: Ports{Topics: Topics{Operator: "op", Endpoints: "endpoints"}}}
+	registry := metrics.NewRegistry()
+	g := &Gateway{ports: Ports{Topics: Topics{Operator: "op", Endpoints: "endpoints"}}, fetchedBytes: transfer.NewCounters("peers.fetch", registry)}
 	policy := func() keyed.PollPolicy { return keyed.PollPolicy{} }
 	g.operator = keyed.NewTopic(keyed.Partition{Topic: "op"}, nil, policy, keyed.RestorePolicy{}, logrus.NewEntry(logrus.New()), func(keyed.Change) {})
 	g.operator.Adopt(snapshot)
--- a/internal/process/gateway/state.go
+++ b/internal/process/gateway/state.go
@@ -8,6 +8,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"mustarddoor/internal/connection/transfer"
 	"mustarddoor/internal/process/keyed"
 	"mustarddoor/internal/process/pause"
 	"mustarddoor/internal/process/peers"
@@ -46,7 +47,7 @@
 	// maxRemoteLag is how much longer a host may be ahead if another one of this
 	// host's failure domain is to fetch its state first.
 	maxRemoteLag = 600 * time.Millisecond
-	// fetchTimeout limits fetching a state.
+	// fetchTimeout is how long another host may take to begin its reply, and to continue it.
 	fetchTimeout = time.Second
 	// maxStateBytes limits the size of a state.
 	maxStateBytes = 16 << 20
@@ -54,7 +55,7 @@
 
 // catchUp fetches the state of hosts that have newer records until ctx is done.
 func (g *Gateway) catchUp(ctx context.Context) error {
-	client := &http.Client{Timeout: fetchTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 	operator, endpoints := &lagDetector{allowed: maxOperatorLag}, &lagDetector{allowed: maxEndpointsLag}
 	restored := &restoredLagDetector{}
 	for pause.For(ctx, catchUpInterval) {
@@ -168,6 +169,8 @@
 
 // fetchState adopts the records of another host.
 func (g *Gateway) fetchState(ctx context.Context, client *http.Client, address netip.AddrPort) error {
+	ctx, cancel := transfer.WithTimeout(ctx, 0, fetchTimeout)
+	defer cancel()
 	s := stateReply{}
 	if err := g.fetchFromHost(ctx, client, address, statePath, maxStateBytes, &s); err != nil {
 		return err
--- a/internal/process/keyed/topic.go
+++ b/internal/process/keyed/topic.go
@@ -11,6 +11,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
 
+	"mustarddoor/internal/connection/transfer"
 	"mustarddoor/internal/process/pause"
 )
 
@@ -20,8 +21,8 @@
 	MaxWait time.Duration
 	// MinInterval is the minimum time between the starts of two reads.
 	MinInterval time.Duration
-	// ResponseTimeout is how long the store may take to respond, in addition to
-	// MaxWait.
+	// ResponseTimeout is how long the store may take to begin its response, in addition to
+	// MaxWait, and to continue it.
 	ResponseTimeout time.Duration
 	// RetryDelay is the delay after a failed call.
 	RetryDelay time.Duration
@@ -188,7 +189,7 @@
 	if policy.Paused {
 		return nil
 	}
-	reading, cancel := context.WithTimeout(ctx, policy.MaxWait+policy.ResponseTimeout)
+	reading, cancel := transfer.WithTimeout(ctx, policy.MaxWait, policy.ResponseTimeout)
 	defer cancel()
 	batch, err := t.store.Read(reading, t.partition, next, policy.MaxWait)
 	if errors.Is(err, ErrTrimmed) {
@@ -211,7 +212,7 @@
 
 // reload replaces the topic's content with the newest record of each key.
 func (t *Topic) reload(ctx context.Context, policy PollPolicy) error {
-	reading, cancel := context.WithTimeout(ctx, policy.ResponseTimeout)
+	reading, cancel := transfer.WithTimeout(ctx, 0, policy.ResponseTimeout)
 	defer cancel()
 	snapshot, err := t.store.Newest(reading, t.partition)
 	if err != nil {
