Hosts compress what they send each other, and send the topics that are behind

Second cause: the same content filled the links many times. A reader's link could not deliver 600 kB to its failure domain at once, so most hosts were refused (410) and read the log, each over its own link; the state of another host had both topics, whichever was behind, and its size did not count against the link; a reply larger than the limiter's burst was refused for ever, as at each reader with a link of 10 Mbit/s.

Replies of /records and /state are compressed once for all hosts that ask for the same, if the host that asks says that it reads that (query field 'packed'; a build before does not, and passes over the new fields). /state has the topics that are asked for ('topic') and counts against the link. A reply larger than the burst takes all of it.

TestReaderServesLargeConfigurationToItsFailureDomain, TestReaderSendsReplyLargerThanItsBurst and TestStateHasTheTopicsAskedFor fail without the change (by construction: refused replies, status 410, both topics).

--- a/internal/process/gateway/builds_test.go
+++ b/internal/process/gateway/builds_test.go
@@ -34,6 +34,9 @@
 		"state":             stateReply{Operator: &snapshot, Endpoints: &snapshot},
 		"records":           recordsReply{Records: []keyed.Record{{Key: "w1", Value: []byte("{}")}, {Key: "w2"}}, Next: 31, Era: 2, ConfirmedMillis: &confirmedMillis},
 		"records-snapshot":  recordsReply{Next: 31, Era: 2, Snapshot: &snapshot, ConfirmedMillis: &confirmedMillis},
+		"records-packed":    recordsReply{Next: 31, Era: 2, ConfirmedMillis: &confirmedMillis, Packed: []byte{3, 0}},
+		"state-packed":      stateReply{PackedOperator: []byte{3, 0}, PackedEndpoints: []byte{3, 0}},
+		"packed-content":    packedContent{Records: []keyed.Record{{Key: "w1", Value: []byte("{}")}}, Snapshot: &snapshot},
 		"usage":             usageReply{IsComplete: true, Teams: map[string]allowance.History{"team": history}},
 		"usage-record":      usageRecord{WrittenAt: 1_700_000_000_000, Teams: map[string]allowance.History{"team": history}},
 		"quarantine-record": quarantineRecord{WrittenAt: 1_700_000_000_000, Quarantined: []quarantine.PartReport{{Part: 4, AgeMillis: 30, FailedProbes: 1}}},
@@ -46,7 +49,7 @@
 }
 
 // unknownSamples are the samples that a build did not have yet.
-var unknownSamples = map[string][]string{"fb8e695": {"usage-counts"}}
+var unknownSamples = map[string][]string{"fb8e695": {"usage-counts", "records-packed", "state-packed", "packed-content"}}
 
 // Hosts read the replies and records of other builds, which may know fewer fields or more,
 // and other builds find what they know in those of this one.
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -133,6 +133,7 @@
 	g.operator = keyed.NewTopic(keyed.Partition{Topic: ports.Topics.Operator}, g.sharedReads, g.sharedReads.operatorPolicy, g.operatorRestorePolicy(), log.Entry(), g.applyOperatorChange)
 	g.endpoints = keyed.NewTopic(keyed.Partition{Topic: ports.Topics.Endpoints}, g.sharedReads, g.sharedReads.endpointsPolicy, g.endpointsRestorePolicy(), log.Entry(), g.applyEndpointsChange)
 	g.hosts = keyed.NewTopic(keyed.Partition{Topic: ports.Topics.Hosts}, ports.Store, g.sharedReads.hostsPolicy, g.hostsRestorePolicy(), log.Entry(), g.applyHostsChange)
+	g.sharedReads.packed = newPackedReplies(ports.Metrics, g.operator, g.endpoints)
 	for name, topic := range map[string]*keyed.Topic{"operator": g.operator, "endpoints": g.endpoints} {
 		ports.Metrics.GetOrRegister("store."+name+"_unconfirmed_ms", metrics.NewFunctionalGauge(func() int64 { return unconfirmedMillis(topic.ConfirmedAt()) }))
 	}
--- a/internal/process/gateway/records_reply.go
+++ b/internal/process/gateway/records_reply.go
@@ -22,6 +22,19 @@
 	// more than this reply until the request arrived, negative if that was later; nil if
 	// the host runs a version that does not send it.
 	ConfirmedMillis *int64 `cbor:"5,keyasint,omitempty"`
+	// Packed is a compressed packedContent that stands for Records and Snapshot; empty if
+	// the host that asked does not read it, or the content is small.
+	Packed []byte `cbor:"6,keyasint,omitempty"`
+}
+
+// unpack restores Records and Snapshot from Packed.
+func (r *recordsReply) unpack() error {
+	if len(r.Packed) == 0 {
+		return nil
+	}
+	content, err := unpackContent(r.Packed)
+	r.Records, r.Snapshot, r.Packed = content.Records, content.Snapshot, nil
+	return err
 }
 
 // receivedRecords is a reply from another host to a request sent at a time.
--- a/internal/process/gateway/shared_read_store.go
+++ b/internal/process/gateway/shared_read_store.go
@@ -38,6 +38,8 @@
 	limiter        *rate.Limiter
 	refusedReplies metrics.Counter
 	logReads       logReads
+	// packed holds the compressed replies of each topic.
+	packed map[*keyed.Topic]*packedReplies
 
 	mu sync.Mutex
 	// avoidedUntil holds the hosts whose records could not be read, and until
@@ -262,8 +264,12 @@
 	ctx, cancel := transfer.WithTimeout(ctx, wait, relayReplyTimeout)
 	defer cancel()
 	query.Set("topic", partition.Topic)
+	query.Set(packedField, "1")
 	reply := receivedRecords{requestedAt: time.Now()}
 	err := s.gateway.fetchFromHost(ctx, s.client, address, recordsPath+"?"+query.Encode(), maxRecordsBytes, &reply.recordsReply)
+	if err == nil {
+		err = reply.unpack()
+	}
 	if reply.Snapshot != nil {
 		reply.Snapshot.Source, reply.Snapshot.ConfirmedAt = keyed.SourceReader, reply.confirmedAt()
 	}
@@ -284,7 +290,7 @@
 	query := request.URL.Query()
 	topic := s.topic(query.Get("topic"))
 	if query.Get("snapshot") != "" {
-		s.serveSnapshot(w, topic, keyed.Position{}, arrivedAt)
+		s.serveSnapshot(w, query, topic, keyed.Position{}, arrivedAt)
 		return
 	}
 	from, err := parsePosition(query, topic)
@@ -299,27 +305,40 @@
 	batch, err := topic.Since(ctx, from)
 	switch {
 	case errors.Is(err, keyed.ErrTrimmed):
-		s.serveSnapshot(w, topic, from, arrivedAt)
+		s.serveSnapshot(w, query, topic, from, arrivedAt)
 	case err != nil, len(batch.Records) == 0 && isOutdated(batch.ConfirmedAt):
 		// The other host then reads the log itself.
 		w.WriteHeader(http.StatusGone)
 	default:
 		reply := newRecordsReply(batch.Next, arrivedAt, batch.ConfirmedAt)
 		reply.Records = batch.Records
-		s.writeRecords(w, reply)
+		s.writeRecords(w, query, topic, reply, packedKey{from: from, next: batch.Next})
 	}
 }
 
-// writeRecords sends a reply, unless the link could not deliver it in time. The other host
-// then reads the log itself.
-func (s *sharedReadStore) writeRecords(w http.ResponseWriter, reply recordsReply) {
-	s.gateway.writeReplyIf(w, reply, func(size int) bool {
-		isAllowed := s.limiter.AllowN(time.Now(), size)
-		if !isAllowed {
-			s.refusedReplies.Inc(1)
+// writeRecords sends a reply to a query, compressed if the other host reads that, unless the
+// link could not deliver it in time. The other host then reads the log itself.
+func (s *sharedReadStore) writeRecords(w http.ResponseWriter, query url.Values, topic *keyed.Topic, reply recordsReply, key packedKey) {
+	if acceptsPacked(query) {
+		packed, err := s.packed[topic].get(key, packedContent{Records: reply.Records, Snapshot: reply.Snapshot})
+		if err != nil {
+			s.gateway.log.Entry().WithError(err).Error("cannot compress records for another host")
 		}
-		return isAllowed
-	})
+		if len(packed) > 0 {
+			reply.Records, reply.Snapshot, reply.Packed = nil, nil, packed
+		}
+	}
+	s.gateway.writeReplyIf(w, reply, s.mayWrite)
+}
+
+// mayWrite reports whether the link can deliver a reply of a size in bytes to another host,
+// and counts it if so. One that is larger than the limiter's burst takes all of it.
+func (s *sharedReadStore) mayWrite(size int) bool {
+	isAllowed := s.limiter.Limit() == rate.Inf || s.limiter.AllowN(time.Now(), min(size, s.limiter.Burst()))
+	if !isAllowed {
+		s.refusedReplies.Inc(1)
+	}
+	return isAllowed
 }
 
 // relayWaitField is the query field for the time in ms that a read from another host
@@ -350,7 +369,7 @@
 }
 
 // serveSnapshot serves a topic's content.
-func (s *sharedReadStore) serveSnapshot(w http.ResponseWriter, topic *keyed.Topic, next keyed.Position, arrivedAt time.Time) {
+func (s *sharedReadStore) serveSnapshot(w http.ResponseWriter, query url.Values, topic *keyed.Topic, next keyed.Position, arrivedAt time.Time) {
 	snapshot, known := topic.Snapshot()
 	if !known {
 		w.WriteHeader(http.StatusGone)
@@ -358,5 +377,5 @@
 	}
 	reply := newRecordsReply(next, arrivedAt, snapshot.ConfirmedAt)
 	reply.Snapshot = &snapshot
-	s.writeRecords(w, reply)
+	s.writeRecords(w, query, topic, reply, snapshotKey(&snapshot))
 }
--- a/internal/process/gateway/shared_read_store_test.go
+++ b/internal/process/gateway/shared_read_store_test.go
@@ -1,6 +1,10 @@
 package gateway
 
 import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -33,14 +37,25 @@
 // at returns a position of a store that was never restored.
 func at(offset uint64) keyed.Position { return keyed.Position{Offset: offset} }
 
+// newTopic returns a topic that follows no store.
+func newTopic(name string) *keyed.Topic {
+	policy := func() keyed.PollPolicy { return keyed.PollPolicy{} }
+	return keyed.NewTopic(keyed.Partition{Topic: name}, nil, policy, keyed.RestorePolicy{}, logrus.NewEntry(logrus.New()), func(keyed.Change) {})
+}
+
+// narrowMbps is the capacity of the narrowest links that hosts have, in Mbit/s.
+const narrowMbps = 10
+
 // newTopicStore returns a store whose operator topic holds a snapshot.
 func newTopicStore(snapshot keyed.Snapshot) *sharedReadStore {
 	registry := metrics.NewRegistry()
 	g := &Gateway{ports: Ports{Topics: Topics{Operator: "op", Endpoints: "endpoints"}}, fetchedBytes: transfer.NewCounters("peers.fetch", registry)}
-	policy := func() keyed.PollPolicy { return keyed.PollPolicy{} }
-	g.operator = keyed.NewTopic(keyed.Partition{Topic: "op"}, nil, policy, keyed.RestorePolicy{}, logrus.NewEntry(logrus.New()), func(keyed.Change) {})
+	g.operator = newTopic("op")
 	g.operator.Adopt(snapshot)
-	return &sharedReadStore{gateway: g, client: http.DefaultClient, limiter: newRecordsLimiter(0), refusedReplies: metrics.NewCounter()}
+	return &sharedReadStore{
+		gateway: g, client: http.DefaultClient, limiter: newRecordsLimiter(0), refusedReplies: metrics.NewCounter(),
+		packed: newPackedReplies(registry, g.operator),
+	}
 }
 
 // A host that needs records which its reader no longer has gets the reader's
@@ -190,7 +205,7 @@
 // at once, and some of their reads timed out.
 func TestReaderWithNarrowLinkRefusesWhatItCannotDeliver(t *testing.T) {
 	const (
-		mbps      = 10
+		mbps      = narrowMbps
 		hosts     = 20
 		valueSize = 100_000
 	)
@@ -215,3 +230,95 @@
 	assert.Equal(t, reader.refusedReplies.Count(), int64(refused))
 	assert.Equal(t, fetch("7").Code, http.StatusOK, "small replies are sent")
 }
+
+// largeConfiguration returns a configuration of some 600 kB, of which most lines are alike.
+func largeConfiguration() []byte {
+	routes := []map[string]any{}
+	for number := range 3000 {
+		name := fmt.Sprintf("%07x", rand.Uint32())
+		routes = append(routes, map[string]any{
+			"name": "r-" + name, "hostname": "example", "pathPrefix": "/" + name + "/", "routeKind": "safe", "serviceName": "svc",
+			"timeoutMs": 1000 + number, "targetLatencyMs": 400, "targetGapMs": 400, "maxAttempts": 2, "priority": 1,
+		})
+	}
+	data, err := json.Marshal(map[string]any{"version": 7, "routes": routes})
+	if err != nil {
+		panic(err)
+	}
+	return data
+}
+
+// Most hosts of a failure domain read a large configuration from the log, each over its own
+// link, as their reader's link could not deliver it to all of them at once.
+func TestReaderServesLargeConfigurationToItsFailureDomain(t *testing.T) {
+	const (
+		mbps  = 200
+		hosts = 27
+	)
+	value := largeConfiguration()
+	reader := newTopicStore(keyed.Snapshot{Position: at(7), Values: map[string][]byte{"config": value}, ConfirmedAt: time.Now()})
+	reader.limiter = newRecordsLimiter(mbps)
+	server := httptest.NewServer(http.HandlerFunc(reader.serveRecords))
+	defer server.Close()
+	address := netip.MustParseAddrPort(server.Listener.Addr().String())
+	for range hosts {
+		follower := newTopicStore(keyed.Snapshot{Position: at(6), Values: map[string][]byte{"config": []byte("old")}})
+		_, err := follower.readFromHost(t.Context(), address, keyed.Partition{Topic: "op"}, at(6))
+		assert.NilError(t, err)
+		snapshot, _ := follower.gateway.operator.Snapshot()
+		assert.Assert(t, bytes.Equal(snapshot.Values["config"], value))
+	}
+	assert.Equal(t, reader.refusedReplies.Count(), int64(0))
+	assert.Equal(t, reader.packed[reader.gateway.operator].packed.Count(), int64(1))
+}
+
+// A reply that is larger than what may be sent at once was refused for ever.
+func TestReaderSendsReplyLargerThanItsBurst(t *testing.T) {
+	value := largeConfiguration()
+	reader := newTopicStore(keyed.Snapshot{Position: at(7), Values: map[string][]byte{"config": value}, ConfirmedAt: time.Now()})
+	reader.limiter = newRecordsLimiter(narrowMbps)
+	assert.Assert(t, len(value) > reader.limiter.Burst())
+	recorder := httptest.NewRecorder()
+	// The query of a host that does not read compressed replies.
+	reader.serveRecords(recorder, httptest.NewRequest(http.MethodGet, recordsPath+"?topic=op&era=0&from=6", nil))
+	assert.Equal(t, recorder.Code, http.StatusOK)
+	reply := recordsReply{}
+	assert.NilError(t, wire.Unmarshal(recorder.Body.Bytes(), &reply))
+	assert.Assert(t, bytes.Equal(reply.Snapshot.Values["config"], value))
+}
+
+// The state of another host had both topics, whichever was behind.
+func TestStateHasTheTopicsAskedFor(t *testing.T) {
+	value := largeConfiguration()
+	host := newTopicStore(keyed.Snapshot{Position: at(7), Values: map[string][]byte{"config": value}})
+	g := host.gateway
+	g.sharedReads = host
+	g.endpoints = newTopic("endpoints")
+	g.endpoints.Adopt(keyed.Snapshot{Position: at(3), Values: map[string][]byte{"w1": value}})
+	host.packed = newPackedReplies(metrics.NewRegistry(), g.operator, g.endpoints)
+	for name, test := range map[string]struct {
+		query               string
+		operator, endpoints bool
+		isPacked            bool
+	}{
+		"a host of a build before": {"", true, true, false},
+		"all topics":               {"?packed=1", true, true, true},
+		"one topic":                {"?packed=1&topic=op", true, false, true},
+		"not compressed":           {"?topic=endpoints", false, true, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			recorder := httptest.NewRecorder()
+			g.serveState(recorder, httptest.NewRequest(http.MethodGet, statePath+test.query, nil))
+			reply := stateReply{}
+			assert.NilError(t, wire.Unmarshal(recorder.Body.Bytes(), &reply))
+			assert.Equal(t, reply.Operator != nil, test.operator && !test.isPacked)
+			assert.Equal(t, recorder.Body.Len() < len(value)/2, test.isPacked)
+			assert.NilError(t, reply.unpack())
+			assert.Equal(t, reply.Operator != nil, test.operator)
+			assert.Equal(t, reply.Endpoints != nil, test.endpoints)
+			if test.operator {
+				assert.Assert(t, bytes.Equal(reply.Operator.Values["config"], value))
+			}
+		})
+	}
+}
--- a/internal/process/gateway/state.go
+++ b/internal/process/gateway/state.go
@@ -4,6 +4,8 @@
 	"context"
 	"net/http"
 	"net/netip"
+	"net/url"
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -21,18 +23,66 @@
 type stateReply struct {
 	Operator  *keyed.Snapshot `cbor:"1,keyasint,omitempty"`
 	Endpoints *keyed.Snapshot `cbor:"2,keyasint,omitempty"`
+	// PackedOperator and PackedEndpoints are compressed packedContents that stand for
+	// Operator and Endpoints; empty if the host that asked does not read them, or the
+	// snapshots are small.
+	PackedOperator  []byte `cbor:"3,keyasint,omitempty"`
+	PackedEndpoints []byte `cbor:"4,keyasint,omitempty"`
 }
 
-// serveState serves this host's copy of the records.
-func (g *Gateway) serveState(w http.ResponseWriter, _ *http.Request) {
+// stateTopicField is the query field that names the topics a host asks for, all if there is
+// none. A host that runs a version that does not know it sends all.
+const stateTopicField = "topic"
+
+// serveState serves this host's copy of the records, unless the link could not deliver it in
+// time.
+func (g *Gateway) serveState(w http.ResponseWriter, request *http.Request) {
+	query := request.URL.Query()
 	s := stateReply{}
-	if snapshot, known := g.operator.Snapshot(); known {
-		s.Operator = &snapshot
+	s.Operator, s.PackedOperator = g.snapshotFor(query, g.operator, g.ports.Topics.Operator)
+	s.Endpoints, s.PackedEndpoints = g.snapshotFor(query, g.endpoints, g.ports.Topics.Endpoints)
+	g.writeReplyIf(w, s, g.sharedReads.mayWrite)
+}
+
+// snapshotFor returns the content of a topic that another host asks for, compressed if it
+// reads that.
+func (g *Gateway) snapshotFor(query url.Values, topic *keyed.Topic, name string) (*keyed.Snapshot, []byte) {
+	if topics := query[stateTopicField]; len(topics) > 0 && !slices.Contains(topics, name) {
+		return nil, nil
+	}
+	snapshot, known := topic.Snapshot()
+	if !known {
+		return nil, nil
+	}
+	if !acceptsPacked(query) {
+		return &snapshot, nil
+	}
+	packed, err := g.sharedReads.packed[topic].get(snapshotKey(&snapshot), packedContent{Snapshot: &snapshot})
+	if err != nil {
+		g.log.Entry().WithError(err).Error("cannot compress the state for another host")
+	}
+	if len(packed) == 0 {
+		return &snapshot, nil
 	}
-	if snapshot, known := g.endpoints.Snapshot(); known {
-		s.Endpoints = &snapshot
+	return nil, packed
+}
+
+// unpack restores Operator and Endpoints.
+func (s *stateReply) unpack() error {
+	for _, packed := range []struct {
+		data []byte
+		into **keyed.Snapshot
+	}{{s.PackedOperator, &s.Operator}, {s.PackedEndpoints, &s.Endpoints}} {
+		if len(packed.data) == 0 {
+			continue
+		}
+		content, err := unpackContent(packed.data)
+		if err != nil {
+			return err
+		}
+		*packed.into = content.Snapshot
 	}
-	g.writeReply(w, s)
+	return nil
 }
 
 const (
@@ -61,18 +111,21 @@
 	for pause.For(ctx, catchUpInterval) {
 		now := g.membership.Now()
 		operatorNext, known := g.operator.Next()
+		topics := []string{g.ports.Topics.Operator}
 		address := operator.check(g.membership.FindReachable, now, known, operatorNext, func(s peers.Status) keyed.Position { return s.OperatorPosition() })
 		if !address.IsValid() {
 			endpointsNext, known := g.endpoints.Next()
+			topics = []string{g.ports.Topics.Endpoints}
 			address = endpoints.check(g.membership.FindReachable, now, known, endpointsNext, func(s peers.Status) keyed.Position { return s.EndpointsPosition() })
 		}
 		if !address.IsValid() {
+			topics = nil
 			address = restored.check(g.membership, now, g.operator, g.endpoints)
 		}
 		if !address.IsValid() {
 			continue
 		}
-		if err := g.fetchState(ctx, client, address); err != nil {
+		if err := g.fetchState(ctx, client, address, topics); err != nil {
 			g.log.Entry().WithError(err).WithField("link", address.String()).Warn("cannot fetch the state of another host")
 		}
 	}
@@ -167,12 +220,17 @@
 	return &earlier
 }
 
-// fetchState adopts the records of another host.
-func (g *Gateway) fetchState(ctx context.Context, client *http.Client, address netip.AddrPort) error {
+// fetchState adopts the records of another host: those of some topics, or of all if none is
+// named.
+func (g *Gateway) fetchState(ctx context.Context, client *http.Client, address netip.AddrPort, topics []string) error {
 	ctx, cancel := transfer.WithTimeout(ctx, 0, fetchTimeout)
 	defer cancel()
 	s := stateReply{}
-	if err := g.fetchFromHost(ctx, client, address, statePath, maxStateBytes, &s); err != nil {
+	query := url.Values{packedField: {"1"}, stateTopicField: topics}
+	if err := g.fetchFromHost(ctx, client, address, statePath+"?"+query.Encode(), maxStateBytes, &s); err != nil {
+		return err
+	}
+	if err := s.unpack(); err != nil {
 		return err
 	}
 	fields := logrus.Fields{"link": address.String()}
