A carrier that is behind does not decide on requests that were passed on

A carried request now names how far the sender has read the operator's records. A carrier that has read less waits up to .3 s until it has caught up and put the records in force, and otherwise returns the request as unreached, so that the sender asks another host. Senders prefer carriers that are not known to be behind. The position is a second value of the header field that marks carried requests: a build before reads the first one, and strips both.

--- a/internal/process/gateway/carriers.go
+++ b/internal/process/gateway/carriers.go
@@ -13,6 +13,7 @@
 
 	"mustarddoor/internal/connection/upstream"
 	"mustarddoor/internal/process/fleet"
+	"mustarddoor/internal/process/keyed"
 	"mustarddoor/internal/process/pause"
 	"mustarddoor/internal/process/peers"
 	"mustarddoor/internal/request/relay"
@@ -42,11 +43,23 @@
 	return &carriers{gateway: g, opened: metrics.GetOrRegisterCounter("carriers.connections_opened", g.registry), pools: map[netip.AddrPort]*upstream.Pool{}}
 }
 
-// Find implements relay.Carriers. It prefers hosts of this host's failure domain, to save
-// traffic between domains, and those that serve callers anyway, whose view of the
-// endpoints' loads is newer.
+// operatorRecords implements relay.OperatorRecords.
+type operatorRecords struct{ gateway *Gateway }
+
+// Next implements relay.OperatorRecords.
+func (r operatorRecords) Next() (keyed.Position, bool) { return r.gateway.operator.Next() }
+
+// Await implements relay.OperatorRecords.
+func (r operatorRecords) Await(ctx context.Context, position keyed.Position) bool {
+	return r.gateway.operator.Await(ctx, position)
+}
+
+// Find implements relay.Carriers. It prefers hosts that have read as much of the operator's
+// records as this one, then those that serve callers anyway, whose view of the endpoints'
+// loads is newer, then hosts of this host's failure domain, to save traffic between domains.
 func (c *carriers) Find(service string, tried []string) (relay.Carrier, bool) {
 	hash := fleet.HashID(service)
+	known, _ := c.gateway.operator.Next()
 	var best []peers.ReadyHost
 	bestRank := -1
 	for _, host := range c.gateway.membership.ReadyHosts(c.gateway.membership.Now()) {
@@ -54,6 +67,9 @@
 			continue
 		}
 		rank := 0
+		if host.Operator.Compare(known) >= 0 {
+			rank += 4
+		}
 		if host.Carries {
 			rank += 2
 		}
--- a/internal/process/keyed/topic.go
+++ b/internal/process/keyed/topic.go
@@ -60,6 +60,10 @@
 	recentFrom uint64
 	// advanced is closed when next changes.
 	advanced chan struct{}
+	// reported is the position up to which onChange has been called, reportedMore is closed
+	// when that changes.
+	reported     Position
+	reportedMore chan struct{}
 }
 
 // maxRecentRecords bounds the records kept for other hosts to read, about ten
@@ -84,7 +88,7 @@
 
 // NewTopic returns a topic that is not loaded yet.
 func NewTopic(partition Partition, store Store, policy func() PollPolicy, restore RestorePolicy, log *logrus.Entry, onChange func(Change)) *Topic {
-	return &Topic{partition: partition, store: store, policy: policy, restore: restore, log: log.WithField("topic", partition.Topic), onChange: onChange, content: newContent(), advanced: make(chan struct{})}
+	return &Topic{partition: partition, store: store, policy: policy, restore: restore, log: log.WithField("topic", partition.Topic), onChange: onChange, content: newContent(), advanced: make(chan struct{}), reportedMore: make(chan struct{})}
 }
 
 // Run follows the topic until ctx is done.
@@ -166,7 +170,7 @@
 		return
 	}
 	t.log.WithFields(logrus.Fields{"records": keysOf(records), "era": change.Position.Era}).Warn("records from before the store was restored were not written again")
-	t.onChange(change)
+	t.report(change)
 }
 
 // keysOf returns the keys of records.
@@ -247,7 +251,17 @@
 	t.confirm(batch.Next, batch.ConfirmedAt)
 	t.wakeReaders()
 	t.mu.Unlock()
+	t.report(change)
+}
+
+// report calls onChange. The caller holds changing.
+func (t *Topic) report(change Change) {
 	t.onChange(change)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.reported = change.Position
+	close(t.reportedMore)
+	t.reportedMore = make(chan struct{})
 }
 
 // confirm records that the store held nothing from a position on at a time. The caller
@@ -297,7 +311,7 @@
 		t.log.WithFields(logrus.Fields{"era": merged.next.Era, "next_offset": merged.next.Offset, "earlier_offset": merged.earlier.Offset, "kept": slices.Sorted(maps.Keys(merged.kept))}).
 			Warn("records kept until they are written again")
 	}
-	t.onChange(change)
+	t.report(change)
 }
 
 // content returns the content that a snapshot describes.
--- a/internal/process/keyed/topic_state.go
+++ b/internal/process/keyed/topic_state.go
@@ -41,6 +41,24 @@
 	}
 }
 
+// Await waits until the changes up to a position have been reported, and reports whether they
+// were before ctx was done.
+func (t *Topic) Await(ctx context.Context, position Position) bool {
+	for {
+		t.mu.Lock()
+		reported, more := t.reported, t.reportedMore
+		t.mu.Unlock()
+		if reported.Compare(position) >= 0 {
+			return true
+		}
+		select {
+		case <-ctx.Done():
+			return false
+		case <-more:
+		}
+	}
+}
+
 // Snapshot returns a copy of the topic's content, and false until the topic is
 // loaded.
 func (t *Topic) Snapshot() (Snapshot, bool) {
--- a/internal/process/peers/membership.go
+++ b/internal/process/peers/membership.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"mustarddoor/internal/process/allowance"
+	"mustarddoor/internal/process/keyed"
 	"mustarddoor/internal/process/runclock"
 )
 
@@ -200,6 +201,8 @@
 	Carries      bool
 	Active       bool
 	LostServices []uint32
+	// Operator is how far it has read the operator's records.
+	Operator keyed.Position
 }
 
 // ReadyHosts returns the other hosts that accept callers.
@@ -212,7 +215,7 @@
 		if !isHeard || !p.status.Ready || p.status.Leaving || p.host.FrontendAddress == "" {
 			continue
 		}
-		ready := ReadyHost{Host: p.host, ReachableFor: now.Sub(p.reachableSince), Carries: p.status.Carries, Active: p.status.Active, LostServices: p.status.LostServices}
+		ready := ReadyHost{Host: p.host, ReachableFor: now.Sub(p.reachableSince), Carries: p.status.Carries, Active: p.status.Active, LostServices: p.status.LostServices, Operator: p.status.OperatorPosition()}
 		if p.status.Spent != nil {
 			ready.Spent = *p.status.Spent
 		}
--- a/internal/request/relay/carry.go
+++ b/internal/request/relay/carry.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"time"
@@ -11,6 +12,7 @@
 
 	"mustarddoor/internal/connection/upstream"
 	"mustarddoor/internal/process/decisionlog"
+	"mustarddoor/internal/process/keyed"
 	"mustarddoor/internal/request/repeat"
 )
 
@@ -29,10 +31,22 @@
 	Find(service string, tried []string) (Carrier, bool)
 }
 
+// OperatorRecords are the operator's records as far as this host has read them.
+type OperatorRecords interface {
+	// Next returns the position up to which they have been read, and false if they have
+	// not been.
+	Next() (keyed.Position, bool)
+	// Await waits until they have been read up to a position, and reports whether they
+	// were before ctx was done.
+	Await(ctx context.Context, position keyed.Position) bool
+}
+
 // Header fields between a host and its carrier. They never reach callers or endpoints.
 const (
-	// carriedHeader marks a carried request. Its value is carriedFirst or carriedRetry, for
-	// a caller's first attempt or retry.
+	// carriedHeader marks a carried request. Its first value is carriedFirst or
+	// carriedRetry, for a caller's first attempt or retry. The second one is the position
+	// up to which the host has read the operator's records; a host that runs a version
+	// that does not send it has none, and one that does not know it reads the first value.
 	carriedHeader = "Mustarddoor-Carried"
 	carriedFirst  = "first"
 	carriedRetry  = "retry"
@@ -48,6 +62,9 @@
 	// carrierGrace is how much longer than its deadline a request waits for the final
 	// response of its carrier.
 	carrierGrace = 150 * time.Millisecond
+	// maxBehind is how long a carrier waits until it has read the operator's records as
+	// far as the host that passes on the request.
+	maxBehind = 300 * time.Millisecond
 	// minUnreachable is the number of endpoints that a request tries to connect to in
 	// vain before another host carries it.
 	minUnreachable = 2
@@ -62,16 +79,52 @@
 func (r *Relay) ServeCarried(w http.ResponseWriter, request *http.Request) {
 	r.carrying.Add(1)
 	defer r.carrying.Add(-1)
-	isRetry := request.Header.Get(carriedHeader) == carriedRetry
+	carried := parseCarried(request.Header.Values(carriedHeader))
 	request.Header.Del(carriedHeader)
-	r.serve(w, request, &carriedRequest{isCallerRetry: isRetry})
+	r.serve(w, request, &carried)
+}
+
+// parseCarried parses the values of carriedHeader.
+func parseCarried(values []string) carriedRequest {
+	carried := carriedRequest{isCallerRetry: values[0] == carriedRetry}
+	if len(values) > 1 {
+		// A position that cannot be parsed is that of a host which has read nothing.
+		_, _ = fmt.Sscanf(values[1], positionFormat, &carried.operator.Era, &carried.operator.Offset)
+	}
+	return carried
+}
+
+// positionFormat is the format of a position in carriedHeader: the era and the offset.
+const positionFormat = "%d.%d"
+
+// isBehindSender reports whether another host passed on the request that has read more of
+// the operator's records than this one. It waits for a moment until this one has, too.
+// Otherwise this host would refuse for good what the other one has found to be allowed.
+func (s *serverRequest) isBehindSender() bool {
+	if s.carried == nil {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(s.context(), maxBehind)
+	defer cancel()
+	return !s.relay.Records.Await(ctx, s.carried.operator)
+}
+
+// refuseBehind refuses a request of a host that has read more than this one. That host offers
+// it to another one.
+func (s *serverRequest) refuseBehind() {
+	s.markUnreached(repeat.OutcomeNotSent)
+	s.refuse(http.StatusServiceUnavailable, "behind", withJitter(defaultRetryAfter))
 }
 
 // CarryingCount returns the number of requests in progress for other hosts.
 func (r *Relay) CarryingCount() int { return int(r.carrying.Load()) }
 
 // carriedRequest holds what the first host has determined about a carried request.
-type carriedRequest struct{ isCallerRetry bool }
+type carriedRequest struct {
+	isCallerRetry bool
+	// operator is how far it has read the operator's records; zero if it did not say.
+	operator keyed.Position
+}
 
 // carryIfLost lets another host carry the request if this one has lost its service. It
 // reports whether the request has been responded to.
@@ -123,7 +176,8 @@
 		kind = carriedRetry
 	}
 	header := s.relay.Protocol.CarriedHeader(s.request.Header, time.Until(s.deadline))
-	header.Set(carriedHeader, kind)
+	operator, _ := s.relay.Records.Next()
+	header[carriedHeader] = []string{kind, fmt.Sprintf(positionFormat, operator.Era, operator.Offset)}
 	response, err := conn.Do(upstream.Request{
 		Method: s.request.Method, Target: s.request.RequestURI, Host: s.request.Host, Header: header, Body: s.body,
 	}, s.deadline.Add(carrierGrace), func(header http.Header) bool {
--- a/internal/request/relay/relay.go
+++ b/internal/request/relay/relay.go
@@ -54,6 +54,8 @@
 	Limits     Limits
 	Quarantine Quarantine
 	Carriers   Carriers
+	// Records tells how far this host has read the operator's records.
+	Records OperatorRecords
 	// Table returns the configuration in force, or nil while none is known.
 	Table func() *routing.Table
 	// Stop returns the shutdown in progress, or nil.
@@ -232,6 +234,10 @@
 
 func (s *serverRequest) serve() {
 	s.fields = logrus.Fields{}
+	if s.isBehindSender() {
+		s.refuseBehind()
+		return
+	}
 	s.table = s.relay.Table()
 	if s.table == nil {
 		s.refuse(http.StatusServiceUnavailable, "no_configuration", withJitter(defaultRetryAfter))
