Topics keep no values that were replaced; hosts that are behind get the newest of each key

Cause: each topic kept its last 1,000 records for other hosts to read, with their values. The bound was a count; a record of the operator's topic is a whole configuration.

A topic now remembers which keys changed at which offsets, at most 1,000, and takes the values from its content, which it has anyway. An older value is of no use to anybody: a host that is behind needs the newest record of each key, and so do those that it passes them to. It also gets less: a host that is several versions behind gets one.

--- a/internal/process/gateway/carriers.go
+++ b/internal/process/gateway/carriers.go
@@ -43,14 +43,14 @@
 	return &carriers{gateway: g, opened: metrics.GetOrRegisterCounter("carriers.connections_opened", g.registry), pools: map[netip.AddrPort]*upstream.Pool{}}
 }
 
-// operatorRecords implements relay.OperatorRecords.
-type operatorRecords struct{ gateway *Gateway }
+// operatorProgress implements relay.OperatorRecords.
+type operatorProgress struct{ gateway *Gateway }
 
 // Next implements relay.OperatorRecords.
-func (r operatorRecords) Next() (keyed.Position, bool) { return r.gateway.operator.Next() }
+func (r operatorProgress) Next() (keyed.Position, bool) { return r.gateway.operator.Next() }
 
 // Await implements relay.OperatorRecords.
-func (r operatorRecords) Await(ctx context.Context, position keyed.Position) bool {
+func (r operatorProgress) Await(ctx context.Context, position keyed.Position) bool {
 	return r.gateway.operator.Await(ctx, position)
 }
 
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -109,7 +109,7 @@
 	g.guard = downstream.NewGuard(intake.LimitsOf(g.machine()), ports.Metrics)
 	g.relay = relay.New(relay.Config{
 		Guard:    g.guard,
-		Protocol: ports.Protocol, Dispatcher: g.dispatcher, Limits: g.limits, Quarantine: g.quarantine, Carriers: g.carriers, Records: operatorRecords{g},
+		Protocol: ports.Protocol, Dispatcher: g.dispatcher, Limits: g.limits, Quarantine: g.quarantine, Carriers: g.carriers, Records: operatorProgress{g},
 		Table: g.table.Load, Stop: g.stopInProgress, LongestDelay: g.delays.Longest, CountRun: g.duties.countRun(), Log: log, Metrics: ports.Metrics,
 	})
 	g.self = peers.Host{
--- a/internal/process/gateway/records_reply.go
+++ b/internal/process/gateway/records_reply.go
@@ -25,6 +25,9 @@
 	// Packed is a compressed packedContent that stands for Records and Snapshot; empty if
 	// the host that asked does not read it, or the content is small.
 	Packed []byte `cbor:"6,keyasint,omitempty"`
+	// Offsets are those of the records if some are left out, because a later one replaces
+	// them. They are sent to hosts that read that.
+	Offsets []uint64 `cbor:"7,keyasint,omitempty"`
 }
 
 // unpack restores Records and Snapshot from Packed.
--- a/internal/process/gateway/shared_read_store.go
+++ b/internal/process/gateway/shared_read_store.go
@@ -250,7 +250,7 @@
 		reply.Era = from.Era
 	}
 	batch := keyed.Batch{
-		Records: reply.Records, Next: keyed.Position{Era: reply.Era, Offset: reply.Next}, Source: keyed.SourceReader, ConfirmedAt: reply.confirmedAt(),
+		Records: reply.Records, Offsets: reply.Offsets, Next: keyed.Position{Era: reply.Era, Offset: reply.Next}, Source: keyed.SourceReader, ConfirmedAt: reply.confirmedAt(),
 	}
 	isUnknown := reply.ConfirmedMillis == nil && isOutdated(s.topic(partition.Topic).ConfirmedAt())
 	if isUnknown || reply.isOutdated() {
@@ -265,6 +265,7 @@
 	defer cancel()
 	query.Set("topic", partition.Topic)
 	query.Set(packedField, "1")
+	query.Set(sparseField, "1")
 	reply := receivedRecords{requestedAt: time.Now()}
 	err := s.gateway.fetchFromHost(ctx, s.client, address, recordsPath+"?"+query.Encode(), maxRecordsBytes, &reply.recordsReply)
 	if err == nil {
@@ -303,6 +304,9 @@
 	ctx, cancel := context.WithTimeout(request.Context(), wait)
 	defer cancel()
 	batch, err := topic.Since(ctx, from)
+	if err == nil && !batch.IsConsecutive(from) && query.Get(sparseField) == "" {
+		err = keyed.ErrTrimmed
+	}
 	switch {
 	case errors.Is(err, keyed.ErrTrimmed):
 		s.serveSnapshot(w, query, topic, from, arrivedAt)
@@ -312,6 +316,9 @@
 	default:
 		reply := newRecordsReply(batch.Next, arrivedAt, batch.ConfirmedAt)
 		reply.Records = batch.Records
+		if !batch.IsConsecutive(from) {
+			reply.Offsets = batch.Offsets
+		}
 		s.writeRecords(w, query, topic, reply, packedKey{from: from, next: batch.Next})
 	}
 }
@@ -341,6 +348,11 @@
 	return isAllowed
 }
 
+// sparseField is the query field by which a host says that it reads replies from which
+// records are left out that a later one replaces. A host that runs a version that does not
+// send it gets a snapshot.
+const sparseField = "sparse"
+
 // relayWaitField is the query field for the time in ms that a read from another host
 // waits for records.
 const relayWaitField = "wait"
--- a/internal/process/keyed/keyed.go
+++ b/internal/process/keyed/keyed.go
@@ -74,6 +74,9 @@
 // Batch is the result of a read.
 type Batch struct {
 	Records []Record
+	// Offsets are those of the records, some of which may be left out because a later one
+	// replaces them; nil if the records are consecutive.
+	Offsets []uint64
 	// Next is the position that follows the records.
 	Next   Position
 	Source Source
@@ -82,6 +85,20 @@
 	ConfirmedAt time.Time
 }
 
+// offset returns the offset of a record of a batch that was read from a position.
+func (b *Batch) offset(from Position, index int) uint64 {
+	if index < len(b.Offsets) {
+		return b.Offsets[index]
+	}
+	return from.Offset + uint64(index)
+}
+
+// IsConsecutive reports whether a batch that was read from a position has all records up to
+// Next.
+func (b *Batch) IsConsecutive(from Position) bool {
+	return uint64(len(b.Records)) == b.Next.Offset-from.Offset
+}
+
 // Store is a client of the shared log.
 type Store interface {
 	// Newest returns the newest record of each key. The result reflects every
--- a/internal/process/keyed/topic.go
+++ b/internal/process/keyed/topic.go
@@ -55,9 +55,7 @@
 	// confirmedAt is when the store is known to have held nothing that the topic lacks;
 	// zero before that.
 	confirmedAt time.Time
-	// recent holds the newest records; the first has the offset recentFrom.
-	recent     []Record
-	recentFrom uint64
+	recent      recentChanges
 	// advanced is closed when next changes.
 	advanced chan struct{}
 	// reported is the position up to which onChange has been called, reportedMore is closed
@@ -66,14 +64,10 @@
 	reportedMore chan struct{}
 }
 
-// maxRecentRecords bounds the records kept for other hosts to read, about ten
-// seconds of endpoint entries.
-const maxRecentRecords = 1000
-
 // Change is the effect of one read or snapshot on a topic.
 type Change struct {
-	// Records are the changed records in order; one without a value means that
-	// its key was deleted.
+	// Records are the newest records of the changed keys in order; one without a value
+	// means that its key was deleted.
 	Records []Record
 	// AfterOutage is true if the store was unavailable before this change.
 	AfterOutage bool
@@ -88,7 +82,7 @@
 
 // NewTopic returns a topic that is not loaded yet.
 func NewTopic(partition Partition, store Store, policy func() PollPolicy, restore RestorePolicy, log *logrus.Entry, onChange func(Change)) *Topic {
-	return &Topic{partition: partition, store: store, policy: policy, restore: restore, log: log.WithField("topic", partition.Topic), onChange: onChange, content: newContent(), advanced: make(chan struct{}), reportedMore: make(chan struct{})}
+	return &Topic{partition: partition, store: store, policy: policy, restore: restore, log: log.WithField("topic", partition.Topic), onChange: onChange, content: newContent(), recent: newRecentChanges(0), advanced: make(chan struct{}), reportedMore: make(chan struct{})}
 }
 
 // Run follows the topic until ctx is done.
@@ -242,11 +236,9 @@
 		return
 	}
 	t.content.apply(batch.Records, batch.Next, time.Now())
-	change := Change{Records: batch.Records, AfterOutage: outage, Position: batch.Next, ConfirmedAt: t.confirmedAt, Source: batch.Source}
-	t.recent = append(t.recent, batch.Records...)
-	if over := len(t.recent) - maxRecentRecords; over > 0 {
-		t.recent = append([]Record(nil), t.recent[over:]...)
-		t.recentFrom += uint64(over)
+	change := Change{Records: newestRecords(batch.Records), AfterOutage: outage, Position: batch.Next, ConfirmedAt: t.confirmedAt, Source: batch.Source}
+	for i, record := range batch.Records {
+		t.recent.add(record.Key, batch.offset(from, i))
 	}
 	t.confirm(batch.Next, batch.ConfirmedAt)
 	t.wakeReaders()
@@ -304,7 +296,7 @@
 	change := Change{Records: difference(old.values, merged.values), Position: merged.next, AfterOutage: outage, ConfirmedAt: t.confirmedAt, Source: snapshot.Source}
 	t.loaded, t.content = true, merged
 	t.confirm(snapshot.Position, snapshot.ConfirmedAt)
-	t.recent, t.recentFrom = nil, merged.next.Offset
+	t.recent = newRecentChanges(merged.next.Offset)
 	t.wakeReaders()
 	t.mu.Unlock()
 	if merged.next.Era > old.next.Era && len(merged.kept) > 0 {
--- a/internal/process/keyed/topic_state.go
+++ b/internal/process/keyed/topic_state.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"maps"
-	"slices"
 	"time"
 )
 
@@ -13,17 +12,21 @@
 	t.advanced = make(chan struct{})
 }
 
-// Since returns the records starting at a position. If there are none, it waits for
-// new ones until ctx is done. It fails with ErrTrimmed if the records are no longer
-// kept, and with ErrRefused if the topic is not loaded.
+// Since returns the newest record of each key that has changed since a position. If there are
+// none, it waits for new ones until ctx is done. It fails with ErrTrimmed if the changes are
+// no longer known, and with ErrRefused if the topic is not loaded.
 func (t *Topic) Since(ctx context.Context, from Position) (Batch, error) {
 	for {
 		t.mu.Lock()
 		loaded, next, advanced := t.loaded, t.next, t.advanced
 		batch := Batch{Next: from, ConfirmedAt: t.confirmedAt}
-		isKept := from.Compare(Position{Era: next.Era, Offset: t.recentFrom}) >= 0
+		isKept := from.Compare(Position{Era: next.Era, Offset: t.recent.from}) >= 0
 		if isKept && from.Compare(next) < 0 {
-			batch.Records, batch.Next = slices.Clone(t.recent[from.Offset-t.recentFrom:]), next
+			batch.Next = next
+			for _, change := range t.recent.since(from.Offset) {
+				batch.Records = append(batch.Records, Record{Key: change.key, Value: t.values[change.key]})
+				batch.Offsets = append(batch.Offsets, change.offset)
+			}
 		}
 		t.mu.Unlock()
 		switch {
