Tables of older versions share the routes that are the same

Requests in progress hold the table by which they began; in a storm of changes each holds a whole decoded configuration until its deadline, 12 s on some routes. The operator's records held a decoded copy besides the table.

TestTablesOfOlderVersionsShareRoutes: a further version takes less than a fifth of the first one where it took as much.

--- a/internal/process/gateway/records.go
+++ b/internal/process/gateway/records.go
@@ -56,6 +56,7 @@
 	}
 	if record.Config != nil {
 		g.applyConfig(*record.Config, change, receivedConfig{bytes: len(changed.Value), startedAt: startedAt})
+		record.Config = nil // the table has what is in force
 	}
 	g.operatorRecords[changed.Key] = record
 }
@@ -71,7 +72,7 @@
 	if current := g.table.Load(); current != nil && current.Version >= config.Version {
 		return
 	}
-	table := routing.NewTable(config)
+	table := g.table.Load().Next(config)
 	g.limits.SetTable(config.Teams)
 	g.dispatcher.SetRoutingTable(table)
 	g.table.Store(table)
--- a/internal/version/routing/table.go
+++ b/internal/version/routing/table.go
@@ -20,7 +20,32 @@
 }
 
 // NewTable builds the table for a configuration.
-func NewTable(config Config) *Table {
+func NewTable(config Config) *Table { return (*Table)(nil).Next(config) }
+
+// Next builds the table for a configuration that replaces that of t, which may be nil. The two
+// share the routes that are the same: requests in progress keep the tables of older versions,
+// and each would otherwise take as much memory as the newest one.
+func (t *Table) Next(config Config) *Table {
+	known := t.routesByName()
+	next := newTable(config)
+	for i := range config.Routes {
+		route := known[config.Routes[i].Name]
+		if route == nil || !route.equal(&config.Routes[i]) {
+			// A pointer into config.Routes would keep all of it.
+			changed := config.Routes[i]
+			route = &changed
+		}
+		host := strings.ToLower(route.Host)
+		next.routesByHost[host] = append(next.routesByHost[host], route)
+	}
+	for _, routes := range next.routesByHost {
+		slices.SortStableFunc(routes, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
+	}
+	return next
+}
+
+// newTable returns the table for a configuration without its routes.
+func newTable(config Config) *Table {
 	t := &Table{
 		Version:      config.Version,
 		Limits:       config.Limits,
@@ -29,14 +54,6 @@
 		teamsByKey:   map[string]*Team{},
 		teamsByName:  map[string]*Team{},
 	}
-	for i := range config.Routes {
-		route := &config.Routes[i]
-		host := strings.ToLower(route.Host)
-		t.routesByHost[host] = append(t.routesByHost[host], route)
-	}
-	for _, routes := range t.routesByHost {
-		slices.SortStableFunc(routes, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
-	}
 	for i := range config.Services {
 		t.services[config.Services[i].Name] = &config.Services[i]
 	}
@@ -53,6 +70,28 @@
 	return t
 }
 
+// routesByName returns the routes of a table, which may be nil.
+func (t *Table) routesByName() map[string]*Route {
+	if t == nil {
+		return nil
+	}
+	routes := map[string]*Route{}
+	for _, ofHost := range t.routesByHost {
+		for _, route := range ofHost {
+			routes[route.Name] = route
+		}
+	}
+	return routes
+}
+
+// equal reports whether two routes have the same configuration.
+func (r *Route) equal(other *Route) bool {
+	return r.Name == other.Name && r.Host == other.Host && r.Prefix == other.Prefix && r.Kind == other.Kind &&
+		r.Timeout == other.Timeout && r.TargetLatency == other.TargetLatency && r.TargetGap == other.TargetGap &&
+		r.Priority == other.Priority && slices.Equal(r.Shares, other.Shares) && r.MaxAttempts == other.MaxAttempts &&
+		r.Anonymous == other.Anonymous && r.Resumable == other.Resumable
+}
+
 // Match returns the route with the longest matching path prefix, or nil. It
 // ignores the port in the host name.
 func (t *Table) Match(host, path string) *Route {
--- a/internal/version/routing/table_test.go
+++ b/internal/version/routing/table_test.go
@@ -1,7 +1,11 @@
 package routing_test
 
 import (
+	"fmt"
+	"reflect"
+	"runtime"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -44,3 +48,63 @@
 	assert.DeepEqual(t, count, map[string]int{"a": 900, "b": 100})
 	assert.Equal(t, (&routing.Route{}).ChooseService(0.5), "")
 }
+
+// manyRoutes returns a configuration of some size, of which the last route differs in each
+// version.
+func manyRoutes(version uint64) routing.Config {
+	config := routing.Config{Version: version}
+	for number := range 3000 {
+		name := fmt.Sprintf("route-%06d", number)
+		config.Routes = append(config.Routes, routing.Route{Name: name, Host: "a.example", Prefix: "/" + name + "/", Shares: []routing.Share{{Service: "s", Weight: 1}}})
+	}
+	config.Routes[2999].Timeout = time.Duration(version)
+	return config
+}
+
+// Requests in progress held the tables of the versions by which they began, each with all of
+// its routes.
+func TestTablesOfOlderVersionsShareRoutes(t *testing.T) {
+	heapBytes := func() int64 {
+		runtime.GC()
+		stats := runtime.MemStats{}
+		runtime.ReadMemStats(&stats)
+		return int64(stats.HeapAlloc)
+	}
+	before := heapBytes()
+	tables := []*routing.Table{routing.NewTable(manyRoutes(1))}
+	first := heapBytes() - before
+	const versions = 100
+	for version := range uint64(versions) {
+		tables = append(tables, tables[version].Next(manyRoutes(version+2)))
+	}
+	further := (heapBytes() - before - first) / versions
+	assert.Assert(t, further < first/5, "%d bytes for the first version, %d for each further one", first, further)
+	for i, table := range tables {
+		assert.Equal(t, table.Match("a.example", "/route-002999/").Timeout, time.Duration(i+1))
+	}
+}
+
+// A field that two routes are not compared by would stay as it was.
+func TestRoutesDifferInEachField(t *testing.T) {
+	known := routing.NewTable(routing.Config{Routes: []routing.Route{{Name: "r", Host: "a.example", Prefix: "/x/"}}})
+	for field := range reflect.TypeOf(routing.Route{}).NumField() {
+		changed := routing.Route{Name: "r", Host: "a.example", Prefix: "/x/"}
+		value := reflect.ValueOf(&changed).Elem().Field(field)
+		switch value.Kind() {
+		case reflect.String:
+			if value.String() == "" || reflect.TypeOf(changed).Field(field).Name == "Name" {
+				value.SetString("other")
+			}
+		case reflect.Bool:
+			value.SetBool(true)
+		case reflect.Slice:
+			value.Set(reflect.ValueOf([]routing.Share{{Service: "s", Weight: 1}}))
+		case reflect.Uint8:
+			value.SetUint(1)
+		default:
+			value.SetInt(1)
+		}
+		got := known.Next(routing.Config{Routes: []routing.Route{changed}}).Match("a.example", "/x/")
+		assert.DeepEqual(t, *got, changed)
+	}
+}
