Copies of large configurations are compressed, or reported when they do not fit

One that does not fit then either is reported once for each version ('too large for a copy', gauge store.copy_too_large_bytes) and not tried again. The limit is platformSettings.maxRecordBytes. A copy that fits is written as before, which a build before reads.

--- a/internal/process/gateway/copies.go
+++ b/internal/process/gateway/copies.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
 
@@ -21,6 +22,10 @@
 	gateway *Gateway
 	// written holds the position that each copy is known to reach.
 	written [copyCount]keyed.Position
+	// tooLarge is the position of the newest records of which no copy can be written,
+	// tooLargeBytes the size of that copy, 0 if the newest can be written.
+	tooLarge      keyed.Position
+	tooLargeBytes metrics.Gauge
 }
 
 const (
@@ -28,6 +33,9 @@
 	// unavailable, one start in a hundred finds no copy.
 	copyCount = 4
 	copyKey   = "operator"
+	// copyPackedMark is the first byte of a compressed copy. A copy that is not compressed
+	// begins with a CBOR map.
+	copyPackedMark = 0
 	// copyInterval is the time between checks for copies to write or read. It
 	// limits the write rate when changes come in quick succession.
 	copyInterval = 300 * time.Millisecond
@@ -35,7 +43,9 @@
 	copyTimeout = 800 * time.Millisecond
 )
 
-func newSnapshotCopies(g *Gateway) *snapshotCopies { return &snapshotCopies{gateway: g} }
+func newSnapshotCopies(g *Gateway) *snapshotCopies {
+	return &snapshotCopies{gateway: g, tooLargeBytes: metrics.GetOrRegisterGauge("store.copy_too_large_bytes", g.registry)}
+}
 
 func (c *snapshotCopies) partition(number int) keyed.Partition {
 	return keyed.Partition{Topic: c.gateway.ports.Topics.Copies, Number: number}
@@ -57,18 +67,29 @@
 
 // write updates the copies that are behind the snapshot.
 func (c *snapshotCopies) write(ctx context.Context, snapshot keyed.Snapshot) {
+	if snapshot.Position == c.tooLarge {
+		return
+	}
 	var data []byte
 	for number, written := range c.written {
 		if written.Compare(snapshot.Position) >= 0 {
 			continue
 		}
 		if data == nil {
-			encoded, err := wire.Marshal(snapshot)
+			encoded, err := c.encode(snapshot)
 			if err != nil {
 				c.gateway.log.Entry().WithError(err).Error("cannot encode copy of the operator's records")
 				return
 			}
+			if !c.fits(encoded) {
+				c.tooLarge = snapshot.Position
+				c.tooLargeBytes.Update(int64(len(encoded)))
+				c.gateway.log.Entry().WithFields(logrus.Fields{"bytes": len(encoded), "max_bytes": c.gateway.settings.MaxRecordBytes, "operator_next": snapshot.Offset}).
+					Error("the operator's records are too large for a copy: hosts cannot start while the log does not deliver them")
+				return
+			}
 			data = encoded
+			c.tooLargeBytes.Update(0)
 		}
 		callCtx, cancel := context.WithTimeout(ctx, copyTimeout)
 		_, err := c.gateway.ports.Store.Append(callCtx, c.partition(number), keyed.Record{Key: copyKey, Value: data}, nil)
@@ -83,6 +104,39 @@
 	}
 }
 
+// encode returns the content of a copy, compressed if the log would not take it otherwise: a
+// host that runs a version that does not compress copies cannot read it.
+func (c *snapshotCopies) encode(snapshot keyed.Snapshot) ([]byte, error) {
+	data, err := wire.Marshal(snapshot)
+	if err != nil || c.fits(data) {
+		return data, eris.Wrap(err, "encode")
+	}
+	packed, err := pack(data)
+	return append([]byte{copyPackedMark}, packed...), err
+}
+
+// decodeCopy reverts encode.
+func decodeCopy(data []byte) (keyed.Snapshot, error) {
+	snapshot := keyed.Snapshot{}
+	if len(data) > 0 && data[0] == copyPackedMark {
+		unpacked, err := unpack(data[1:])
+		if err != nil {
+			return snapshot, err
+		}
+		data = unpacked
+	}
+	return snapshot, eris.Wrap(wire.Unmarshal(data, &snapshot), "decode")
+}
+
+// recordOverhead is how much larger a record is than its value, without the key.
+const recordOverhead = 1
+
+// fits reports whether the log takes a copy.
+func (c *snapshotCopies) fits(data []byte) bool {
+	limit := c.gateway.settings.MaxRecordBytes
+	return limit <= 0 || len(copyKey)+len(data)+recordOverhead <= limit
+}
+
 // restore adopts the newest copy that can be read. The operator's own records
 // replace it as soon as they can be read.
 func (c *snapshotCopies) restore(ctx context.Context) {
@@ -113,9 +167,10 @@
 	if err != nil {
 		return keyed.Snapshot{}, eris.Wrap(err, "copy")
 	}
-	snapshot := keyed.Snapshot{}
-	if value, found := newest.Values[copyKey]; found {
-		err = wire.Unmarshal(value, &snapshot)
+	value, found := newest.Values[copyKey]
+	if !found {
+		return keyed.Snapshot{}, nil
 	}
+	snapshot, err := decodeCopy(value)
 	return snapshot, eris.Wrap(err, "copy")
 }
--- a/internal/process/gateway/settings.go
+++ b/internal/process/gateway/settings.go
@@ -42,6 +42,8 @@
 	// cores, FileDescriptors the number of descriptors; 0 means unknown.
 	ProcessorCapacity float64
 	FileDescriptors   int
+	// MaxRecordBytes is the size of the largest record that the log takes; 0 means unknown.
+	MaxRecordBytes int
 	// LinkMbps is the capacity of the host's network link in Mbit/s.
 	LinkMbps int
 	// GracePeriod is the time from a stop request until the process is killed.
