--- a/internal/process/gateway/restore.go
+++ b/internal/process/gateway/restore.go
@@ -38,7 +38,7 @@
 
 // operatorRestorePolicy returns the policy of the operator's records.
 func (g *Gateway) operatorRestorePolicy() keyed.RestorePolicy {
-	return keyed.RestorePolicy{Supersedes: g.isNewerConfig, KeepMissing: restoreRewriteTime, KeepChanged: maxOrderDelay}
+	return keyed.RestorePolicy{DeletedBytes: g.settings.DeletedBytes, Supersedes: g.isNewerConfig, KeepMissing: restoreRewriteTime, KeepChanged: maxOrderDelay}
 }
 
 // isNewerConfig reports whether both values are configurations and the second one has
@@ -57,7 +57,7 @@
 	if heartbeat <= 0 {
 		heartbeat = defaultHeartbeat
 	}
-	return keyed.RestorePolicy{Supersedes: g.isNewerEntry, KeepMissing: endpointRewriteTime, KeepChanged: missedHeartbeats*heartbeat + expiryMargin}
+	return keyed.RestorePolicy{DeletedBytes: g.settings.DeletedBytes, Supersedes: g.isNewerEntry, KeepMissing: endpointRewriteTime, KeepChanged: missedHeartbeats*heartbeat + expiryMargin}
 }
 
 // isNewerEntry reports whether the second value is a later entry of an endpoint than
@@ -74,5 +74,5 @@
 // hostsRestorePolicy returns the policy of what the hosts have written for each other,
 // which they write again.
 func (g *Gateway) hostsRestorePolicy() keyed.RestorePolicy {
-	return keyed.RestorePolicy{KeepMissing: restoreRewriteTime, KeepChanged: restoreRewriteTime}
+	return keyed.RestorePolicy{DeletedBytes: g.settings.DeletedBytes, KeepMissing: restoreRewriteTime, KeepChanged: restoreRewriteTime}
 }
--- a/internal/process/gateway/settings.go
+++ b/internal/process/gateway/settings.go
@@ -44,6 +44,9 @@
 	FileDescriptors   int
 	// MaxRecordBytes is the size of the largest record that the log takes; 0 means unknown.
 	MaxRecordBytes int
+	// DeletedBytes is the size of the deleted records that are remembered of each topic,
+	// in case the log is restored from an older copy; 0 means the default.
+	DeletedBytes int
 	// LinkMbps is the capacity of the host's network link in Mbit/s.
 	LinkMbps int
 	// GracePeriod is the time from a stop request until the process is killed.
--- a/internal/process/keyed/content.go
+++ b/internal/process/keyed/content.go
@@ -2,7 +2,9 @@
 
 import (
 	"bytes"
+	"cmp"
 	"maps"
+	"slices"
 	"time"
 )
 
@@ -17,8 +19,14 @@
 	// KeepChanged how long a value or a deletion does where the store has another
 	// value.
 	KeepMissing, KeepChanged time.Duration
+	// DeletedBytes is the size of the records that were deleted in the last minute and are
+	// remembered; 0 means defaultDeletedBytes. A deletion that is not remembered is undone
+	// for a moment if the store is restored from a copy that has the record.
+	DeletedBytes int
 }
 
+const defaultDeletedBytes = 1 << 20
+
 func (p RestorePolicy) supersedes(key string, known, stored []byte) bool {
 	return p.Supersedes != nil && p.Supersedes(key, known, stored)
 }
@@ -34,6 +42,8 @@
 	kept map[string]keptRecord
 	// deleted holds the records that were deleted lately.
 	deleted map[string]deletedRecord
+	// maxDeletedBytes limits the size of deleted.
+	maxDeletedBytes int
 }
 
 // keptRecord is a key whose value, or whose deletion, is from an earlier era.
@@ -52,15 +62,12 @@
 // which a store is restored.
 const deletionMemory = time.Minute
 
-// maxDeleted is the number of remembered deletions from which old ones are dropped.
-const maxDeleted = 256
-
 // keepUntilRewritten is the time for which a value is kept that is known to be newer
 // than the store's.
 const keepUntilRewritten = 24 * time.Hour
 
-func newContent() content {
-	return content{values: map[string][]byte{}, kept: map[string]keptRecord{}, deleted: map[string]deletedRecord{}}
+func newContent(maxDeletedBytes int) content {
+	return content{maxDeletedBytes: cmp.Or(maxDeletedBytes, defaultDeletedBytes), values: map[string][]byte{}, kept: map[string]keptRecord{}, deleted: map[string]deletedRecord{}}
 }
 
 // set sets or deletes the value of a key.
@@ -72,13 +79,38 @@
 	}
 	if old, found := c.values[key]; found {
 		c.deleted[key] = deletedRecord{value: old, at: now}
+		c.forgetDeletions(now)
 	}
 	delete(c.values, key)
-	if len(c.deleted) > maxDeleted {
-		maps.DeleteFunc(c.deleted, func(_ string, d deletedRecord) bool { return now.Sub(d.at) > deletionMemory })
+}
+
+// forgetDeletions drops the deletions that are too old to matter, and the oldest ones beyond
+// maxDeletedBytes.
+func (c *content) forgetDeletions(now time.Time) {
+	size := 0
+	maps.DeleteFunc(c.deleted, func(key string, d deletedRecord) bool {
+		isOld := now.Sub(d.at) > deletionMemory
+		if !isOld {
+			size += d.size(key)
+		}
+		return isOld
+	})
+	if size <= c.maxDeletedBytes {
+		return
+	}
+	byAge := slices.SortedFunc(maps.Keys(c.deleted), func(a, b string) int { return c.deleted[a].at.Compare(c.deleted[b].at) })
+	for _, key := range byAge {
+		if size <= c.maxDeletedBytes {
+			return
+		}
+		size -= c.deleted[key].size(key)
+		delete(c.deleted, key)
 	}
 }
 
+// size returns the size in bytes of a deleted record.
+func (d deletedRecord) size(key string) int { return len(key) + len(d.value) }
+
 // apply applies records that were read in the era of the content.
 func (c *content) apply(records []Record, end Position, now time.Time) {
 	for _, record := range records {
@@ -141,7 +173,7 @@
 	case c.next.Compare(other.earlier) > 0:
 		merged = c.enterEra(other, policy, now)
 	}
-	merged.deleted = maps.Clone(c.deleted)
+	merged.deleted, merged.maxDeletedBytes = maps.Clone(c.deleted), c.maxDeletedBytes
 	for key, value := range c.values {
 		if _, found := merged.values[key]; !found {
 			merged.deleted[key] = deletedRecord{value: value, at: now}
@@ -150,6 +182,7 @@
 	for key := range merged.values {
 		delete(merged.deleted, key)
 	}
+	merged.forgetDeletions(now)
 	return merged
 }
 
--- a/internal/process/keyed/content_test.go
+++ b/internal/process/keyed/content_test.go
@@ -1,6 +1,7 @@
 package keyed
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -24,7 +25,7 @@
 
 // read returns the content of a topic that was read from a store.
 func read(era, offset uint64, pairs ...string) content {
-	c := newContent()
+	c := newContent(0)
 	c.next, c.values = Position{Era: era, Offset: offset}, values(pairs...)
 	return c
 }
@@ -113,3 +114,23 @@
 	assert.DeepEqual(t, merged.values, ahead.values)
 	assert.Equal(t, merged.next, ahead.next)
 }
+
+// Deletions were remembered for a minute whatever their size.
+func TestDeletionsAreBoundedInBytes(t *testing.T) {
+	const valueSize = 1000
+	now := time.Unix(1000, 0)
+	c := newContent(10 * valueSize)
+	key := func(number int) string { return fmt.Sprintf("w%04d", number) }
+	for number := range 500 {
+		c.set(key(number), make([]byte, valueSize), now)
+		now = now.Add(time.Millisecond)
+		c.set(key(number), nil, now)
+	}
+	assert.Equal(t, len(c.deleted), 9)
+	_, hasNewest := c.deleted[key(499)]
+	assert.Assert(t, hasNewest)
+	now = now.Add(2 * deletionMemory)
+	c.set("last", []byte("x"), now)
+	c.set("last", nil, now)
+	assert.Equal(t, len(c.deleted), 1)
+}
--- a/internal/process/keyed/topic.go
+++ b/internal/process/keyed/topic.go
@@ -82,7 +82,7 @@
 
 // NewTopic returns a topic that is not loaded yet.
 func NewTopic(partition Partition, store Store, policy func() PollPolicy, restore RestorePolicy, log *logrus.Entry, onChange func(Change)) *Topic {
-	return &Topic{partition: partition, store: store, policy: policy, restore: restore, log: log.WithField("topic", partition.Topic), onChange: onChange, content: newContent(), recent: newRecentChanges(0), advanced: make(chan struct{}), reportedMore: make(chan struct{})}
+	return &Topic{partition: partition, store: store, policy: policy, restore: restore, log: log.WithField("topic", partition.Topic), onChange: onChange, content: newContent(restore.DeletedBytes), recent: newRecentChanges(0), advanced: make(chan struct{}), reportedMore: make(chan struct{})}
 }
 
 // Run follows the topic until ctx is done.
@@ -289,7 +289,7 @@
 		return
 	}
 	now := time.Now()
-	old, merged := t.content, snapshot.content(now)
+	old, merged := t.content, snapshot.content(t.restore.DeletedBytes, now)
 	if t.loaded {
 		merged = t.merge(merged, t.restore, now)
 	}
@@ -307,8 +307,8 @@
 }
 
 // content returns the content that a snapshot describes.
-func (s *Snapshot) content(now time.Time) content {
-	c := newContent()
+func (s *Snapshot) content(maxDeletedBytes int, now time.Time) content {
+	c := newContent(maxDeletedBytes)
 	c.next, c.earlier = s.Position, s.Earlier
 	maps.Copy(c.values, s.Values)
 	for key, kept := range s.Kept {
