--- a/soak/command.go
+++ b/soak/command.go
@@ -29,6 +29,8 @@
 	Traffic   time.Duration `long:"traffic" default:"20s" description:"how long faults may begin"`
 	Faults    int           `long:"faults" default:"16" description:"faults of a run"`
 	Routes    int           `long:"routes" default:"0" description:"routes of the configuration that get no requests"`
+	Changes   int           `long:"changes" default:"0" description:"versions of the configuration that are published in place of faults, while the hosts' memory is checked"`
+	MemoryMB  int           `long:"memory-mb" default:"0" description:"memory of a host in MB; that of the stand-in's settings if 0"`
 	Events    int           `long:"events" default:"8" description:"events of a short stream"`
 	Interval  time.Duration `long:"interval" default:"15ms" description:"time between the events of a short stream"`
 	Long      float64       `long:"long" default:"0.1" description:"ratio of streams that last 2 to 5 s"`
@@ -96,7 +98,7 @@
 	}
 	report, err := Run(ctx, Options{
 		Seed: seed, Dir: dir, Programs: programs,
-		Size: Size{Hosts: a.Hosts, Endpoints: a.Endpoints, Callers: a.Callers, Traffic: a.Traffic, Faults: a.Faults, Routes: a.Routes},
+		Size: Size{Hosts: a.Hosts, Endpoints: a.Endpoints, Callers: a.Callers, Traffic: a.Traffic, Faults: a.Faults, Routes: a.Routes, Changes: a.Changes, MemoryMB: a.MemoryMB},
 		Load: Load{Events: a.Events, Interval: a.Interval, LongRatio: a.Long, SlowRatio: a.Slow},
 	})
 	if err != nil {
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -24,6 +24,8 @@
 	duties    *standin.Duties
 	hosts     []*host
 	endpoints []*endpoint
+	// memoryMB is Size.MemoryMB.
+	memoryMB int
 	// crashesPrompts is set while some callers send prompts that crash endpoints.
 	crashesPrompts atomic.Bool
 	// followers counts the series of stops in which callers go on to the next host.
@@ -62,7 +64,7 @@
 
 // newFleet starts the stand-ins and the hosts, and waits until the hosts are ready.
 func newFleet(ctx context.Context, options Options) (*fleet, error) {
-	f := &fleet{lifetime: &lifetime{}, record: NewRecorder(), storeFaults: map[*standin.StoreFaults]struct{}{}, orderLocks: map[string]*sync.Mutex{}}
+	f := &fleet{memoryMB: options.Size.MemoryMB, lifetime: &lifetime{}, record: NewRecorder(), storeFaults: map[*standin.StoreFaults]struct{}{}, orderLocks: map[string]*sync.Mutex{}}
 	f.store = standin.NewStore(f.lifetime)
 	f.duties = standin.NewDuties(f.lifetime, dutyOptions)
 	f.config = newConfig(options.Size.Routes)
@@ -195,6 +197,9 @@
 
 func (f *fleet) settings(h *host) string {
 	settings := standin.HostSettings(h.ip, seedAddresses(f.hosts), h.store.Address)
+	if f.memoryMB > 0 {
+		settings += fmt.Sprintf("limits.memoryMb=%d\n", f.memoryMB)
+	}
 	return standin.WithDuties(settings, f.duties.Address, dutyOptions)
 }
 
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -119,6 +119,11 @@
 	Faults int
 	// Routes is the number of routes in the configuration that get no requests.
 	Routes int
+	// Changes is the number of versions that are published one after another, in place of
+	// faults. If it is above 0, the memory of the hosts is checked.
+	Changes int
+	// MemoryMB is the memory of a host in MB; 0 means that of the stand-in's settings.
+	MemoryMB int
 }
 
 // warmup is the time without faults at the start of the traffic.
--- a/soak/run.go
+++ b/soak/run.go
@@ -42,8 +42,10 @@
 // Run carries out the plan of a seed. It returns an error if the fleet cannot be
 // started.
 func Run(ctx context.Context, options Options) (Report, error) {
-	report := Report{Seed: options.Seed, Plan: slices.Concat(NewPlan(options.Seed, options.Size), newRequestFaults(options.Seed, options.Size), newStoreReturns(options.Seed, options.Size), newMachineFaults(options.Seed, options.Size), newReaderCuts(options.Seed, options.Size))}
-	slices.SortStableFunc(report.Plan, func(a, b Fault) int { return int(a.Start - b.Start) })
+	report := Report{Seed: options.Seed}
+	if options.Size.Changes == 0 {
+		report.Plan = newFaults(options)
+	}
 	f, err := newFleet(ctx, options)
 	defer f.close()
 	if err != nil {
@@ -58,7 +60,11 @@
 	}
 	monitors.Go(func() { f.monitor(trafficCtx, stopTraffic) })
 	f.injectAll(trafficCtx, report.Plan)
-	recovery := f.awaitRecovery(trafficCtx)
+	grown, err := f.publishChanges(trafficCtx, options.Size.Changes)
+	if err != nil {
+		return report, err
+	}
+	recovery := append(grown, f.awaitRecovery(trafficCtx)...)
 	stopTraffic()
 	callers.Wait()
 	monitors.Wait()
@@ -72,6 +78,14 @@
 	return report, nil
 }
 
+// newFaults returns the faults of a seed, in the order of their starts.
+func newFaults(options Options) []Fault {
+	seed, size := options.Seed, options.Size
+	plan := slices.Concat(NewPlan(seed, size), newRequestFaults(seed, size), newStoreReturns(seed, size), newMachineFaults(seed, size), newReaderCuts(seed, size))
+	slices.SortStableFunc(plan, func(a, b Fault) int { return int(a.Start - b.Start) })
+	return plan
+}
+
 // injectAll injects the faults and returns when the last one is over.
 func (f *fleet) injectAll(ctx context.Context, plan []Fault) {
 	start := time.Now()
