Parts of a fleet that were apart find each other again

Callers of two parts of a fleet could use the whole of every limit in each, for good, and each part had a writer: a host that was silent for two minutes was forgotten and never looked for again, and seeds were asked only at the start. After a longer cut, the parts stayed apart.

TestPartsOfAFleetFindEachOther, virtual time, 6 and 42 hosts cut in two, in three and one-way: all know each other 5 s after a cut of 30 s or 5 minutes; without the change all six cases of 5 minutes fail (1 of 5 and 13 of 41 hosts known). TestSeedsAreAlwaysLookedFor, TestForgottenHostsAreLookedForAtAConstantRate.

Not part of this: what a part may assume of the limits in a cut of more than two minutes.

--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -121,8 +121,9 @@
 	g.usage = &usageMeter{relay: g.relay, conns: g.callerConns, log: log.Entry()}
 	g.entryHosts = &entryHosts{gateway: g}
 	g.membership = peers.NewMembership(g.self)
+	g.membership.SetMaxForgotten(settings.MaxForgottenHosts)
 	for _, seed := range settings.Seeds {
-		g.membership.AddPeer(seed, g.membership.Now())
+		g.membership.AddSeed(seed, g.membership.Now())
 	}
 	transport, err := peers.NewTransport(g.membership, g.localStatus, g.handlePeerMessage, ports.Metrics)
 	if err != nil {
--- a/internal/process/gateway/hoststate.go
+++ b/internal/process/gateway/hoststate.go
@@ -43,6 +43,8 @@
 	// those that are reachable.
 	Hosts     int `json:"hosts"`
 	Reachable int `json:"heard"`
+	// Forgotten is the number of hosts that no longer count and are still looked for.
+	Forgotten int `json:"forgotten"`
 	// Carries is set if callers are sent to this host or it serves some.
 	// EntryAddresses are the hosts that it sends callers to; Demand is what they
 	// need of all hosts, as far as this host has heard.
@@ -73,7 +75,7 @@
 	addresses, reachable := g.membership.SharingHosts(g.membership.Now())
 	s := HostState{
 		Host: g.settings.Name, Domain: g.settings.Domain, Ready: g.IsReady(), Stopping: g.isStopping(),
-		LogUnavailable: g.logAccess.isLost(), Hosts: len(addresses), Reachable: reachable, Endpoints: g.dispatcher.EndpointStates(),
+		LogUnavailable: g.logAccess.isLost(), Hosts: len(addresses), Reachable: reachable, Forgotten: g.membership.ForgottenCount(), Endpoints: g.dispatcher.EndpointStates(),
 	}
 	if table := g.table.Load(); table != nil {
 		s.ConfigVersion = table.Version
--- a/internal/process/gateway/settings.go
+++ b/internal/process/gateway/settings.go
@@ -34,6 +34,9 @@
 	PeerAddress                     netip.AddrPort
 	// Seeds are the peer addresses of possible other hosts.
 	Seeds []netip.AddrPort
+	// MaxForgottenHosts is the number of hosts that were silent for so long that they no
+	// longer count, and whose addresses are kept to look for them; 0 means the default.
+	MaxForgottenHosts int
 	// MemoryMB is the memory limit of the process in MB.
 	MemoryMB int
 	// Cores is the number of CPU cores to use.
--- a/internal/process/peers/membership.go
+++ b/internal/process/peers/membership.go
@@ -39,7 +39,7 @@
 	// be down.
 	minProbeInterval     = time.Second
 	probeIntervalPerHost = 10 * time.Millisecond
-	// forgetTimeout is when a host that stays unreachable is removed.
+	// forgetTimeout is when a host that stays unreachable no longer counts.
 	forgetTimeout = 2 * time.Minute
 )
 
@@ -73,6 +73,7 @@
 
 	mu           sync.Mutex
 	peers        map[netip.AddrPort]*peer
+	forgotten    forgottenHosts
 	sendInterval time.Duration
 	role         role
 	// carries is set if callers are sent to this host or it serves some.
@@ -89,7 +90,7 @@
 
 // NewMembership returns a membership that contains only the local host.
 func NewMembership(self Host) *Membership {
-	return &Membership{self: self, clock: runclock.New(), peers: map[netip.AddrPort]*peer{}, sendInterval: minSendInterval, role: role{isActive: true}}
+	return &Membership{self: self, clock: runclock.New(), peers: map[netip.AddrPort]*peer{}, forgotten: forgottenHosts{max: defaultMaxForgotten}, sendInterval: minSendInterval, role: role{isActive: true}}
 }
 
 // Now returns the current time of a clock by which other hosts are not silent while this
--- a/internal/process/peers/roles.go
+++ b/internal/process/peers/roles.go
@@ -111,6 +111,7 @@
 			}
 		case now.Sub(p.knownAt) > forgetTimeout && now.Sub(p.receivedAt) > forgetTimeout:
 			delete(m.peers, address)
+			m.forgotten.add(address, now)
 			continue
 		case now.Sub(p.sentAt) < probeInterval:
 			continue
@@ -120,6 +121,9 @@
 		p.sentAt = now
 		to = append(to, address)
 	}
+	if address := m.forgotten.next(func(a netip.AddrPort) bool { return m.peers[a] != nil }, now); address.IsValid() {
+		to, isProbing = append(to, address), true
+	}
 	m.sendInterval = max(minSendInterval, time.Duration(exchanging)*sendIntervalPerHost)
 	if !m.role.isActive {
 		m.sendInterval = idleSendInterval
