A request without an ID is answered on a reused connection

It was held until its deadline (504 after 5 s): the endpoint's 400, which cannot echo an ID, was taken for the response to an earlier request on the connection. It is now answered as on a new connection.

--- a/internal/request/relay/send.go
+++ b/internal/request/relay/send.go
@@ -178,7 +178,8 @@
 func (s *serverRequest) isStale(conn *upstream.Conn, header http.Header) bool {
 	id := s.relay.Protocol.ParseResponse(http.StatusOK, header).ID
 	if id == "" {
-		return conn.IsReused()
+		// An endpoint cannot echo the ID of a request that has none.
+		return conn.IsReused() && s.caller.ID != ""
 	}
 	return id != s.caller.ID
 }
