A topic that is far behind reads the list of its keys

The store says how many records remain after a read. If they are likely to be larger than the list of the newest record of each key, the topic reads that.

TestStormOfLargeConfigurationsOverNarrowLinkIsInForceInTime took 5.2 s before, where 2 s are allowed.

--- a/internal/process/keyed/keyed.go
+++ b/internal/process/keyed/keyed.go
@@ -77,9 +77,11 @@
 	// Offsets are those of the records, some of which may be left out because a later one
 	// replaces them; nil if the records are consecutive.
 	Offsets []uint64
-	// Next is the position that follows the records.
-	Next   Position
-	Source Source
+	// Next is the position that follows the records, Remaining the number of records that
+	// the store had after them.
+	Next      Position
+	Remaining uint64
+	Source    Source
 	// ConfirmedAt is when the store is known to have held nothing from Next on; zero if
 	// it may have held more.
 	ConfirmedAt time.Time
--- a/internal/process/keyed/topic.go
+++ b/internal/process/keyed/topic.go
@@ -205,9 +205,36 @@
 		return eris.Wrapf(ErrOutdated, "read in era %d", end.Era)
 	}
 	t.apply(next, batch)
+	if t.isListShorter(batch) {
+		// The records in between would be replaced at once. The next poll reads on if the
+		// list fails.
+		return t.reload(ctx, policy)
+	}
 	return nil
 }
 
+// listOverhead is how much larger a list of all keys is than their values, at least.
+const listOverhead = 1.5
+
+// isListShorter reports whether the list of the newest record of each key is likely to be
+// shorter than the records that remain after a batch.
+func (t *Topic) isListShorter(batch Batch) bool {
+	if batch.Remaining == 0 || len(batch.Records) == 0 {
+		return false
+	}
+	read := 0
+	for _, record := range batch.Records {
+		read += len(record.Key) + len(record.Value)
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	listed := 0
+	for key, value := range t.values {
+		listed += len(key) + len(value)
+	}
+	return float64(batch.Remaining)*float64(read)/float64(len(batch.Records)) > listOverhead*float64(listed)
+}
+
 // reload replaces the topic's content with the newest record of each key.
 func (t *Topic) reload(ctx context.Context, policy PollPolicy) error {
 	reading, cancel := transfer.WithTimeout(ctx, 0, policy.ResponseTimeout)
