--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"net/http"
@@ -133,6 +134,8 @@
 	g.sharedReads = newSharedReadStore(g)
 	g.operator = keyed.NewTopic(keyed.Partition{Topic: ports.Topics.Operator}, g.sharedReads, g.sharedReads.operatorPolicy, g.operatorRestorePolicy(), log.Entry(), g.applyOperatorChange)
 	g.endpoints = keyed.NewTopic(keyed.Partition{Topic: ports.Topics.Endpoints}, g.sharedReads, g.sharedReads.endpointsPolicy, g.endpointsRestorePolicy(), log.Entry(), g.applyEndpointsChange)
+	// Endpoints order their entries by number: one that arrives late must not replace another.
+	g.endpoints.KeepReplaced(cmp.Or(settings.RecentBytes, defaultRecentBytes))
 	g.hosts = keyed.NewTopic(keyed.Partition{Topic: ports.Topics.Hosts}, ports.Store, g.sharedReads.hostsPolicy, g.hostsRestorePolicy(), log.Entry(), g.applyHostsChange)
 	g.sharedReads.packed = newPackedReplies(ports.Metrics, g.operator, g.endpoints)
 	for name, topic := range map[string]*keyed.Topic{"operator": g.operator, "endpoints": g.endpoints} {
@@ -145,6 +148,9 @@
 	return g, nil
 }
 
+// defaultRecentBytes is the default of Settings.RecentBytes.
+const defaultRecentBytes = 1 << 20
+
 // stopInProgress returns the shutdown in progress, or nil.
 func (g *Gateway) stopInProgress() *relay.Stop {
 	requestedAt := g.stopRequestedAt.Load()
--- a/internal/process/gateway/settings.go
+++ b/internal/process/gateway/settings.go
@@ -47,6 +47,9 @@
 	FileDescriptors   int
 	// MaxRecordBytes is the size of the largest record that the log takes; 0 means unknown.
 	MaxRecordBytes int
+	// RecentBytes is the size of the latest entries of endpoints that are kept for other
+	// hosts to read; 0 means the default.
+	RecentBytes int
 	// DeletedBytes is the size of the deleted records that are remembered of each topic,
 	// in case the log is restored from an older copy; 0 means the default.
 	DeletedBytes int
--- a/internal/process/keyed/recent_test.go
+++ b/internal/process/keyed/recent_test.go
@@ -43,18 +43,28 @@
 	return keyed.Batch{Records: []keyed.Record{record}, Next: at(from.Offset + 1)}, nil
 }
 
-// followGenerated returns a topic that has read a store up to an offset.
-func followGenerated(t testing.TB, store keyed.Store, end uint64) *keyed.Topic {
+// newGenerated returns a topic of a store.
+func newGenerated(store keyed.Store, onChange func(keyed.Change)) *keyed.Topic {
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
 	longPoll := func() keyed.PollPolicy { return keyed.PollPolicy{ResponseTimeout: time.Minute} }
-	topic := keyed.NewTopic(keyed.Partition{Topic: "t"}, store, longPoll, restorePolicy, logrus.NewEntry(logger), func(keyed.Change) {})
+	return keyed.NewTopic(keyed.Partition{Topic: "t"}, store, longPoll, restorePolicy, logrus.NewEntry(logger), onChange)
+}
+
+// runUntil lets a topic read up to an offset.
+func runUntil(t testing.TB, topic *keyed.Topic, end uint64) {
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan error, 1)
 	go func() { done <- topic.Run(ctx) }()
 	assert.Assert(t, topic.Await(t.Context(), at(end)))
 	cancel()
 	assert.NilError(t, <-done)
+}
+
+// followGenerated returns a topic that has read a store up to an offset.
+func followGenerated(t testing.TB, store keyed.Store, end uint64) *keyed.Topic {
+	topic := newGenerated(store, func(keyed.Change) {})
+	runUntil(t, topic, end)
 	return topic
 }
 
@@ -167,3 +177,36 @@
 		assert.DeepEqual(t, got, want)
 	}
 }
+
+// An endpoint's entry that arrived late replaced a newer one: hosts did not get the newer one,
+// which the later record had replaced.
+func TestRecordsWithAnOrderOfTheirOwnAreAllReported(t *testing.T) {
+	records := []keyed.Record{{Key: "w1", Value: []byte("newer")}, {Key: "w1", Value: []byte("older")}}
+	var reported []keyed.Record
+	topic := newGenerated(&batchStore{batch: keyed.Batch{Records: records, Next: at(2)}}, func(change keyed.Change) {
+		reported = append(reported, change.Records...)
+	})
+	topic.KeepReplaced(1 << 10)
+	runUntil(t, topic, 2)
+	assert.DeepEqual(t, reported, records)
+	batch, err := topic.Since(t.Context(), at(0))
+	assert.NilError(t, err)
+	assert.DeepEqual(t, batch.Records, records)
+	assert.Assert(t, batch.IsConsecutive(at(0)))
+}
+
+func TestReplacedRecordsAreBoundedInBytes(t *testing.T) {
+	const records, maxBytes = 100, 10 * largeValueSize
+	before := heapBytes()
+	store := &generatedStore{records: records, valueSize: largeValueSize}
+	topic := newGenerated(store, func(keyed.Change) {})
+	topic.KeepReplaced(maxBytes)
+	runUntil(t, topic, records)
+	held := heapBytes() - before
+	assert.Assert(t, held < maxBytes+4*largeValueSize, "%d bytes held", held)
+	_, err := topic.Since(t.Context(), at(records-20))
+	assert.ErrorIs(t, err, keyed.ErrTrimmed)
+	batch, err := topic.Since(t.Context(), at(records-5))
+	assert.NilError(t, err)
+	assert.Equal(t, len(batch.Records), 5)
+}
--- a/internal/process/keyed/topic.go
+++ b/internal/process/keyed/topic.go
@@ -66,8 +66,8 @@
 
 // Change is the effect of one read or snapshot on a topic.
 type Change struct {
-	// Records are the newest records of the changed keys in order; one without a value
-	// means that its key was deleted.
+	// Records are the changed records in order, without those that a later one replaces
+	// unless the topic keeps them. One without a value means that its key was deleted.
 	Records []Record
 	// AfterOutage is true if the store was unavailable before this change.
 	AfterOutage bool
@@ -82,9 +82,16 @@
 
 // NewTopic returns a topic that is not loaded yet.
 func NewTopic(partition Partition, store Store, policy func() PollPolicy, restore RestorePolicy, log *logrus.Entry, onChange func(Change)) *Topic {
-	return &Topic{partition: partition, store: store, policy: policy, restore: restore, log: log.WithField("topic", partition.Topic), onChange: onChange, content: newContent(restore.DeletedBytes), recent: newRecentChanges(0), advanced: make(chan struct{}), reportedMore: make(chan struct{})}
+	t := &Topic{partition: partition, store: store, policy: policy, restore: restore, log: log.WithField("topic", partition.Topic), onChange: onChange, content: newContent(restore.DeletedBytes), advanced: make(chan struct{}), reportedMore: make(chan struct{})}
+	t.recent.restart(0)
+	return t
 }
 
+// KeepReplaced makes the topic report all records in order, and keep them for other hosts up to
+// a size in bytes. A topic needs that whose records have an order of their own, by which a
+// later record may be older than an earlier one. It is called before Run.
+func (t *Topic) KeepReplaced(maxBytes int) { t.recent.maxBytes = maxBytes }
+
 // Run follows the topic until ctx is done.
 func (t *Topic) Run(ctx context.Context) error {
 	for {
@@ -219,7 +226,7 @@
 // isListShorter reports whether the list of the newest record of each key is likely to be
 // shorter than the records that remain after a batch.
 func (t *Topic) isListShorter(batch Batch) bool {
-	if batch.Remaining == 0 || len(batch.Records) == 0 {
+	if batch.Remaining == 0 || len(batch.Records) == 0 || t.recent.keepsReplaced() {
 		return false
 	}
 	read := 0
@@ -263,9 +270,13 @@
 		return
 	}
 	t.content.apply(batch.Records, batch.Next, time.Now())
-	change := Change{Records: newestRecords(batch.Records), AfterOutage: outage, Position: batch.Next, ConfirmedAt: t.confirmedAt, Source: batch.Source}
+	records := batch.Records
+	if !t.recent.keepsReplaced() {
+		records = newestRecords(records)
+	}
+	change := Change{Records: records, AfterOutage: outage, Position: batch.Next, ConfirmedAt: t.confirmedAt, Source: batch.Source}
 	for i, record := range batch.Records {
-		t.recent.add(record.Key, batch.offset(from, i))
+		t.recent.add(record, batch.offset(from, i))
 	}
 	t.confirm(batch.Next, batch.ConfirmedAt)
 	t.wakeReaders()
@@ -323,7 +334,7 @@
 	change := Change{Records: difference(old.values, merged.values), Position: merged.next, AfterOutage: outage, ConfirmedAt: t.confirmedAt, Source: snapshot.Source}
 	t.loaded, t.content = true, merged
 	t.confirm(snapshot.Position, snapshot.ConfirmedAt)
-	t.recent = newRecentChanges(merged.next.Offset)
+	t.recent.restart(merged.next.Offset)
 	t.wakeReaders()
 	t.mu.Unlock()
 	if merged.next.Era > old.next.Era && len(merged.kept) > 0 {
--- a/internal/process/keyed/topic_state.go
+++ b/internal/process/keyed/topic_state.go
@@ -12,9 +12,10 @@
 	t.advanced = make(chan struct{})
 }
 
-// Since returns the newest record of each key that has changed since a position. If there are
-// none, it waits for new ones until ctx is done. It fails with ErrTrimmed if the changes are
-// no longer known, and with ErrRefused if the topic is not loaded.
+// Since returns the records from a position on, without those that a later one replaces unless
+// the topic keeps them. If there are none, it waits for new ones until ctx is done. It fails
+// with ErrTrimmed if the changes are no longer known, and with ErrRefused if the topic is not
+// loaded.
 func (t *Topic) Since(ctx context.Context, from Position) (Batch, error) {
 	for {
 		t.mu.Lock()
@@ -23,8 +24,8 @@
 		isKept := from.Compare(Position{Era: next.Era, Offset: t.recent.from}) >= 0
 		if isKept && from.Compare(next) < 0 {
 			batch.Next = next
-			for _, change := range t.recent.since(from.Offset) {
-				batch.Records = append(batch.Records, Record{Key: change.key, Value: t.values[change.key]})
+			for _, change := range t.recent.since(from.Offset, t.values) {
+				batch.Records = append(batch.Records, change.Record)
 				batch.Offsets = append(batch.Offsets, change.offset)
 			}
 		}
