--- a/soak/growth.go
+++ b/soak/growth.go
@@ -53,7 +53,7 @@
 		}
 		f.publishAgain()
 		if change%retainedChanges == retainedChanges-1 {
-			f.store.Trim("keyed.op")
+			f.store.TrimOperator()
 		}
 		time.Sleep(changePause)
 		if change < count/3 || change%sampledEvery > 0 {
