--- a/internal/process/peers/membership.go
+++ b/internal/process/peers/membership.go
@@ -349,28 +349,6 @@
 	return found, isRemote && m.role.isLarge && !isPreferred
 }
 
-// MarkAllOutdated records that this process did not run for some time, so that the other
-// hosts may have used more than they have reported.
-func (m *Membership) MarkAllOutdated() {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	for _, p := range m.peers {
-		p.isOutdated = true
-	}
-}
-
-// MarkAllUnreachable marks all hosts as unreachable, after this process was
-// suspended for long. They still share the limits.
-func (m *Membership) MarkAllUnreachable(now time.Time) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	for _, p := range m.peers {
-		if before := now.Add(-idleTimeout); p.receivedAt.After(before) {
-			p.receivedAt = before
-		}
-	}
-}
-
 // recordBundle records that a bundle has arrived. The time in which none did, as
 // while a relay is replaced, does not count as silence of the active hosts, except
 // for the relay that was silent: the new relay may have nothing newer of them in its first bundle.
