--- a/internal/command/host.go
+++ b/internal/command/host.go
@@ -49,6 +49,9 @@
 	if state.Relay != "" {
 		heard += " through " + state.Relay
 	}
+	if state.Forgotten > 0 {
+		heard += fmt.Sprintf(", %d forgotten", state.Forgotten)
+	}
 	t.add("hosts", fmt.Sprint(state.Hosts), "", heard)
 	carries := "carries callers"
 	if !state.Carries {
