--- a/internal/process/gateway/packed.go
+++ b/internal/process/gateway/packed.go
@@ -14,8 +14,8 @@
 )
 
 const (
-	// packedField is the query field by which a host says that it reads compressed replies.
-	// A host that runs a version without them passes it over.
+	// packedField is the query field with which a host asks for a compressed reply. Hosts of
+	// older versions ignore it.
 	packedField = "packed"
 	// minPackedBytes is the size from which a reply is compressed.
 	minPackedBytes = 2 << 10
@@ -79,7 +79,7 @@
 type packedKey struct {
 	from, next keyed.Position
 	isSnapshot bool
-	// earlier and kept tell snapshots of a restored store apart.
+	// earlier and kept distinguish snapshots taken after the store was restored.
 	earlier keyed.Position
 	kept    int
 }
--- a/internal/process/gateway/records_reply.go
+++ b/internal/process/gateway/records_reply.go
@@ -22,8 +22,8 @@
 	// more than this reply until the request arrived, negative if that was later; nil if
 	// the host runs a version that does not send it.
 	ConfirmedMillis *int64 `cbor:"5,keyasint,omitempty"`
-	// Packed is a compressed packedContent that stands for Records and Snapshot; empty if
-	// the host that asked does not read it, or the content is small.
+	// Packed is a compressed packedContent. It replaces Records and Snapshot if the host asked
+	// for a compressed reply and the content is large enough; otherwise it is empty.
 	Packed []byte `cbor:"6,keyasint,omitempty"`
 	// Offsets are those of the records if some are left out, because a later one replaces
 	// them. They are sent to hosts that read that.
--- a/internal/process/gateway/shared_read_store.go
+++ b/internal/process/gateway/shared_read_store.go
@@ -348,9 +348,8 @@
 	return isAllowed
 }
 
-// sparseField is the query field by which a host says that it reads replies from which
-// records are left out that a later one replaces. A host that runs a version that does not
-// send it gets a snapshot.
+// sparseField is the query field with which a host asks for records without those that a later
+// one replaces. Hosts of older versions do not send it, and receive a snapshot instead.
 const sparseField = "sparse"
 
 // relayWaitField is the query field for the time in ms that a read from another host
--- a/internal/process/gateway/state.go
+++ b/internal/process/gateway/state.go
@@ -23,15 +23,15 @@
 type stateReply struct {
 	Operator  *keyed.Snapshot `cbor:"1,keyasint,omitempty"`
 	Endpoints *keyed.Snapshot `cbor:"2,keyasint,omitempty"`
-	// PackedOperator and PackedEndpoints are compressed packedContents that stand for
-	// Operator and Endpoints; empty if the host that asked does not read them, or the
-	// snapshots are small.
+	// PackedOperator and PackedEndpoints are compressed packedContents. They replace Operator
+	// and Endpoints if the host asked for a compressed reply and the snapshots are large
+	// enough; otherwise they are empty.
 	PackedOperator  []byte `cbor:"3,keyasint,omitempty"`
 	PackedEndpoints []byte `cbor:"4,keyasint,omitempty"`
 }
 
-// stateTopicField is the query field that names the topics a host asks for, all if there is
-// none. A host that runs a version that does not know it sends all.
+// stateTopicField is the query field that names the requested topics; all if it is missing.
+// Hosts of older versions ignore it and send all.
 const stateTopicField = "topic"
 
 // serveState serves this host's copy of the records, unless the link could not deliver it in
--- a/internal/process/peers/forgotten_test.go
+++ b/internal/process/peers/forgotten_test.go
@@ -99,7 +99,7 @@
 	sentTo(m, now, 2*reconnectInterval)
 	to, _ := sentTo(m, now.Add(reconnectTimeout+time.Minute), 2*reconnectInterval)
 	assert.Assert(t, to[seed])
-	// A seed that is heard is not looked for beside the usual messages.
+	// A reachable seed receives the usual messages only.
 	now = now.Add(2 * reconnectTimeout)
 	receiveStatus(m, host("2"), 1, Status{}, now)
 	_, count := sentTo(m, now, reachableTimeout/2)
--- a/internal/request/relay/carry.go
+++ b/internal/request/relay/carry.go
@@ -31,13 +31,13 @@
 	Find(service string, tried []string) (Carrier, bool)
 }
 
-// OperatorRecords are the operator's records as far as this host has read them.
+// OperatorRecords reports how much of the operator's records this host has read and applied.
 type OperatorRecords interface {
-	// Next returns the position up to which they have been read, and false if they have
-	// not been.
+	// Next returns the position up to which the records have been read, and false until
+	// they have been read for the first time.
 	Next() (keyed.Position, bool)
-	// Await waits until they have been read up to a position, and reports whether they
-	// were before ctx was done.
+	// Await waits until the records up to a position are applied. It returns false if ctx
+	// is done first.
 	Await(ctx context.Context, position keyed.Position) bool
 }
 
@@ -122,7 +122,8 @@
 // carriedRequest holds what the first host has determined about a carried request.
 type carriedRequest struct {
 	isCallerRetry bool
-	// operator is how far it has read the operator's records; zero if it did not say.
+	// operator is the position up to which that host has read the operator's records; zero if
+	// the request does not name it.
 	operator keyed.Position
 }
 
--- a/internal/request/relay/relay.go
+++ b/internal/request/relay/relay.go
@@ -54,7 +54,7 @@
 	Limits     Limits
 	Quarantine Quarantine
 	Carriers   Carriers
-	// Records tells how far this host has read the operator's records.
+	// Records reports the position up to which this host has read the operator's records.
 	Records OperatorRecords
 	// Table returns the configuration in force, or nil while none is known.
 	Table func() *routing.Table
