--- a/internal/connection/transfer/context_test.go
+++ b/internal/connection/transfer/context_test.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"errors"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -15,11 +14,6 @@
 	"gotest.tools/v3/assert"
 )
 
-const (
-	testWait    = 100 * time.Millisecond
-	testTimeout = 700 * time.Millisecond
-)
-
 // slowReader returns one byte after each delay.
 type slowReader struct {
 	ctx    context.Context
@@ -28,45 +22,47 @@
 }
 
 func (r *slowReader) Read(data []byte) (int, error) {
-	if r.chunks == 0 {
+	if r.chunks--; r.chunks < 0 {
 		return 0, io.EOF
 	}
 	select {
 	case <-time.After(r.delay):
+		return copy(data, "x"), nil
 	case <-r.ctx.Done():
 		return 0, r.ctx.Err()
 	}
-	r.chunks--
-	data[0] = 'x'
-	return 1, nil
 }
 
 func TestDeadlineMovesWithProgress(t *testing.T) {
+	const (
+		wait    = 100 * time.Millisecond
+		timeout = 700 * time.Millisecond
+	)
 	for name, test := range map[string]struct {
 		delay  time.Duration
 		chunks int
 		err    error
 		took   time.Duration
 	}{
-		"longer than the timeout": {delay: 500 * time.Millisecond, chunks: 6, took: 3 * time.Second},
-		"stalls":                  {delay: 900 * time.Millisecond, chunks: 6, err: context.DeadlineExceeded, took: testWait + testTimeout},
-		"without end":             {delay: 100 * time.Millisecond, chunks: 1 << 20, err: context.DeadlineExceeded, took: 100*time.Millisecond + maxDuration},
+		"longer than the timeout": {500 * time.Millisecond, 6, nil, 3 * time.Second},
+		"stalls":                  {900 * time.Millisecond, 6, context.DeadlineExceeded, wait + timeout},
+		"without end":             {100 * time.Millisecond, 1 << 20, context.DeadlineExceeded, 100*time.Millisecond + maxDuration},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				startedAt := time.Now()
-				outer, cancelOuter := WithTimeout(t.Context(), testWait, testTimeout+time.Second)
+				outer, cancelOuter := WithTimeout(t.Context(), wait, timeout+time.Second)
 				defer cancelOuter()
-				ctx, cancel := WithTimeout(outer, testWait, testTimeout)
+				ctx, cancel := WithTimeout(outer, wait, timeout)
 				defer cancel()
 				derived, cancelDerived := context.WithCancel(ctx)
 				defer cancelDerived()
 				assert.Assert(t, !HasBegun(derived))
-				_, err := io.ReadAll(progressReader{ctx: derived, reader: &slowReader{ctx: derived, delay: test.delay, chunks: test.chunks}})
-				assert.Equal(t, errors.Is(err, context.DeadlineExceeded), test.err != nil)
+				_, err := io.ReadAll(progressReader{derived, &slowReader{derived, test.delay, test.chunks}})
+				assert.ErrorIs(t, err, test.err)
 				assert.Equal(t, time.Since(startedAt), test.took)
-				assert.Equal(t, HasBegun(derived), test.delay < testWait+testTimeout)
-				if test.err != nil && test.delay > testTimeout {
+				assert.Equal(t, HasBegun(derived), name != "stalls")
+				if name == "stalls" {
 					assert.NilError(t, outer.Err())
 				}
 			})
@@ -75,14 +71,12 @@
 }
 
 func TestContextEndsWithItsParent(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		parent, cancelParent := context.WithCancel(t.Context())
-		ctx, cancel := WithTimeout(parent, 0, time.Hour)
-		defer cancel()
-		cancelParent()
-		<-ctx.Done()
-		assert.ErrorIs(t, ctx.Err(), context.Canceled)
-	})
+	parent, cancelParent := context.WithCancel(t.Context())
+	ctx, cancel := WithTimeout(parent, 0, time.Hour)
+	defer cancel()
+	cancelParent()
+	<-ctx.Done()
+	assert.ErrorIs(t, ctx.Err(), context.Canceled)
 }
 
 func TestErrorNamesBytesReceived(t *testing.T) {
--- a/internal/process/keyed/recent_test.go
+++ b/internal/process/keyed/recent_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"runtime"
@@ -17,21 +16,19 @@
 
 // generatedStore has a large value for each offset, and keeps none.
 type generatedStore struct {
+	memoryStore
 	records   uint64
 	valueSize int
 	// others is the number of records of other keys between two of the large ones.
 	others uint64
-}
-
-func (s *generatedStore) Newest(context.Context, keyed.Partition) (keyed.Snapshot, error) {
-	return keyed.Snapshot{Values: map[string][]byte{}}, nil
-}
-
-func (s *generatedStore) Append(context.Context, keyed.Partition, keyed.Record, *uint64) (keyed.Position, error) {
-	return keyed.Position{}, keyed.ErrRefused
+	// batch is what a read from the start returns, if it has records.
+	batch keyed.Batch
 }
 
 func (s *generatedStore) Read(ctx context.Context, _ keyed.Partition, from keyed.Position, _ time.Duration) (keyed.Batch, error) {
+	if from == at(0) && len(s.batch.Records) > 0 {
+		return s.batch, nil
+	}
 	if from.Offset >= s.records {
 		<-ctx.Done()
 		return keyed.Batch{}, ctx.Err()
@@ -43,29 +40,31 @@
 	return keyed.Batch{Records: []keyed.Record{record}, Next: at(from.Offset + 1)}, nil
 }
 
-// newGenerated returns a topic of a store.
-func newGenerated(store keyed.Store, onChange func(keyed.Change)) *keyed.Topic {
+// readAll returns a topic that has read a store up to an offset. It keeps replaced records up
+// to a size in bytes, if that is not 0.
+func readAll(t testing.TB, store keyed.Store, end uint64, keptBytes int, onChange func(keyed.Change)) *keyed.Topic {
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
 	longPoll := func() keyed.PollPolicy { return keyed.PollPolicy{ResponseTimeout: time.Minute} }
-	return keyed.NewTopic(keyed.Partition{Topic: "t"}, store, longPoll, restorePolicy, logrus.NewEntry(logger), onChange)
-}
-
-// runUntil lets a topic read up to an offset.
-func runUntil(t testing.TB, topic *keyed.Topic, end uint64) {
+	topic := keyed.NewTopic(keyed.Partition{Topic: "t"}, store, longPoll, restorePolicy, logrus.NewEntry(logger), onChange)
+	topic.KeepReplaced(keptBytes)
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan error, 1)
 	go func() { done <- topic.Run(ctx) }()
 	assert.Assert(t, topic.Await(t.Context(), at(end)))
 	cancel()
 	assert.NilError(t, <-done)
+	return topic
 }
 
-// followGenerated returns a topic that has read a store up to an offset.
-func followGenerated(t testing.TB, store keyed.Store, end uint64) *keyed.Topic {
-	topic := newGenerated(store, func(keyed.Change) {})
-	runUntil(t, topic, end)
-	return topic
+func ignore(keyed.Change) {}
+
+// since returns the records of a topic from an offset on.
+func since(t *testing.T, topic *keyed.Topic, from uint64) keyed.Batch {
+	t.Helper()
+	batch, err := topic.Since(t.Context(), at(from))
+	assert.NilError(t, err)
+	return batch
 }
 
 // heapBytes returns the size of the objects in use.
@@ -80,23 +79,29 @@
 
 // A host kept the last 1,000 records whatever their size, and ended for memory after some 490
 // changes of a large configuration, at the same moment as all others.
-func TestTopicKeepsNoReplacedValues(t *testing.T) {
-	for _, others := range []uint64{0, 3} {
+func TestRecentRecordsAreBoundedInBytes(t *testing.T) {
+	for _, test := range []struct {
+		others    uint64
+		keptBytes int
+	}{{0, 0}, {3, 0}, {0, 10 * largeValueSize}} {
 		before := heapBytes()
-		records := 1000 * (others + 1)
-		topic := followGenerated(t, &generatedStore{records: records, valueSize: largeValueSize, others: others}, records)
+		records := 1000 * (test.others + 1)
+		topic := readAll(t, &generatedStore{records: records, valueSize: largeValueSize, others: test.others}, records, test.keptBytes, ignore)
 		held := heapBytes() - before
-		assert.Assert(t, held < 4*largeValueSize, "%d bytes held with %d other records each", held, others)
-		batch, err := topic.Since(t.Context(), at(records-1))
-		assert.NilError(t, err)
-		assert.Equal(t, len(batch.Records), 1)
+		assert.Assert(t, held < int64(test.keptBytes)+4*largeValueSize, "%+v: %d bytes held", test, held)
+		assert.Equal(t, len(since(t, topic, records-1).Records), 1)
+		if test.keptBytes > 0 {
+			_, err := topic.Since(t.Context(), at(records-20))
+			assert.ErrorIs(t, err, keyed.ErrTrimmed)
+			assert.Equal(t, len(since(t, topic, records-5).Records), 5)
+		}
 	}
 }
 
 func BenchmarkBytesHeldByTopic(b *testing.B) {
 	for b.Loop() {
 		before := heapBytes()
-		topic := followGenerated(b, &generatedStore{records: 1000, valueSize: 1 << 20}, 1000)
+		topic := readAll(b, &generatedStore{records: 1000, valueSize: 1 << 20}, 1000, 0, ignore)
 		b.ReportMetric(float64(heapBytes()-before)/(1<<20), "bytes/byte")
 		runtime.KeepAlive(topic)
 	}
@@ -107,32 +112,16 @@
 	store := &memoryStore{}
 	follow(t, store, func(topic *keyed.Topic, _ func() []keyed.Change) {
 		settle()
-		for _, value := range []string{"1", "2", "3"} {
-			store.put("config", value)
+		for _, record := range []struct{ key, value string }{{"config", "1"}, {"config", "2"}, {"config", "3"}, {"other", "4"}, {"gone", "5"}, {"gone", ""}} {
+			store.put(record.key, record.value)
 			settle()
 		}
-		store.put("other", "4")
-		store.put("gone", "5")
-		store.put("gone", "")
-		settle()
-		for from, test := range []struct {
-			offsets       []uint64
-			isConsecutive bool
-		}{
-			{[]uint64{2, 3, 5}, false},
-			{[]uint64{2, 3, 5}, false},
-			{[]uint64{2, 3, 5}, false},
-			{[]uint64{3, 5}, false},
-			{[]uint64{5}, false},
-			{[]uint64{5}, true},
-		} {
-			batch, err := topic.Since(t.Context(), at(uint64(from)))
-			assert.NilError(t, err)
-			assert.DeepEqual(t, batch.Offsets, test.offsets)
+		for from, offsets := range [][]uint64{{2, 3, 5}, {2, 3, 5}, {2, 3, 5}, {3, 5}, {5}, {5}} {
+			batch := since(t, topic, uint64(from))
+			assert.DeepEqual(t, batch.Offsets, offsets)
 			assert.Equal(t, batch.Next, at(6))
-			assert.Equal(t, batch.IsConsecutive(at(uint64(from))), test.isConsecutive)
-			last := len(batch.Records) - 1
-			assert.DeepEqual(t, batch.Records[last], keyed.Record{Key: "gone"})
+			assert.Equal(t, batch.IsConsecutive(at(uint64(from))), from == 5)
+			assert.DeepEqual(t, batch.Records[len(batch.Records)-1], keyed.Record{Key: "gone"})
 		}
 	})
 }
@@ -140,41 +129,21 @@
 // Changes that are no longer known are not served from the middle.
 func TestChangesOfTooManyKeysAreForgotten(t *testing.T) {
 	const records = 5000
-	topic := followGenerated(t, &generatedStore{records: records, valueSize: 1, others: records}, records)
+	topic := readAll(t, &generatedStore{records: records, valueSize: 1, others: records}, records, 0, ignore)
 	_, err := topic.Since(t.Context(), at(0))
-	assert.Assert(t, errors.Is(err, keyed.ErrTrimmed))
-	batch, err := topic.Since(t.Context(), at(records-500))
-	assert.NilError(t, err)
+	assert.ErrorIs(t, err, keyed.ErrTrimmed)
+	batch := since(t, topic, records-500)
 	assert.Equal(t, len(batch.Records), 500)
 	assert.Assert(t, batch.IsConsecutive(at(records-500)))
 }
 
-// batchStore returns one batch.
-type batchStore struct {
-	generatedStore
-	batch keyed.Batch
-}
-
-func (s *batchStore) Read(ctx context.Context, partition keyed.Partition, from keyed.Position, wait time.Duration) (keyed.Batch, error) {
-	if from == at(0) {
-		return s.batch, nil
-	}
-	return s.generatedStore.Read(ctx, partition, from, wait)
-}
-
 // What a host got without the records that were replaced, it passes on with their offsets.
 func TestSparseRecordsArePassedOn(t *testing.T) {
 	const records = 40
-	first := followGenerated(t, &generatedStore{records: records, valueSize: 10, others: 3}, records)
-	batch, err := first.Since(t.Context(), at(0))
-	assert.NilError(t, err)
-	second := followGenerated(t, &batchStore{batch: batch}, records)
+	first := readAll(t, &generatedStore{records: records, valueSize: 10, others: 3}, records, 0, ignore)
+	second := readAll(t, &generatedStore{batch: since(t, first, 0)}, records, 0, ignore)
 	for _, from := range []uint64{0, 20, 37, 39} {
-		want, err := first.Since(t.Context(), at(from))
-		assert.NilError(t, err)
-		got, err := second.Since(t.Context(), at(from))
-		assert.NilError(t, err)
-		assert.DeepEqual(t, got, want)
+		assert.DeepEqual(t, since(t, second, from), since(t, first, from))
 	}
 }
 
@@ -183,30 +152,11 @@
 func TestRecordsWithAnOrderOfTheirOwnAreAllReported(t *testing.T) {
 	records := []keyed.Record{{Key: "w1", Value: []byte("newer")}, {Key: "w1", Value: []byte("older")}}
 	var reported []keyed.Record
-	topic := newGenerated(&batchStore{batch: keyed.Batch{Records: records, Next: at(2)}}, func(change keyed.Change) {
+	topic := readAll(t, &generatedStore{batch: keyed.Batch{Records: records, Next: at(2)}}, 2, 1<<10, func(change keyed.Change) {
 		reported = append(reported, change.Records...)
 	})
-	topic.KeepReplaced(1 << 10)
-	runUntil(t, topic, 2)
 	assert.DeepEqual(t, reported, records)
-	batch, err := topic.Since(t.Context(), at(0))
-	assert.NilError(t, err)
+	batch := since(t, topic, 0)
 	assert.DeepEqual(t, batch.Records, records)
 	assert.Assert(t, batch.IsConsecutive(at(0)))
 }
-
-func TestReplacedRecordsAreBoundedInBytes(t *testing.T) {
-	const records, maxBytes = 100, 10 * largeValueSize
-	before := heapBytes()
-	store := &generatedStore{records: records, valueSize: largeValueSize}
-	topic := newGenerated(store, func(keyed.Change) {})
-	topic.KeepReplaced(maxBytes)
-	runUntil(t, topic, records)
-	held := heapBytes() - before
-	assert.Assert(t, held < maxBytes+4*largeValueSize, "%d bytes held", held)
-	_, err := topic.Since(t.Context(), at(records-20))
-	assert.ErrorIs(t, err, keyed.ErrTrimmed)
-	batch, err := topic.Since(t.Context(), at(records-5))
-	assert.NilError(t, err)
-	assert.Equal(t, len(batch.Records), 5)
-}
--- a/internal/process/peers/exchange_test.go
+++ b/internal/process/peers/exchange_test.go
@@ -144,6 +144,13 @@
 	}
 }
 
+// setLost sets which datagrams are lost.
+func (n *network) setLost(isLost func(from, to netip.AddrPort) bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.isLost = isLost
+}
+
 // setDown cuts hosts off, or reconnects them.
 func (n *network) setDown(isDown bool, hosts ...*simulatedHost) {
 	n.mu.Lock()
@@ -309,16 +316,12 @@
 		n := newNetwork(t, 3, 2, 26)
 		time.Sleep(5 * time.Second)
 		isCut := func(a netip.AddrPort) bool { return a.Addr().As4()[1] == 1 }
-		n.mu.Lock()
-		n.isLost = func(from, to netip.AddrPort) bool { return isCut(from) != isCut(to) }
-		n.mu.Unlock()
+		n.setLost(func(from, to netip.AddrPort) bool { return isCut(from) != isCut(to) })
 		time.Sleep(10 * time.Second)
 		lowest, highest := n.reachable()
 		assert.Equal(t, lowest, 27)
 		assert.Equal(t, highest, 55)
-		n.mu.Lock()
-		n.isLost = nil
-		n.mu.Unlock()
+		n.setLost(nil)
 		time.Sleep(5 * time.Second)
 		lowest, _ = n.reachable()
 		assert.Equal(t, lowest, len(n.hosts)-1)
--- a/internal/process/peers/forgotten_test.go
+++ b/internal/process/peers/forgotten_test.go
@@ -14,13 +14,6 @@
 // largeCuts adds fleets of 90 and 300 hosts, which take minutes.
 var largeCuts = flag.Bool("large-cuts", false, "cut fleets of 90 and 300 hosts, too")
 
-// setLost sets which datagrams are lost.
-func (n *network) setLost(isLost func(from, to netip.AddrPort) bool) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.isLost = isLost
-}
-
 // Parts of a fleet that had been apart for longer than it takes to forget a host stayed apart
 // after their link was back, each with the whole of every limit.
 func TestPartsOfAFleetFindEachOther(t *testing.T) {
--- a/internal/version/routing/table_test.go
+++ b/internal/version/routing/table_test.go
@@ -86,24 +86,15 @@
 
 // A field that two routes are not compared by would stay as it was.
 func TestRoutesDifferInEachField(t *testing.T) {
-	known := routing.NewTable(routing.Config{Routes: []routing.Route{{Name: "r", Host: "a.example", Prefix: "/x/"}}})
-	for field := range reflect.TypeOf(routing.Route{}).NumField() {
-		changed := routing.Route{Name: "r", Host: "a.example", Prefix: "/x/"}
-		value := reflect.ValueOf(&changed).Elem().Field(field)
-		switch value.Kind() {
-		case reflect.String:
-			if value.String() == "" || reflect.TypeOf(changed).Field(field).Name == "Name" {
-				value.SetString("other")
-			}
-		case reflect.Bool:
-			value.SetBool(true)
-		case reflect.Slice:
-			value.Set(reflect.ValueOf([]routing.Share{{Service: "s", Weight: 1}}))
-		case reflect.Uint8:
-			value.SetUint(1)
-		default:
-			value.SetInt(1)
-		}
+	base := routing.Route{Name: "r", Host: "a.example", Prefix: "/x/"}
+	known := routing.NewTable(routing.Config{Routes: []routing.Route{base}})
+	changes := map[string]any{
+		"Name": "other", "Host": "A.example", "Prefix": "/x", "Kind": routing.KindSafe, "Timeout": time.Second, "TargetLatency": time.Second, "TargetGap": time.Second,
+		"Priority": 1, "Shares": []routing.Share{{Service: "s", Weight: 1}}, "MaxAttempts": 1, "Anonymous": true, "Resumable": true,
+	}
+	for _, field := range reflect.VisibleFields(reflect.TypeFor[routing.Route]()) {
+		changed := base
+		reflect.ValueOf(&changed).Elem().FieldByIndex(field.Index).Set(reflect.ValueOf(changes[field.Name]))
 		got := known.Next(routing.Config{Routes: []routing.Route{changed}}).Match("a.example", "/x/")
 		assert.DeepEqual(t, *got, changed)
 	}
