--- a/review/third/harness/worker.go
+++ b/review/third/harness/worker.go
@@ -20,15 +20,27 @@
 	slots   int
 	born    int64
 
+	// coldUntil is when the worker is warm.
+	coldUntil time.Time
+
 	mu       sync.Mutex
 	sequence int
 	state    string
 	isGone   bool
 }
 
-// StartWorker starts a worker and writes its first entry.
+// StartWorker starts a worker that is warm, and writes its first entry.
 func (f *Fleet) StartWorker(id, service, zone string, slots int, handler standin.Handler) *Worker {
-	w := &Worker{Worker: standin.NewWorker(f, id, handler), fleet: f, service: service, zone: zone, slots: slots, born: time.Now().UnixMilli(), state: "ready"}
+	return f.StartColdWorker(id, service, zone, slots, 0, handler)
+}
+
+// StartColdWorker starts a worker that is cold for a time, and writes its first entry.
+func (f *Fleet) StartColdWorker(id, service, zone string, slots int, cold time.Duration, handler standin.Handler) *Worker {
+	now := time.Now()
+	w := &Worker{
+		Worker: standin.NewWorker(f, id, handler), fleet: f, service: service, zone: zone, slots: slots,
+		born: now.UnixMilli(), coldUntil: now.Add(cold), state: "ready",
+	}
 	w.beat()
 	stop := make(chan struct{})
 	f.Cleanup(func() { close(stop) })
@@ -97,6 +109,8 @@
 func (w *Worker) entry() map[string]any {
 	return map[string]any{
 		"serviceName": w.service, "address": w.Address, "zone": w.zone, "version": "v1",
-		"concurrencySlots": w.slots, "state": w.state, "coldRemainingMs": 0, "sequence": w.sequence, "born": w.born,
+		"concurrencySlots": w.slots, "state": w.state,
+		"coldRemainingMs": max(time.Until(w.coldUntil).Milliseconds(), 0),
+		"sequence":        w.sequence, "born": w.born,
 	}
 }
--- a/review/third/prompt/main.go
+++ b/review/third/prompt/main.go
@@ -25,8 +25,10 @@
 	length        = 30 * time.Second
 	badInterval   = 500 * time.Millisecond
 	soundInterval = 50 * time.Millisecond
-	// backAfter is how long a worker that crashed is away.
+	// backAfter is how long a worker that crashed is away, coldFor how long it is cold then, as
+	// the configuration says.
 	backAfter = 2 * time.Second
+	coldFor   = 3 * time.Second
 	// crashingPart is the part of prompts that crashes workers, firstPart the one that all
 	// prompts begin with.
 	crashingPart = "bad0bad0"
@@ -100,7 +102,7 @@
 	c := &fleet{Fleet: f, trouble: trouble}
 	f.Store.Put("keyed.op", "config", harness.Config(1))
 	for i := range workers {
-		c.startWorker([]string{"izmir-forge", "manisa-yard", "aydin-store"}[i%3])
+		c.startWorker([]string{"izmir-forge", "manisa-yard", "aydin-store"}[i%3], 0)
 	}
 	if err := f.StartHosts(hosts, true); err != nil {
 		return false, err
@@ -119,14 +121,14 @@
 
 // startWorker starts a model worker. It crashes as it begins to write an answer to a prompt
 // with the crashing part, and is back after a while.
-func (c *fleet) startWorker(zone string) {
+func (c *fleet) startWorker(zone string, cold time.Duration) {
 	c.mu.Lock()
 	c.started++
 	id := fmt.Sprintf("i-%08x", c.started)
 	c.mu.Unlock()
 	var w *harness.Worker
 	ready := make(chan struct{})
-	w = c.StartWorker(id, "usta-llm", zone, slots, func(r *standin.Run) bool {
+	w = c.StartColdWorker(id, "usta-llm", zone, slots, cold, func(r *standin.Run) bool {
 		if !harness.HasPart(r.Header.Get("Prompt-Prefix"), crashingPart) {
 			return standin.Stream(10, 20*time.Millisecond)(r)
 		}
@@ -144,7 +146,7 @@
 		c.Record.Add("worker %s crashes as it begins to answer", id)
 		r.WriteHead(http.StatusOK, -1)
 		w.Crash()
-		time.AfterFunc(backAfter, func() { c.startWorker(zone) })
+		time.AfterFunc(backAfter, func() { c.startWorker(zone, coldFor) })
 		return false
 	})
 	close(ready)
