--- a/review/third/brittle/main.go
+++ b/review/third/brittle/main.go
@@ -14,16 +14,17 @@
 	"mustarddoor/review/third/harness"
 )
 
+// The numbers of hosts, workers and slots are those of hielo-ruta.
 const (
-	hosts   = 6
-	workers = 6
-	slots   = 10
+	hosts   = 9
+	workers = 12
+	slots   = 9
 	// queue is how many requests a worker lets wait, brittleQueue how many it does so
 	// from contactMs after it began to be brittle.
 	queue        = 60
 	brittleQueue = 0
 	// maxRejections is the number of requests a second that a brittle worker can turn away.
-	maxRejections = 1
+	maxRejections = 2
 	// brittleAfter is when the workers become brittle, from the first request on, and brittleFor
 	// for how long they are.
 	brittleAfter = 3 * time.Second
@@ -33,8 +34,8 @@
 	backAfter = 2 * time.Second
 	coldFor   = 3 * time.Second
 	// perSecond is the number of requests a second. An answer has some events, with a pause of
-	// minPause to maxPause before each: a second in the mean, so that the workers are just full.
-	perSecond          = 60
+	// minPause to maxPause before each: a second in the mean, so that the workers are nearly full.
+	perSecond          = 100
 	events             = 10
 	minPause, maxPause = 50, 150
 	// maxFalls is what the rule allows: 2 + a tenth of the number of workers.
@@ -52,7 +53,10 @@
 	served, refused, failed   int
 }
 
-func main() { harness.Main(play) }
+func main() {
+	harness.MemoryMB = 134
+	harness.Main(play)
+}
 
 func play(f *harness.Fleet, trouble bool) (bool, error) {
 	c := &fleet{Fleet: f, trouble: trouble}
