--- a/review/third/brittle/main.go
+++ b/review/third/brittle/main.go
@@ -33,9 +33,9 @@
 	// the configuration says.
 	backAfter = 2 * time.Second
 	coldFor   = 3 * time.Second
-	// perSecond is the number of requests a second. An answer has some events, with a pause of
-	// minPause to maxPause before each: a second in the mean, so that the workers are nearly full.
-	perSecond          = 100
+	// perSecond is the number of requests a second, that of the sheet's model requests. An answer
+	// has some events, with a pause of minPause to maxPause before each: a second in the mean.
+	perSecond          = 84
 	events             = 10
 	minPause, maxPause = 50, 150
 	// maxFalls is what the rule allows: 2 + a tenth of the number of workers.
@@ -149,9 +149,6 @@
 	<-w.ready
 	now := time.Now()
 	isBrittle, isTight := w.fleet.brittleness(now)
-	if isBrittle {
-		r.SetHeader("Server-Brittle", fmt.Sprint(maxRejections))
-	}
 	if !w.admit(isTight) {
 		return w.reject(r, now, isBrittle, isTight)
 	}
@@ -171,6 +168,9 @@
 
 // stream writes the events of an answer, and reports whether the machine has read them all.
 func (w *worker) stream(r *standin.Run) bool {
+	if isBrittle, _ := w.fleet.brittleness(time.Now()); isBrittle {
+		r.SetHeader("Server-Brittle", fmt.Sprint(maxRejections))
+	}
 	r.WriteHead(http.StatusOK, -1)
 	pause := time.Duration(minPause+rand.IntN(maxPause-minPause)) * time.Millisecond
 	for id := 1; id <= events; id++ {
--- a/review/third/harness/worker.go
+++ b/review/third/harness/worker.go
@@ -24,6 +24,7 @@
 	coldUntil time.Time
 
 	mu       sync.Mutex
+	lastBeat time.Time
 	sequence int
 	state    string
 	isGone   bool
@@ -67,18 +68,20 @@
 		return false
 	}
 	w.sequence++
+	w.lastBeat = time.Now()
 	w.fleet.Store.Put("keyed.servers", w.ID, w.entry())
 	return true
 }
 
-// Crash ends the worker: its connections are reset and its port refuses. Its entry goes after
-// three heartbeats of silence.
+// Crash ends the worker: its connections are reset and its port refuses. Its entry goes three
+// heartbeats after the last one.
 func (w *Worker) Crash() {
 	w.mu.Lock()
 	w.isGone = true
+	silentFor := time.Since(w.lastBeat)
 	w.mu.Unlock()
 	w.End()
-	time.AfterFunc(3*Heartbeat, func() { w.fleet.Store.RemoveEntry(w.ID) })
+	time.AfterFunc(3*Heartbeat-silentFor, func() { w.fleet.Store.RemoveEntry(w.ID) })
 }
 
 // HasPart reports whether a prompt holds a part that is not the last.
--- a/review/third/prompt/main.go
+++ b/review/third/prompt/main.go
@@ -60,23 +60,24 @@
 	return parts
 }
 
-// soundTurn says that one in so many sound prompts has the first turn of the conversation.
-const soundTurn = 200
+// soundTurns says that one in so many sound prompts has the turns that the conversation has by
+// then.
+const soundTurns = 200
 
 // growingPrompt is a conversation about a crashing document: each request has one turn more
 // than the one before. Sound requests are about no document.
 func growingPrompt(n int, isBad bool) []string {
+	parts, turns := []string{firstPart}, 0
 	switch {
 	case isBad:
-		parts := []string{firstPart, crashingPart}
-		for earlier := range n {
-			parts = append(parts, turn(earlier))
-		}
-		return parts
-	case n%soundTurn == 0:
-		return []string{firstPart, turn(0)}
+		parts, turns = append(parts, crashingPart), n
+	case n%soundTurns == 0:
+		turns = min(1+n*int(soundInterval/time.Millisecond)/int(badInterval/time.Millisecond), conversationLength)
+	}
+	for earlier := range turns {
+		parts = append(parts, turn(earlier))
 	}
-	return []string{firstPart}
+	return parts
 }
 
 func turn(n int) string { return fmt.Sprintf("%08x", 0xa0000001+n) }
