--- a/review/third/brittle/main.go
+++ b/review/third/brittle/main.go
@@ -33,9 +33,10 @@
 	// the configuration says.
 	backAfter = 2 * time.Second
 	coldFor   = 3 * time.Second
-	// perSecond is the number of requests a second, that of the sheet's model requests. An answer
-	// has some events, with a pause of minPause to maxPause before each: a second in the mean.
-	perSecond          = 84
+	// perSecond is the number of requests a second, that of the model requests on the busier days
+	// of the site file. An answer has some events, with a pause of minPause to maxPause before
+	// each: a second in the mean.
+	perSecond          = 92
 	events             = 10
 	minPause, maxPause = 50, 150
 	// maxFalls is what the rule allows: 2 + a tenth of the number of workers.
